Agree on the interfaces between the parts

Cause: the parts are built side by side and must meet. Conclusion: each part can be built and tested against these interfaces.

--- a/src/mangohatch/config/service.py
+++ b/src/mangohatch/config/service.py
@@ -25,6 +25,7 @@
     zone: Name
     slots: int = Field(default=2, ge=1, le=1024, description="concurrent requests")
     connections: int = Field(default=200, ge=1, description="accepted connections")
+    draining: bool = Field(default=False, description="takes no new work")
 
 
 class MeasuringBudget(StrictModel):
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from mangohatch.config.service import ServiceSpec
+from mangohatch.config.service import ServiceSpec, UpstreamSpec
 
 __all__ = ["ServiceRow", "Tables", "UpstreamRow", "UpstreamState"]
 
@@ -67,14 +67,15 @@
         known = current.upstreams if current else {}
         row = ServiceRow(spec=spec, revision=revision)
         for upstream in spec.upstreams:
-            fresh = UpstreamRow(service=spec.name, **upstream.model_dump())
+            fresh = make_row(spec.name, upstream)
             old = known.get(upstream.name)
             if old is not None and (old.address, old.port) == (
                 fresh.address,
                 fresh.port,
             ):
                 fresh.in_flight = old.in_flight
-                fresh.state = old.state
+                if not upstream.draining and old.state is not UpstreamState.DRAINING:
+                    fresh.state = old.state
             row.upstreams[upstream.name] = fresh
         self.services[spec.name] = row
         return True
@@ -87,3 +88,24 @@
         """
         for service in self.services.values():
             yield from service.upstreams.values()
+
+
+def make_row(service: str, spec: UpstreamSpec) -> UpstreamRow:
+    """
+    Make the row of an upstream that was not known before.
+
+    :param service: name of the service
+    :param spec: the checked specification
+    :return: the row
+    """
+    state = UpstreamState.DRAINING if spec.draining else UpstreamState.ACTIVE
+    return UpstreamRow(
+        service=service,
+        name=spec.name,
+        address=spec.address,
+        port=spec.port,
+        zone=spec.zone,
+        slots=spec.slots,
+        connections=spec.connections,
+        state=state,
+    )
--- /dev/null
+++ b/src/mangohatch/peer/messages.py
@@ -0,0 +1,232 @@
+"""Messages between entry hosts, field by field as in ``peer.thrift``."""
+
+from dataclasses import dataclass, field
+
+__all__ = [
+    "Ack",
+    "ConfigDigest",
+    "ConfigItem",
+    "ConfigPull",
+    "ConfigPush",
+    "EventBatch",
+    "EventQuery",
+    "Member",
+    "OrderConfirm",
+    "OrderConfirmed",
+    "OrderPrepare",
+    "OrderVote",
+    "Ping",
+    "PingRequest",
+    "QuarantineNotice",
+    "SlotGrant",
+    "SlotRequest",
+    "SlotReturn",
+    "StatusQuery",
+    "StatusReply",
+    "UpstreamNotice",
+]
+
+
+@dataclass(slots=True, kw_only=True)
+class Member:
+    """A member as one host knows it; ``state`` is a MemberState value."""
+
+    host_id: str = ""
+    incarnation: int = 0
+    state: str = ""
+    zone: str = ""
+    address: str = ""
+    peer_port: int = 0
+    admin_port: int = 0
+    config_revision: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Ping:
+    """Liveness probe that carries membership news."""
+
+    sequence: int = 0
+    members: list[Member] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class Ack:
+    """Answer to a ping, with membership news of its own."""
+
+    sequence: int = 0
+    members: list[Member] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class PingRequest:
+    """Asks a third host to probe the target."""
+
+    sequence: int = 0
+    target: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class SlotRequest:
+    """Asks the broker of a service for the right to use a slot within ``wait_ms``."""
+
+    service_name: str = ""
+    sequence: int = 0
+    wait_ms: float = 0.0
+    avoid: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class SlotGrant:
+    """The right to use a slot, to be kept idle for at most ``linger_ms``."""
+
+    service_name: str = ""
+    sequence: int = 0
+    upstream: str = ""
+    token: int = 0
+    linger_ms: float = 0.0
+    refused: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class SlotReturn:
+    """Gives a slot back with the result and latency of its last use."""
+
+    service_name: str = ""
+    upstream: str = ""
+    token: int = 0
+    result: str = ""
+    latency_ms: float = 0.0
+    uses: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamNotice:
+    """An upstream's state as observed by one host, valid for ``ttl_ms``."""
+
+    service_name: str = ""
+    upstream: str = ""
+    state: str = ""
+    ttl_ms: float = 0.0
+    cause: str = ""
+    revision: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class QuarantineNotice:
+    """A request whose attempts broke connections to ``upstreams``."""
+
+    service_name: str = ""
+    fingerprint: str = ""
+    crashes: int = 0
+    ttl_ms: float = 0.0
+    upstreams: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigItem:
+    """One object of the platform at one revision."""
+
+    kind: str = ""
+    name: str = ""
+    revision: int = 0
+    json: str = ""
+    deleted: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigPush:
+    """Objects that changed, from the watching host of the given epoch."""
+
+    items: list[ConfigItem] = field(default_factory=list)
+    revision: int = 0
+    watcher: str = ""
+    epoch: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigDigest:
+    """Revisions by ``kind/name``, for anti-entropy."""
+
+    revisions: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigPull:
+    """Asks for objects by ``kind/name``."""
+
+    names: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class OrderPrepare:
+    """Asks a host whether it can put the object in force."""
+
+    order_id: str = ""
+    kind: str = ""
+    name: str = ""
+    base_revision: int = 0
+    json: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class OrderVote:
+    """Answer to a prepare; ``revision`` is the one in force at the voter."""
+
+    order_id: str = ""
+    accepted: bool = False
+    reason: str = ""
+    revision: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class OrderConfirm:
+    """Asks a host to confirm that the revision is in force."""
+
+    order_id: str = ""
+    kind: str = ""
+    name: str = ""
+    revision: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class OrderConfirmed:
+    """States the revision in force for the order."""
+
+    order_id: str = ""
+    revision: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class EventQuery:
+    """Asks for events of the time line."""
+
+    query_id: str = ""
+    filter_json: str = ""
+    limit: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class EventBatch:
+    """Events as JSON, oldest first."""
+
+    query_id: str = ""
+    events: list[str] = field(default_factory=list)
+    last: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class StatusQuery:
+    """Asks for rows of a host's tables."""
+
+    query_id: str = ""
+    subject: str = ""
+    filter_json: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class StatusReply:
+    """Rows as JSON and the age of what they state."""
+
+    query_id: str = ""
+    rows: list[str] = field(default_factory=list)
+    age_ms: int = 0
