Let a judgement of upstreams plug into routing

Cause: ejection, slow start and quarantine need one place to hear reports and to veto upstreams, for hosts and brokers alike. Change: core.health.Health with NoHealth; Router asks eligible() and feeds observe(); Call.isolated marks a suspect request. Conclusion: interface only, no behaviour beyond the veto.

--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -17,7 +17,8 @@
 
     ``deadline_ms`` is on the monotonic clock of this host. ``avoid`` names
     upstreams that earlier attempts of this request used. ``fingerprint``
-    identifies resends of the same request; empty when it has none.
+    identifies resends of the same request; empty when it has none. An isolated
+    call runs on an upstream with no other request in flight.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     fingerprint: str = ""
     avoid: frozenset[str] = frozenset()
     attempt: int = 1
+    isolated: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -4,6 +4,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call, Deliver, Grant, Refusal, Report
+from mangohatch.core.health import Health, NoHealth
 from mangohatch.core.tables import Tables, UpstreamState
 from mangohatch.errors import NoUpstream
 
@@ -18,10 +19,20 @@
     :meth:`release` or :meth:`tick`.
     """
 
-    def __init__(self, *, clock: Clock, rng: random.Random, tables: Tables) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        tables: Tables,
+        health: Health | None = None,
+        host_id: str = "",
+    ) -> None:
         self._clock = clock
         self._rng = rng
         self._tables = tables
+        self._health = health or NoHealth()
+        self._host_id = host_id
 
     def request(self, call: Call, deliver: Deliver) -> None:
         """
@@ -36,6 +47,7 @@
             for upstream in row.upstreams.values()
             if upstream.state is UpstreamState.ACTIVE
             and upstream.name not in call.avoid
+            and self._health.eligible(upstream, call)
         ]
         if not rows:
             error = NoUpstream(f"service {call.service} has no upstream for new work")
@@ -62,6 +74,8 @@
         :param report: how the attempt went
         """
         grant.upstream.in_flight -= 1
+        self._health.observe(grant.upstream, report, self._host_id)
 
     def tick(self) -> None:
         """Run the systems over the tables: expiry, ejection, probing."""
+        self._health.tick()
--- a/tests/core/test_router.py
+++ b/tests/core/test_router.py
@@ -1,6 +1,7 @@
 """Tests of the router."""
 
 from mangohatch.core.call import Call, Grant, Refusal, Report, Result
+from mangohatch.core.health import NoHealth
 from mangohatch.core.router import Router
 from mangohatch.core.tables import UpstreamState
 from tests.functions import fixture, function_tests
@@ -31,6 +32,18 @@
     assert {decision.upstream.name for decision in decisions} == {"u1", "u2", "u3"}
 
 
+def test_ineligible_upstream_gets_no_new_work(clock, rng, tables):
+    class OnlyFirst(NoHealth):
+        def eligible(self, row, call):
+            return row.name == "u1"
+
+    router = Router(clock=clock, rng=rng, tables=tables, health=OnlyFirst())
+    decisions = []
+    for _ in range(3):
+        router.request(make_call(), decisions.append)
+    assert {decision.upstream.name for decision in decisions} == {"u1"}
+
+
 def test_draining_upstream_gets_no_new_work(router, tables):
     rows = tables.services["tablero-misa"].upstreams
     rows["u1"].state = UpstreamState.DRAINING
