--- /dev/null
+++ b/src/standins/upstream/connections.py
@@ -0,0 +1,68 @@
+"""An HTTP server that knows its connections, to limit, silence and drop them."""
+
+from collections.abc import Callable
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+
+__all__ = ["ConnectionServer", "SilentStream"]
+
+DEFAULT_LIMIT = 200
+
+
+class SilentStream(IOStream):
+    """A stream that can lose track of its peer: nothing passes either way."""
+
+    silent = False
+
+    def read_from_fd(self, buf):
+        count = super().read_from_fd(buf)
+        if self.silent and count:
+            return None
+        return count
+
+    def write_to_fd(self, data):
+        if self.silent:
+            return len(data)
+        return super().write_to_fd(data)
+
+
+class ConnectionServer(HTTPServer):
+    """An HTTP server with a limit of connections."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        super().initialize(*args, **kwargs)
+        self.streams: set[SilentStream] = set()
+        self.refused = 0
+        self.limit: Callable[[], int] = lambda: DEFAULT_LIMIT
+
+    def _handle_connection(self, connection, address):
+        if len(self.streams) >= self.limit():
+            self.refused += 1
+            connection.close()
+            return
+        stream = SilentStream(connection)
+        stream.set_nodelay(True)
+        self.streams.add(stream)
+        self.handle_stream(stream, address)
+
+    def on_close(self, server_conn):
+        super().on_close(server_conn)
+        self.streams.discard(server_conn.stream)
+
+    def silence(self) -> int:
+        """
+        Silence all open connections; new ones work.
+
+        :return: number of connections silenced
+        """
+        for stream in self.streams:
+            stream.silent = True
+        return len(self.streams)
+
+    def drop(self) -> None:
+        """Close all connections at once."""
+        for stream in tuple(self.streams):
+            stream.close()
+        self.streams.clear()
--- /dev/null
+++ b/src/standins/upstream/noise.py
@@ -0,0 +1,74 @@
+"""Slow-down of an upstream by its neighbours, repeatable by seed."""
+
+import random
+from collections import deque
+from dataclasses import dataclass
+
+__all__ = ["NoiseSchedule"]
+
+SEGMENT_MIN_MS = 5.0
+SEGMENT_MAX_MS = 50.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Segment:
+    """A time span with a constant position between no and greatest slow-down."""
+
+    end_ms: float
+    level: float
+
+
+class NoiseSchedule:
+    """
+    Slow-down over time, piecewise constant.
+
+    Levels lie between 0 and 1; the greatest slow-down is passed with each query,
+    so that it can change without changing the schedule.
+    """
+
+    def __init__(self, *, seed: int, start_ms: float) -> None:
+        self._rng = random.Random(seed)
+        self._end_ms = start_ms
+        self._segments: deque[Segment] = deque()
+
+    def finish_ms(self, start_ms: float, work_ms: float, factor: float) -> float:
+        """
+        Compute when work that starts now ends.
+
+        :param start_ms: start of the work; never before an earlier call's start
+        :param work_ms: duration without slow-down
+        :param factor: greatest slow-down
+        :return: end of the work
+        """
+        if factor == 1.0:
+            return start_ms + work_ms
+        self._forget(start_ms)
+        now_ms = start_ms
+        index = 0
+        while True:
+            segment = self._segment(index)
+            slow_down = 1.0 + segment.level * (factor - 1.0)
+            needed_ms = work_ms * slow_down
+            if now_ms + needed_ms <= segment.end_ms:
+                return now_ms + needed_ms
+            work_ms -= (segment.end_ms - now_ms) / slow_down
+            now_ms = segment.end_ms
+            index += 1
+
+    def _forget(self, before_ms: float) -> None:
+        while self._segments and self._segments[0].end_ms <= before_ms:
+            self._segments.popleft()
+        while self._end_ms <= before_ms:
+            self._extend()
+            if self._end_ms <= before_ms:
+                self._segments.clear()
+
+    def _segment(self, index: int) -> Segment:
+        while len(self._segments) <= index:
+            self._extend()
+        return self._segments[index]
+
+    def _extend(self) -> None:
+        self._end_ms += self._rng.uniform(SEGMENT_MIN_MS, SEGMENT_MAX_MS)
+        level = self._rng.choice((0.0, 0.0, 0.5, 1.0))
+        self._segments.append(Segment(end_ms=self._end_ms, level=level))
--- /dev/null
+++ b/src/standins/upstream/server.py
@@ -0,0 +1,170 @@
+"""A stand-in upstream: state, life cycle and the cost of its work."""
+
+import asyncio
+import os
+from collections import deque
+from dataclasses import dataclass
+
+from tornado.web import Application
+
+from mangohatch.clock import Clock
+from standins.upstream.behaviour import Behaviour, ReportMode
+from standins.upstream.connections import ConnectionServer
+from standins.upstream.handlers import make_routes
+from standins.upstream.ledger import Ledger
+from standins.upstream.noise import NoiseSchedule
+from standins.upstream.slots import SlotQueue
+
+__all__ = ["LoadReport", "Upstream"]
+
+CRASH_STATUS = 70
+LOOPBACK = "127.0.0.1"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LoadReport:
+    """What the health and load endpoints say."""
+
+    time_ms: float
+    in_flight: int
+    draining: bool
+
+
+class Upstream:
+    """One backend server with few slots, many connections and noisy neighbours."""
+
+    def __init__(
+        self, *, name: str, seed: int, clock: Clock, behaviour: Behaviour | None = None
+    ) -> None:
+        self.name = name
+        self.clock = clock
+        self.behaviour = behaviour or Behaviour()
+        self.slots = SlotQueue()
+        self.ledger = Ledger()
+        self.port = 0
+        self.down = False
+        self._drain_ms = clock.now_ms()
+        self._started_ms = clock.now_ms()
+        self._noise = NoiseSchedule(seed=seed, start_ms=clock.now_ms())
+        self._reports: deque[LoadReport] = deque()
+        self._server: ConnectionServer | None = None
+        self._application = Application(make_routes(), upstream=self)
+        self._restart: asyncio.TimerHandle | None = None
+
+    def listen(self, port: int) -> int:
+        """
+        Accept connections on loopback.
+
+        :param port: TCP port, 0 for a free one
+        :return: the port
+        """
+        server = ConnectionServer(self._application)
+        server.limit = lambda: self.behaviour.connection_limit
+        server.listen(port, LOOPBACK)
+        self._server = server
+        sockets = tuple(server._sockets.values())
+        self.port = sockets[0].getsockname()[1]
+        self.down = False
+        return self.port
+
+    def close(self) -> None:
+        """Stop listening and drop all connections."""
+        if self._restart is not None:
+            self._restart.cancel()
+        self._stop_server()
+
+    def set_behaviour(self, behaviour: Behaviour) -> None:
+        """
+        Switch the behaviour.
+
+        :param behaviour: the new one, whole
+        """
+        if behaviour.draining and not self.behaviour.draining:
+            self._drain_ms = self.clock.now_ms()
+        self.behaviour = behaviour
+
+    def silence(self) -> int:
+        """
+        Silence all open connections; new ones work.
+
+        :return: number of connections silenced
+        """
+        return self._server.silence() if self._server is not None else 0
+
+    def crash(self) -> None:
+        """Lose all connections and work, and come back cold after a while."""
+        self.ledger.crashes += 1
+        if self.behaviour.exit_on_crash:
+            os._exit(CRASH_STATUS)
+        self.down = True
+        self._stop_server()
+        loop = asyncio.get_running_loop()
+        self._restart = loop.call_later(self.behaviour.restart_ms / 1000, self._revive)
+
+    def refuses_work(self) -> bool:
+        """
+        Tell whether a drain has gone on for longer than its grace.
+
+        :return: whether new work is refused
+        """
+        drained_ms = self.clock.now_ms() - self._drain_ms
+        return self.behaviour.draining and drained_ms >= self.behaviour.drain_grace_ms
+
+    def duration_ms(self, work_ms: float) -> float:
+        """
+        Compute how long work takes if it starts now.
+
+        :param work_ms: its duration on an idle, warm machine
+        :return: its duration with slow-downs
+        """
+        now_ms = self.clock.now_ms()
+        slowed_ms = work_ms * self.behaviour.slow_factor * self._cold_factor(now_ms)
+        factor = self.behaviour.noise_factor
+        return self._noise.finish_ms(now_ms, slowed_ms, factor) - now_ms
+
+    def note_load(self) -> None:
+        """Keep the present load for reports that lag."""
+        if self.behaviour.report_mode is not ReportMode.LAGGING:
+            return
+        self._reports.append(self._true_report())
+        oldest_ms = self.clock.now_ms() - self.behaviour.report_lag_ms
+        while len(self._reports) > 1 and self._reports[1].time_ms <= oldest_ms:
+            self._reports.popleft()
+
+    def report(self) -> LoadReport:
+        """
+        Report health and load, truly or not.
+
+        :return: the report
+        """
+        match self.behaviour.report_mode:
+            case ReportMode.LYING:
+                return LoadReport(time_ms=0.0, in_flight=0, draining=False)
+            case ReportMode.LAGGING:
+                self.note_load()
+                return self._reports[0]
+        return self._true_report()
+
+    def _true_report(self) -> LoadReport:
+        return LoadReport(
+            time_ms=self.clock.now_ms(),
+            in_flight=self.slots.in_flight,
+            draining=self.behaviour.draining,
+        )
+
+    def _cold_factor(self, now_ms: float) -> float:
+        age_ms = now_ms - self._started_ms
+        if age_ms >= self.behaviour.cold_ms:
+            return 1.0
+        coldness = 1.0 - age_ms / self.behaviour.cold_ms
+        return 1.0 + coldness * (self.behaviour.cold_factor - 1.0)
+
+    def _stop_server(self) -> None:
+        if self._server is not None:
+            self._server.stop()
+            self._server.drop()
+            self._server = None
+
+    def _revive(self) -> None:
+        self._started_ms = self.clock.now_ms()
+        self.listen(self.port)
--- /dev/null
+++ b/src/standins/upstream/slots.py
@@ -0,0 +1,77 @@
+"""Slots of an upstream with a queue in order of arrival."""
+
+import asyncio
+from collections import deque
+
+__all__ = ["QueueExpired", "QueueFull", "SlotQueue"]
+
+
+class QueueFull(Exception):
+    """The queue is longer than its limit; the request did not run."""
+
+
+class QueueExpired(Exception):
+    """The deadline passed in the queue; the request did not run."""
+
+
+class SlotQueue:
+    """Grants a bounded number of slots in order of arrival."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self._waiters: deque[asyncio.Future[None]] = deque()
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return sum(1 for fut in self._waiters if not fut.done())
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that run or wait."""
+        return self.running + self.waiting
+
+    async def acquire(
+        self, *, slots: int, queue_limit: int, timeout_ms: float | None
+    ) -> None:
+        """
+        Wait for a slot.
+
+        :param slots: slots of the upstream
+        :param queue_limit: longest queue
+        :param timeout_ms: longest wait, None without a bound
+        :raises QueueFull: when the queue is too long
+        :raises QueueExpired: when the wait took too long
+        """
+        if self.running < slots and not self.waiting:
+            self.running += 1
+            return
+        if self.waiting >= queue_limit:
+            raise QueueFull
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.append(fut)
+        try:
+            async with asyncio.timeout(
+                None if timeout_ms is None else timeout_ms / 1e3
+            ):
+                await fut
+        except TimeoutError:
+            self._pass_on(fut)
+            raise QueueExpired from None
+        except asyncio.CancelledError:
+            self._pass_on(fut)
+            raise
+
+    def _pass_on(self, fut: asyncio.Future[None]) -> None:
+        if fut.done() and not fut.cancelled():
+            self.release()
+        fut.cancel()
+
+    def release(self) -> None:
+        """Free a slot; the first in the queue takes it."""
+        while self._waiters:
+            fut = self._waiters.popleft()
+            if not fut.done():
+                fut.set_result(None)
+                return
+        self.running -= 1
