Eject failing and slow upstreams with hysteresis and a panic threshold

Cause: an upstream that fails at once looks least loaded and attracts work. Conclusion: ready to be fed by the broker's evidence.

--- /dev/null
+++ b/src/mangohatch/core/health/ejection.py
@@ -0,0 +1,176 @@
+"""Judgement by ejection, probation and slow start."""
+
+import random
+
+from mangohatch.clock import Clock
+from mangohatch.core.call import Call, Report, Result
+from mangohatch.core.health.base import Health
+from mangohatch.core.health.listener import HealthListener, NoListener
+from mangohatch.core.health.outlier import FAILURES, OutlierDetector
+from mangohatch.core.health.settings import HealthSettings
+from mangohatch.core.health.table import HealthRow, HealthState, HealthTable
+from mangohatch.core.tables import UpstreamRow
+
+__all__ = ["OutlierHealth"]
+
+
+class OutlierHealth(Health):
+    """
+    Ejects outliers, tries them again with single requests, then ramps them up.
+
+    When more than ``panic_share`` of a service is ejected, the evidence says
+    more about the site than about single upstreams, and all are eligible.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        cfg: HealthSettings | None = None,
+        listener: HealthListener | None = None,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._cfg = cfg or HealthSettings()
+        self._listener = listener or NoListener()
+        self.table = HealthTable()
+        self._detector = OutlierDetector(cfg=self._cfg, table=self.table)
+        self._unhealthy: dict[str, int] = {}
+
+    def observe(self, row: UpstreamRow, report: Report, holder_id: str) -> None:
+        now_ms = self._clock.now_ms()
+        health = self._find(row)
+        self._detector.update(health, report, now_ms=now_ms)
+        if health.state is HealthState.HEALTHY:
+            cause = self._detector.find_cause(health, now_ms=now_ms)
+            if cause:
+                self._eject(health, cause)
+        elif health.state is HealthState.PROBATION:
+            self._judge_probation(health, report)
+
+    def eligible(self, row: UpstreamRow, call: Call | None) -> bool:
+        health = self._find(row)
+        if health.state is HealthState.HEALTHY:
+            return True
+        if self.is_panicking(row.service):
+            return True
+        if health.state is HealthState.EJECTED or call is None:
+            return False
+        return call.idempotent and call.attempt == 1 and row.in_flight == 0
+
+    def capacity(self, row: UpstreamRow) -> float:
+        health = self._find(row)
+        if health.ramp_start_ms is None:
+            return 1.0
+        cfg = self._cfg
+        elapsed = (self._clock.now_ms() - health.ramp_start_ms) / cfg.ramp_ms
+        if elapsed >= 1.0:
+            health.ramp_start_ms = None
+            return 1.0
+        return max(cfg.ramp_floor, elapsed)
+
+    def tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        for rows in self.table.rows.values():
+            for row in rows.values():
+                self._tick_row(row, now_ms)
+
+    def advise(self, row: UpstreamRow, *, ttl_ms: float) -> None:
+        """
+        Take a peer's word that an upstream fails.
+
+        It is not ejected on the peer's word alone; the first failure seen here
+        while the advice lasts is enough.
+
+        :param row: the upstream
+        :param ttl_ms: how long the advice lasts
+        """
+        self._find(row).advised_until_ms = self._clock.now_ms() + ttl_ms
+
+    def is_panicking(self, service: str) -> bool:
+        """
+        Tell whether too many upstreams of a service are out to trust the evidence.
+
+        :param service: name of the service
+        :return: whether ejections are ignored
+        """
+        unhealthy = self._unhealthy.get(service, 0)
+        if not unhealthy:
+            return False
+        return unhealthy > self._cfg.panic_share * len(self.table.rows[service])
+
+    def start_ramp(self, row: UpstreamRow) -> None:
+        """
+        Ramp an upstream up from the floor, after a cold start.
+
+        :param row: the upstream
+        """
+        self._find(row).ramp_start_ms = self._clock.now_ms()
+
+    def _find(self, upstream: UpstreamRow) -> HealthRow:
+        row = self.table.find(upstream)
+        if row is not None:
+            return row
+        moved = upstream.name in self.table.rows.get(upstream.service, {})
+        row = self.table.add(upstream, now_ms=self._clock.now_ms())
+        if moved:
+            row.ramp_start_ms = self._clock.now_ms()
+            self._count(upstream.service)
+        return row
+
+    def _eject(self, row: HealthRow, cause: str) -> None:
+        cfg = self._cfg
+        base_ms = min(cfg.ejection_ms * 2**row.ejections, cfg.ejection_max_ms)
+        spread = self._rng.uniform(-cfg.ejection_jitter, cfg.ejection_jitter)
+        duration_ms = base_ms * (1.0 + spread)
+        row.state = HealthState.EJECTED
+        row.ejections += 1
+        row.ejected_until_ms = self._clock.now_ms() + duration_ms
+        row.slow_since_ms = None
+        self._count(row.service)
+        self._listener.ejected(row, duration_ms=duration_ms, cause=cause)
+
+    def _judge_probation(self, row: HealthRow, report: Report) -> None:
+        if report.result in FAILURES:
+            self._eject(row, "failed on probation")
+            return
+        if report.result is not Result.OK:
+            return
+        typical_ms = self._detector.typical_latency_ms(row)
+        limit_ms = self._cfg.slow_floor_ms
+        if typical_ms is not None:
+            limit_ms = max(limit_ms, typical_ms * self._cfg.slow_ratio)
+            if report.latency_ms > limit_ms:
+                self._eject(row, f"latency {report.latency_ms:.0f} ms on probation")
+                return
+        row.probation_successes += 1
+        if row.probation_successes >= self._cfg.probation_successes:
+            self._return(row)
+
+    def _return(self, row: HealthRow) -> None:
+        now_ms = self._clock.now_ms()
+        row.state = HealthState.HEALTHY
+        row.consecutive_failures = 0
+        row.attempts = 0
+        row.failure_rate = 0.0
+        row.latency_ms = 0.0
+        row.ramp_start_ms = now_ms
+        row.healthy_since_ms = now_ms
+        self._count(row.service)
+        self._listener.returned(row)
+
+    def _tick_row(self, row: HealthRow, now_ms: float) -> None:
+        if row.state is HealthState.EJECTED and now_ms >= row.ejected_until_ms:
+            row.state = HealthState.PROBATION
+            row.probation_successes = 0
+        healthy = row.state is HealthState.HEALTHY
+        if healthy and row.ejections:
+            if now_ms - row.healthy_since_ms >= self._cfg.forgive_ms:
+                row.ejections = 0
+
+    def _count(self, service: str) -> None:
+        self._unhealthy[service] = sum(
+            row.state is not HealthState.HEALTHY
+            for row in self.table.rows[service].values()
+        )
--- /dev/null
+++ b/src/mangohatch/core/health/listener.py
@@ -0,0 +1,39 @@
+"""The interface through which changes of health are told."""
+
+from abc import ABC, abstractmethod
+
+from mangohatch.core.health.table import HealthRow
+
+__all__ = ["HealthListener", "NoListener"]
+
+
+class HealthListener(ABC):
+    """Hears of ejections and returns."""
+
+    @abstractmethod
+    def ejected(self, row: HealthRow, *, duration_ms: float, cause: str) -> None:
+        """
+        An upstream was ejected.
+
+        :param row: its row
+        :param duration_ms: time until probation
+        :param cause: the evidence
+        """
+
+    @abstractmethod
+    def returned(self, row: HealthRow) -> None:
+        """
+        An upstream was trusted again.
+
+        :param row: its row
+        """
+
+
+class NoListener(HealthListener):
+    """Ignores all changes."""
+
+    def ejected(self, row: HealthRow, *, duration_ms: float, cause: str) -> None:
+        return None
+
+    def returned(self, row: HealthRow) -> None:
+        return None
--- /dev/null
+++ b/src/mangohatch/core/health/table.py
@@ -0,0 +1,81 @@
+"""The table of what is known of the health of upstreams."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from mangohatch.core.tables import UpstreamRow
+
+__all__ = ["HealthRow", "HealthState", "HealthTable"]
+
+
+class HealthState(StrEnum):
+    """Whether an upstream is trusted with work."""
+
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    PROBATION = "probation"
+
+
+@dataclass(slots=True, kw_only=True)
+class HealthRow:
+    """
+    Evidence and judgement of one upstream.
+
+    Times are monotonic milliseconds. ``latency_ms`` is a time-weighted mean;
+    ``failure_rate`` is one over recent attempts. ``ejections`` counts those in
+    a row without a lasting return.
+    """
+
+    service: str
+    name: str
+    address: tuple[str, int]
+    state: HealthState = HealthState.HEALTHY
+    consecutive_failures: int = 0
+    attempts: int = 0
+    failure_rate: float = 0.0
+    latency_ms: float = 0.0
+    latency_seen_ms: float = 0.0
+    slow_since_ms: float | None = None
+    ejections: int = 0
+    ejected_until_ms: float = 0.0
+    advised_until_ms: float = 0.0
+    probation_successes: int = 0
+    ramp_start_ms: float | None = None
+    healthy_since_ms: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class HealthTable:
+    """Health rows by service and name of the upstream."""
+
+    rows: dict[str, dict[str, HealthRow]] = field(default_factory=dict)
+
+    def find(self, upstream: UpstreamRow) -> HealthRow | None:
+        """
+        Find the row of an upstream.
+
+        :param upstream: the upstream
+        :return: its row; None when it is unknown or its address has changed
+        """
+        row = self.rows.get(upstream.service, {}).get(upstream.name)
+        if row is None or row.address != (upstream.address, upstream.port):
+            return None
+        return row
+
+    def add(self, upstream: UpstreamRow, *, now_ms: float) -> HealthRow:
+        """
+        Add a row for an upstream that is new, or that moved to a new address.
+
+        :param upstream: the upstream
+        :param now_ms: monotonic time
+        :return: the new row
+        """
+        row = HealthRow(
+            service=upstream.service,
+            name=upstream.name,
+            address=(upstream.address, upstream.port),
+            latency_seen_ms=now_ms,
+            healthy_since_ms=now_ms,
+        )
+        self.rows.setdefault(upstream.service, {})[upstream.name] = row
+        return row
