Make choice of upstream a kind, with baselines, a queue and a budget

Cause: one router must run the product and the baselines it is measured against. Router keeps its interface. Conclusion: behaviour of the host is as before (least in flight).

--- a/src/mangohatch/config/service.py
+++ b/src/mangohatch/config/service.py
@@ -50,6 +50,12 @@
     name: Name
     path_prefix: str = Field(pattern=r"^/")
     deadline_ms: float = Field(default=10_000.0, gt=0, description="default deadline")
+    max_queue_wait_ms: float = Field(
+        default=15.0,
+        gt=0,
+        le=20.0,
+        description="longest wait for an upstream before the request is refused",
+    )
     rules: tuple[IdempotencyRule, ...] = ()
     measuring: MeasuringBudget = MeasuringBudget()
     upstreams: tuple[UpstreamSpec, ...] = ()
--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -35,11 +35,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class Grant:
-    """Permission to send one attempt of a call to an upstream."""
+    """
+    Permission to send one attempt of a call to an upstream.
+
+    ``token`` is the slot lease in use, 0 when the host has chosen without one.
+    """
 
     call: Call
     upstream: UpstreamRow
     granted_ms: float
+    token: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/src/mangohatch/core/choice/least_in_flight.py
@@ -0,0 +1,16 @@
+"""Choice of the upstream with the fewest requests of this host."""
+
+from mangohatch.core.call import Call
+from mangohatch.core.choice.base import ImmediateChooser
+from mangohatch.core.tables import ServiceRow, UpstreamRow
+
+__all__ = ["LeastInFlightChooser"]
+
+
+class LeastInFlightChooser(ImmediateChooser):
+    """The fewest own requests in flight wins; ties at random."""
+
+    def pick(self, service: ServiceRow, call: Call) -> UpstreamRow:
+        rows = self.candidates(service, call)
+        least = min(row.in_flight for row in rows)
+        return self._rng.choice([row for row in rows if row.in_flight == least])
--- /dev/null
+++ b/src/mangohatch/core/measuring/budget.py
@@ -0,0 +1,73 @@
+"""Token buckets that bound the measuring of a service."""
+
+from mangohatch.clock import Clock
+from mangohatch.config.service import MeasuringBudget
+from mangohatch.core.measuring.counter import MeasuringCounter
+
+__all__ = ["BudgetGate"]
+
+MS_PER_S = 1000.0
+BURST_REQUESTS = 100
+
+
+class BudgetGate:
+    """
+    Admits measuring calls within a budget.
+
+    Each bucket holds at most one second of its rate; the third is filled by
+    requests instead of time. A call that any bucket cannot pay is denied.
+    """
+
+    def __init__(
+        self, *, clock: Clock, budget: MeasuringBudget, counter: MeasuringCounter
+    ) -> None:
+        self._clock = clock
+        self._budget = budget
+        self._counter = counter
+        self._filled_ms = clock.now_ms()
+        self._calls = budget.calls_per_second
+        self._bytes = budget.bytes_per_second
+        self._share = max(1.0, budget.calls_per_request)
+
+    def note_request(self) -> None:
+        """Count a request, which earns its share of a call."""
+        self._counter.requests += 1
+        budget = self._budget
+        limit = max(1.0, budget.calls_per_request * BURST_REQUESTS)
+        self._share = min(limit, self._share + budget.calls_per_request)
+
+    def spend_call(self, size_bytes: int) -> bool:
+        """
+        Pay for a call, if the budget has room for it.
+
+        :param size_bytes: size of the call on the wire
+        :return: whether it may be sent
+        """
+        self._fill()
+        if self._calls < 1 or self._share < 1 or self._bytes < size_bytes:
+            self._counter.denied += 1
+            return False
+        self._calls -= 1
+        self._share -= 1
+        self._bytes -= size_bytes
+        self._counter.count_call(size_bytes)
+        return True
+
+    def spend_message(self, size_bytes: int) -> None:
+        """
+        Charge a one-way message, which later calls make up for.
+
+        :param size_bytes: size of the message on the wire
+        """
+        self._bytes -= size_bytes
+        self._counter.count_message(size_bytes)
+
+    def _fill(self) -> None:
+        now_ms = self._clock.now_ms()
+        elapsed_s = (now_ms - self._filled_ms) / MS_PER_S
+        self._filled_ms = now_ms
+        budget = self._budget
+        calls = self._calls + budget.calls_per_second * elapsed_s
+        self._calls = min(budget.calls_per_second, calls)
+        size_bytes = self._bytes + budget.bytes_per_second * elapsed_s
+        self._bytes = min(budget.bytes_per_second, size_bytes)
