Keep configuration and claims of keyed requests in the object API

Cause: no part held lasting state; a lost write answer, a stale read or a resend through another host could not be answered for. Change: ConfigTable applies only newer revisions and keeps tombstones; StoreClaimRegistry claims a key by conditional write and writes results in the background; put_resolved settles lost answers by operation id; VirtualLoop, MemoryStore and MemoryBus run many hosts in one process in virtual time. Static services of the settings should be applied with revision=0, so that any stored revision replaces them.

--- /dev/null
+++ b/src/mangohatch/claims/results.py
@@ -0,0 +1,207 @@
+"""Results of claims on their way to the store."""
+
+import asyncio
+import random
+from dataclasses import dataclass, replace
+
+import structlog
+
+from mangohatch.claims.record import CLAIM_KIND, ClaimRecord, ClaimState, read_claim
+from mangohatch.errors import StoreConflict, StoreError
+from mangohatch.platform.backoff import Backoff
+from mangohatch.platform.operations import (
+    holds_operation,
+    put_resolved,
+    with_operation,
+)
+from mangohatch.platform.store import ObjectStore, StoredObject
+
+__all__ = ["Result", "ResultWriter"]
+
+FIRST_RETRY_MS = 50.0
+RETRY_LIMIT_MS = 5000.0
+WRITERS = 8
+USELESS_READS = 6
+BODIES_BYTES = 8 * 1024 * 1024
+MS_PER_S = 1000.0
+OPEN_STATES = (ClaimState.RUNNING, ClaimState.UNKNOWN)
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True, kw_only=True)
+class Result:
+    """
+    How an attempt ended.
+
+    ``base`` is its claim as last seen in the store; ``useless_reads`` counts reads
+    that did not show the attempt, because they were stale or the claim is gone.
+    """
+
+    name: str
+    record: ClaimRecord
+    base: StoredObject | None
+    useless_reads: int = 0
+
+    @property
+    def operation_id(self) -> str:
+        """Id of the write."""
+        return f"{self.record.attempt}:{self.record.state.value}"
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the kept body."""
+        answer = self.record.answer
+        return len(answer.body) if answer and answer.body else 0
+
+
+class ResultWriter:
+    """
+    Writes results in the background until each has landed.
+
+    Memory is bounded: above ``BODIES_BYTES`` the bodies of waiting results are
+    dropped, and the registry makes no claim while ``full``.
+
+    :param store: the store
+    :param rng: source of the jitter
+    :param limit: results that may wait
+    """
+
+    def __init__(self, *, store: ObjectStore, rng: random.Random, limit: int) -> None:
+        self._store = store
+        self._rng = rng
+        self._limit = limit
+        self._waiting: asyncio.Queue[Result] = asyncio.Queue()
+        self._pending: dict[str, Result] = {}
+        self._bodies_bytes = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def full(self) -> bool:
+        """Whether as many results wait as are allowed to."""
+        return len(self._pending) >= self._limit
+
+    @property
+    def pending(self) -> int:
+        """Number of results that have not landed."""
+        return len(self._pending)
+
+    def add(self, result: Result) -> None:
+        """
+        Take over a result.
+
+        :param result: how an attempt ended
+        """
+        if self._bodies_bytes + result.body_bytes > BODIES_BYTES:
+            result.record = drop_body(result.record)
+        self._bodies_bytes += result.body_bytes
+        self._pending[result.name] = result
+        self._waiting.put_nowait(result)
+
+    def find(self, name: str) -> Result | None:
+        """
+        Find a result of this host that has not landed.
+
+        :param name: name of the claim object
+        :return: the result
+        """
+        return self._pending.get(name)
+
+    def start(self) -> None:
+        """Start the writers."""
+        self._tasks = [asyncio.create_task(self._run()) for _ in range(WRITERS)]
+
+    async def flush(self, timeout_ms: float) -> int:
+        """
+        Wait until the results have landed, at shutdown.
+
+        :param timeout_ms: time to wait at most
+        :return: number of results that have not landed
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self._waiting.join()
+        except TimeoutError:
+            log.warning("claim_results_lost", count=len(self._pending))
+        return len(self._pending)
+
+    async def stop(self) -> None:
+        """Stop the writers."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            result = await self._waiting.get()
+            try:
+                await self._land(result)
+            finally:
+                self._pending.pop(result.name, None)
+                self._bodies_bytes -= result.body_bytes
+                self._waiting.task_done()
+
+    async def _land(self, result: Result) -> None:
+        backoff = Backoff(
+            first_ms=FIRST_RETRY_MS, limit_ms=RETRY_LIMIT_MS, rng=self._rng
+        )
+        while True:
+            try:
+                if await self._write(result):
+                    return
+            except StoreError as exc:
+                log.info("claim_result_waits", code=exc.code, name=result.name)
+            await asyncio.sleep(backoff.next_ms() / MS_PER_S)
+
+    async def _write(self, result: Result) -> bool:
+        base = result.base or await self._store.get(CLAIM_KIND, result.name)
+        result.base = None
+        if holds_operation(base, result.operation_id):
+            return True
+        if base is None or not is_open(base, result.record.attempt):
+            result.useless_reads += 1
+            return result.useless_reads >= USELESS_READS
+        value = with_operation(
+            result.record.value(), operation_id=result.operation_id, base=base
+        )
+        try:
+            await put_resolved(
+                self._store,
+                kind=CLAIM_KIND,
+                name=result.name,
+                value=value,
+                expected_revision=base.revision,
+                rng=self._rng,
+            )
+        except StoreConflict:
+            return False
+        except StoreError:
+            result.base = base
+            raise
+        return True
+
+
+def is_open(item: StoredObject, attempt: str) -> bool:
+    """
+    Tell whether a claim still waits for the result of an attempt.
+
+    :param item: the claim object
+    :param attempt: the attempt
+    :return: whether its result may be written
+    """
+    record = read_claim(item.value)
+    if record is None or record.attempt != attempt:
+        return False
+    return record.state in OPEN_STATES
+
+
+def drop_body(record: ClaimRecord) -> ClaimRecord:
+    """
+    Keep the answer of a claim without its body.
+
+    :param record: the claim
+    :return: the smaller claim
+    """
+    if record.answer is None:
+        return record
+    return replace(record, answer=replace(record.answer, body=None))
--- /dev/null
+++ b/src/mangohatch/claims/store_registry.py
@@ -0,0 +1,294 @@
+"""The registry of keyed requests over the platform's object API."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass
+
+from mangohatch.claims.record import (
+    CLAIM_KIND,
+    ClaimRecord,
+    ClaimState,
+    claim_name,
+    read_claim,
+)
+from mangohatch.claims.registry import Answer, ClaimRegistry, ClaimTicket
+from mangohatch.claims.results import Result, ResultWriter
+from mangohatch.clock import Clock
+from mangohatch.config import ClaimSettings
+from mangohatch.errors import (
+    ClaimKeyMismatch,
+    ClaimUnavailable,
+    Outcome,
+    OutcomeUnknown,
+    RequestInProgress,
+    StoreConflict,
+    StoreError,
+    StoreWriteUnknown,
+)
+from mangohatch.platform.operations import put_resolved, with_operation
+from mangohatch.platform.store import ObjectStore, StoredObject
+
+__all__ = ["StoreClaimRegistry", "StoreTicket"]
+
+CLAIM_ATTEMPTS = 4
+REREAD_MS = 20.0
+REFUSAL_AFTER_FAILURE_MS = 250.0
+DEADLINE_GRACE_MS = 1000.0
+MS_PER_S = 1000.0
+
+STATE_OF_OUTCOME = {
+    Outcome.DONE: ClaimState.DONE,
+    Outcome.NOT_RUN: ClaimState.NOT_RUN,
+    Outcome.UNKNOWN: ClaimState.UNKNOWN,
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One attempt to run the request of a key, from its claim to its result."""
+
+    name: str
+    record: ClaimRecord
+    deadline_ms: float
+
+    @property
+    def operation_id(self) -> str:
+        """Id of the write that claims the key."""
+        return f"{self.record.attempt}:claim"
+
+
+class StoreTicket(ClaimTicket):
+    """The right to run a request whose claim is in the store."""
+
+    def __init__(
+        self, *, registry: "StoreClaimRegistry", attempt: Attempt, base: StoredObject
+    ) -> None:
+        self._registry = registry
+        self._attempt = attempt
+        self._base = base
+        self._finished = False
+
+    async def finish(self, outcome: Outcome, answer: Answer | None) -> None:
+        if self._finished:
+            return
+        self._finished = True
+        self._registry.end(self._attempt, STATE_OF_OUTCOME[outcome], answer, self._base)
+
+
+class StoreClaimRegistry(ClaimRegistry):
+    """
+    Keeps one claim object per key.
+
+    A key is claimed by a conditional write before its request is sent. A claim is
+    claimed again only from the state ``not_run``; ``running`` past its deadline
+    counts as unknown. Without the store no keyed request is run.
+
+    :param host_id: id of this host
+    :param cfg: bounds
+    :param store: the store, with the budget of claims
+    :param clock: clock of this host
+    :param rng: source of attempt ids and jitter
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        cfg: ClaimSettings,
+        store: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._host_id = host_id
+        self._cfg = cfg
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._instance = f"{host_id}:{rng.getrandbits(64):016x}"
+        self._sequence = itertools.count(1)
+        self._running: dict[str, Attempt] = {}
+        self._refuse_until_ms = 0.0
+        self._leaving = False
+        self.results = ResultWriter(store=store, rng=rng, limit=cfg.pending_results)
+
+    async def start(self) -> None:
+        """Start to write results in the background."""
+        self.results.start()
+
+    async def stop(self, timeout_ms: float) -> int:
+        """
+        Claim nothing more and write the results that wait.
+
+        :param timeout_ms: time to wait at most
+        :return: number of results that have not landed
+        """
+        self._leaving = True
+        left = await self.results.flush(timeout_ms)
+        await self.results.stop()
+        return left
+
+    async def begin(
+        self, *, service: str, key: str, request_id: str, deadline_ms: float
+    ) -> ClaimTicket | Answer:
+        name = claim_name(service, key)
+        known = self._answer_from_memory(name)
+        if known is not None:
+            return known
+        self._admit()
+        attempt = self._make_attempt(name, service, key, deadline_ms)
+        self._running[name] = attempt
+        claimed = False
+        try:
+            result = await self._claim(attempt)
+            claimed = isinstance(result, StoreTicket)
+            return result
+        finally:
+            if not claimed and self._running.get(name) is attempt:
+                del self._running[name]
+
+    def end(
+        self,
+        attempt: Attempt,
+        state: ClaimState,
+        answer: Answer | None,
+        base: StoredObject | None,
+    ) -> None:
+        """
+        Note how an attempt ended and write it in the background.
+
+        :param attempt: the attempt
+        :param state: done, not run or unknown
+        :param answer: the whole answer when it is done
+        :param base: the claim object, None when it may not exist
+        """
+        if self._running.get(attempt.name) is attempt:
+            del self._running[attempt.name]
+        kept = self._bound(answer) if state is ClaimState.DONE else None
+        record = attempt.record.ended(state, kept, self._clock.wall_ms())
+        self.results.add(Result(name=attempt.name, record=record, base=base))
+
+    def _answer_from_memory(self, name: str) -> Answer | None:
+        running = self._running.get(name)
+        if running is not None:
+            if running.deadline_ms + DEADLINE_GRACE_MS > self._clock.now_ms():
+                raise self._in_progress()
+            del self._running[name]
+        ended = self.results.find(name)
+        if ended is None:
+            return None
+        if ended.record.state is ClaimState.NOT_RUN:
+            raise self._in_progress()
+        return self._repeat(ended.record)
+
+    def _admit(self) -> None:
+        if self._leaving:
+            raise self._refused("this host is leaving")
+        if self.results.full:
+            raise self._refused("too many results wait for the store")
+        if self._clock.now_ms() < self._refuse_until_ms:
+            raise self._refused("the store does not answer")
+
+    def _make_attempt(
+        self, name: str, service: str, key: str, deadline_ms: float
+    ) -> Attempt:
+        wall_ms = self._clock.wall_ms()
+        record = ClaimRecord(
+            service=service,
+            key=key,
+            state=ClaimState.RUNNING,
+            host=self._host_id,
+            attempt=f"{self._instance}:{next(self._sequence)}",
+            deadline_wall_ms=wall_ms + deadline_ms - self._clock.now_ms(),
+            changed_wall_ms=wall_ms,
+        )
+        return Attempt(name=name, record=record, deadline_ms=deadline_ms)
+
+    async def _claim(self, attempt: Attempt) -> ClaimTicket | Answer:
+        remaining_ms = attempt.deadline_ms - self._clock.now_ms()
+        try:
+            async with asyncio.timeout(max(remaining_ms, 0.0) / MS_PER_S):
+                result = await self._write_claim(attempt)
+        except StoreWriteUnknown as exc:
+            self._abandon(attempt)
+            raise self._refused("the claim got no answer") from exc
+        except StoreError as exc:
+            self._note_failure()
+            raise self._refused("the store does not answer") from exc
+        except TimeoutError as exc:
+            self._abandon(attempt)
+            raise self._refused("the claim took too long") from exc
+        except asyncio.CancelledError:
+            self._abandon(attempt)
+            raise
+        late = self._clock.now_ms() >= attempt.deadline_ms
+        if late and isinstance(result, StoreTicket):
+            await result.finish(Outcome.NOT_RUN, None)
+            raise self._refused("the claim took too long")
+        return result
+
+    async def _write_claim(self, attempt: Attempt) -> ClaimTicket | Answer:
+        base: StoredObject | None = None
+        for _ in range(CLAIM_ATTEMPTS):
+            try:
+                item = await self._put(attempt, base)
+                return StoreTicket(registry=self, attempt=attempt, base=item)
+            except StoreConflict:
+                found = await self._store.get(CLAIM_KIND, attempt.name)
+            if found is None or (base is not None and found.revision <= base.revision):
+                await asyncio.sleep(REREAD_MS / MS_PER_S)
+                continue
+            record = read_claim(found.value)
+            if record is None or not self._same_key(record, attempt.record):
+                raise ClaimKeyMismatch("the claim of this key holds another key")
+            if record.state is not ClaimState.NOT_RUN:
+                return self._repeat(record)
+            base = found
+        raise self._in_progress()
+
+    async def _put(self, attempt: Attempt, base: StoredObject | None) -> StoredObject:
+        value = with_operation(
+            attempt.record.value(), operation_id=attempt.operation_id, base=base
+        )
+        return await put_resolved(
+            self._store,
+            kind=CLAIM_KIND,
+            name=attempt.name,
+            value=value,
+            expected_revision=base.revision if base else None,
+            rng=self._rng,
+        )
+
+    def _repeat(self, record: ClaimRecord) -> Answer:
+        if record.state is ClaimState.DONE and record.answer is not None:
+            return record.answer
+        past_ms = self._clock.wall_ms() - record.deadline_wall_ms
+        if record.state is ClaimState.RUNNING and past_ms < DEADLINE_GRACE_MS:
+            raise self._in_progress()
+        raise OutcomeUnknown("the outcome of the first attempt is not known")
+
+    def _abandon(self, attempt: Attempt) -> None:
+        self._note_failure()
+        self.end(attempt, ClaimState.NOT_RUN, None, None)
+
+    def _note_failure(self) -> None:
+        self._refuse_until_ms = self._clock.now_ms() + REFUSAL_AFTER_FAILURE_MS
+
+    def _bound(self, answer: Answer | None) -> Answer | None:
+        if answer is None or answer.body is None:
+            return answer
+        if len(answer.body) <= self._cfg.body_bytes:
+            return answer
+        return Answer(status=answer.status, headers=answer.headers, body=None)
+
+    def _in_progress(self) -> RequestInProgress:
+        return RequestInProgress(
+            "a request with this key has not ended",
+            retry_after_ms=self._cfg.retry_after_ms,
+        )
+
+    def _refused(self, detail: str) -> ClaimUnavailable:
+        return ClaimUnavailable(detail, retry_after_ms=self._cfg.retry_after_ms)
+
+    def _same_key(self, one: ClaimRecord, other: ClaimRecord) -> bool:
+        return (one.service, one.key) == (other.service, other.key)
--- a/src/mangohatch/config/__init__.py
+++ b/src/mangohatch/config/__init__.py
@@ -8,13 +8,16 @@
     ServiceSpec,
     UpstreamSpec,
 )
+from mangohatch.config.state import ClaimSettings, StateSettings
 
 __all__ = [
+    "ClaimSettings",
     "HostSettings",
     "IdempotencyRule",
     "Listener",
     "MeasuringBudget",
     "ServiceSpec",
+    "StateSettings",
     "UpstreamSpec",
     "load_settings",
 ]
--- a/src/mangohatch/config/host.py
+++ b/src/mangohatch/config/host.py
@@ -3,6 +3,7 @@
 from pydantic import Field
 
 from mangohatch.config.service import IP_PATTERN, Name, ServiceSpec, StrictModel
+from mangohatch.config.state import ClaimSettings, StateSettings
 
 __all__ = ["HostSettings", "Listener"]
 
@@ -36,3 +37,5 @@
     services: tuple[ServiceSpec, ...] = Field(
         default=(), description="services known before the object API is read"
     )
+    state: StateSettings = StateSettings()
+    claims: ClaimSettings = ClaimSettings()
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -80,6 +80,20 @@
         self.services[spec.name] = row
         return True
 
+    def remove(self, name: str, *, revision: int) -> bool:
+        """
+        Take a service out of force; requests in flight go on.
+
+        :param name: name of the service
+        :param revision: revision of the removal; one that is not newer is ignored
+        :return: whether the service was removed
+        """
+        current = self.services.get(name)
+        if current is None or current.revision >= revision:
+            return False
+        del self.services[name]
+        return True
+
     def upstreams(self) -> Iterator[UpstreamRow]:
         """
         Iterate over every upstream.
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -1,6 +1,12 @@
 """Typed failures: every error has a code, and request errors have an outcome."""
 
 from mangohatch.errors.base import ExitCode, MangohatchError
+from mangohatch.errors.claim import (
+    ClaimKeyMismatch,
+    ClaimUnavailable,
+    OutcomeUnknown,
+    RequestInProgress,
+)
 from mangohatch.errors.request import (
     BadRequest,
     DeadlineExceeded,
@@ -16,20 +22,40 @@
     UpstreamUnreachable,
 )
 from mangohatch.errors.settings import SettingsError
+from mangohatch.errors.store import (
+    RevisionCompacted,
+    StoreBudgetExhausted,
+    StoreConflict,
+    StoreError,
+    StoreRateLimited,
+    StoreUnavailable,
+    StoreWriteUnknown,
+)
 
 __all__ = [
     "BadRequest",
+    "ClaimKeyMismatch",
+    "ClaimUnavailable",
     "DeadlineExceeded",
     "ExitCode",
     "MangohatchError",
     "NoRoute",
     "NoUpstream",
     "Outcome",
+    "OutcomeUnknown",
     "Overloaded",
     "RequestError",
+    "RequestInProgress",
     "RequestQuarantined",
+    "RevisionCompacted",
     "SettingsError",
     "Stopping",
+    "StoreBudgetExhausted",
+    "StoreConflict",
+    "StoreError",
+    "StoreRateLimited",
+    "StoreUnavailable",
+    "StoreWriteUnknown",
     "UpstreamAborted",
     "UpstreamRefused",
     "UpstreamUnreachable",
--- /dev/null
+++ b/src/mangohatch/errors/claim.py
@@ -0,0 +1,39 @@
+"""Failures of keyed requests, each with its outcome and HTTP status."""
+
+from mangohatch.errors.request import Outcome, RequestError
+
+__all__ = [
+    "ClaimKeyMismatch",
+    "ClaimUnavailable",
+    "OutcomeUnknown",
+    "RequestInProgress",
+]
+
+
+class RequestInProgress(RequestError):
+    """An earlier request with the same key has not ended; this one was not run."""
+
+    code = "request_in_progress"
+    status = 409
+
+
+class OutcomeUnknown(RequestError):
+    """The first attempt may or may not have run; no other attempt is made."""
+
+    code = "outcome_unknown"
+    status = 502
+    default_outcome = Outcome.UNKNOWN
+
+
+class ClaimUnavailable(RequestError):
+    """The key could not be claimed, therefore the request was not sent."""
+
+    code = "claim_unavailable"
+    status = 503
+
+
+class ClaimKeyMismatch(RequestError):
+    """The claim object of this key holds another key; the request was not sent."""
+
+    code = "claim_key_mismatch"
+    status = 409
--- /dev/null
+++ b/src/mangohatch/platform/backoff.py
@@ -0,0 +1,37 @@
+"""Exponential backoff with jitter."""
+
+import random
+
+__all__ = ["Backoff"]
+
+GROWTH = 2.0
+
+
+class Backoff:
+    """
+    Delays between attempts, each drawn between half and all of a growing bound.
+
+    :param first_ms: bound of the first delay
+    :param limit_ms: bound that no delay exceeds
+    :param rng: source of the jitter
+    """
+
+    def __init__(self, *, first_ms: float, limit_ms: float, rng: random.Random) -> None:
+        self._first_ms = first_ms
+        self._limit_ms = limit_ms
+        self._rng = rng
+        self._bound_ms = first_ms
+
+    def next_ms(self) -> float:
+        """
+        Draw the next delay and raise the bound.
+
+        :return: milliseconds to wait
+        """
+        delay_ms = self._rng.uniform(self._bound_ms / 2, self._bound_ms)
+        self._bound_ms = min(self._bound_ms * GROWTH, self._limit_ms)
+        return delay_ms
+
+    def reset(self) -> None:
+        """Start again from the first delay, after a success."""
+        self._bound_ms = self._first_ms
--- /dev/null
+++ b/src/mangohatch/platform/operations.py
@@ -0,0 +1,141 @@
+"""Writes whose lost answers are resolved by an operation id in the object."""
+
+import asyncio
+import random
+from typing import Any
+
+from mangohatch.errors import StoreConflict, StoreError, StoreWriteUnknown
+from mangohatch.platform.backoff import Backoff
+from mangohatch.platform.store import ObjectStore, StoredObject
+
+__all__ = [
+    "EARLIER_OPERATIONS",
+    "OPERATION_ID",
+    "OPERATION_FIELDS",
+    "holds_operation",
+    "put_resolved",
+    "with_operation",
+]
+
+OPERATION_ID = "operation_id"
+EARLIER_OPERATIONS = "earlier_operations"
+OPERATION_FIELDS = (OPERATION_ID, EARLIER_OPERATIONS)
+EARLIER_KEPT = 16
+ATTEMPTS = 5
+FIRST_DELAY_MS = 20.0
+LIMIT_DELAY_MS = 500.0
+MS_PER_S = 1000.0
+
+
+def with_operation(
+    value: dict[str, Any], *, operation_id: str, base: StoredObject | None
+) -> dict[str, Any]:
+    """
+    Mark a value with the operation that writes it and those that came before.
+
+    :param value: the value to write
+    :param operation_id: id of this write, unique over all hosts and time
+    :param base: the object that is replaced, None when there is none
+    :return: the marked value
+    """
+    earlier: list[str] = []
+    if base is not None:
+        earlier = [base.value.get(OPERATION_ID, "")]
+        earlier += base.value.get(EARLIER_OPERATIONS, [])
+    marks = {OPERATION_ID: operation_id, EARLIER_OPERATIONS: earlier[:EARLIER_KEPT]}
+    return value | marks
+
+
+def holds_operation(item: StoredObject | None, operation_id: str) -> bool:
+    """
+    Tell whether a write took effect on an object, even if it was replaced since.
+
+    :param item: the object as read
+    :param operation_id: id of the write
+    :return: whether the object or one of its predecessors carries the id
+    """
+    if item is None:
+        return False
+    if item.value.get(OPERATION_ID) == operation_id:
+        return True
+    return operation_id in item.value.get(EARLIER_OPERATIONS, [])
+
+
+async def put_resolved(
+    store: ObjectStore,
+    *,
+    kind: str,
+    name: str,
+    value: dict[str, Any],
+    expected_revision: int | None,
+    rng: random.Random,
+    attempts: int = ATTEMPTS,
+) -> StoredObject:
+    """
+    Write an object and find out what happened when the answer is lost.
+
+    The same conditional write is sent again: it takes effect at most once. A
+    conflict after a lost answer is settled by the operation id in the object. Reads
+    may be stale, so an object still at the expected revision settles nothing.
+
+    :param store: the store
+    :param kind: kind of object
+    :param name: name within the kind
+    :param value: the value, marked by :func:`with_operation`
+    :param expected_revision: revision to replace; None when there is no object
+    :param rng: source of the jitter
+    :param attempts: writes at most
+    :return: the object as written, or a successor of it that holds the operation
+    :raises StoreConflict: another write came first; this one had no effect
+    :raises StoreWriteUnknown: whether the write took effect could not be found out
+    :raises StoreError: the store refused the only write that was sent
+    """
+    backoff = Backoff(first_ms=FIRST_DELAY_MS, limit_ms=LIMIT_DELAY_MS, rng=rng)
+    in_doubt = False
+    for attempt in range(1, attempts + 1):
+        try:
+            return await store.put(
+                kind, name, value, expected_revision=expected_revision
+            )
+        except StoreWriteUnknown:
+            in_doubt = True
+        except StoreConflict:
+            if not in_doubt:
+                raise
+            found = await read_successor(store, kind, name, expected_revision)
+            if holds_operation(found, value[OPERATION_ID]):
+                assert found is not None
+                return found
+            if found is not None:
+                raise
+        except StoreError as exc:
+            if not in_doubt:
+                raise
+            if attempt == attempts:
+                raise StoreWriteUnknown(f"{kind}/{name}: {exc}") from exc
+        if attempt < attempts:
+            await asyncio.sleep(backoff.next_ms() / MS_PER_S)
+    raise StoreWriteUnknown(f"{kind}/{name}: no answer to {attempts} writes")
+
+
+async def read_successor(
+    store: ObjectStore, kind: str, name: str, expected_revision: int | None
+) -> StoredObject | None:
+    """
+    Read the object that made a conditional write conflict.
+
+    :param store: the store
+    :param kind: kind of object
+    :param name: name within the kind
+    :param expected_revision: the revision that was expected
+    :return: the object, None while reads are stale or fail
+    """
+    try:
+        item = await store.get(kind, name)
+    except StoreError:
+        return None
+    if item is None or item.revision == (expected_revision or 0):
+        return None
+    if item.revision < (expected_revision or 0):
+        return None
+    return item
--- /dev/null
+++ b/src/mangohatch/state/items.py
@@ -0,0 +1,85 @@
+"""Conversion between objects of the store, items sent to peers and models."""
+
+import json
+from typing import Any
+
+from pydantic import ValidationError
+
+from mangohatch.config import ServiceSpec
+from mangohatch.errors import MangohatchError
+from mangohatch.peer.messages import ConfigItem
+from mangohatch.platform.operations import OPERATION_FIELDS
+from mangohatch.platform.store import StoredObject
+
+__all__ = [
+    "SERVICE_KIND",
+    "ConfigRejected",
+    "item_key",
+    "item_of",
+    "read_service",
+    "service_value",
+]
+
+SERVICE_KIND = "service"
+
+
+class ConfigRejected(MangohatchError):
+    """An object of the store is not a valid configuration and is not applied."""
+
+    code = "config_rejected"
+
+
+def item_key(kind: str, name: str) -> str:
+    """
+    Name an object over all kinds.
+
+    :param kind: kind of object
+    :param name: name within the kind
+    :return: ``kind/name``
+    """
+    return f"{kind}/{name}"
+
+
+def item_of(stored: StoredObject) -> ConfigItem:
+    """
+    Make the item that is sent to peers.
+
+    :param stored: an object of the store
+    :return: the item
+    """
+    return ConfigItem(
+        kind=stored.kind,
+        name=stored.name,
+        revision=stored.revision,
+        json=json.dumps(stored.value, sort_keys=True),
+    )
+
+
+def service_value(spec: ServiceSpec) -> dict[str, Any]:
+    """
+    Make the value under which a service is stored.
+
+    :param spec: the service
+    :return: a JSON value, without an operation id
+    """
+    return spec.model_dump(mode="json")
+
+
+def read_service(item: ConfigItem) -> ServiceSpec:
+    """
+    Check an item of kind ``service``.
+
+    :param item: the item
+    :return: the service
+    :raises ConfigRejected: when the value is not a valid service of that name
+    """
+    try:
+        value = json.loads(item.json)
+        for name in OPERATION_FIELDS:
+            value.pop(name, None)
+        spec = ServiceSpec.model_validate(value)
+    except (AttributeError, TypeError, ValueError, ValidationError) as exc:
+        raise ConfigRejected(f"service/{item.name}: {exc}") from exc
+    if spec.name != item.name:
+        raise ConfigRejected(f"service/{item.name} holds service {spec.name}")
+    return spec
--- /dev/null
+++ b/src/standins/memory_bus.py
@@ -0,0 +1,175 @@
+"""A peer bus in memory that delays, loses, repeats and partitions messages."""
+
+import random
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from mangohatch.peer.bus import Handler, MemberView, PeerBus
+from standins.virtual_loop import VirtualLoop
+
+__all__ = ["MemoryBus", "MemoryNetwork", "NetworkFaults"]
+
+DELAY_MIN_MS = 0.3
+DELAY_MAX_MS = 1.5
+DETECTION_MS = 2000.0
+MS_PER_S = 1000.0
+
+
+@dataclass(slots=True, kw_only=True)
+class NetworkFaults:
+    """Faults of all links; ``extra_delay_ms`` is drawn per message and reorders."""
+
+    loss: float = 0.0
+    duplicates: float = 0.0
+    extra_delay_ms: float = 0.0
+
+
+class MemoryNetwork:
+    """
+    Connects the buses of all hosts of a test.
+
+    Hosts in different groups do not reach each other. A host that cannot be
+    reached stays a member for ``DETECTION_MS``, as with a failure detector.
+    """
+
+    def __init__(self, *, loop: VirtualLoop, rng: random.Random) -> None:
+        self.faults = NetworkFaults()
+        self.sent: Counter[str] = Counter()
+        self.sent_by_host: Counter[str] = Counter()
+        self._loop = loop
+        self._rng = rng
+        self._buses: dict[str, MemoryBus] = {}
+        self._groups: dict[str, int] = {}
+        self._cut_at_ms: dict[tuple[str, str], float] = {}
+
+    def join(self, host_id: str, *, zone: str = "zone-a") -> "MemoryBus":
+        """
+        Connect a host.
+
+        :param host_id: id that no other live host has
+        :param zone: its availability zone
+        :return: the bus of the host
+        """
+        view = MemberView(host_id=host_id, incarnation=1, zone=zone)
+        bus = MemoryBus(network=self, view=view)
+        self._buses[host_id] = bus
+        return bus
+
+    def leave(self, host_id: str) -> None:
+        """
+        Disconnect a host that said that it leaves.
+
+        :param host_id: the host
+        """
+        self._buses.pop(host_id, None)
+
+    def partition(self, groups: dict[str, int]) -> None:
+        """
+        Set the group of each host; those without one are in group 0.
+
+        :param groups: group by host id; empty to heal
+        """
+        self._groups = dict(groups)
+
+    def reachable(self, sender: str, receiver: str) -> bool:
+        """
+        Tell whether messages pass between two hosts.
+
+        :param sender: a host
+        :param receiver: another host
+        :return: whether they do now
+        """
+        if receiver not in self._buses or self._loop.is_stopped(receiver):
+            return False
+        return self._groups.get(sender, 0) == self._groups.get(receiver, 0)
+
+    def members(self, observer: str) -> Sequence[MemberView]:
+        """
+        List the members that a host believes alive.
+
+        :param observer: the host
+        :return: members in the order of host id
+        """
+        now_ms = self._loop.time() * MS_PER_S
+        views = []
+        for host_id in sorted(self._buses):
+            link = (observer, host_id)
+            if host_id == observer or self.reachable(observer, host_id):
+                self._cut_at_ms.pop(link, None)
+            elif now_ms - self._cut_at_ms.setdefault(link, now_ms) > DETECTION_MS:
+                continue
+            views.append(self._buses[host_id].view)
+        return views
+
+    def carry(self, sender: str, receiver: str, message: Any) -> None:
+        """
+        Deliver a message later, unless a fault prevents it.
+
+        :param sender: host id
+        :param receiver: host id
+        :param message: the message
+        """
+        self.sent[type(message).__name__] += 1
+        self.sent_by_host[sender] += 1
+        if self._rng.random() < self.faults.loss:
+            return
+        copies = 2 if self._rng.random() < self.faults.duplicates else 1
+        for _ in range(copies):
+            delay_ms = self._rng.uniform(DELAY_MIN_MS, DELAY_MAX_MS)
+            delay_ms += self._rng.uniform(0.0, self.faults.extra_delay_ms)
+            self._loop.call_later(
+                delay_ms / MS_PER_S,
+                self._deliver,
+                sender,
+                receiver,
+                message,
+                context=self._loop.context(receiver),
+            )
+
+    def _deliver(self, sender: str, receiver: str, message: Any) -> None:
+        bus = self._buses.get(receiver)
+        if bus is None or self._groups.get(sender, 0) != self._groups.get(receiver, 0):
+            return
+        bus.receive(sender, message)
+
+
+class MemoryBus(PeerBus):
+    """The bus of one host."""
+
+    def __init__(self, *, network: MemoryNetwork, view: MemberView) -> None:
+        self.view = view
+        self._network = network
+        self._handlers: dict[type, list[Handler]] = {}
+
+    @property
+    def host_id(self) -> str:
+        return self.view.host_id
+
+    def members(self) -> Sequence[MemberView]:
+        return self._network.members(self.host_id)
+
+    def send(self, host_id: str, message: Any) -> bool:
+        known = any(member.host_id == host_id for member in self.members())
+        if known:
+            self._network.carry(self.host_id, host_id, message)
+        return known
+
+    def broadcast(self, message: Any) -> None:
+        for member in self.members():
+            if member.host_id != self.host_id:
+                self._network.carry(self.host_id, member.host_id, message)
+
+    def subscribe(self, message_type: type, handler: Handler) -> None:
+        self._handlers.setdefault(message_type, []).append(handler)
+
+    def receive(self, sender: str, message: Any) -> None:
+        """
+        Pass a message to its handlers.
+
+        :param sender: host id
+        :param message: the message
+        """
+        for handler in self._handlers.get(type(message), []):
+            handler(sender, message)
--- /dev/null
+++ b/src/standins/objects.py
@@ -0,0 +1,145 @@
+"""The object table behind the stand-ins of the platform's object API."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from mangohatch.errors import RevisionCompacted, StoreConflict
+from mangohatch.platform.store import Listing, StoredObject, WatchEvent
+
+__all__ = ["ObjectTable", "StoreFaults"]
+
+CHANGES_KEPT = 5_000
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreFaults:
+    """
+    Faults that a stand-in shows while they are set.
+
+    ``lost_answers`` is the number of writes that take effect without an answer;
+    ``refused_writes`` the number that get no answer and take no effect. Reads and
+    new watches see the store as of ``stale_revision``.
+    """
+
+    outage: bool = False
+    delay_ms: float = 0.0
+    lost_answers: int = 0
+    refused_writes: int = 0
+    stale_revision: int | None = None
+    silent_watches: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class ObjectTable:
+    """All objects, the latest changes and the calls counted by role and kind."""
+
+    revision: int = 0
+    objects: dict[tuple[str, str], StoredObject] = field(default_factory=dict)
+    changes: list[WatchEvent] = field(default_factory=list)
+    calls: Counter[tuple[str, str]] = field(default_factory=Counter)
+    faults: StoreFaults = field(default_factory=StoreFaults)
+
+    def get(self, kind: str, name: str) -> StoredObject | None:
+        """
+        Read an object, as of the stale revision if that fault is set.
+
+        :param kind: kind of object
+        :param name: name within the kind
+        :return: the object, None when there is none
+        """
+        return self._visible().get((kind, name))
+
+    def list_kind(self, kind: str) -> Listing:
+        """
+        Read all objects of a kind, as of the stale revision if that fault is set.
+
+        :param kind: kind of object
+        :return: the objects in the order of names
+        """
+        visible = self._visible()
+        items = [visible[key] for key in sorted(visible) if key[0] == kind]
+        stale = self.faults.stale_revision
+        revision = self.revision if stale is None else min(stale, self.revision)
+        return Listing(items=items, revision=revision)
+
+    def put(
+        self, kind: str, name: str, value: dict[str, Any], expected: int | None
+    ) -> StoredObject:
+        """
+        Write an object if it is at the expected revision.
+
+        :param kind: kind of object
+        :param name: name within the kind
+        :param value: the new value
+        :param expected: revision to replace; None when there is no object
+        :return: the object as written
+        :raises StoreConflict: when the condition does not hold
+        """
+        self._check(kind, name, expected)
+        self.revision += 1
+        item = StoredObject(kind=kind, name=name, revision=self.revision, value=value)
+        self.objects[(kind, name)] = item
+        self._note(WatchEvent(item=item, deleted=False, revision=self.revision))
+        return item
+
+    def delete(self, kind: str, name: str, expected: int) -> None:
+        """
+        Delete an object if it is at the expected revision.
+
+        :param kind: kind of object
+        :param name: name within the kind
+        :param expected: revision to delete
+        :raises StoreConflict: when the condition does not hold
+        """
+        self._check(kind, name, expected)
+        self.revision += 1
+        item = self.objects.pop((kind, name))
+        self._note(WatchEvent(item=item, deleted=True, revision=self.revision))
+
+    def changes_since(self, kind: str, since: int) -> list[WatchEvent]:
+        """
+        Collect the changes of a kind after a revision.
+
+        :param kind: kind of object
+        :param since: the revision
+        :return: changes in order
+        :raises RevisionCompacted: when older changes are no longer kept
+        """
+        if self.changes and since < self.changes[0].revision - 1:
+            raise RevisionCompacted(f"changes since {since} are no longer kept")
+        limit = self.faults.stale_revision
+        return [
+            event
+            for event in self.changes
+            if event.revision > since
+            and (limit is None or event.revision <= limit)
+            and event.item is not None
+            and event.item.kind == kind
+        ]
+
+    def _check(self, kind: str, name: str, expected: int | None) -> None:
+        current = self.objects.get((kind, name))
+        found = current.revision if current else None
+        if found != expected:
+            raise StoreConflict(f"{kind}/{name} is at {found}, expected {expected}")
+
+    def _note(self, event: WatchEvent) -> None:
+        self.changes.append(event)
+        if len(self.changes) > 2 * CHANGES_KEPT:
+            del self.changes[:CHANGES_KEPT]
+
+    def _visible(self) -> dict[tuple[str, str], StoredObject]:
+        limit = self.faults.stale_revision
+        if limit is None:
+            return self.objects
+        seen: dict[tuple[str, str], StoredObject] = {}
+        for event in self.changes:
+            if event.revision > limit or event.item is None:
+                continue
+            key = (event.item.kind, event.item.name)
+            if event.deleted:
+                seen.pop(key, None)
+            else:
+                seen[key] = event.item
+        return seen
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -5,6 +5,9 @@
 from mangohatch.clock import ManualClock
 from mangohatch.config import ServiceSpec, UpstreamSpec
 from mangohatch.core.tables import Tables
+from standins.memory_store import MemoryStore
+from standins.objects import ObjectTable
+from standins.virtual_loop import VirtualLoop
 from tests.functions import fixture
 
 __all__ = ["make_service"]
@@ -69,3 +72,35 @@
     made = Tables()
     made.apply(make_service(), revision=1)
     return made
+
+
+@fixture
+def loop():
+    """
+    An event loop in virtual time.
+
+    :return: the loop
+    """
+    made = VirtualLoop()
+    yield made
+    made.shutdown()
+
+
+@fixture
+def objects() -> ObjectTable:
+    """
+    An empty object table.
+
+    :return: the table
+    """
+    return ObjectTable()
+
+
+@fixture
+def store(objects: ObjectTable, rng: random.Random) -> MemoryStore:
+    """
+    A client of the object table.
+
+    :return: the client
+    """
+    return MemoryStore(table=objects, rng=rng)
--- /dev/null
+++ b/tests/state/test_config_table.py
@@ -0,0 +1,71 @@
+"""Tests of the configuration in force."""
+
+from mangohatch.core.tables import Tables
+from mangohatch.peer.messages import ConfigItem
+from mangohatch.platform.store import Listing
+from mangohatch.state import ConfigTable, service_value
+from mangohatch.state.items import item_of
+from mangohatch.timeline.recorder import HybridClock, Recorder
+from tests.fixtures import make_service
+from tests.functions import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+
+@fixture
+def core_tables():
+    return Tables()
+
+
+@fixture
+def config(core_tables, clock):
+    recorder = Recorder(host="e1", zone="puno", clock=HybridClock(clock=clock))
+    return ConfigTable(tables=core_tables, recorder=recorder)
+
+
+def put_service(objects, upstreams):
+    current = objects.get("service", "a")
+    value = service_value(make_service("a", upstreams=upstreams))
+    return objects.put("service", "a", value, current.revision if current else None)
+
+
+def test_older_revision_never_replaces_a_newer_one(config, core_tables, objects):
+    old = item_of(put_service(objects, 1))
+    new = item_of(put_service(objects, 2))
+    assert config.apply(new)
+    assert not config.apply(old)
+    assert len(core_tables.services["a"].upstreams) == 2
+
+
+def test_stale_listing_brings_nothing_back(config, core_tables, objects):
+    put_service(objects, 1)
+    stale = objects.list_kind("service")
+    config.apply(item_of(put_service(objects, 2)))
+    assert not config.apply_listing("service", stale)
+    assert not config.apply_listing("service", Listing(items=[], revision=1))
+    assert len(core_tables.services["a"].upstreams) == 2
+
+
+def test_deleted_service_is_removed_and_stays_so(config, core_tables, objects):
+    item = put_service(objects, 1)
+    config.apply(item_of(item))
+    objects.delete("service", "a", item.revision)
+    config.apply_listing("service", objects.list_kind("service"))
+    assert "a" not in core_tables.services
+    assert not config.apply(item_of(item))
+    assert config.apply(item_of(put_service(objects, 3)))
+    assert len(core_tables.services["a"].upstreams) == 3
+
+
+def test_invalid_object_leaves_the_one_before_in_force(config, core_tables, objects):
+    config.apply(item_of(put_service(objects, 1)))
+    broken = ConfigItem(kind="service", name="a", revision=9, json='{"name": 1}')
+    assert config.apply(broken)
+    assert "service/a" in config.rejected
+    assert len(core_tables.services["a"].upstreams) == 1
+
+
+def test_equal_tables_have_equal_digests(config, objects):
+    empty = config.digest()
+    config.apply(item_of(put_service(objects, 1)))
+    assert config.digest() != empty
