--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONHASHSEED := 0
 SEED ?= 1
 
-.PHONY: all setup test lint format gen
+.PHONY: all setup test lint format gen slopes
 
 all: lint test
 
@@ -26,6 +26,9 @@
 	$(BIN)/flake8 src tests bench
 	$(BIN)/mypy --no-error-summary src
 
+slopes: setup
+	$(BIN)/python -m bench.slopes
+
 format: setup
 	$(BIN)/black --quiet src tests bench
 	$(BIN)/isort --quiet src tests bench
--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Costs per unit of load or state, measured over a range of sizes."""
--- /dev/null
+++ b/bench/slopes/__main__.py
@@ -0,0 +1,27 @@
+"""Measures all slopes and rewrites the table in docs/CAPACITY.md."""
+
+from pathlib import Path
+
+from bench.slopes.base import Slope, measure_slope
+from bench.slopes.report import make_table, replace_table, write_results
+from bench.slopes.state import STATE_SLOPES
+from bench.slopes.work import WORK_SLOPES
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+RESULTS = ROOT / "bench" / "results" / "slopes.json"
+
+
+def main() -> None:
+    """Measure, print and write."""
+    slopes: list[Slope] = [*STATE_SLOPES, *WORK_SLOPES]
+    fits = [measure_slope(slope) for slope in slopes]
+    table = make_table(fits)
+    print(table)
+    write_results(fits, RESULTS)
+    page = PAGE.read_text(encoding="utf-8")
+    PAGE.write_text(replace_table(page, table), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/slopes/base.py
@@ -0,0 +1,76 @@
+"""The interface of a measured slope, and its fit."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+from statistics import linear_regression
+
+__all__ = ["Fit", "Slope", "measure_slope"]
+
+RUNS = 5
+
+
+class Slope(ABC):
+    """A cost that is expected to grow linearly with a size."""
+
+    name: str
+    unit: str
+    per: str
+    sizes: Sequence[int]
+
+    @abstractmethod
+    def measure(self, size: int) -> float:
+        """
+        Measure the whole cost once.
+
+        :param size: number of the things that cost
+        :return: the cost in ``unit``
+        """
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Fit:
+    """
+    The slope of a cost over its measured range.
+
+    ``low`` and ``high`` are the least and the greatest slope over the runs.
+    """
+
+    name: str
+    unit: str
+    per: str
+    smallest: int
+    largest: int
+    slope: float
+    low: float
+    high: float
+    fixed: float
+    runs: int
+
+
+def measure_slope(slope: Slope, *, runs: int = RUNS) -> Fit:
+    """
+    Measure a slope several times and fit each run by least squares.
+
+    :param slope: what to measure
+    :param runs: number of runs
+    :return: the median slope with its spread
+    """
+    fits = []
+    for _ in range(runs):
+        costs = [slope.measure(size) for size in slope.sizes]
+        fits.append(linear_regression(slope.sizes, costs))
+    fits.sort(key=lambda fit: fit.slope)
+    middle = fits[len(fits) // 2]
+    return Fit(
+        name=slope.name,
+        unit=slope.unit,
+        per=slope.per,
+        smallest=min(slope.sizes),
+        largest=max(slope.sizes),
+        slope=middle.slope,
+        low=fits[0].slope,
+        high=fits[-1].slope,
+        fixed=middle.intercept,
+        runs=runs,
+    )
--- /dev/null
+++ b/bench/slopes/cost.py
@@ -0,0 +1,48 @@
+"""Measurement of processor time and memory of a piece of work."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["cpu_us", "memory_bytes"]
+
+NS_PER_US = 1_000
+
+
+def cpu_us(work: Callable[[], Any]) -> float:
+    """
+    Measure the processor time of this process for some work.
+
+    :param work: runs the work once
+    :return: microseconds
+    """
+    gc.collect()
+    gc.disable()
+    try:
+        started_ns = time.process_time_ns()
+        work()
+        return (time.process_time_ns() - started_ns) / NS_PER_US
+    finally:
+        gc.enable()
+
+
+def memory_bytes(build: Callable[[], Any]) -> float:
+    """
+    Measure the memory that a structure keeps.
+
+    :param build: builds and returns the structure
+    :return: bytes allocated by Python
+    """
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        kept = build()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        del kept
+        return after - before
+    finally:
+        tracemalloc.stop()
--- /dev/null
+++ b/bench/slopes/report.py
@@ -0,0 +1,61 @@
+"""The table of slopes that docs/CAPACITY.md quotes."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import asdict
+from pathlib import Path
+
+from bench.slopes.base import Fit
+
+__all__ = ["make_table", "replace_table", "write_results"]
+
+BEGIN = "<!-- slopes: begin -->"
+END = "<!-- slopes: end -->"
+
+
+def make_table(fits: Sequence[Fit]) -> str:
+    """
+    Render slopes as a Markdown table.
+
+    :param fits: measured slopes
+    :return: the table
+    """
+    lines = [
+        "| Cost | Slope | Least to greatest of runs | Measured range |",
+        "|---|---|---|---|",
+    ]
+    for fit in fits:
+        lines.append(
+            f"| {fit.name} | {fit.slope:.3g} {fit.unit} per {fit.per} "
+            f"| {fit.low:.3g} to {fit.high:.3g} over {fit.runs} runs "
+            f"| {fit.smallest:,} to {fit.largest:,} |"
+        )
+    return "\n".join(lines)
+
+
+def replace_table(page: str, table: str) -> str:
+    """
+    Put a table between the markers of a page.
+
+    :param page: text of the page
+    :param table: the new table
+    :return: text of the new page
+    :raises ValueError: when the page has no markers
+    """
+    head, begin, rest = page.partition(BEGIN)
+    _, end, tail = rest.partition(END)
+    if not begin or not end:
+        raise ValueError("the page has no markers for the table of slopes")
+    return f"{head}{BEGIN}\n{table}\n{END}{tail}"
+
+
+def write_results(fits: Sequence[Fit], path: Path) -> None:
+    """
+    Write slopes as JSON.
+
+    :param fits: measured slopes
+    :param path: the file
+    """
+    path.parent.mkdir(parents=True, exist_ok=True)
+    document = [asdict(fit) for fit in fits]
+    path.write_text(json.dumps(document, indent=1) + "\n", encoding="utf-8")
