Report a keyed request in progress as of unknown outcome

Cause: a resend heard not_run while the first copy of its booking was running; a caller that trusts not_run would book again under a new key. Change: request_in_progress carries the outcome unknown. Conclusion: not_run is said only when no copy of the keyed request may run.

--- a/src/mangohatch/errors/claim.py
+++ b/src/mangohatch/errors/claim.py
@@ -11,10 +11,15 @@
 
 
 class RequestInProgress(RequestError):
-    """An earlier request with the same key has not ended; this one was not run."""
+    """
+    An earlier request with the same key has not ended.
+
+    This copy was not sent, but the keyed request may run, so its outcome is unknown.
+    """
 
     code = "request_in_progress"
     status = 409
+    default_outcome = Outcome.UNKNOWN
 
 
 class OutcomeUnknown(RequestError):
