--- /dev/null
+++ b/bench/virtual/host.py
@@ -0,0 +1,172 @@
+"""A virtual entry host: the real router, and callers and attempts around it."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bench.virtual.bus import Fleet
+from bench.virtual.loop import EventLoop
+from bench.virtual.upstream import FakeUpstream, Job, Request
+from mangohatch.core.call import Call, Decision, Grant, Refusal, Report, Result
+from mangohatch.core.router import Router
+
+__all__ = ["Outcomes", "VirtualHost"]
+
+DEADLINE_MS = 1000.0
+MAX_ATTEMPTS = 3
+RETRY_SHARE = 0.1
+RETRY_BURST = 5.0
+RESEND_DELAY_MS = 5.0
+NS_PER_US = 1000.0
+
+SAFE_RETRY = frozenset({Result.REFUSED, Result.UNREACHABLE})
+
+
+@dataclass(slots=True, kw_only=True)
+class Outcomes:
+    """What the callers saw; each entry is an arrival time and a duration."""
+
+    ended_ms: list[float] = field(default_factory=list)
+    done: list[tuple[float, float]] = field(default_factory=list)
+    refused: list[tuple[float, float]] = field(default_factory=list)
+    failed: list[tuple[float, float]] = field(default_factory=list)
+    attempts: int = 0
+    requests: int = 0
+    decision_ns: int = 0
+
+
+class VirtualHost:
+    """One entry host."""
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        zone: str,
+        loop: EventLoop,
+        fleet: Fleet,
+        router: Router,
+        upstreams: dict[str, FakeUpstream],
+        outcomes: Outcomes,
+        resend: Callable[[Request], None],
+    ) -> None:
+        self.host_id = host_id
+        self.zone = zone
+        self.router = router
+        self._loop = loop
+        self._fleet = fleet
+        self._upstreams = upstreams
+        self._out = outcomes
+        self._resend = resend
+        self._retries = RETRY_BURST
+        self._service = ""
+
+    def arrive(self, request: Request, service: str) -> None:
+        """
+        Take a request of a caller.
+
+        :param request: the request
+        :param service: name of the service
+        """
+        self._service = service
+        self._out.requests += 1
+        self._retries = min(RETRY_BURST, self._retries + RETRY_SHARE)
+        now_ms = self._loop.now_ms
+        call = Call(
+            request_id=f"{request.number}.{request.resends}",
+            service=service,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + DEADLINE_MS,
+            idempotent=request.idempotent,
+            customer=request.customer,
+            fingerprint=f"killer-{request.number}" if request.killer else "",
+        )
+        self._ask(request, call)
+
+    def _ask(self, request: Request, call: Call) -> None:
+        started_ns = time.perf_counter_ns()
+        self.router.request(call, lambda decision: self._decide(request, decision))
+        self._out.decision_ns += time.perf_counter_ns() - started_ns
+
+    def _decide(self, request: Request, decision: Decision) -> None:
+        call = decision.call
+        if isinstance(decision, Refusal):
+            self._refuse(request, call)
+            return
+        self._out.attempts += 1
+        latency_ms = self._fleet.latency_ms(self.zone, decision.upstream.zone)
+        upstream = self._upstreams[decision.upstream.name]
+        job = Job(
+            request=request,
+            done=lambda *result: self._loop.after(
+                latency_ms, self._end, request, decision, self._loop.now_ms, *result
+            ),
+        )
+        self._loop.after(latency_ms, self._reach, upstream, job)
+
+    def _reach(self, upstream: FakeUpstream, job: Job) -> None:
+        if upstream.expected is not None:
+            upstream.expected()
+        upstream.arrive(job)
+
+    def _end(
+        self,
+        request: Request,
+        grant: Grant,
+        ended_ms: float,
+        result: Result,
+        load: int,
+        draining: bool,
+    ) -> None:
+        latency_ms = self._loop.now_ms - grant.granted_ms
+        report = Report(
+            result=result,
+            latency_ms=latency_ms,
+            upstream_in_flight=load,
+            draining=draining,
+        )
+        started_ns = time.perf_counter_ns()
+        self.router.release(grant, report)
+        self._out.decision_ns += time.perf_counter_ns() - started_ns
+        call = grant.call
+        if result is Result.OK:
+            self._out.ended_ms.append(self._loop.now_ms)
+            self._note(self._out.done, call)
+        elif self._may_retry(call, result):
+            self._retries -= 1
+            self._ask(request, self._next_attempt(call, grant))
+        elif result is Result.REFUSED:
+            self._refuse(request, call)
+        else:
+            self._note(self._out.failed, call)
+            if request.killer:
+                self._send_again(request)
+
+    def _may_retry(self, call: Call, result: Result) -> bool:
+        safe = call.idempotent or result in SAFE_RETRY
+        return safe and call.attempt < MAX_ATTEMPTS and self._retries >= 1
+
+    def _next_attempt(self, call: Call, grant: Grant) -> Call:
+        return Call(
+            request_id=call.request_id,
+            service=call.service,
+            arrived_ms=call.arrived_ms,
+            deadline_ms=call.deadline_ms,
+            idempotent=call.idempotent,
+            customer=call.customer,
+            fingerprint=call.fingerprint,
+            avoid=call.avoid | {grant.upstream.name},
+            attempt=call.attempt + 1,
+        )
+
+    def _refuse(self, request: Request, call: Call) -> None:
+        self._note(self._out.refused, call)
+        self._send_again(request)
+
+    def _send_again(self, request: Request) -> None:
+        if request.resends > 0:
+            request.resends -= 1
+            self._loop.after(RESEND_DELAY_MS, self._resend, request)
+
+    def _note(self, entries: list[tuple[float, float]], call: Call) -> None:
+        entries.append((call.arrived_ms, self._loop.now_ms - call.arrived_ms))
--- /dev/null
+++ b/bench/virtual/oracle.py
@@ -0,0 +1,95 @@
+"""Bound of what can be reached: a chooser that sees all upstreams at once."""
+
+from collections import deque
+from functools import partial
+
+from bench.virtual.loop import EventLoop
+from bench.virtual.upstream import FakeUpstream
+from mangohatch.core.call import Call, Grant, Report
+from mangohatch.core.choice.base import Chooser
+from mangohatch.core.tables import ServiceRow
+from mangohatch.errors import NoUpstream
+
+__all__ = ["Oracle", "OracleChooser"]
+
+
+class Oracle:
+    """Knows the true load of each upstream, with attempts under way to it."""
+
+    def __init__(
+        self, *, loop: EventLoop, upstreams: dict[str, FakeUpstream], speed: bool
+    ) -> None:
+        self._loop = loop
+        self.upstreams = upstreams
+        self.speed = speed
+        self.placed = dict.fromkeys(upstreams, 0)
+        self.waiting: deque[OracleChooser] = deque()
+        for upstream in upstreams.values():
+            upstream.freed = self.serve
+            upstream.expected = partial(self._reach, upstream.name)
+
+    def place(self, rng, names: list[str]) -> str | None:
+        """
+        Find a free slot.
+
+        :param rng: random source
+        :param names: upstreams that may be used
+        :return: name of an upstream, None when all slots are in use
+        """
+        free = [name for name in names if self._is_free(name)]
+        if not free:
+            return None
+        if not self.speed:
+            return rng.choice(free)
+        now_ms = self._loop.now_ms
+        return max(
+            free,
+            key=lambda name: (self.upstreams[name].line.speed_at(now_ms), rng.random()),
+        )
+
+    def _reach(self, name: str) -> None:
+        self.placed[name] -= 1
+
+    def _is_free(self, name: str) -> bool:
+        upstream = self.upstreams[name]
+        if upstream.down or upstream.draining:
+            return False
+        if upstream.fails_fast or upstream.fails_slowly:
+            return False
+        return upstream.load + self.placed[name] < upstream.slots
+
+    def serve(self) -> None:
+        """Let the host that has waited longest try again."""
+        while self.waiting and any(map(self._is_free, self.upstreams)):
+            self.waiting.popleft().retry()
+
+
+class OracleChooser(Chooser):
+    """Binds a call when a slot is truly free."""
+
+    def __init__(self, *, oracle: Oracle, **parts) -> None:
+        super().__init__(**parts)
+        self._oracle = oracle
+        self._service = ""
+
+    def choose(self, service: ServiceRow, call: Call) -> Grant | None:
+        names = [row.name for row in self.candidates(service, call)]
+        name = self._oracle.place(self._rng, names)
+        if name is None:
+            return None
+        if name not in service.upstreams:
+            raise NoUpstream("the oracle chose an unknown upstream")
+        self._oracle.placed[name] += 1
+        return self.make_grant(call, service.upstreams[name])
+
+    def wait(self, service: ServiceRow, call: Call, waiting: int) -> bool:
+        self._service = service.spec.name
+        self._oracle.waiting.append(self)
+        return True
+
+    def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
+        return None
+
+    def retry(self) -> None:
+        """Try to serve one call more."""
+        self._available(self._service)
--- /dev/null
+++ b/bench/virtual/policies.py
@@ -0,0 +1,127 @@
+"""Policies that the bench compares."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bench.virtual.bus import Fleet, VirtualBus
+from bench.virtual.loop import EventLoop, LoopTimers
+from bench.virtual.oracle import Oracle, OracleChooser
+from bench.virtual.sites import Site
+from bench.virtual.upstream import FakeUpstream
+from mangohatch.core.choice import (
+    Chooser,
+    IdleHintsChooser,
+    LeastInFlightChooser,
+    PartitionChooser,
+    PowerOfTwoChooser,
+    ProbeReply,
+    ProbeTransport,
+    ProbingChooser,
+    RoundRobinChooser,
+    UniformChooser,
+)
+from mangohatch.core.health import Health
+from mangohatch.core.measuring import MeasuringCounter
+from mangohatch.core.tables import Tables, UpstreamRow
+
+__all__ = ["POLICIES", "PolicyContext"]
+
+
+@dataclass(slots=True, kw_only=True)
+class PolicyContext:
+    """What a policy of one host is made from."""
+
+    loop: EventLoop
+    fleet: Fleet
+    bus: VirtualBus
+    rng: random.Random
+    tables: Tables
+    health: Health
+    site: Site
+    position: int
+    upstreams: dict[str, FakeUpstream]
+    counter: MeasuringCounter
+    shared: dict[str, Oracle]
+
+    @property
+    def parts(self) -> dict:
+        """Arguments that every chooser takes."""
+        return dict(clock=self.loop.clock, rng=self.rng, health=self.health)
+
+    @property
+    def timers(self) -> LoopTimers:
+        """Timers on the virtual loop."""
+        return LoopTimers(loop=self.loop)
+
+
+class VirtualProbes(ProbeTransport):
+    """Probes of the fake upstreams, answered without work."""
+
+    def __init__(self, *, context: PolicyContext) -> None:
+        self._context = context
+
+    def send(self, row: UpstreamRow, reply: Callable[[ProbeReply], None]) -> None:
+        context = self._context
+        zone = context.fleet.views[context.bus.host_id].zone
+        latency_ms = context.fleet.latency_ms(zone, row.zone)
+        upstream = context.upstreams[row.name]
+
+        def answer() -> None:
+            load = upstream.reported_load
+            probe = ProbeReply(in_flight=load, latency_ms=upstream.recent_ms(load))
+            context.loop.after(latency_ms, reply, probe)
+
+        context.loop.after(latency_ms, answer)
+
+
+def make_probing(context: PolicyContext) -> Chooser:
+    """
+    Make the chooser that probes.
+
+    :param context: parts of the host
+    :return: the chooser
+    """
+    transport = VirtualProbes(context=context)
+    return ProbingChooser(transport=transport, counter=context.counter, **context.parts)
+
+
+def make_partition(context: PolicyContext) -> Chooser:
+    """
+    Make the chooser that owns fixed slots.
+
+    :param context: parts of the host
+    :return: the chooser
+    """
+    site = context.site
+    return PartitionChooser(
+        position=context.position, hosts=site.hosts, **context.parts
+    )
+
+
+def make_oracle(context: PolicyContext, *, speed: bool) -> Chooser:
+    """
+    Make a chooser that sees all upstreams.
+
+    :param context: parts of the host
+    :param speed: whether it knows the current speeds as well
+    :return: the chooser
+    """
+    oracle = context.shared.get("oracle")
+    if oracle is None:
+        oracle = Oracle(loop=context.loop, upstreams=context.upstreams, speed=speed)
+        context.shared["oracle"] = oracle
+    return OracleChooser(oracle=oracle, **context.parts)
+
+
+POLICIES: dict[str, Callable[[PolicyContext], Chooser]] = {
+    "random": lambda context: UniformChooser(**context.parts),
+    "round-robin": lambda context: RoundRobinChooser(**context.parts),
+    "least-in-flight": lambda context: LeastInFlightChooser(**context.parts),
+    "power-of-two": lambda context: PowerOfTwoChooser(**context.parts),
+    "idle-hints": lambda context: IdleHintsChooser(**context.parts),
+    "late-binding": make_partition,
+    "probing": make_probing,
+    "oracle": lambda context: make_oracle(context, speed=False),
+    "oracle-speed": lambda context: make_oracle(context, speed=True),
+}
--- /dev/null
+++ b/bench/virtual/upstream.py
@@ -0,0 +1,164 @@
+"""The fake of one upstream: slots, a queue before them, and faults."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bench.virtual.loop import EventLoop
+from bench.virtual.speed import SpeedLine
+from mangohatch.core.call import Result
+
+__all__ = ["FakeUpstream", "Job", "Request"]
+
+QUEUE_LIMIT = 100
+FAST_FAIL_MS = 0.5
+SLOW_FAIL_MS = 200.0
+CRASH_UP_MS = 300.0
+CRASH_DOWN_MS = 200.0
+RECENT_WEIGHT = 0.3
+
+Done = Callable[[Result, int, bool], None]
+
+
+@dataclass(slots=True, kw_only=True)
+class Request:
+    """One request of a caller."""
+
+    number: int
+    arrival_ms: float
+    host: int
+    work_ms: float
+    idempotent: bool
+    customer: str
+    killer: bool = False
+    starts: int = 0
+    resends: int = 0
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Job:
+    """An attempt at the upstream; ``done`` takes result, load and drain sign."""
+
+    request: Request
+    done: Done
+    epoch: int = field(default=0)
+    arrived_ms: float = 0.0
+    load_found: int = 0
+
+
+class FakeUpstream:
+    """Runs as many jobs at once as it has slots, first come first served."""
+
+    def __init__(self, *, name: str, slots: int, loop: EventLoop, line: SpeedLine):
+        self.name = name
+        self.slots = slots
+        self.line = line
+        self.running: set[Job] = set()
+        self.queue: deque[Job] = deque()
+        self.draining = False
+        self.down = False
+        self.fails_fast = False
+        self.fails_slowly = False
+        self.lies = False
+        self.touched_ms: list[float] = []
+        self.crashes = 0
+        self.freed: Callable[[], None] | None = None
+        self.expected: Callable[[], None] | None = None
+        self._recent_ms: dict[int, float] = {}
+        self._loop = loop
+        self._epoch = 0
+
+    @property
+    def load(self) -> int:
+        """Jobs that run or wait."""
+        return len(self.running) + len(self.queue)
+
+    @property
+    def reported_load(self) -> int:
+        """Load as the upstream reports it."""
+        return 0 if self.lies else self.load
+
+    def recent_ms(self, load: int) -> float:
+        """
+        Estimate the latency of a job that arrives at a given load.
+
+        :param load: jobs that run or wait
+        :return: recent latency of jobs that arrived at that load, 0 when unknown
+        """
+        return self._recent_ms.get(load, 0.0)
+
+    def arrive(self, job: Job) -> None:
+        """
+        Take a job.
+
+        :param job: the job
+        """
+        self.touched_ms.append(self._loop.now_ms)
+        job.arrived_ms = self._loop.now_ms
+        job.load_found = self.load
+        if self.down:
+            job.done(Result.UNREACHABLE, 0, False)
+        elif self.draining or len(self.queue) >= QUEUE_LIMIT:
+            job.done(Result.REFUSED, self.reported_load, self.draining)
+        elif len(self.running) < self.slots:
+            self._start(job)
+        else:
+            self.queue.append(job)
+
+    def crash(self) -> None:
+        """Break all connections and go down for a while."""
+        self.crashes += 1
+        self._epoch += 1
+        self.down = True
+        broken = [*self.running, *self.queue]
+        self.running.clear()
+        self.queue.clear()
+        for job in broken:
+            job.done(Result.ABORTED, 0, False)
+        self._loop.after(CRASH_DOWN_MS, self._restart)
+
+    def crash_in_loop(self) -> None:
+        """Crash now and again each time after a while of running."""
+        if not self.down:
+            self.crash()
+        self._loop.after(CRASH_DOWN_MS + CRASH_UP_MS, self.crash_in_loop)
+
+    def _restart(self) -> None:
+        self.down = False
+
+    def _start(self, job: Job) -> None:
+        job.request.starts += 1
+        job.epoch = self._epoch
+        self.running.add(job)
+        loop = self._loop
+        if job.request.killer:
+            loop.after(1.0, self._kill, job)
+        elif self.fails_fast:
+            loop.after(FAST_FAIL_MS, self._finish, job, Result.ERROR)
+        elif self.fails_slowly:
+            loop.after(SLOW_FAIL_MS, self._finish, job, Result.ERROR)
+        else:
+            end_ms = self.line.finish_ms(loop.now_ms, job.request.work_ms)
+            loop.at(end_ms, self._finish, job, Result.OK)
+
+    def _kill(self, job: Job) -> None:
+        if job.epoch == self._epoch:
+            self.crash()
+
+    def _finish(self, job: Job, result: Result) -> None:
+        if job.epoch != self._epoch:
+            return
+        self.running.discard(job)
+        if result is Result.OK:
+            self._note_latency(job)
+        job.done(result, self.reported_load, self.draining)
+        if self.queue:
+            self._start(self.queue.popleft())
+        elif self.freed is not None:
+            self.freed()
+
+    def _note_latency(self, job: Job) -> None:
+        latency_ms = self._loop.now_ms - job.arrived_ms
+        known_ms = self._recent_ms.get(job.load_found, latency_ms)
+        weighed_ms = RECENT_WEIGHT * (latency_ms - known_ms)
+        self._recent_ms[job.load_found] = known_ms + weighed_ms
--- a/src/mangohatch/core/choice/probing.py
+++ b/src/mangohatch/core/choice/probing.py
@@ -13,10 +13,10 @@
 
 PROBES_PER_REQUEST = 3
 PROBE_BYTES = 96
-POOL_SIZE = 16
-REUSE_LIMIT = 2
+POOL_SIZE = 6
+REUSE_LIMIT = 1
 MAX_AGE_MS = 100.0
-HOT_QUANTILE = 0.75
+HOT_QUANTILE = 0.5
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -8,6 +8,7 @@
 from mangohatch.core.choice import Chooser, LeastInFlightChooser
 from mangohatch.core.health import Health, NoHealth
 from mangohatch.core.tables import ServiceRow, Tables
+from mangohatch.core.timers import NoTimers, Timers
 from mangohatch.errors import NoUpstream, Overloaded, RequestError
 
 __all__ = ["Router"]
@@ -30,11 +31,13 @@
         health: Health | None = None,
         host_id: str = "",
         chooser: Chooser | None = None,
+        timers: Timers | None = None,
     ) -> None:
         self._clock = clock
         self._tables = tables
         self._health = health or NoHealth()
         self._host_id = host_id
+        self._timers = timers or NoTimers()
         self._chooser = chooser or LeastInFlightChooser(
             clock=clock, rng=rng, health=self._health
         )
@@ -57,6 +60,9 @@
         if error is not None:
             deliver(Refusal(call=call, error=error))
             return
+        self._timers.call_later(
+            waiting.until_ms - self._clock.now_ms(), lambda: self._refuse_late(queue)
+        )
         if not self._chooser.wait(service, call, len(queue)):
             self.serve(call.service)
 
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -560,29 +560,35 @@
 
 class SlotRequest(object):
     """
-    Slots: a holder asks the broker of a service for the right to use a slot.
+    Slots: a holder asks the broker of a shard for the right to use slots.
 
     Attributes:
-     - service_name
+     - shard
      - sequence
+     - count
      - wait_ms
      - avoid
+     - isolated
 
     """
 
     __slots__ = (
-        'service_name',
+        'shard',
         'sequence',
+        'count',
         'wait_ms',
         'avoid',
+        'isolated',
     )
 
 
-    def __init__(self, service_name=None, sequence=None, wait_ms=None, avoid=None,):
-        self.service_name = service_name
+    def __init__(self, shard=None, sequence=None, count=None, wait_ms=None, avoid=None, isolated=None,):
+        self.shard = shard
         self.sequence = sequence
+        self.count = count
         self.wait_ms = wait_ms
         self.avoid = avoid
+        self.isolated = isolated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -595,7 +601,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.shard = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -604,11 +610,16 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.DOUBLE:
                     self.wait_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 5:
                 if ftype == TType.LIST:
                     self.avoid = []
                     (_etype17, _size14) = iprot.readListBegin()
@@ -618,6 +629,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -628,25 +644,33 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('SlotRequest')
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+        if self.shard is not None:
+            oprot.writeFieldBegin('shard', TType.STRING, 1)
+            oprot.writeString(self.shard.encode('utf-8') if sys.version_info[0] == 2 else self.shard)
             oprot.writeFieldEnd()
         if self.sequence is not None:
             oprot.writeFieldBegin('sequence', TType.I64, 2)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
         if self.wait_ms is not None:
-            oprot.writeFieldBegin('wait_ms', TType.DOUBLE, 3)
+            oprot.writeFieldBegin('wait_ms', TType.DOUBLE, 4)
             oprot.writeDouble(self.wait_ms)
             oprot.writeFieldEnd()
         if self.avoid is not None:
-            oprot.writeFieldBegin('avoid', TType.LIST, 4)
+            oprot.writeFieldBegin('avoid', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
             for iter20 in self.avoid:
                 oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 6)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -674,33 +698,38 @@
 
 class SlotGrant(object):
     """
+    `recall` is the number of leases to give back, idle ones first.
+
     Attributes:
-     - service_name
+     - shard
      - sequence
-     - upstream
-     - token
+     - upstreams
+     - tokens
      - linger_ms
-     - refused
+     - waiting
+     - recall
 
     """
 
     __slots__ = (
-        'service_name',
+        'shard',
         'sequence',
-        'upstream',
-        'token',
+        'upstreams',
+        'tokens',
         'linger_ms',
-        'refused',
+        'waiting',
+        'recall',
     )
 
 
-    def __init__(self, service_name=None, sequence=None, upstream=None, token=None, linger_ms=None, refused=None,):
-        self.service_name = service_name
+    def __init__(self, shard=None, sequence=None, upstreams=None, tokens=None, linger_ms=None, waiting=None, recall=None,):
+        self.shard = shard
         self.sequence = sequence
-        self.upstream = upstream
-        self.token = token
+        self.upstreams = upstreams
+        self.tokens = tokens
         self.linger_ms = linger_ms
-        self.refused = refused
+        self.waiting = waiting
+        self.recall = recall
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -713,7 +742,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.shard = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -722,13 +751,23 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams.append(_elem26)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.token = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.tokens = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readI64()
+                        self.tokens.append(_elem32)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -737,8 +776,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.BOOL:
-                    self.refused = iprot.readBool()
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.recall = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -751,29 +795,39 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('SlotGrant')
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+        if self.shard is not None:
+            oprot.writeFieldBegin('shard', TType.STRING, 1)
+            oprot.writeString(self.shard.encode('utf-8') if sys.version_info[0] == 2 else self.shard)
             oprot.writeFieldEnd()
         if self.sequence is not None:
             oprot.writeFieldBegin('sequence', TType.I64, 2)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
-        if self.upstream is not None:
-            oprot.writeFieldBegin('upstream', TType.STRING, 3)
-            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.upstreams))
+            for iter33 in self.upstreams:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.token is not None:
-            oprot.writeFieldBegin('token', TType.I64, 4)
-            oprot.writeI64(self.token)
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.tokens))
+            for iter34 in self.tokens:
+                oprot.writeI64(iter34)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.linger_ms is not None:
             oprot.writeFieldBegin('linger_ms', TType.DOUBLE, 5)
             oprot.writeDouble(self.linger_ms)
             oprot.writeFieldEnd()
-        if self.refused is not None:
-            oprot.writeFieldBegin('refused', TType.BOOL, 6)
-            oprot.writeBool(self.refused)
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 6)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.recall is not None:
+            oprot.writeFieldBegin('recall', TType.I32, 7)
+            oprot.writeI32(self.recall)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -800,37 +854,37 @@
         return not (self == other)
 
 
-class SlotReturn(object):
+class SlotUse(object):
     """
-    `result` and `latency_ms` report the attempt that used the token.
+    The end of an attempt, or of a lease when `freed` is set.
 
     Attributes:
-     - service_name
      - upstream
      - token
      - result
      - latency_ms
-     - uses
+     - freed
+     - draining
 
     """
 
     __slots__ = (
-        'service_name',
         'upstream',
         'token',
         'result',
         'latency_ms',
-        'uses',
+        'freed',
+        'draining',
     )
 
 
-    def __init__(self, service_name=None, upstream=None, token=None, result=None, latency_ms=None, uses=None,):
-        self.service_name = service_name
+    def __init__(self, upstream=None, token=None, result=None, latency_ms=None, freed=None, draining=None,):
         self.upstream = upstream
         self.token = token
         self.result = result
         self.latency_ms = latency_ms
-        self.uses = uses
+        self.freed = freed
+        self.draining = draining
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -842,33 +896,33 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
                 if ftype == TType.STRING:
                     self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 2:
                 if ftype == TType.I64:
                     self.token = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 3:
                 if ftype == TType.STRING:
                     self.result = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 4:
                 if ftype == TType.DOUBLE:
                     self.latency_ms = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.freed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.I32:
-                    self.uses = iprot.readI32()
+                if ftype == TType.BOOL:
+                    self.draining = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -880,30 +934,161 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('SlotReturn')
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('SlotUse')
         if self.upstream is not None:
-            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
             oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
             oprot.writeFieldEnd()
         if self.token is not None:
-            oprot.writeFieldBegin('token', TType.I64, 3)
+            oprot.writeFieldBegin('token', TType.I64, 2)
             oprot.writeI64(self.token)
             oprot.writeFieldEnd()
         if self.result is not None:
-            oprot.writeFieldBegin('result', TType.STRING, 4)
+            oprot.writeFieldBegin('result', TType.STRING, 3)
             oprot.writeString(self.result.encode('utf-8') if sys.version_info[0] == 2 else self.result)
             oprot.writeFieldEnd()
         if self.latency_ms is not None:
-            oprot.writeFieldBegin('latency_ms', TType.DOUBLE, 5)
+            oprot.writeFieldBegin('latency_ms', TType.DOUBLE, 4)
             oprot.writeDouble(self.latency_ms)
             oprot.writeFieldEnd()
+        if self.freed is not None:
+            oprot.writeFieldBegin('freed', TType.BOOL, 5)
+            oprot.writeBool(self.freed)
+            oprot.writeFieldEnd()
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.BOOL, 6)
+            oprot.writeBool(self.draining)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotReturn(object):
+    """
+    `held` and `held_tokens` renew leases; a new broker learns them from here.
+
+    Attributes:
+     - shard
+     - uses
+     - held
+     - held_tokens
+
+    """
+
+    __slots__ = (
+        'shard',
+        'uses',
+        'held',
+        'held_tokens',
+    )
+
+
+    def __init__(self, shard=None, uses=None, held=None, held_tokens=None,):
+        self.shard = shard
+        self.uses = uses
+        self.held = held
+        self.held_tokens = held_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.shard = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = SlotUse()
+                        _elem40.read(iprot)
+                        self.uses.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.held.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.held_tokens = []
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = iprot.readI64()
+                        self.held_tokens.append(_elem52)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotReturn')
+        if self.shard is not None:
+            oprot.writeFieldBegin('shard', TType.STRING, 1)
+            oprot.writeString(self.shard.encode('utf-8') if sys.version_info[0] == 2 else self.shard)
+            oprot.writeFieldEnd()
         if self.uses is not None:
-            oprot.writeFieldBegin('uses', TType.I32, 6)
-            oprot.writeI32(self.uses)
+            oprot.writeFieldBegin('uses', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.uses))
+            for iter53 in self.uses:
+                iter53.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.held))
+            for iter54 in self.held:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held_tokens is not None:
+            oprot.writeFieldBegin('held_tokens', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.held_tokens))
+            for iter55 in self.held_tokens:
+                oprot.writeI64(iter55)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1121,10 +1306,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams.append(_elem26)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1157,8 +1342,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.upstreams))
-            for iter27 in self.upstreams:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter62 in self.upstreams:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1340,11 +1525,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = ConfigItem()
-                        _elem33.read(iprot)
-                        self.items.append(_elem33)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ConfigItem()
+                        _elem68.read(iprot)
+                        self.items.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1376,8 +1561,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter34 in self.items:
-                iter34.write(oprot)
+            for iter69 in self.items:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revision is not None:
@@ -1446,11 +1631,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.revisions = {}
-                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
-                    for _i39 in range(_size35):
-                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val41 = iprot.readI64()
-                        self.revisions[_key40] = _val41
+                    (_ktype71, _vtype72, _size70) = iprot.readMapBegin()
+                    for _i74 in range(_size70):
+                        _key75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val76 = iprot.readI64()
+                        self.revisions[_key75] = _val76
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1467,9 +1652,9 @@
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.revisions))
-            for kiter42, viter43 in self.revisions.items():
-                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
-                oprot.writeI64(viter43)
+            for kiter77, viter78 in self.revisions.items():
+                oprot.writeString(kiter77.encode('utf-8') if sys.version_info[0] == 2 else kiter77)
+                oprot.writeI64(viter78)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1524,10 +1709,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.names = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.names.append(_elem49)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1544,8 +1729,8 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.names))
-            for iter50 in self.names:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter85 in self.names:
+                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2111,10 +2296,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.events.append(_elem56)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.events.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2140,8 +2325,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.events))
-            for iter57 in self.events:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter92 in self.events:
+                oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
@@ -2305,10 +2490,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.rows.append(_elem63)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.rows.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2334,8 +2519,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.rows))
-            for iter64 in self.rows:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter99 in self.rows:
+                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2408,30 +2593,41 @@
 all_structs.append(SlotRequest)
 SlotRequest.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'shard', 'UTF8', None, ),  # 1
     (2, TType.I64, 'sequence', None, None, ),  # 2
-    (3, TType.DOUBLE, 'wait_ms', None, None, ),  # 3
-    (4, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (3, TType.I32, 'count', None, None, ),  # 3
+    (4, TType.DOUBLE, 'wait_ms', None, None, ),  # 4
+    (5, TType.LIST, 'avoid', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.BOOL, 'isolated', None, None, ),  # 6
 )
 all_structs.append(SlotGrant)
 SlotGrant.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'shard', 'UTF8', None, ),  # 1
     (2, TType.I64, 'sequence', None, None, ),  # 2
-    (3, TType.STRING, 'upstream', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'token', None, None, ),  # 4
+    (3, TType.LIST, 'upstreams', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'tokens', (TType.I64, None, False), None, ),  # 4
     (5, TType.DOUBLE, 'linger_ms', None, None, ),  # 5
-    (6, TType.BOOL, 'refused', None, None, ),  # 6
+    (6, TType.I32, 'waiting', None, None, ),  # 6
+    (7, TType.I32, 'recall', None, None, ),  # 7
+)
+all_structs.append(SlotUse)
+SlotUse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'token', None, None, ),  # 2
+    (3, TType.STRING, 'result', 'UTF8', None, ),  # 3
+    (4, TType.DOUBLE, 'latency_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'freed', None, None, ),  # 5
+    (6, TType.BOOL, 'draining', None, None, ),  # 6
 )
 all_structs.append(SlotReturn)
 SlotReturn.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
-    (3, TType.I64, 'token', None, None, ),  # 3
-    (4, TType.STRING, 'result', 'UTF8', None, ),  # 4
-    (5, TType.DOUBLE, 'latency_ms', None, None, ),  # 5
-    (6, TType.I32, 'uses', None, None, ),  # 6
+    (1, TType.STRING, 'shard', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'uses', (TType.STRUCT, [SlotUse, None], False), None, ),  # 2
+    (3, TType.LIST, 'held', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'held_tokens', (TType.I64, None, False), None, ),  # 4
 )
 all_structs.append(UpstreamNotice)
 UpstreamNotice.thrift_spec = (
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -21,6 +21,7 @@
     "SlotGrant",
     "SlotRequest",
     "SlotReturn",
+    "SlotUse",
     "StatusQuery",
     "StatusReply",
     "UpstreamNotice",
@@ -67,36 +68,54 @@
 
 @dataclass(slots=True, kw_only=True)
 class SlotRequest:
-    """Asks the broker of a service for the right to use a slot within ``wait_ms``."""
+    """Asks the broker of a shard for the right to use slots within ``wait_ms``."""
 
-    service_name: str = ""
+    shard: str = ""
     sequence: int = 0
+    count: int = 0
     wait_ms: float = 0.0
     avoid: list[str] = field(default_factory=list)
+    isolated: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
 class SlotGrant:
-    """The right to use a slot, to be kept idle for at most ``linger_ms``."""
+    """
+    The right to use slots, each to be kept idle for at most ``linger_ms``.
 
-    service_name: str = ""
+    ``waiting`` counts the slots that are still owed to the receiver; ``recall``
+    the leases that it has to give back, idle ones first.
+    """
+
+    shard: str = ""
     sequence: int = 0
-    upstream: str = ""
-    token: int = 0
+    upstreams: list[str] = field(default_factory=list)
+    tokens: list[int] = field(default_factory=list)
     linger_ms: float = 0.0
-    refused: bool = False
+    waiting: int = 0
+    recall: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
-class SlotReturn:
-    """Gives a slot back with the result and latency of its last use."""
+class SlotUse:
+    """The end of an attempt, and of its lease when ``freed`` is set."""
 
-    service_name: str = ""
     upstream: str = ""
     token: int = 0
     result: str = ""
     latency_ms: float = 0.0
-    uses: int = 0
+    freed: bool = False
+    draining: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class SlotReturn:
+    """Ends of attempts and leases, and the leases that the sender still holds."""
+
+    shard: str = ""
+    uses: list[SlotUse] = field(default_factory=list)
+    held: list[str] = field(default_factory=list)
+    held_tokens: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -38,31 +38,43 @@
   2: string target,
 }
 
-/** Slots: a holder asks the broker of a service for the right to use a slot. */
+/** Slots: a holder asks the broker of a shard for the right to use slots. */
 struct SlotRequest {
-  1: string service_name,
+  1: string shard,
   2: i64 sequence,
-  3: double wait_ms,
-  4: list<string> avoid,
+  3: i32 count,
+  4: double wait_ms,
+  5: list<string> avoid,
+  6: bool isolated,
 }
 
+/** `recall` is the number of leases to give back, idle ones first. */
 struct SlotGrant {
-  1: string service_name,
+  1: string shard,
   2: i64 sequence,
-  3: string upstream,
-  4: i64 token,
+  3: list<string> upstreams,
+  4: list<i64> tokens,
   5: double linger_ms,
-  6: bool refused,
+  6: i32 waiting,
+  7: i32 recall,
+}
+
+/** The end of an attempt, or of a lease when `freed` is set. */
+struct SlotUse {
+  1: string upstream,
+  2: i64 token,
+  3: string result,
+  4: double latency_ms,
+  5: bool freed,
+  6: bool draining,
 }
 
-/** `result` and `latency_ms` report the attempt that used the token. */
+/** `held` and `held_tokens` renew leases; a new broker learns them from here. */
 struct SlotReturn {
-  1: string service_name,
-  2: string upstream,
-  3: i64 token,
-  4: string result,
-  5: double latency_ms,
-  6: i32 uses,
+  1: string shard,
+  2: list<SlotUse> uses,
+  3: list<string> held,
+  4: list<i64> held_tokens,
 }
 
 /** An upstream's state as observed by one host. */
