--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -69,6 +69,7 @@
     ABORTED = "aborted"
     TIMEOUT = "timeout"
     CANCELLED = "cancelled"
+    SILENT = "silent"
 
 
 @dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/src/mangohatch/entry/active.py
@@ -0,0 +1,71 @@
+"""A request between its arrival and the end of its response."""
+
+import asyncio
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from mangohatch.core.call import Call, Decision
+from mangohatch.core.quarantine import QuarantineGate
+from mangohatch.core.router import Router
+from mangohatch.core.tables import UpstreamRow
+from mangohatch.entry.body import RequestBody
+from mangohatch.entry.sink import CallerSink
+from mangohatch.errors import RequestError
+from mangohatch.upstream.connection import UpstreamConnection
+
+__all__ = ["ActiveRequest"]
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class ActiveRequest:
+    """
+    State of a request that is being forwarded.
+
+    ``headers`` are those sent to upstreams. ``may_have_run`` is set while an
+    upstream may have run the request and did not state otherwise.
+    """
+
+    call: Call
+    line: RequestStartLine
+    headers: HTTPHeaders
+    body: RequestBody | None
+    sink: CallerSink
+    may_have_run: bool = False
+    failure: RequestError | None = None
+    attempt_failure: RequestError | None = None
+    retry_allowed: bool = False
+    admission: asyncio.Future[Decision] | None = None
+    upstream: UpstreamRow | None = None
+    conn: UpstreamConnection | None = None
+    wants_new_connection: bool = False
+    awaits_head: bool = False
+    silence_limit_ms: float = 0.0
+
+    def abort(self, error: RequestError, router: Router | QuarantineGate) -> None:
+        """
+        Make the request fail wherever it stands.
+
+        :param error: why; the first one counts
+        :param router: forgets the call if it still waits there
+        """
+        if self.failure is not None:
+            return
+        self.failure = error
+        if self.admission is not None and not self.admission.done():
+            router.cancel(self.call)
+            self.admission.set_exception(error)
+        if self.body is not None:
+            self.body.fail(error)
+        if self.conn is not None:
+            self.conn.close()
+
+    def abort_attempt(self, error: RequestError) -> None:
+        """
+        Make the attempt under way fail; another may follow.
+
+        :param error: why; the first one counts
+        """
+        if self.conn is not None and self.attempt_failure is None:
+            self.attempt_failure = error
+            self.conn.close()
--- a/src/mangohatch/entry/body.py
+++ b/src/mangohatch/entry/body.py
@@ -1,36 +1,115 @@
-"""A request body on its way from the caller to an upstream."""
+"""A request body on its way from the caller to upstreams."""
 
 import asyncio
 from collections.abc import AsyncIterator
 
-__all__ = ["RequestBody"]
+from tornado.httputil import HTTPMessageDelegate
 
-QUEUE_CHUNKS = 1
+from mangohatch.errors import RequestError
 
+__all__ = ["REPLAY_BYTES", "RequestBody"]
 
-class RequestBody:
-    """Hands chunks from the reader to the sender, one at a time."""
+REPLAY_BYTES = 65_536
+
+
+class RequestBody(HTTPMessageDelegate):
+    """
+    Keeps the beginning of a body for replay and hands on the rest once.
+
+    The reader of the caller's connection pushes pieces in; an attempt takes the
+    kept beginning and, when the body is longer, the rest piece by piece.
+    """
 
     def __init__(self) -> None:
-        self._queue: asyncio.Queue[bytes | None] = asyncio.Queue(QUEUE_CHUNKS)
+        self.kept = bytearray()
+        self.complete = False
+        self.rest_taken = False
+        self.received_bytes = 0
+        self._kept_full = False
+        self._overflow: bytes | None = None
+        self._failure: RequestError | None = None
+        self._wake_reader: asyncio.Future[None] | None = None
+        self._wake_sender: asyncio.Future[None] | None = None
+
+    @property
+    def replayable(self) -> bool:
+        """Whether another attempt can send the whole body."""
+        return not self.rest_taken
 
-    async def put(self, chunk: bytes) -> None:
+    @property
+    def has_rest(self) -> bool:
+        """Whether anything follows the kept beginning."""
+        return self._overflow is not None or not self.complete
+
+    async def data_received(self, chunk: bytes) -> None:
         """
-        Add a chunk; waits until the sender has taken the one before.
+        Take a piece from the reader; waits while there is no room.
 
         :param chunk: bytes in order
         """
-        await self._queue.put(chunk)
+        self.received_bytes += len(chunk)
+        if not self._kept_full and len(self.kept) + len(chunk) <= REPLAY_BYTES:
+            self.kept += chunk
+            return
+        self._kept_full = True
+        while self._overflow is not None:
+            self._wake_reader = asyncio.get_running_loop().create_future()
+            await self._wake_reader
+        self._overflow = chunk
+        self._wake(self._wake_sender)
 
-    async def end(self) -> None:
+    def end(self) -> None:
         """Mark the end of the body."""
-        await self._queue.put(None)
+        self.complete = True
+        self._wake(self._wake_sender)
+
+    def fail(self, error: RequestError) -> None:
+        """
+        Mark that the rest of the body will not come.
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+        :param error: raised to whoever waits for the rest
         """
-        Iterate over the chunks.
+        self._failure = error
+        self._wake(self._wake_sender)
+        self._wake(self._wake_reader)
 
-        :return: the body in order
+    async def prefetch(self) -> None:
         """
-        while (chunk := await self._queue.get()) is not None:
-            yield chunk
+        Wait until the body is whole or its beginning is full.
+
+        :raises RequestError: when the rest will not come
+        """
+        while not self.complete and self._overflow is None:
+            await self._wait_for_reader()
+
+    async def rest(self) -> AsyncIterator[bytes]:
+        """
+        Take what follows the kept beginning; can be called once.
+
+        :return: pieces in order
+        :raises RequestError: when the rest will not come
+        """
+        self.rest_taken = True
+        while True:
+            if self._overflow is not None:
+                chunk = self._overflow
+                self._overflow = None
+                self._wake(self._wake_reader)
+                yield chunk
+            elif self.complete:
+                return
+            else:
+                await self._wait_for_reader()
+
+    async def _wait_for_reader(self) -> None:
+        if self._failure is not None:
+            raise self._failure
+        self._wake_sender = asyncio.get_running_loop().create_future()
+        await self._wake_sender
+        if self._failure is not None:
+            raise self._failure
+
+    @staticmethod
+    def _wake(fut: asyncio.Future[None] | None) -> None:
+        if fut is not None and not fut.done():
+            fut.set_result(None)
--- /dev/null
+++ b/src/mangohatch/entry/connection.py
@@ -0,0 +1,128 @@
+"""One request of a caller, read strictly, and the writing of its response."""
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders, HTTPInputError, RequestStartLine
+from tornado.iostream import IOStream
+
+from mangohatch.entry.body import RequestBody
+from mangohatch.entry.head import parse_head
+from mangohatch.errors import BadRequest
+
+__all__ = ["CallerConnection"]
+
+HEAD_END = b"\r?\n\r?\n"
+# Longer heads are read up to here so that they can be refused with an answer.
+MAX_READ_HEAD_BYTES = 262_144
+CHUNK_BYTES = 65_536
+MAX_BODY_BYTES = 1 << 40
+
+PARAMS = HTTP1ConnectionParameters(
+    chunk_size=CHUNK_BYTES,
+    max_header_size=MAX_READ_HEAD_BYTES,
+    max_body_size=MAX_BODY_BYTES,
+)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+UNKNOWN_LINE = RequestStartLine("GET", "/", "HTTP/1.1")
+
+
+class CallerConnection(HTTP1Connection):
+    """One request of a caller and the writing of its response."""
+
+    def __init__(self, *, stream: IOStream) -> None:
+        super().__init__(stream, False, PARAMS)
+        # Answers to heads that can't be parsed are written as to a GET.
+        self._request_start_line = UNKNOWN_LINE
+        self._request_headers = HTTPHeaders()
+        self._disconnect_on_finish = True
+
+    @property
+    def is_head_request(self) -> bool:
+        """Whether the response must have no body."""
+        assert self._request_start_line is not None
+        return self._request_start_line.method == "HEAD"
+
+    @property
+    def read_finished(self) -> bool:
+        """Whether the whole request was read."""
+        return self._read_finished
+
+    @property
+    def keeps_open(self) -> bool:
+        """Whether another request may follow on the connection."""
+        return not self._disconnect_on_finish
+
+    def close_after_response(self) -> None:
+        """Announce in the response that no other request may follow."""
+        self._disconnect_on_finish = True
+
+    async def read_head(self) -> tuple[RequestStartLine, HTTPHeaders]:
+        """
+        Read and check a request head.
+
+        :return: request line and header fields
+        :raises BadRequest: when the head is refused
+        :raises StreamClosedError: when the caller has left
+        """
+        data = b""
+        while not data:
+            data = await self.stream.read_until_regex(HEAD_END, MAX_READ_HEAD_BYTES)
+            data = data.lstrip(b"\r\n")
+        line, headers = parse_head(data)
+        self._request_start_line = line
+        self._request_headers = headers
+        self._disconnect_on_finish = not self._can_keep_alive(line, headers)
+        return line, headers
+
+    def make_body(self, headers: HTTPHeaders) -> RequestBody | None:
+        """
+        Prepare to read the body of the request.
+
+        :param headers: header fields of the request
+        :return: the body; None when the request has none
+        """
+        if "Content-Length" in headers or "Transfer-Encoding" in headers:
+            return RequestBody()
+        self._read_finished = True
+        return None
+
+    async def read_into(self, body: RequestBody, headers: HTTPHeaders) -> None:
+        """
+        Read the body of the request.
+
+        :param body: receives the pieces
+        :param headers: header fields of the request
+        :raises BadRequest: when the framing is malformed
+        :raises StreamClosedError: when the caller has left
+        """
+        if "Expect" in headers:
+            self.stream.write(CONTINUE)
+        try:
+            reading = self._read_body(0, headers, body)
+            if reading is not None:
+                await reading
+        except HTTPInputError as exc:
+            raise BadRequest(f"the request body is malformed: {exc}") from exc
+        self._read_finished = True
+        body.end()
+
+    def finish(self) -> None:
+        if not self._read_finished:
+            self._disconnect_on_finish = True
+        if self._chunking_output and not self.stream.closed():
+            self._pending_write = self.stream.write(LAST_CHUNK)
+        self._write_finished = True
+
+    @property
+    def is_short(self) -> bool:
+        """Whether less was written than the Content-Length announced."""
+        return bool(self._expected_content_remaining)
+
+    async def flush(self) -> None:
+        """
+        Wait until the whole response was handed to the network.
+
+        :raises StreamClosedError: when the caller has left
+        """
+        if self.stream.writing() and self._pending_write is not None:
+            await self._pending_write
--- a/src/mangohatch/entry/headers.py
+++ b/src/mangohatch/entry/headers.py
@@ -3,17 +3,23 @@
 from tornado.httputil import HTTPHeaders
 
 __all__ = [
+    "CUSTOMER_HEADER",
     "DEADLINE_HEADER",
     "ERROR_HEADER",
+    "IDEMPOTENCY_KEY_HEADER",
     "OUTCOME_HEADER",
+    "REPLAYED_HEADER",
     "REQUEST_ID_HEADER",
-    "forwardable",
+    "drop_hop_by_hop",
 ]
 
 REQUEST_ID_HEADER = "X-Request-Id"
 DEADLINE_HEADER = "X-Deadline-Ms"
 OUTCOME_HEADER = "X-Outcome"
 ERROR_HEADER = "X-Error-Code"
+CUSTOMER_HEADER = "X-Customer"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+REPLAYED_HEADER = "X-Replayed"
 
 HOP_BY_HOP = frozenset(
     {
@@ -28,22 +34,33 @@
         "Upgrade",
     }
 )
+# Fields that frame or identify a message; ``Connection`` can't have them dropped.
+PROTECTED = frozenset(
+    {
+        "Content-Length",
+        "Host",
+        CUSTOMER_HEADER,
+        DEADLINE_HEADER,
+        IDEMPOTENCY_KEY_HEADER,
+        OUTCOME_HEADER,
+        REQUEST_ID_HEADER,
+    }
+)
 
 
-def forwardable(headers: HTTPHeaders) -> HTTPHeaders:
+def drop_hop_by_hop(headers: HTTPHeaders) -> None:
     """
-    Copy the end-to-end header fields.
+    Remove hop-by-hop fields and those that ``Connection`` names, in place.
 
     :param headers: fields as received
-    :return: a copy without hop-by-hop fields and those named by ``Connection``
     """
-    named = {
-        token.strip().title()
-        for value in headers.get_list("Connection")
-        for token in value.split(",")
-    }
-    kept = HTTPHeaders()
-    for name, value in headers.get_all():
-        if name not in HOP_BY_HOP and name not in named:
-            kept.add(name, value)
-    return kept
+    dropped = [name for name in headers if name in HOP_BY_HOP]
+    if "Connection" in dropped:
+        named = {
+            token.strip().title()
+            for value in headers.get_list("Connection")
+            for token in value.split(",")
+        }
+        dropped += [name for name in headers if name in named - HOP_BY_HOP - PROTECTED]
+    for name in dropped:
+        del headers[name]
--- /dev/null
+++ b/src/mangohatch/entry/link.py
@@ -0,0 +1,212 @@
+"""A caller's connection from its acceptance to its end."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.iostream import IOStream, StreamClosedError
+
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.answer import write_error
+from mangohatch.entry.body import REPLAY_BYTES, RequestBody
+from mangohatch.entry.connection import CallerConnection
+from mangohatch.entry.request import make_call, prepare_headers, read_request_id
+from mangohatch.entry.sink import CallerSink, break_connection
+from mangohatch.errors import BadRequest, CallerGone, RequestError, RequestTimeout
+
+if TYPE_CHECKING:
+    from mangohatch.entry.server import EntryServer
+
+__all__ = ["CallerLink", "Phase"]
+
+HEAD_TIMEOUT_MS = 10_000.0
+IDLE_TIMEOUT_MS = 75_000.0
+BODY_TIMEOUT_MS = 10_000.0
+WRITE_TIMEOUT_MS = 60_000.0
+LINGER_MS = 1_000.0
+
+
+class Phase(Enum):
+    """What the entry host waits for on a caller's connection."""
+
+    HEAD = auto()
+    BODY = auto()
+    RESPONSE = auto()
+    LINGER = auto()
+
+
+class CallerLink:
+    """Serves the requests on a caller's connection one after another."""
+
+    def __init__(self, *, stream: IOStream, server: "EntryServer") -> None:
+        self.phase = Phase.HEAD
+        self.stream = stream
+        self._server = server
+        self._conn = CallerConnection(stream=stream)
+        self._req: ActiveRequest | None = None
+        self._sink: CallerSink | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._since_ms = server.clock.now_ms()
+        self._progress_bytes = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request has begun."""
+        return self.phase is Phase.HEAD and not self.stream._read_buffer_size
+
+    async def run(self) -> None:
+        """Serve requests until either side closes the connection."""
+        try:
+            while await self._serve_one():
+                self._enter(Phase.HEAD)
+                self._conn = CallerConnection(stream=self.stream)
+            await self._end()
+        except StreamClosedError:
+            pass
+        finally:
+            self.stream.close()
+
+    def check(self, now_ms: float) -> None:
+        """
+        Give up on a caller that makes no progress.
+
+        :param now_ms: the time
+        """
+        waited_ms = now_ms - self._since_ms
+        if self.phase is Phase.HEAD:
+            limit_ms = IDLE_TIMEOUT_MS if self.idle else HEAD_TIMEOUT_MS
+            if waited_ms > limit_ms:
+                self._refuse_slow_head()
+        elif self.phase is Phase.BODY:
+            self._check_body(now_ms)
+        elif self.phase is Phase.RESPONSE:
+            self._check_writing(now_ms)
+        elif waited_ms > LINGER_MS:
+            self.stream.close()
+
+    def _refuse_slow_head(self) -> None:
+        if not self.idle:
+            error = RequestTimeout("the request head did not arrive in time")
+            self._answer(error, self._server.next_request_id())
+        self.stream.close()
+
+    def _check_body(self, now_ms: float) -> None:
+        received = self._req.body.received_bytes if self._req and self._req.body else 0
+        waits_for_caller = self.stream.reading()
+        if received != self._progress_bytes or not waits_for_caller:
+            self._progress_bytes = received
+            self._since_ms = now_ms
+        elif now_ms - self._since_ms > BODY_TIMEOUT_MS and self._req is not None:
+            error = RequestTimeout("the request body did not arrive in time")
+            self._conn.close_after_response()
+            self._server.forwarder.abort(self._req, error)
+            if not self._server.forwarder.is_active(self._req):
+                self._answer(error, self._req.call.request_id)
+                self.stream.close()
+
+    def _check_writing(self, now_ms: float) -> None:
+        written = self.stream._total_write_done_index
+        if written != self._progress_bytes or not self.stream.writing():
+            self._progress_bytes = written
+            self._since_ms = now_ms
+        elif now_ms - self._since_ms > WRITE_TIMEOUT_MS:
+            break_connection(self._conn)
+
+    def _enter(self, phase: Phase) -> None:
+        self.phase = phase
+        self._since_ms = self._server.clock.now_ms()
+        self._progress_bytes = 0
+
+    async def _serve_one(self) -> bool:
+        conn = self._conn
+        self._sink = None
+        request_id = ""
+        try:
+            line, headers = await conn.read_head()
+            self._enter(Phase.RESPONSE)
+            if self._server.closing:
+                conn.close_after_response()
+            request_id = read_request_id(headers) or self._server.next_request_id()
+            await self._forward(line, headers, request_id)
+        except RequestError as exc:
+            self._answer(exc, request_id or self._server.next_request_id())
+        await conn.flush()
+        return conn.keeps_open and not self.stream.closed()
+
+    async def _forward(
+        self, line: RequestStartLine, headers: HTTPHeaders, request_id: str
+    ) -> None:
+        conn = self._conn
+        body = conn.make_body(headers)
+        call = make_call(
+            line=line,
+            headers=headers,
+            request_id=request_id,
+            services=self._server.services,
+            now_ms=self._server.clock.now_ms(),
+        )
+        sink = CallerSink(conn=conn, request_id=request_id)
+        req = ActiveRequest(call=call, line=line, headers=headers, body=body, sink=sink)
+        self._req = req
+        self._sink = sink
+        self.stream.set_close_callback(self._on_caller_left)
+        try:
+            if body is not None:
+                await self._read_body(body, headers)
+            prepare_headers(req)
+            await self._server.forwarder.forward(req)
+        finally:
+            self._req = None
+            self.stream.set_close_callback(None)
+            if self._reader is not None:
+                self._reader.cancel()
+                self._reader = None
+
+    async def _read_body(self, body: RequestBody, headers: HTTPHeaders) -> None:
+        self._enter(Phase.BODY)
+        length = headers.get("Content-Length")
+        reading = self._conn.read_into(body, headers)
+        if length is not None and int(length) <= REPLAY_BYTES:
+            await reading
+            self._enter(Phase.RESPONSE)
+            return
+        self._reader = asyncio.create_task(self._read_in_background(reading))
+        await body.prefetch()
+
+    async def _read_in_background(self, reading: Awaitable[None]) -> None:
+        try:
+            await reading
+            self._enter(Phase.RESPONSE)
+        except BadRequest as exc:
+            self._conn.close_after_response()
+            if self._req is not None:
+                self._server.forwarder.abort(self._req, exc)
+        except StreamClosedError:
+            self._on_caller_left()
+
+    def _on_caller_left(self) -> None:
+        if self._req is not None:
+            error = CallerGone("the caller left")
+            self._server.forwarder.abort(self._req, error)
+
+    def _answer(self, error: RequestError, request_id: str) -> None:
+        if self.stream.closed() or isinstance(error, CallerGone):
+            return
+        if self._sink is not None and self._sink.sent:
+            break_connection(self._conn)
+            return
+        write_error(self._conn, error, request_id)
+
+    async def _end(self) -> None:
+        if self.stream.closed() or self._conn.read_finished:
+            return
+        # Closing with unread input would reset the connection and could take the
+        # answer with it.
+        self._enter(Phase.LINGER)
+        gone = asyncio.Event()
+        self.stream.set_close_callback(gone.set)
+        self.stream.socket.shutdown(socket.SHUT_WR)
+        await gone.wait()
--- /dev/null
+++ b/src/mangohatch/entry/request.py
@@ -0,0 +1,129 @@
+"""From a checked request head to a call and the headers sent upstream."""
+
+import re
+from collections.abc import Mapping
+
+import xxhash
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from mangohatch.core.call import Call
+from mangohatch.core.tables import ServiceRow
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.body import RequestBody
+from mangohatch.entry.head import decode_path
+from mangohatch.entry.headers import (
+    CUSTOMER_HEADER,
+    DEADLINE_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    REQUEST_ID_HEADER,
+    drop_hop_by_hop,
+)
+from mangohatch.entry.routes import clip_deadline_ms, find_service, is_idempotent
+from mangohatch.errors import BadRequest
+
+__all__ = ["make_call", "prepare_headers", "read_request_id"]
+
+IDENTIFIER = re.compile(r"[A-Za-z0-9._:\-]{1,128}")
+MAX_KEY_CHARACTERS = 256
+# Methods whose requests are always framed.
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+
+
+def read_request_id(headers: HTTPHeaders) -> str:
+    """
+    Read the id that the caller gave its request.
+
+    :param headers: header fields
+    :return: the id; empty when there is none or it is malformed
+    """
+    text = headers.get(REQUEST_ID_HEADER)
+    if text is None or IDENTIFIER.fullmatch(text) is None:
+        return ""
+    return text
+
+
+def make_call(
+    *,
+    line: RequestStartLine,
+    headers: HTTPHeaders,
+    request_id: str,
+    services: Mapping[str, ServiceRow],
+    now_ms: float,
+) -> Call:
+    """
+    Make the call of a request.
+
+    :param line: request line
+    :param headers: header fields
+    :param request_id: id of the request
+    :param services: services by name
+    :param now_ms: time of arrival
+    :return: the call
+    :raises NoRoute: when no service serves the path
+    :raises BadRequest: when a header field is malformed
+    """
+    path = decode_path(line.path.partition("?")[0])
+    spec = find_service(services, path).spec
+    budget_ms = clip_deadline_ms(headers.get(DEADLINE_HEADER), spec.deadline_ms)
+    customer = headers.get(CUSTOMER_HEADER, "")
+    if customer and IDENTIFIER.fullmatch(customer) is None:
+        raise BadRequest("X-Customer is not an identifier")
+    key = headers.get(IDEMPOTENCY_KEY_HEADER, "")
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise BadRequest("Idempotency-Key is too long")
+    return Call(
+        request_id=request_id,
+        service=spec.name,
+        arrived_ms=now_ms,
+        deadline_ms=now_ms + budget_ms,
+        idempotent=is_idempotent(spec, line.method, path),
+        customer=customer,
+    )
+
+
+def prepare_headers(req: ActiveRequest) -> None:
+    """
+    Turn received header fields into those sent upstream, and identify resends.
+
+    :param req: a request whose body is whole or whose kept beginning is full
+    :raises BadRequest: when the body can't be framed for the upstream
+    """
+    headers = req.headers
+    drop_hop_by_hop(headers)
+    headers.pop("Expect", None)
+    headers[REQUEST_ID_HEADER] = req.call.request_id
+    frame_body(req.line.method, headers, req.body)
+    req.call.fingerprint = make_fingerprint(req)
+
+
+def frame_body(method: str, headers: HTTPHeaders, body: RequestBody | None) -> None:
+    """
+    Give a request the length that its body has.
+
+    :param method: request method
+    :param headers: header fields sent upstream
+    :param body: the body; None without one
+    :raises BadRequest: when a long chunked body comes with an unusual method
+    """
+    if body is None:
+        if method in BODY_METHODS:
+            headers["Content-Length"] = "0"
+    elif not body.has_rest:
+        headers["Content-Length"] = str(len(body.kept))
+    elif "Content-Length" not in headers and method not in BODY_METHODS:
+        raise BadRequest(f"a chunked body of this length needs {sorted(BODY_METHODS)}")
+
+
+def make_fingerprint(req: ActiveRequest) -> str:
+    """
+    Identify a request and its resends.
+
+    :param req: the request
+    :return: hash of service, method, target, key and the beginning of the body
+    """
+    key = req.headers.get(IDEMPOTENCY_KEY_HEADER, "")
+    named = (req.call.service, req.line.method, req.line.path, key)
+    digest = xxhash.xxh64("\n".join(named).encode())
+    if req.body is not None:
+        digest.update(bytes(req.body.kept))
+    return digest.hexdigest()
--- /dev/null
+++ b/src/mangohatch/entry/retry.py
@@ -0,0 +1,101 @@
+"""Which failed attempts may be repeated, and what they say of the upstream."""
+
+from mangohatch.core.call import Call, Result
+from mangohatch.entry.headers import OUTCOME_HEADER
+from mangohatch.errors import (
+    CallerGone,
+    ConnectionSilent,
+    DeadlineExceeded,
+    Outcome,
+    RequestError,
+    ResponseUnframed,
+    UpstreamAborted,
+    UpstreamFailed,
+    UpstreamRefused,
+    UpstreamUnreachable,
+)
+from mangohatch.upstream.connection import ResponseHead
+
+__all__ = [
+    "is_retry_safe",
+    "is_server_failure",
+    "result_of",
+    "result_of_status",
+    "states_not_run",
+]
+
+SERVICE_UNAVAILABLE = 503
+FIRST_SERVER_ERROR = 500
+# Server errors that another upstream may not have.
+RETRIED_CODES = frozenset({500, 502, 503, 504})
+
+NOT_SENT = (UpstreamUnreachable, UpstreamRefused)
+MAY_HAVE_RUN = (UpstreamAborted, UpstreamFailed)
+
+RESULTS: tuple[tuple[type[RequestError], Result], ...] = (
+    (ConnectionSilent, Result.SILENT),
+    (CallerGone, Result.CANCELLED),
+    (DeadlineExceeded, Result.TIMEOUT),
+    (UpstreamRefused, Result.REFUSED),
+    (UpstreamUnreachable, Result.UNREACHABLE),
+    (UpstreamFailed, Result.ERROR),
+    (ResponseUnframed, Result.ERROR),
+    (UpstreamAborted, Result.ABORTED),
+)
+
+
+def is_retry_safe(call: Call, error: RequestError) -> bool:
+    """
+    Tell whether another attempt can't run a non-idempotent request twice.
+
+    :param call: the call
+    :param error: how the last attempt failed
+    :return: whether another attempt is safe
+    """
+    if isinstance(error, NOT_SENT):
+        return True
+    return call.idempotent and isinstance(error, MAY_HAVE_RUN)
+
+
+def states_not_run(head: ResponseHead) -> bool:
+    """
+    Tell whether an upstream states that it did not run the request.
+
+    :param head: head of its response
+    :return: whether it does
+    """
+    stated = head.headers.get(OUTCOME_HEADER)
+    return head.line.code == SERVICE_UNAVAILABLE and stated == Outcome.NOT_RUN
+
+
+def is_server_failure(head: ResponseHead) -> bool:
+    """
+    Tell whether another upstream may give a better response.
+
+    :param head: head of a response
+    :return: whether the status is a server error worth another attempt
+    """
+    return head.line.code in RETRIED_CODES
+
+
+def result_of_status(code: int) -> Result:
+    """
+    Tell what a status says of the upstream.
+
+    :param code: status code of a response
+    :return: error from 500 on, else OK
+    """
+    return Result.ERROR if code >= FIRST_SERVER_ERROR else Result.OK
+
+
+def result_of(error: RequestError) -> Result:
+    """
+    Tell what a failed attempt says of the upstream.
+
+    :param error: how the attempt failed
+    :return: the result to report; cancelled when it says nothing
+    """
+    for kind, result in RESULTS:
+        if isinstance(error, kind):
+            return result
+    return Result.CANCELLED
--- /dev/null
+++ b/src/mangohatch/entry/routes.py
@@ -0,0 +1,78 @@
+"""From a request to its service, idempotency and deadline."""
+
+from collections.abc import Mapping
+
+from mangohatch.config import ServiceSpec
+from mangohatch.core.tables import ServiceRow
+from mangohatch.errors import BadRequest, NoRoute
+
+__all__ = ["clip_deadline_ms", "find_service", "is_idempotent", "matches_prefix"]
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+MAX_DEADLINE_MS = 600_000.0
+MAX_DEADLINE_DIGITS = 12
+
+
+def matches_prefix(path: str, prefix: str) -> bool:
+    """
+    Tell whether a path lies under a prefix, on a border of segments.
+
+    :param path: decoded path
+    :param prefix: prefix with a leading slash
+    :return: whether it does
+    """
+    if not path.startswith(prefix):
+        return False
+    return len(path) == len(prefix) or prefix.endswith("/") or path[len(prefix)] == "/"
+
+
+def find_service(services: Mapping[str, ServiceRow], path: str) -> ServiceRow:
+    """
+    Find the service that a path belongs to.
+
+    :param services: services by name
+    :param path: decoded path
+    :return: the service with the longest matching prefix
+    :raises NoRoute: when no service matches
+    """
+    found = None
+    longest = -1
+    for row in services.values():
+        prefix = row.spec.path_prefix
+        if len(prefix) > longest and matches_prefix(path, prefix):
+            found = row
+            longest = len(prefix)
+    if found is None:
+        raise NoRoute("no service serves this path")
+    return found
+
+
+def is_idempotent(spec: ServiceSpec, method: str, path: str) -> bool:
+    """
+    Tell whether a request may run twice.
+
+    :param spec: the service
+    :param method: request method
+    :param path: decoded path
+    :return: what the first matching rule says, else what the method implies
+    """
+    for rule in spec.rules:
+        if rule.method == method and matches_prefix(path, rule.path_prefix):
+            return rule.idempotent
+    return method in IDEMPOTENT_METHODS
+
+
+def clip_deadline_ms(text: str | None, default_ms: float) -> float:
+    """
+    Read the time that a caller gives its request.
+
+    :param text: value of the deadline header, None without one
+    :param default_ms: used without a header
+    :return: milliseconds, at most ten minutes
+    :raises BadRequest: when the value is not a positive number of milliseconds
+    """
+    if text is None:
+        return default_ms
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DEADLINE_DIGITS:
+        raise BadRequest("X-Deadline-Ms is not a whole number of milliseconds")
+    return min(float(text), MAX_DEADLINE_MS)
--- a/src/mangohatch/entry/server.py
+++ b/src/mangohatch/entry/server.py
@@ -1,49 +1,81 @@
 """The HTTP server that callers connect to."""
 
-import asyncio
 import itertools
-import json
-from http import HTTPStatus
-
-from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    ResponseStartLine,
-)
+from collections.abc import Mapping
+
+from tornado.iostream import IOStream
+from tornado.tcpserver import TCPServer
 
 from mangohatch.clock import Clock
-from mangohatch.core.call import Call
 from mangohatch.core.tables import ServiceRow, Tables
-from mangohatch.entry.body import RequestBody
 from mangohatch.entry.forwarder import Forwarder
-from mangohatch.entry.headers import (
-    DEADLINE_HEADER,
-    ERROR_HEADER,
-    OUTCOME_HEADER,
-    REQUEST_ID_HEADER,
-)
-from mangohatch.errors import NoRoute, RequestError
+from mangohatch.entry.link import CallerLink
 
 __all__ = ["EntryServer"]
 
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+MAX_BUFFER_BYTES = 1_048_576
+LINK_CHECK_MS = 250.0
+DEFAULT_BALANCER_DELAY_MS = 3_000.0
+
+
+class CallerListener(TCPServer):
+    """Accepts connections for an entry server."""
+
+    def __init__(self, *, entry: "EntryServer") -> None:
+        super().__init__(max_buffer_size=MAX_BUFFER_BYTES)
+        self._entry = entry
+
+    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        await self._entry.serve(stream)
+
 
+class EntryServer:
+    """
+    Accepts requests and hands each to a forwarder.
 
-class EntryServer(HTTPServerConnectionDelegate):
-    """Accepts requests and hands each to a forwarder."""
+    :param host_id: prefix of request ids
+    :param clock: source of time
+    :param tables: services that can be called
+    :param forwarder: carries the requests
+    :param balancer_delay_ms: time the balancer needs to notice a leaving host
+    """
 
     def __init__(
-        self, *, host_id: str, clock: Clock, tables: Tables, forwarder: Forwarder
+        self,
+        *,
+        host_id: str,
+        clock: Clock,
+        tables: Tables,
+        forwarder: Forwarder,
+        balancer_delay_ms: float = DEFAULT_BALANCER_DELAY_MS,
     ) -> None:
         self.clock = clock
         self.forwarder = forwarder
+        self.closing = False
         self._host_id = host_id
         self._tables = tables
+        self._balancer_delay_ms = balancer_delay_ms
         self._sequence = itertools.count(1)
-        self._server = HTTPServer(self)
+        self._listener = CallerListener(entry=self)
+        self._links: set[CallerLink] = set()
+        self._drain_began_ms: float | None = None
+        self._checked_ms = clock.now_ms()
+
+    @property
+    def services(self) -> Mapping[str, ServiceRow]:
+        """Services that can be called, by name."""
+        return self._tables.services
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self._drain_began_ms is None
+
+    @property
+    def port(self) -> int:
+        """The TCP port in use, also when any free one was asked for."""
+        sock = next(iter(self._listener._sockets.values()))
+        return sock.getsockname()[1]
 
     def listen(self, address: str, port: int) -> None:
         """
@@ -52,15 +84,59 @@
         :param address: IP address to bind
         :param port: TCP port to bind
         """
-        self._server.listen(port, address)
+        self._listener.listen(port, address)
+
+    async def serve(self, stream: IOStream) -> None:
+        """
+        Serve a caller's connection until it ends.
+
+        :param stream: the accepted connection
+        """
+        stream.set_nodelay(True)
+        link = CallerLink(stream=stream, server=self)
+        self._links.add(link)
+        try:
+            await link.run()
+        finally:
+            self._links.discard(link)
+
+    def begin_drain(self) -> None:
+        """Report not ready; stop taking work once the balancer has noticed."""
+        if self._drain_began_ms is None:
+            self._drain_began_ms = self.clock.now_ms()
+
+    def drained(self) -> bool:
+        """
+        Tell whether a drain has ended.
+
+        :return: whether no caller is connected any more
+        """
+        return self.closing and not self._links
 
     async def close(self) -> None:
         """Stop accepting connections and close those that are open."""
-        self._server.stop()
-        await self._server.close_all_connections()
-
-    def start_request(self, server_conn, request_conn):
-        return Exchange(server=self, conn=request_conn)
+        self._listener.stop()
+        for link in list(self._links):
+            link.stream.close()
+
+    def tick(self) -> None:
+        """Enforce deadlines, give up on slow callers and advance a drain."""
+        now_ms = self.clock.now_ms()
+        self.forwarder.tick()
+        if self._drain_began_ms is not None and not self.closing:
+            if now_ms - self._drain_began_ms >= self._balancer_delay_ms:
+                self._stop_taking_work()
+        if now_ms - self._checked_ms >= LINK_CHECK_MS:
+            self._checked_ms = now_ms
+            for link in list(self._links):
+                link.check(now_ms)
+
+    def _stop_taking_work(self) -> None:
+        self.closing = True
+        self._listener.stop()
+        for link in list(self._links):
+            if link.idle:
+                link.stream.close()
 
     def next_request_id(self) -> str:
         """
@@ -69,87 +145,3 @@
         :return: an id that is unique over all hosts while host ids are
         """
         return f"{self._host_id}-{next(self._sequence)}"
-
-    def find_service(self, path: str) -> ServiceRow:
-        """
-        Find the service that a path belongs to.
-
-        :param path: path of the request
-        :return: the service with the longest matching prefix
-        :raises NoRoute: when no service matches
-        """
-        matches = [
-            row
-            for row in self._tables.services.values()
-            if path.startswith(row.spec.path_prefix)
-        ]
-        if not matches:
-            raise NoRoute(f"no service serves {path}")
-        return max(matches, key=lambda row: len(row.spec.path_prefix))
-
-
-class Exchange(HTTPMessageDelegate):
-    """One request of a caller and its response."""
-
-    def __init__(self, *, server: EntryServer, conn: HTTP1Connection) -> None:
-        self._server = server
-        self._conn = conn
-        self._body: RequestBody | None = None
-        self._task: asyncio.Task[None] | None = None
-        self._request_id = server.next_request_id()
-
-    def headers_received(self, start_line, headers):
-        if "Content-Length" in headers or "Transfer-Encoding" in headers:
-            self._body = RequestBody()
-        self._task = asyncio.create_task(self._serve(start_line, headers))
-        self._conn.set_close_callback(self.on_connection_close)
-
-    async def data_received(self, chunk):
-        if self._body is not None:
-            await self._body.put(chunk)
-
-    def finish(self):
-        if self._body is not None:
-            asyncio.ensure_future(self._body.end())
-
-    def on_connection_close(self):
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _serve(self, line, headers) -> None:
-        try:
-            call = self._make_call(line, headers)
-            forward = self._server.forwarder.forward
-            await forward(call, line, headers, self._body, self._conn)
-        except RequestError as exc:
-            self._answer(exc)
-
-    def _make_call(self, line, headers: HTTPHeaders) -> Call:
-        service = self._server.find_service(line.path)
-        now_ms = self._server.clock.now_ms()
-        budget_ms = float(headers.get(DEADLINE_HEADER, service.spec.deadline_ms))
-        return Call(
-            request_id=self._request_id,
-            service=service.spec.name,
-            arrived_ms=now_ms,
-            deadline_ms=now_ms + budget_ms,
-            idempotent=line.method in SAFE_METHODS,
-        )
-
-    def _answer(self, error: RequestError) -> None:
-        body = json.dumps(
-            {"code": error.code, "outcome": error.outcome, "detail": error.detail}
-        ).encode()
-        headers = HTTPHeaders(
-            {
-                "Content-Type": "application/json",
-                "Content-Length": str(len(body)),
-                OUTCOME_HEADER: error.outcome,
-                ERROR_HEADER: error.code,
-                REQUEST_ID_HEADER: self._request_id,
-            }
-        )
-        reason = HTTPStatus(error.status).phrase
-        line = ResponseStartLine("HTTP/1.1", error.status, reason)
-        self._conn.write_headers(line, headers, body)
-        self._conn.finish()
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -1,5 +1,11 @@
 """Typed failures: every error has a code, and request errors have an outcome."""
 
+from mangohatch.errors.attempt import (
+    CallerGone,
+    ConnectionSilent,
+    ResponseUnframed,
+    UpstreamFailed,
+)
 from mangohatch.errors.base import ExitCode, MangohatchError
 from mangohatch.errors.claim import (
     ClaimKeyMismatch,
@@ -7,6 +13,15 @@
     OutcomeUnknown,
     RequestInProgress,
 )
+from mangohatch.errors.framing import (
+    ExpectationFailed,
+    HeaderTooLarge,
+    MethodRefused,
+    RequestTimeout,
+    TargetTooLong,
+    UnsupportedCoding,
+    UnsupportedVersion,
+)
 from mangohatch.errors.request import (
     BadRequest,
     DeadlineExceeded,
@@ -34,11 +49,16 @@
 
 __all__ = [
     "BadRequest",
+    "CallerGone",
     "ClaimKeyMismatch",
     "ClaimUnavailable",
+    "ConnectionSilent",
     "DeadlineExceeded",
     "ExitCode",
+    "ExpectationFailed",
+    "HeaderTooLarge",
     "MangohatchError",
+    "MethodRefused",
     "NoRoute",
     "NoUpstream",
     "Outcome",
@@ -47,6 +67,8 @@
     "RequestError",
     "RequestInProgress",
     "RequestQuarantined",
+    "RequestTimeout",
+    "ResponseUnframed",
     "RevisionCompacted",
     "SettingsError",
     "Stopping",
@@ -56,7 +78,11 @@
     "StoreRateLimited",
     "StoreUnavailable",
     "StoreWriteUnknown",
+    "TargetTooLong",
+    "UnsupportedCoding",
+    "UnsupportedVersion",
     "UpstreamAborted",
+    "UpstreamFailed",
     "UpstreamRefused",
     "UpstreamUnreachable",
 ]
--- /dev/null
+++ b/src/mangohatch/errors/attempt.py
@@ -0,0 +1,35 @@
+"""Failures of one attempt to run a request on an upstream."""
+
+from mangohatch.errors.request import Outcome, RequestError, UpstreamAborted
+
+__all__ = ["CallerGone", "ConnectionSilent", "ResponseUnframed", "UpstreamFailed"]
+
+
+class ConnectionSilent(UpstreamAborted):
+    """The connection gave no sign of life although the upstream may be well."""
+
+    code = "connection_silent"
+
+
+class ResponseUnframed(RequestError):
+    """The response had no length, so that its end can't be told from a cut."""
+
+    code = "response_unframed"
+    status = 502
+    default_outcome = Outcome.UNKNOWN
+
+
+class CallerGone(RequestError):
+    """The caller closed its connection before it had the whole response."""
+
+    code = "caller_gone"
+    status = 499
+    default_outcome = Outcome.UNKNOWN
+
+
+class UpstreamFailed(RequestError):
+    """The upstream answered an idempotent request with a server error."""
+
+    code = "upstream_failed"
+    status = 502
+    default_outcome = Outcome.UNKNOWN
--- /dev/null
+++ b/src/mangohatch/errors/framing.py
@@ -0,0 +1,62 @@
+"""Refusals of requests whose framing or headers are not acceptable."""
+
+from mangohatch.errors.request import BadRequest, RequestError
+
+__all__ = [
+    "ExpectationFailed",
+    "HeaderTooLarge",
+    "MethodRefused",
+    "RequestTimeout",
+    "TargetTooLong",
+    "UnsupportedCoding",
+    "UnsupportedVersion",
+]
+
+
+class HeaderTooLarge(BadRequest):
+    """The request head is longer than the entry host accepts."""
+
+    code = "header_too_large"
+    status = 431
+
+
+class TargetTooLong(BadRequest):
+    """The request target is longer than the entry host accepts."""
+
+    code = "target_too_long"
+    status = 414
+
+
+class MethodRefused(BadRequest):
+    """The method is never forwarded."""
+
+    code = "method_refused"
+    status = 405
+
+
+class UnsupportedCoding(BadRequest):
+    """The transfer coding is not chunked."""
+
+    code = "unsupported_coding"
+    status = 501
+
+
+class UnsupportedVersion(BadRequest):
+    """The protocol version is neither HTTP/1.0 nor HTTP/1.1."""
+
+    code = "unsupported_version"
+    status = 505
+
+
+class ExpectationFailed(BadRequest):
+    """The ``Expect`` field names something other than ``100-continue``."""
+
+    code = "expectation_failed"
+    status = 417
+
+
+class RequestTimeout(RequestError):
+    """The caller was too slow to send its request."""
+
+    code = "request_timeout"
+    status = 408
--- a/src/mangohatch/host.py
+++ b/src/mangohatch/host.py
@@ -38,6 +38,7 @@
             clock=clock,
             tables=self.tables,
             forwarder=forwarder,
+            balancer_delay_ms=cfg.balancer_delay_ms,
         )
 
     async def run(self) -> None:
@@ -48,12 +49,12 @@
             loop.add_signal_handler(signum, stopped.set)
         self.entry.listen(self.cfg.entry.address, self.cfg.entry.port)
         log.info("host_started", host=self.cfg.host_id, zone=self.cfg.zone)
-        while not stopped.is_set():
+        while not self.entry.drained():
+            if stopped.is_set():
+                self.entry.begin_drain()
             self.router.tick()
-            try:
-                await asyncio.wait_for(stopped.wait(), TICK_MS / 1000)
-            except TimeoutError:
-                continue
+            self.entry.tick()
+            await asyncio.sleep(TICK_MS / 1000)
         await self.entry.close()
         self.pool.close()
         log.info("host_stopped", host=self.cfg.host_id)
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -1,25 +1,36 @@
 """One HTTP/1.1 connection to an upstream."""
 
+import socket
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
+from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
+    parse_response_start_line,
 )
 from tornado.iostream import IOStream, StreamClosedError
 
 from mangohatch.clock import Clock
-from mangohatch.errors import UpstreamAborted
+from mangohatch.core.tables import UpstreamRow
+from mangohatch.errors import ResponseUnframed, UpstreamAborted, UpstreamUnreachable
 
-__all__ = ["ResponseSink", "UpstreamConnection"]
+__all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
 
+HEAD_END = b"\r?\n\r?\n"
 MAX_HEADER_BYTES = 65_536
 CHUNK_BYTES = 65_536
+MAX_BUFFER_BYTES = 1_048_576
 MAX_BODY_BYTES = 1 << 40
+MAX_INTERIM_RESPONSES = 10
+SWITCHING_PROTOCOLS = 101
+NO_CONTENT = 204
+NOT_MODIFIED = 304
 
 PARAMS = HTTP1ConnectionParameters(
     chunk_size=CHUNK_BYTES,
@@ -28,94 +39,210 @@
 )
 
 
+@dataclass(slots=True, kw_only=True)
+class ResponseHead:
+    """Status line and header fields of a response."""
+
+    line: ResponseStartLine
+    headers: HTTPHeaders
+
+
 class ResponseSink(ABC):
-    """Receives a response as it arrives; each method applies back-pressure."""
+    """Receives a response as it arrives; its methods never raise."""
 
     @abstractmethod
-    async def start(self, line: ResponseStartLine, headers: HTTPHeaders) -> None:
+    def start(self, head: ResponseHead) -> None:
         """
-        Take the response head.
+        Take the head of a response whose framing is sound.
 
-        :param line: status line
-        :param headers: header fields as sent by the upstream
+        :param head: status line and header fields; the sink may change them
         """
 
     @abstractmethod
-    async def write(self, chunk: bytes) -> None:
+    def write(self, chunk: bytes) -> Awaitable[None] | None:
         """
         Take a piece of the body.
 
         :param chunk: bytes in order
+        :return: to be awaited before the next piece; None when there is room
         """
 
 
-class ResponseDelegate(HTTPMessageDelegate):
+class SinkDelegate(HTTPMessageDelegate):
     """Adapts a sink to the delegate interface of tornado."""
 
-    def __init__(self, *, sink: ResponseSink) -> None:
-        self._sink = sink
-        self.started = False
-        self.finished = False
+    __slots__ = ("_conn", "_sink")
 
-    def headers_received(self, start_line, headers):
-        if start_line.code < 200:
-            return None
-        self.started = True
-        return self._sink.start(start_line, headers)
+    def __init__(self, *, conn: "UpstreamConnection", sink: ResponseSink) -> None:
+        self._conn = conn
+        self._sink = sink
 
-    def data_received(self, chunk):
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        self._conn.mark_alive()
         return self._sink.write(chunk)
 
-    def finish(self):
-        self.finished = True
 
+class UpstreamConnection(HTTP1Connection):
+    """
+    A connection that carries one request at a time.
 
-class UpstreamConnection:
-    """A connection that carries one request at a time."""
+    Tornado frames and parses the messages; the order of steps is kept here, so
+    that a response can be judged between its head and its body.
+    """
 
-    def __init__(self, *, stream: IOStream, clock: Clock) -> None:
-        self._stream = stream
-        self._clock = clock
+    def __init__(self, *, upstream: UpstreamRow, clock: Clock) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
+        super().__init__(stream, True, PARAMS)
+        self.upstream = upstream
+        self.connected = False
+        self.exchanges = 0
+        self.sent_ms = 0.0
         self.last_read_ms = clock.now_ms()
+        self._clock = clock
+        self._must_close = False
 
     @property
     def closed(self) -> bool:
         """Whether the stream is closed."""
-        return self._stream.closed()
+        return self.stream.closed()
 
     def close(self) -> None:
         """Close the stream; a late answer on it can reach nobody."""
-        self._stream.close()
+        self.stream.close()
+
+    def mark_alive(self) -> None:
+        """Note that the upstream has sent something."""
+        self.last_read_ms = self._clock.now_ms()
 
-    async def exchange(
-        self,
-        line: RequestStartLine,
-        headers: HTTPHeaders,
-        body: AsyncIterator[bytes] | None,
-        sink: ResponseSink,
-    ) -> bool:
+    def is_clean(self) -> bool:
+        """
+        Look for anything that arrived while the connection was idle.
+
+        :return: whether the connection is open and nothing waits to be read
+        """
+        if self.stream.closed() or self.stream._read_buffer_size:
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def connect(self) -> None:
+        """
+        Open the connection.
+
+        :raises UpstreamUnreachable: when the upstream does not accept it
+        """
+        address = (self.upstream.address, self.upstream.port)
+        try:
+            await self.stream.connect(address)
+        except (StreamClosedError, OSError) as exc:
+            detail = f"upstream {self.upstream.name} accepts no connection"
+            raise UpstreamUnreachable(detail) from exc
+        self.connected = True
+        self.mark_alive()
+
+    def send_head(
+        self, line: RequestStartLine, headers: HTTPHeaders, chunk: bytes | None
+    ) -> None:
         """
-        Send a request and stream its response into the sink.
+        Send a request head and the first piece of its body in one segment.
 
         :param line: request line
         :param headers: header fields to send
-        :param body: pieces of the body, None without one
-        :param sink: receives the response
-        :return: whether the connection can carry another request
-        :raises UpstreamAborted: when the connection breaks before the whole response
+        :param chunk: first or only piece of the body
+        """
+        self.exchanges += 1
+        self.sent_ms = self._clock.now_ms()
+        self.write_headers(line, headers, chunk)
+
+    async def send_rest(self, body: AsyncIterator[bytes]) -> None:
+        """
+        Send the rest of a body.
+
+        :param body: pieces in order
+        :raises StreamClosedError: when the connection breaks
+        """
+        async for chunk in body:
+            await self.write(chunk)
+        if self._chunking_output:
+            await self.stream.write(b"0\r\n\r\n")
+
+    async def read_head(self) -> ResponseHead:
+        """
+        Read the head of the final response; interim responses are dropped.
+
+        :return: the head
+        :raises UpstreamAborted: when the connection breaks or the head is malformed
         """
-        conn = HTTP1Connection(self._stream, True, PARAMS)
-        delegate = ResponseDelegate(sink=sink)
+        for _ in range(MAX_INTERIM_RESPONSES):
+            head = await self._read_one_head()
+            code = head.line.code
+            if code >= 200:
+                return head
+            if code == SWITCHING_PROTOCOLS:
+                break
+        raise UpstreamAborted("the upstream sent no final response")
+
+    async def _read_one_head(self) -> ResponseHead:
         try:
-            await conn.write_headers(line, headers)
-            if body is not None:
-                async for chunk in body:
-                    await conn.write(chunk)
-            conn.finish()
-            open_after = await conn.read_response(delegate)
+            data = await self.stream.read_until_regex(HEAD_END, MAX_HEADER_BYTES)
+            text, headers = self._parse_headers(data)
+            line = parse_response_start_line(text)
         except StreamClosedError as exc:
             raise UpstreamAborted("connection broke before the response") from exc
-        if not delegate.finished:
-            raise UpstreamAborted("connection broke within the response")
-        self.last_read_ms = self._clock.now_ms()
-        return open_after and not self._stream.closed()
+        except HTTPInputError as exc:
+            raise UpstreamAborted("the response head is malformed") from exc
+        self.mark_alive()
+        connection = headers.get("Connection", "").lower()
+        self._must_close = "close" in connection or (
+            line.version == "HTTP/1.0" and "keep-alive" not in connection
+        )
+        return ResponseHead(line=line, headers=headers)
+
+    async def read_body(self, head: ResponseHead, sink: ResponseSink) -> bool:
+        """
+        Stream a response into a sink.
+
+        :param head: head of the response as read
+        :param sink: receives head and body
+        :return: whether the connection can carry another request
+        :raises UpstreamAborted: when the connection breaks before the end
+        :raises ResponseUnframed: when the end can't be told from a cut
+        """
+        code = head.line.code
+        delegate = SinkDelegate(conn=self, sink=sink)
+        try:
+            reading = None
+            if self._has_body(code):
+                check_framed(head)
+                reading = self._read_body(code, head.headers, delegate)
+            sink.start(head)
+            if reading is not None:
+                await reading
+        except StreamClosedError as exc:
+            raise UpstreamAborted("connection broke within the response") from exc
+        except HTTPInputError as exc:
+            raise UpstreamAborted("the response is malformed") from exc
+        return not self._must_close and not self.stream.closed()
+
+    def _has_body(self, code: int) -> bool:
+        assert self._request_start_line is not None
+        return self._request_start_line.method != "HEAD" and code != NOT_MODIFIED
+
+
+def check_framed(head: ResponseHead) -> None:
+    """
+    Refuse a response whose end would be the end of the connection.
+
+    :param head: head of a response with a body
+    :raises ResponseUnframed: when it has neither length nor chunks
+    """
+    framed = "Content-Length" in head.headers or "Transfer-Encoding" in head.headers
+    if not framed and head.line.code != NO_CONTENT:
+        raise ResponseUnframed("the response has neither length nor chunks")
--- /dev/null
+++ b/src/mangohatch/upstream/liveness.py
@@ -0,0 +1,75 @@
+"""How long a connection may stay quiet before it is taken for dead."""
+
+from mangohatch.core.tables import UpstreamRow
+
+__all__ = ["SilenceDetector"]
+
+FLOOR_MS = 100.0
+CEILING_MS = 5_000.0
+NEW_CONNECTION_FACTOR = 2.0
+DEVIATIONS = 6.0
+GAIN = 0.05
+MIN_SAMPLES = 20
+
+
+class Expectation:
+    """Moving mean and mean deviation of the time to the first byte."""
+
+    __slots__ = ("count", "deviation_ms", "mean_ms")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.mean_ms = 0.0
+        self.deviation_ms = 0.0
+
+    def observe(self, first_byte_ms: float) -> None:
+        """
+        Add a sample.
+
+        :param first_byte_ms: time from sending to the first byte
+        """
+        self.count += 1
+        gain = max(GAIN, 1.0 / self.count)
+        error_ms = first_byte_ms - self.mean_ms
+        self.mean_ms += gain * error_ms
+        self.deviation_ms += gain * (abs(error_ms) - self.deviation_ms)
+
+
+class SilenceDetector:
+    """
+    Bounds the time to the first byte, by service.
+
+    A reused connection is suspected first, since the path of a new one has just
+    been shown to work.
+    """
+
+    def __init__(self) -> None:
+        self._expectations: dict[str, Expectation] = {}
+
+    def observe(self, upstream: UpstreamRow, first_byte_ms: float) -> None:
+        """
+        Learn from a response.
+
+        :param upstream: who sent it
+        :param first_byte_ms: time from sending to the first byte
+        """
+        expectation = self._expectations.get(upstream.service)
+        if expectation is None:
+            expectation = self._expectations[upstream.service] = Expectation()
+        expectation.observe(first_byte_ms)
+
+    def limit_ms(self, upstream: UpstreamRow, *, reused: bool) -> float:
+        """
+        Tell how long the first byte may take.
+
+        :param upstream: where the request went
+        :param reused: whether the connection carried a request before
+        :return: milliseconds after which the connection is taken for dead
+        """
+        expectation = self._expectations.get(upstream.service)
+        if expectation is None or expectation.count < MIN_SAMPLES:
+            return CEILING_MS
+        limit_ms = expectation.mean_ms + DEVIATIONS * expectation.deviation_ms
+        if not reused:
+            limit_ms *= NEW_CONNECTION_FACTOR
+        return min(max(limit_ms, FLOOR_MS), CEILING_MS)
--- a/src/mangohatch/upstream/pool.py
+++ b/src/mangohatch/upstream/pool.py
@@ -1,9 +1,7 @@
 """Pools of connections to upstreams."""
 
 from collections import deque
-
-from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
+from dataclasses import dataclass, field
 
 from mangohatch.clock import Clock
 from mangohatch.core.tables import UpstreamRow
@@ -12,51 +10,129 @@
 
 __all__ = ["ConnectionPool"]
 
+IDLE_EXPIRY_MS = 30_000.0
+LIFE_SIGN_MS = 500.0
+DEFAULT_SHARE = 1.0 / 17.0
+
 Address = tuple[str, int]
 
 
+@dataclass(slots=True)
+class Site:
+    """Connections to one address: the idle ones, oldest use first, and a count."""
+
+    idle: deque[UpstreamConnection] = field(default_factory=deque)
+    open: int = 0
+
+
 class ConnectionPool:
-    """Idle connections by upstream address, most recently used first."""
+    """
+    Bounded connections by upstream address, the most recently used first.
 
-    def __init__(self, *, clock: Clock) -> None:
+    :param clock: time of idle expiry and of signs of life
+    :param share: this host's part of the connections that an upstream accepts
+    """
+
+    def __init__(self, *, clock: Clock, share: float = DEFAULT_SHARE) -> None:
+        self.share = share
         self._clock = clock
-        self._client = TCPClient()
-        self._idle: dict[Address, deque[UpstreamConnection]] = {}
+        self._sites: dict[Address, Site] = {}
+
+    def open_count(self, upstream: UpstreamRow) -> int:
+        """
+        Count the connections to an upstream.
+
+        :param upstream: the upstream
+        :return: connections in use and idle
+        """
+        site = self._sites.get((upstream.address, upstream.port))
+        return site.open if site else 0
 
-    async def acquire(self, upstream: UpstreamRow) -> UpstreamConnection:
+    def take(
+        self, upstream: UpstreamRow, *, fresh: bool = False, lively: bool = False
+    ) -> UpstreamConnection:
         """
-        Take an idle connection or open one.
+        Take an idle connection or make one that is yet to be connected.
 
-        :param upstream: where to connect
+        Each connection taken must come back through :meth:`give_back`.
+
+        :param upstream: where the connection leads
+        :param fresh: never take an idle connection
+        :param lively: take an idle connection only after a recent sign of life
         :return: a connection that no other request uses
-        :raises UpstreamUnreachable: when no connection can be opened
+        :raises UpstreamUnreachable: when this host has its share of connections
         """
-        idle = self._idle.get((upstream.address, upstream.port))
-        while idle:
-            conn = idle.pop()
-            if not conn.closed:
+        address = (upstream.address, upstream.port)
+        site = self._sites.get(address)
+        if site is None:
+            site = self._sites[address] = Site()
+        while site.idle and not fresh:
+            conn = site.idle[-1]
+            age_ms = self._clock.now_ms() - conn.last_read_ms
+            if lively and age_ms > LIFE_SIGN_MS:
+                break
+            site.idle.pop()
+            if age_ms <= IDLE_EXPIRY_MS and conn.is_clean():
+                conn.upstream = upstream
                 return conn
-        try:
-            stream = await self._client.connect(upstream.address, upstream.port)
-        except (StreamClosedError, OSError) as exc:
-            detail = f"upstream {upstream.name} accepts no connection"
-            raise UpstreamUnreachable(detail) from exc
-        stream.set_nodelay(True)
-        return UpstreamConnection(stream=stream, clock=self._clock)
+            self._drop(site, conn)
+        if site.open >= self._limit(upstream) and not self._drop_oldest(site):
+            raise UpstreamUnreachable(f"all connections to {upstream.name} are in use")
+        site.open += 1
+        return UpstreamConnection(upstream=upstream, clock=self._clock)
+
+    def give_back(self, conn: UpstreamConnection, *, reusable: bool) -> None:
+        """
+        End the use of a connection.
+
+        :param conn: a connection from :meth:`take`
+        :param reusable: whether its last response was read whole
+        """
+        upstream = conn.upstream
+        site = self._sites[(upstream.address, upstream.port)]
+        if reusable and not conn.closed:
+            site.idle.append(conn)
+        else:
+            self._drop(site, conn)
 
-    def put(self, upstream: UpstreamRow, conn: UpstreamConnection) -> None:
+    def drop_silent(self, conn: UpstreamConnection) -> int:
         """
-        Return a connection for reuse.
+        Drop the idle siblings that showed no life since a silent one was used.
 
-        :param upstream: the upstream it leads to
-        :param conn: a connection whose last response was read whole
+        :param conn: the connection that is taken for dead
+        :return: how many were dropped
         """
-        idle = self._idle.setdefault((upstream.address, upstream.port), deque())
-        idle.append(conn)
+        site = self._sites[(conn.upstream.address, conn.upstream.port)]
+        doubtful = [item for item in site.idle if item.last_read_ms <= conn.sent_ms]
+        for item in doubtful:
+            site.idle.remove(item)
+            self._drop(site, item)
+        return len(doubtful)
+
+    def tick(self) -> None:
+        """Close connections that were idle for too long."""
+        oldest_ms = self._clock.now_ms() - IDLE_EXPIRY_MS
+        for address, site in list(self._sites.items()):
+            while site.idle and site.idle[0].last_read_ms < oldest_ms:
+                self._drop(site, site.idle.popleft())
+            if not site.open:
+                del self._sites[address]
 
     def close(self) -> None:
         """Close all idle connections."""
-        for idle in self._idle.values():
-            for conn in idle:
-                conn.close()
-        self._idle.clear()
+        for site in self._sites.values():
+            while site.idle:
+                self._drop(site, site.idle.pop())
+
+    def _limit(self, upstream: UpstreamRow) -> int:
+        return max(upstream.slots, int(upstream.connections * self.share))
+
+    def _drop(self, site: Site, conn: UpstreamConnection) -> None:
+        conn.close()
+        site.open -= 1
+
+    def _drop_oldest(self, site: Site) -> bool:
+        if not site.idle:
+            return False
+        self._drop(site, site.idle.popleft())
+        return True
