--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 SEED ?= 1
+SOURCES := src tests bench demo
 
-.PHONY: all setup test lint format gen slopes
+.PHONY: all setup test lint format gen slopes demo bench binary reference
 
 all: lint test
 
@@ -21,20 +22,23 @@
 	$(BIN)/python -m tests
 
 lint: setup
-	$(BIN)/black --check --quiet src tests bench
-	$(BIN)/isort --check-only --quiet src tests bench
-	$(BIN)/flake8 src tests bench
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/isort --check-only --quiet $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
 	$(BIN)/mypy --no-error-summary src
 
 slopes: setup
 	$(BIN)/python -m bench.slopes
 
 format: setup
-	$(BIN)/black --quiet src tests bench
-	$(BIN)/isort --quiet src tests bench
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/isort --quiet $(SOURCES)
 
 # The generator is only needed after a change of peer.thrift; its output is committed.
 gen:
 	rm -rf build/thrift && mkdir -p build/thrift
 	thrift --gen py:slots -out build/thrift src/mangohatch/peer/peer.thrift
 	cp build/thrift/mangohatch/peer/gen/*.py src/mangohatch/peer/gen/
+
+demo: setup
+	$(BIN)/python -m demo --seed $(SEED)
--- /dev/null
+++ b/demo/faults.py
@@ -0,0 +1,100 @@
+"""The failures of the demo, in order of time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from mangohatch.clock import Clock
+from standins.caller import Balancer
+from standins.fleet import Fleet
+
+__all__ = ["FaultNote", "Faults"]
+
+DRAIN_AT_MS = 3000.0
+CRASH_AT_MS = 5000.0
+SILENCE_AT_MS = 8000.0
+REPLACE_AT_MS = 11_000.0
+BALANCER_NOTICES_MS = 500.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FaultNote:
+    """What was done to a site, and when."""
+
+    at_ms: float
+    site: str
+    text: str
+
+
+@dataclass(slots=True, kw_only=True)
+class Faults:
+    """Causes the failures of one site while load runs."""
+
+    fleet: Fleet
+    balancer: Balancer
+    clock: Clock
+    notes: list[FaultNote] = field(default_factory=list)
+    exit_status: int | None = None
+
+    async def run(self) -> None:
+        """Cause each failure at its time."""
+        started_ms = self.clock.now_ms()
+        steps: tuple[tuple[float, Callable[[], Awaitable[str]]], ...] = (
+            (DRAIN_AT_MS, self.drain),
+            (CRASH_AT_MS, self.crash),
+            (SILENCE_AT_MS, self.silence),
+            (REPLACE_AT_MS, self.replace),
+        )
+        for at_ms, step in steps:
+            wait_ms = started_ms + at_ms - self.clock.now_ms()
+            await asyncio.sleep(max(0.0, wait_ms) / 1000)
+            text = await step()
+            site = self.fleet.site.name
+            self.notes.append(FaultNote(at_ms=at_ms, site=site, text=text))
+
+    async def drain(self) -> str:
+        """
+        Let an upstream drain.
+
+        :return: what was done
+        """
+        upstream = self.fleet.upstreams[0]
+        await self.fleet.control(upstream, draining=True)
+        return f"upstream {upstream.name} drains, refuses new work after 2 s"
+
+    async def crash(self) -> str:
+        """
+        Let an upstream crash and restart.
+
+        :return: what was done
+        """
+        upstream = self.fleet.upstreams[1]
+        await self.fleet.control(upstream, action="crash")
+        return f"upstream {upstream.name} crashes, returns cold after 1 s"
+
+    async def silence(self) -> str:
+        """
+        Silence the open connections of an upstream of each service.
+
+        :return: what was done
+        """
+        desk = self.fleet.upstreams[2]
+        archive = self.fleet.of_service(self.fleet.site.archive.name)[0]
+        for upstream in (desk, archive):
+            await self.fleet.control(upstream, action="silence")
+        return f"open connections of {desk.name} and {archive.name} go silent"
+
+    async def replace(self) -> str:
+        """
+        Replace an entry host: start a new one, end the old one by SIGTERM.
+
+        :return: what was done
+        """
+        old = self.fleet.entries[0]
+        new = await self.fleet.start_entry()
+        self.balancer.add(new.entry)
+        old.child.terminate()
+        await asyncio.sleep(BALANCER_NOTICES_MS / 1000)
+        self.balancer.remove(old.entry)
+        self.exit_status = await old.child.wait()
+        return f"entry host {old.host_id} gets SIGTERM, {new.host_id} takes over"
--- /dev/null
+++ b/demo/load.py
@@ -0,0 +1,61 @@
+"""The load of the demo."""
+
+from standins.caller.plan import PlannedRequest, RequestKind, Stream, make_plan
+from standins.sites import Site
+
+__all__ = ["make_load"]
+
+LOOKUPS_PER_S = 40.0
+KEYED_PER_S = 10.0
+UNKEYED_PER_S = 5.0
+DOWNLOADS_PER_S = 2.0
+LOOKUP_WORK_MS = 8.0
+CONFIRM_WORK_MS = 15.0
+DEADLINE_MS = 2000.0
+DOWNLOAD_DEADLINE_MS = 20_000.0
+DOWNLOAD_BYTES = 512 * 1024
+DOWNLOAD_BYTES_PER_S = 128 * 1024
+
+
+def make_load(site: Site, *, duration_ms: float, seed: int) -> list[PlannedRequest]:
+    """
+    Plan the mixed load of a site.
+
+    :param site: the site
+    :param duration_ms: length of the plan
+    :param seed: seed of the arrivals
+    :return: requests in order of time
+    """
+    streams = (
+        Stream(
+            service=site.desk.name,
+            kind=RequestKind.LOOKUP,
+            per_second=LOOKUPS_PER_S,
+            work_ms=LOOKUP_WORK_MS,
+            deadline_ms=DEADLINE_MS,
+        ),
+        Stream(
+            service=site.desk.name,
+            kind=RequestKind.KEYED,
+            per_second=KEYED_PER_S,
+            work_ms=CONFIRM_WORK_MS,
+            deadline_ms=DEADLINE_MS,
+        ),
+        Stream(
+            service=site.desk.name,
+            kind=RequestKind.UNKEYED,
+            per_second=UNKEYED_PER_S,
+            work_ms=CONFIRM_WORK_MS,
+            deadline_ms=DEADLINE_MS,
+        ),
+        Stream(
+            service=site.archive.name,
+            kind=RequestKind.DOWNLOAD,
+            per_second=DOWNLOADS_PER_S,
+            work_ms=LOOKUP_WORK_MS,
+            deadline_ms=DOWNLOAD_DEADLINE_MS,
+            download_bytes=DOWNLOAD_BYTES,
+            rate_bytes_per_s=DOWNLOAD_BYTES_PER_S,
+        ),
+    )
+    return make_plan(streams, duration_ms=duration_ms, name=site.name, seed=seed)
--- /dev/null
+++ b/demo/report.py
@@ -0,0 +1,69 @@
+"""The table and the closing line of the demo."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import asdict
+
+from demo.faults import FaultNote
+from standins.caller import AttemptResult, Record, RequestKind, Verdict
+from standins.caller.verdict import percentile
+
+__all__ = ["closing_line", "print_faults", "print_table"]
+
+ROW = "{:<10}{:<17}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10}{:>10}"
+
+
+def print_faults(notes: Sequence[FaultNote]) -> None:
+    """
+    Print what was done to the sites.
+
+    :param notes: the failures caused
+    """
+    print("\nfailures caused")
+    for note in sorted(notes, key=lambda item: item.at_ms):
+        print(f"  at {note.at_ms / 1000:4.0f} s  {note.site:<9} {note.text}")
+
+
+def print_table(site: str, records: Sequence[Record]) -> None:
+    """
+    Print a row for each kind of request of a site.
+
+    :param site: name of the site
+    :param records: its requests
+    """
+    for kind in RequestKind:
+        rows = [record for record in records if record.request.kind is kind]
+        done = [record for record in rows if record.result is AttemptResult.DONE]
+        latencies = [record.latency_ms for record in done]
+        not_run = sum(record.result is AttemptResult.NOT_RUN for record in rows)
+        resends = sum(len(record.attempts) - 1 for record in rows)
+        print(
+            ROW.format(
+                site,
+                kind,
+                len(rows),
+                len(done),
+                not_run,
+                len(rows) - len(done) - not_run,
+                resends,
+                f"{percentile(latencies, 0.5):.1f}",
+                f"{percentile(latencies, 0.99):.1f}",
+            )
+        )
+
+
+def print_header() -> None:
+    """Print the header of the table."""
+    print("\nwhat callers saw")
+    names = ("requests", "done", "not run", "other", "resends", "p50 ms", "p99 ms")
+    print(ROW.format("site", "kind", *names))
+
+
+def closing_line(verdict: Verdict) -> str:
+    """
+    Render the verdict as one JSON line.
+
+    :param verdict: the verdict over both sites
+    :return: the line
+    """
+    return json.dumps(asdict(verdict) | {"kept": verdict.kept})
--- /dev/null
+++ b/src/standins/caller/__init__.py
@@ -0,0 +1,20 @@
+"""Callers as a stand-in: they send, check, wait and resend as real ones do."""
+
+from standins.caller.balancer import Balancer
+from standins.caller.caller import Caller
+from standins.caller.plan import PlannedRequest, RequestKind, make_plan
+from standins.caller.record import Attempt, AttemptResult, Record
+from standins.caller.verdict import Verdict, judge
+
+__all__ = [
+    "Attempt",
+    "AttemptResult",
+    "Balancer",
+    "Caller",
+    "PlannedRequest",
+    "Record",
+    "RequestKind",
+    "Verdict",
+    "judge",
+    "make_plan",
+]
--- /dev/null
+++ b/src/standins/caller/verdict.py
@@ -0,0 +1,140 @@
+"""Judges what callers saw against what upstreams ran."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from standins.caller.record import Attempt, AttemptResult, Record
+
+__all__ = ["Verdict", "judge", "percentile"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Verdict:
+    """Counts of broken promises, and what the run cost."""
+
+    requests: int
+    lost: int
+    doubled: int
+    mixed: int
+    false_not_run: int
+    truncated: int
+    unknown: int
+    not_run: int
+    resends: int
+    p50_ms: float
+    p99_ms: float
+    measuring_calls_per_request: float
+
+    @property
+    def kept(self) -> bool:
+        """Whether every promise was kept."""
+        broken = (
+            self.lost,
+            self.doubled,
+            self.mixed,
+            self.false_not_run,
+            self.truncated,
+        )
+        return self.requests > 0 and not any(broken)
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """
+    Read a percentile by the nearest-rank method.
+
+    :param values: any numbers
+    :param share: between 0 and 1
+    :return: the percentile, 0 without values
+    """
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    rank = min(len(ordered) - 1, int(share * len(ordered)))
+    return ordered[rank]
+
+
+def is_lost(record: Record) -> bool:
+    """
+    Tell whether a caller was left without what it is due.
+
+    :param record: what the caller saw
+    :return: no whole answer to an idempotent request, or silence past a deadline
+    """
+    silent = any(item.result is AttemptResult.SILENT for item in record.attempts)
+    unanswered = record.result is not AttemptResult.DONE
+    return silent or (record.request.kind.idempotent and unanswered)
+
+
+def told_falsely(attempt: Attempt, runs: Sequence[str]) -> bool:
+    """
+    Tell whether an attempt was reported as not run although it was.
+
+    :param attempt: what the caller was told
+    :param runs: attempts of the request that upstreams ran
+    :return: whether the report was false
+    """
+    told = attempt.result is AttemptResult.NOT_RUN
+    return told and str(attempt.number) in runs
+
+
+def judge(
+    records: Sequence[Record],
+    ledgers: Sequence[Mapping],
+) -> Verdict:
+    """
+    Compare what callers saw with the runs that upstreams counted.
+
+    :param records: all requests of the run
+    :param ledgers: answers of the upstreams' ``/runs``
+    :return: the verdict
+    """
+    runs = collect_runs(ledgers)
+    results = Counter(item.result for record in records for item in record.attempts)
+    finals = Counter(record.result for record in records)
+    doubled = [
+        record
+        for record in records
+        if not record.request.kind.idempotent
+        and len(runs.get(record.request.request_id, ())) > 1
+    ]
+    false_not_run = [
+        attempt
+        for record in records
+        for attempt in record.attempts
+        if told_falsely(attempt, runs.get(record.request.request_id, ()))
+    ]
+    latencies = [
+        record.latency_ms
+        for record in records
+        if record.result is AttemptResult.DONE and not record.request.download_bytes
+    ]
+    calls = sum(ledger["measuring_calls"] for ledger in ledgers)
+    return Verdict(
+        requests=len(records),
+        lost=sum(map(is_lost, records)),
+        doubled=len(doubled),
+        mixed=results[AttemptResult.MIXED],
+        false_not_run=len(false_not_run),
+        truncated=results[AttemptResult.TRUNCATED],
+        unknown=finals[AttemptResult.UNKNOWN] + finals[AttemptResult.BROKEN],
+        not_run=finals[AttemptResult.NOT_RUN],
+        resends=sum(len(record.attempts) - 1 for record in records),
+        p50_ms=round(percentile(latencies, 0.5), 2),
+        p99_ms=round(percentile(latencies, 0.99), 2),
+        measuring_calls_per_request=round(calls / max(1, len(records)), 4),
+    )
+
+
+def collect_runs(ledgers: Sequence[Mapping]) -> dict[str, list[str]]:
+    """
+    Join the counts of all upstreams.
+
+    :param ledgers: answers of the upstreams' ``/runs``
+    :return: attempts that were run, by request id
+    """
+    joined: dict[str, list[str]] = {}
+    for ledger in ledgers:
+        for request_id, run in ledger["runs"].items():
+            joined.setdefault(request_id, []).extend(run["attempts"])
+    return joined
--- /dev/null
+++ b/src/standins/processes.py
@@ -0,0 +1,136 @@
+"""Child processes of the demo and the live bench."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from asyncio.subprocess import DEVNULL, PIPE, Process
+from pathlib import Path
+
+from standins.caller.connection import Address
+
+__all__ = ["Child", "ProcessError", "free_port", "wait_for_port"]
+
+LOOPBACK = "127.0.0.1"
+CONNECT_RETRY_MS = 20.0
+READY_TIMEOUT_MS = 20_000.0
+STOP_TIMEOUT_MS = 15_000.0
+
+
+class ProcessError(Exception):
+    """A child process did not become ready."""
+
+
+def free_port() -> int:
+    """
+    Find a TCP port that nothing listens on.
+
+    :return: the port
+    """
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        return sock.getsockname()[1]
+
+
+async def wait_for_port(address: Address) -> None:
+    """
+    Wait until a port accepts connections.
+
+    :param address: IP address and port
+    :raises ProcessError: when it does not in time
+    """
+    try:
+        async with asyncio.timeout(READY_TIMEOUT_MS / 1000):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(*address)
+                except OSError:
+                    await asyncio.sleep(CONNECT_RETRY_MS / 1000)
+                    continue
+                writer.close()
+                return
+    except TimeoutError:
+        raise ProcessError(f"nothing listens on port {address[1]}") from None
+
+
+class Child:
+    """A Python module that runs as a child process."""
+
+    def __init__(self, *, process: Process, name: str) -> None:
+        self.name = name
+        self._process = process
+
+    @classmethod
+    async def start(
+        cls, *args: str, name: str, log: Path | None = None, piped: bool = False
+    ) -> "Child":
+        """
+        Start ``python -m ARGS``.
+
+        :param args: module and its arguments
+        :param name: name in messages
+        :param log: file for standard error; dropped without one
+        :param piped: whether to read its standard output by :meth:`read_line`
+        :return: the running child
+        """
+        stderr = open(log, "ab") if log is not None else None
+        try:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *args,
+                stdout=PIPE if piped else DEVNULL,
+                stderr=stderr if stderr is not None else DEVNULL,
+                env=dict(os.environ),
+            )
+        finally:
+            if stderr is not None:
+                stderr.close()
+        return cls(process=process, name=name)
+
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
+    async def read_line(self) -> str:
+        """
+        Read a line of its standard output.
+
+        :return: the line
+        :raises ProcessError: when none comes in time
+        """
+        assert self._process.stdout is not None
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_MS / 1000):
+                line = await self._process.stdout.readline()
+        except TimeoutError:
+            raise ProcessError(f"{self.name} says nothing") from None
+        if not line:
+            raise ProcessError(f"{self.name} ended at once")
+        return line.decode().strip()
+
+    def terminate(self) -> None:
+        """Ask it to shut down gracefully."""
+        if self._process.returncode is None:
+            self._process.send_signal(signal.SIGTERM)
+
+    async def wait(self) -> int:
+        """
+        Wait for its end; kill it when that takes too long.
+
+        :return: the exit status, negative for a signal
+        """
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_MS / 1000):
+                return await self._process.wait()
+        except TimeoutError:
+            self._process.kill()
+            return await self._process.wait()
+
+    async def kill(self) -> None:
+        """End it at once."""
+        if self._process.returncode is None:
+            self._process.kill()
+        await self._process.wait()
--- /dev/null
+++ b/src/standins/sites.py
@@ -0,0 +1,48 @@
+"""The two deployments of the brief, at their sizes of today."""
+
+from dataclasses import dataclass
+
+__all__ = ["HIMAL", "HIMNARIO", "SITES", "ServiceSize", "Site"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ServiceSize:
+    """One service of a site."""
+
+    name: str
+    upstreams: int
+    slots: int
+    connections: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Site:
+    """A site: its zones and its two services."""
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    desk: ServiceSize
+    archive: ServiceSize
+
+    @property
+    def services(self) -> tuple[ServiceSize, ServiceSize]:
+        """Both services."""
+        return self.desk, self.archive
+
+
+HIMAL = Site(
+    name="himal",
+    region="bagmati",
+    zones=("bagmati-a", "bagmati-b", "bagmati-c"),
+    desk=ServiceSize(name="booking-desk", upstreams=20, slots=2, connections=200),
+    archive=ServiceSize(name="media-vault", upstreams=5, slots=2, connections=200),
+)
+HIMNARIO = Site(
+    name="himnario",
+    region="sur-andino",
+    zones=("arequipa", "puno", "cusco"),
+    desk=ServiceSize(name="tablero-misa", upstreams=30, slots=2, connections=250),
+    archive=ServiceSize(name="archivo-himnos", upstreams=5, slots=2, connections=250),
+)
+SITES = (HIMAL, HIMNARIO)
--- a/src/standins/upstream/__main__.py
+++ b/src/standins/upstream/__main__.py
@@ -13,21 +13,26 @@
 app = App(name="standins.upstream", help="Run stand-in upstreams in one process.")
 
 
-async def serve(ports: range, seed: int, behaviour: Behaviour) -> None:
+async def serve(port: int, count: int, seed: int, behaviour: Behaviour) -> None:
     """
-    Serve until killed.
+    Serve until killed, and print the ports once all of them accept connections.
 
-    :param ports: TCP ports on loopback, an upstream for each
+    :param port: first TCP port on loopback, 0 for free ones
+    :param count: number of upstreams
     :param seed: seed of the first upstream; the others count on from it
     :param behaviour: behaviour at start
     """
     clock = SystemClock()
-    for number, port in enumerate(ports):
+    ports = []
+    for number in range(count):
         upstream = Upstream(
-            name=f"u{port}", seed=seed + number, clock=clock, behaviour=behaviour
+            name=f"u{number + 1}",
+            seed=seed + number,
+            clock=clock,
+            behaviour=behaviour,
         )
-        upstream.listen(port)
-    print(f"ready {ports.start} {len(ports)}", flush=True)
+        ports.append(upstream.listen(port + number if port else 0))
+    print("ready", *ports, flush=True)
     await asyncio.Event().wait()
 
 
@@ -36,7 +41,7 @@
     """
     Run upstreams on consecutive ports.
 
-    :param port: first TCP port on loopback
+    :param port: first TCP port on loopback, 0 for free ones
     :param count: number of upstreams
     :param seed: seed of the slow-downs
     :param behaviour: JSON object with settings of the behaviour
@@ -44,7 +49,7 @@
     import uvloop
 
     checked = Behaviour.model_validate(json.loads(behaviour))
-    uvloop.run(serve(range(port, port + count), seed, checked))
+    uvloop.run(serve(port, count, seed, checked))
 
 
 if __name__ == "__main__":
--- a/src/standins/upstream/connections.py
+++ b/src/standins/upstream/connections.py
@@ -51,15 +51,17 @@
         super().on_close(server_conn)
         self.streams.discard(server_conn.stream)
 
-    def silence(self) -> int:
+    def silence(self, keep: IOStream | None = None) -> int:
         """
         Silence all open connections; new ones work.
 
+        :param keep: a connection to leave as it is
         :return: number of connections silenced
         """
-        for stream in self.streams:
+        chosen = [stream for stream in self.streams if stream is not keep]
+        for stream in chosen:
             stream.silent = True
-        return len(self.streams)
+        return len(chosen)
 
     def drop(self) -> None:
         """Close all connections at once."""
--- a/src/standins/upstream/handlers.py
+++ b/src/standins/upstream/handlers.py
@@ -227,13 +227,14 @@
             return
         self.get()
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Do something once: silence all open connections, or crash."""
         match self.get_query_argument("action"):
             case "silence":
-                silenced = self.upstream.silence()
-                self.finish({"silenced": silenced})
+                stream = self.request.connection.stream  # type: ignore
+                self.finish({"silenced": self.upstream.silence(keep=stream)})
             case "crash":
+                await self.finish({"crashed": True})
                 self.upstream.crash()
             case _:
                 self.send_error(400)
--- a/src/standins/upstream/server.py
+++ b/src/standins/upstream/server.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from tornado.iostream import IOStream
 from tornado.web import Application
 
 from mangohatch.clock import Clock
@@ -18,6 +19,7 @@
 __all__ = ["LoadReport", "Upstream"]
 
 CRASH_STATUS = 70
+BIND_RETRY_MS = 50.0
 LOOPBACK = "127.0.0.1"
 
 
@@ -83,13 +85,14 @@
             self._drain_ms = self.clock.now_ms()
         self.behaviour = behaviour
 
-    def silence(self) -> int:
+    def silence(self, *, keep: IOStream | None = None) -> int:
         """
         Silence all open connections; new ones work.
 
+        :param keep: a connection to leave as it is
         :return: number of connections silenced
         """
-        return self._server.silence() if self._server is not None else 0
+        return self._server.silence(keep) if self._server is not None else 0
 
     def crash(self) -> None:
         """Lose all connections and work, and come back cold after a while."""
@@ -167,4 +170,8 @@
 
     def _revive(self) -> None:
         self._started_ms = self.clock.now_ms()
-        self.listen(self.port)
+        try:
+            self.listen(self.port)
+        except OSError:
+            loop = asyncio.get_running_loop()
+            self._restart = loop.call_later(BIND_RETRY_MS / 1000, self._revive)
