Elect one host to follow the store and spread configuration from it

Cause: every host following the store would spend the platform's call budget, and a host that starts in a store outage, reads a stale cache or was paused past its lease must not put an older configuration in force. Change: StateService (state/service.py): lease with epochs, election by rank, pushes, digests, a start that needs a fresh read or an informed peer. Wiring: StateService(cfg=cfg.state, store=, bus=, tables=, clock=, rng=, recorder=), await start(), await stop(), ready(), readiness(), revision_of(kind, name), publish(stored) right after an order's write, is_holder(), add_duties().

--- a/src/mangohatch/state/config_table.py
+++ b/src/mangohatch/state/config_table.py
@@ -33,6 +33,8 @@
     so that an older copy cannot bring it back. An object that is not valid is kept
     and passed on, but the one before it stays in force.
 
+    ``as_of`` is 0 until this host knows the whole configuration.
+
     :param tables: tables of the decision core
     :param recorder: the time line
     """
@@ -50,11 +52,6 @@
         """The newest revision of any object, 0 when there is none."""
         return max((item.revision for item in self.items.values()), default=0)
 
-    @property
-    def informed(self) -> bool:
-        """Whether the store was ever read whole, by this host or by its source."""
-        return self.as_of > 0
-
     def revision_of(self, kind: str, name: str) -> int:
         """
         Tell which revision of an object this host has.
@@ -116,7 +113,6 @@
                         deleted=True,
                     )
                 )
-        self.as_of = max(self.as_of, listing.revision, 1)
         return self.apply_all(fresh)
 
     def revisions(self) -> dict[str, int]:
--- /dev/null
+++ b/src/mangohatch/state/distribution.py
@@ -0,0 +1,257 @@
+"""Distribution of configuration between hosts: pushes, relays and anti-entropy."""
+
+import random
+from collections.abc import Iterable, Sequence
+
+from mangohatch.clock import Clock
+from mangohatch.config import StateSettings
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.messages import ConfigDigest, ConfigItem, ConfigPull, ConfigPush
+from mangohatch.state.config_table import ConfigTable
+from mangohatch.state.lease import Lease
+from mangohatch.state.ranking import rank_hosts
+
+__all__ = ["AS_OF_KEY", "HASH_KEY", "Distribution"]
+
+HASH_KEY = "#"
+AS_OF_KEY = "@"
+CONTROL_KEYS = frozenset({HASH_KEY, AS_OF_KEY})
+PUSH_BYTES = 128 * 1024
+CATCH_UP_MS = 200.0
+NO_EPOCH = 0
+
+
+class Distribution:
+    """
+    Sends this host's configuration to others and takes over theirs.
+
+    A push names its reader and the epoch of the reader's lease; one of a lower
+    epoch than the highest heard of is refused. Epoch 0 marks a host that reads the
+    store without the lease, an empty reader an answer to a digest.
+
+    :param cfg: fan-out and times
+    :param bus: messages to other hosts
+    :param table: configuration of this host
+    :param lease: the watch lease
+    :param clock: clock of this host
+    :param rng: source of random peers
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: StateSettings,
+        bus: PeerBus,
+        table: ConfigTable,
+        lease: Lease,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.epoch = NO_EPOCH
+        self.holder = ""
+        self.holder_heard_ms = clock.now_ms()
+        self.reader_heard_ms = clock.now_ms()
+        self.refused_pushes = 0
+        self.peer_revisions: dict[str, dict[str, int]] = {}
+        self.collecting = True
+        self._cfg = cfg
+        self._bus = bus
+        self._table = table
+        self._lease = lease
+        self._clock = clock
+        self._rng = rng
+        self._caught_up_ms = clock.now_ms()
+        bus.subscribe(ConfigPush, self._on_push)
+        bus.subscribe(ConfigDigest, self._on_digest)
+        bus.subscribe(ConfigPull, self._on_pull)
+
+    def push_as_holder(self, items: Sequence[ConfigItem]) -> bool:
+        """
+        Send changes, or a heartbeat when there are none, under the lease.
+
+        :param items: objects that changed
+        :return: False when the lease is not held; nothing was sent
+        """
+        if not self._lease.held():
+            return False
+        self._note_holder(self._bus.host_id, self._lease.epoch)
+        self._push(items, self._bus.host_id, self._lease.epoch)
+        return True
+
+    def push_as_reader(self, items: Sequence[ConfigItem]) -> None:
+        """
+        Send what was read from the store without the lease.
+
+        :param items: objects that changed
+        """
+        self._push(items, self._bus.host_id, NO_EPOCH)
+
+    def send_digest(self) -> None:
+        """Send the hash of the table to a random peer."""
+        peers = self.peers()
+        if peers:
+            digest = ConfigDigest(revisions={HASH_KEY: self._table.digest()})
+            self._bus.send(self._rng.choice(peers), digest)
+
+    def ask(self, host_id: str) -> None:
+        """
+        Ask a peer for all its revisions.
+
+        :param host_id: the peer
+        """
+        self._bus.send(host_id, ConfigPull(names=[]))
+
+    def spread(self, items: Sequence[ConfigItem]) -> None:
+        """
+        Send objects that were neither read by the holder nor asked for.
+
+        :param items: objects that are new to this host
+        """
+        self._push(items, "", NO_EPOCH)
+
+    def stop_collecting(self) -> None:
+        """Forget what peers stated; it is needed only until this host is ready."""
+        self.collecting = False
+        self.peer_revisions.clear()
+
+    def peers(self) -> list[str]:
+        """
+        List the other members.
+
+        :return: host ids in order
+        """
+        me = self._bus.host_id
+        return [view.host_id for view in self._bus.members() if view.host_id != me]
+
+    def covers(self, host_id: str) -> bool:
+        """
+        Tell whether this host has all that a peer stated.
+
+        :param host_id: the peer
+        :return: whether the peer answered and no object of it is newer
+        """
+        stated = self.peer_revisions.get(host_id)
+        if stated is None:
+            return False
+        mine = self._table.revisions()
+        return all(
+            mine.get(key, 0) >= revision
+            for key, revision in stated.items()
+            if key not in CONTROL_KEYS
+        )
+
+    def informed_by(self, host_id: str) -> bool:
+        """
+        Tell whether a peer that is covered knew the whole configuration.
+
+        :param host_id: the peer
+        :return: whether it did
+        """
+        stated = self.peer_revisions.get(host_id, {})
+        return stated.get(AS_OF_KEY, 0) > 0 and self.covers(host_id)
+
+    def _push(self, items: Sequence[ConfigItem], reader: str, epoch: int) -> None:
+        for batch in batches(items):
+            push = ConfigPush(
+                items=batch,
+                revision=self._table.revision,
+                watcher=reader,
+                epoch=epoch,
+            )
+            if len(self._bus.members()) <= self._cfg.relay_above:
+                self._bus.broadcast(push)
+            else:
+                self._relay(push, self._standbys() if reader else [])
+
+    def _relay(self, push: ConfigPush, also: Sequence[str]) -> None:
+        peers = self.peers()
+        if push.items:
+            chosen = self._rng.sample(peers, min(self._cfg.fanout, len(peers)))
+        else:
+            chosen = []
+        for host_id in dict.fromkeys([*also, *chosen]):
+            self._bus.send(host_id, push)
+
+    def _standbys(self) -> list[str]:
+        ranked = rank_hosts(self.peers())
+        return ranked[: self._cfg.relay_above]
+
+    def _on_push(self, sender: str, push: ConfigPush) -> None:
+        if push.watcher and push.epoch != NO_EPOCH:
+            if push.epoch < self.epoch:
+                self.refused_pushes += 1
+                return
+            self._note_holder(push.watcher, push.epoch)
+        elif push.watcher:
+            self.reader_heard_ms = self._clock.now_ms()
+        fresh = self._table.apply_all(push.items)
+        if fresh and len(self._bus.members()) > self._cfg.relay_above:
+            self._relay(ConfigPush(items=fresh, revision=push.revision), [])
+        if push.revision > self._table.revision:
+            self._catch_up(sender)
+
+    def _note_holder(self, holder: str, epoch: int) -> None:
+        if epoch > self._lease.epoch:
+            self._lease.drop()
+        self.epoch = max(self.epoch, epoch)
+        self.holder = holder
+        self.holder_heard_ms = self._clock.now_ms()
+
+    def _catch_up(self, sender: str) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._caught_up_ms >= CATCH_UP_MS:
+            self._caught_up_ms = now_ms
+            self._bus.send(sender, self._full_digest())
+
+    def _full_digest(self) -> ConfigDigest:
+        control = {HASH_KEY: self._table.digest(), AS_OF_KEY: self._table.as_of}
+        return ConfigDigest(revisions=self._table.revisions() | control)
+
+    def _on_digest(self, sender: str, digest: ConfigDigest) -> None:
+        revisions = digest.revisions
+        if AS_OF_KEY not in revisions:
+            if revisions.get(HASH_KEY) != self._table.digest():
+                self._bus.send(sender, self._full_digest())
+            return
+        if self.collecting:
+            self.peer_revisions[sender] = revisions
+        self._answer(sender, self._table.newer_than(revisions))
+        mine = self._table.revisions()
+        wanted = [
+            key
+            for key, revision in revisions.items()
+            if key not in CONTROL_KEYS and revision > mine.get(key, 0)
+        ]
+        if wanted:
+            self._bus.send(sender, ConfigPull(names=wanted))
+
+    def _on_pull(self, sender: str, pull: ConfigPull) -> None:
+        if not pull.names:
+            self._bus.send(sender, self._full_digest())
+            return
+        known = (self._table.items.get(name) for name in pull.names)
+        self._answer(sender, [item for item in known if item is not None])
+
+    def _answer(self, sender: str, items: Sequence[ConfigItem]) -> None:
+        if not items:
+            return
+        for batch in batches(items):
+            self._bus.send(sender, ConfigPush(items=batch))
+
+
+def batches(items: Iterable[ConfigItem]) -> list[list[ConfigItem]]:
+    """
+    Split objects into messages of bounded size.
+
+    :param items: the objects
+    :return: at least one batch; a batch exceeds the bound only with one object
+    """
+    made: list[list[ConfigItem]] = [[]]
+    size = 0
+    for item in items:
+        if made[-1] and size + len(item.json) > PUSH_BYTES:
+            made.append([])
+            size = 0
+        made[-1].append(item)
+        size += len(item.json)
+    return made
--- /dev/null
+++ b/src/mangohatch/state/duty.py
@@ -0,0 +1,17 @@
+"""Work that only the holder of the watch lease does."""
+
+from abc import ABC, abstractmethod
+
+__all__ = ["Duty"]
+
+
+class Duty(ABC):
+    """A task that starts with the lease and is cancelled when the lease is lost."""
+
+    @abstractmethod
+    async def run(self, epoch: int) -> None:
+        """
+        Work until cancelled.
+
+        :param epoch: epoch of the lease
+        """
--- /dev/null
+++ b/src/mangohatch/state/election.py
@@ -0,0 +1,196 @@
+"""Election of the host that follows the store."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.config import StateSettings
+from mangohatch.errors import StoreError
+from mangohatch.platform.backoff import Backoff
+from mangohatch.platform.store import StoredObject
+from mangohatch.state.distribution import Distribution
+from mangohatch.state.duty import Duty
+from mangohatch.state.lease import Lease, read_lease
+from mangohatch.state.ranking import rank_hosts
+from mangohatch.state.reader import ConfigReader
+from mangohatch.timeline.event import EventKind
+from mangohatch.timeline.recorder import Recorder
+
+__all__ = ["Election"]
+
+FIRST_RETRY_MS = 250.0
+FIRST_RANKS_RETRY_MS = 2000.0
+STANDBY_CHECK_MS = 100.0
+MS_PER_S = 1000.0
+
+log = structlog.get_logger()
+
+
+class Election:
+    """
+    Holds the watch lease or stands by for it.
+
+    A standby does not call the store while it hears the holder. After
+    ``suspicion_ms`` of silence, plus ``rank_delay_ms`` for each host before it in
+    rank, it reads the store for its peers, and takes the lease when the lease
+    object did not change for the lease's duration.
+
+    :param cfg: times
+    :param host_id: id of this host
+    :param lease: the watch lease
+    :param reader: reads the store into the table
+    :param distribution: pushes and the holder heard of
+    :param clock: clock of this host
+    :param rng: source of the jitter
+    :param recorder: the time line
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: StateSettings,
+        host_id: str,
+        lease: Lease,
+        reader: ConfigReader,
+        distribution: Distribution,
+        clock: Clock,
+        rng: random.Random,
+        recorder: Recorder,
+    ) -> None:
+        self.duties: list[Duty] = []
+        self._cfg = cfg
+        self._host_id = host_id
+        self._lease = lease
+        self._reader = reader
+        self._distribution = distribution
+        self._clock = clock
+        self._rng = rng
+        self._recorder = recorder
+        self._store_lost = False
+        self._backoff = Backoff(
+            first_ms=FIRST_RETRY_MS, limit_ms=cfg.retry_limit_ms, rng=rng
+        )
+
+    async def run(self) -> None:
+        """Hold or stand by until cancelled."""
+        while True:
+            await self._stand_by()
+            try:
+                won = await self._contest()
+                self._note_store(True)
+            except StoreError as exc:
+                self._note_store(False, exc)
+                await asyncio.sleep(self._retry_ms() / MS_PER_S)
+                continue
+            if won:
+                await self._hold()
+            else:
+                await asyncio.sleep(self._pause_ms() / MS_PER_S)
+
+    async def stop(self) -> None:
+        """Give the lease up if it is held; call after :meth:`run` was cancelled."""
+        if not self._lease.held():
+            return
+        try:
+            async with asyncio.timeout(self._cfg.store_timeout_ms / MS_PER_S):
+                await self._lease.release()
+        except (StoreError, TimeoutError):
+            log.info("lease_not_released", epoch=self._lease.epoch)
+
+    def rank(self) -> int:
+        """
+        Tell how many live hosts are before this one.
+
+        :return: 0 for the first in line
+        """
+        hosts = [*self._distribution.peers(), self._host_id]
+        if len(hosts) > 1 and self._distribution.holder in hosts:
+            hosts.remove(self._distribution.holder)
+        if self._host_id not in hosts:
+            return len(hosts)
+        return rank_hosts(hosts).index(self._host_id)
+
+    async def _stand_by(self) -> None:
+        jitter_ms = self._rng.uniform(0.0, self._cfg.rank_delay_ms / 2)
+        while True:
+            limit_ms = self._cfg.suspicion_ms + jitter_ms
+            limit_ms += self.rank() * self._cfg.rank_delay_ms
+            in_line = self.rank() < self._cfg.relay_above
+            if in_line and self._silence_ms() >= limit_ms:
+                return
+            await asyncio.sleep(STANDBY_CHECK_MS / MS_PER_S)
+
+    def _silence_ms(self) -> float:
+        heard_ms = max(
+            self._distribution.holder_heard_ms, self._distribution.reader_heard_ms
+        )
+        return self._clock.now_ms() - heard_ms
+
+    async def _contest(self) -> bool:
+        item = await self._lease.read()
+        if not self._lease.is_free(item):
+            read_ms = self._clock.now_ms()
+            _, fresh = await self._reader.read()
+            self._distribution.push_as_reader(fresh)
+            if not await self._outlast(item, read_ms):
+                return False
+        return await self._lease.acquire(item, above_epoch=self._distribution.epoch)
+
+    async def _outlast(self, item: StoredObject | None, read_ms: float) -> bool:
+        record = read_lease(item)
+        assert record is not None
+        until_ms = read_ms + record.duration_ms
+        while self._clock.now_ms() < until_ms:
+            await asyncio.sleep(self._cfg.heartbeat_ms / MS_PER_S)
+            if self._distribution.holder_heard_ms > read_ms:
+                return False
+            self._distribution.push_as_reader([])
+        return True
+
+    async def _hold(self) -> None:
+        epoch = self._lease.epoch
+        self._backoff.reset()
+        self._recorder.record(EventKind.WATCHER_CHANGED, cause=f"epoch {epoch}")
+        log.info("lease_acquired", host=self._host_id, epoch=epoch)
+        tasks = [asyncio.create_task(duty.run(epoch)) for duty in self.duties]
+        try:
+            await self._renew_until_lost(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            for result in results:
+                if isinstance(result, Exception):
+                    log.error("duty_failed", exc_info=result)
+        log.info("lease_lost", host=self._host_id, epoch=epoch)
+
+    async def _renew_until_lost(self, tasks: Sequence[asyncio.Task[None]]) -> None:
+        while self._lease.held() and not any(task.done() for task in tasks):
+            await asyncio.sleep(self._cfg.renewal_ms / MS_PER_S)
+            if not self._lease.held():
+                return
+            try:
+                if not await self._lease.renew():
+                    return
+                self._note_store(True)
+            except StoreError as exc:
+                self._note_store(False, exc)
+
+    def _pause_ms(self) -> float:
+        return self._rng.uniform(0.5, 1.0) * self._cfg.suspicion_ms
+
+    def _retry_ms(self) -> float:
+        bound_ms = FIRST_RANKS_RETRY_MS * (1 + self.rank())
+        return min(self._backoff.next_ms(), bound_ms)
+
+    def _note_store(self, reachable: bool, exc: StoreError | None = None) -> None:
+        if reachable:
+            self._backoff.reset()
+        if self._store_lost != reachable:
+            return
+        self._store_lost = not reachable
+        kind = EventKind.STORE_RECOVERED if reachable else EventKind.STORE_UNAVAILABLE
+        self._recorder.record(kind, cause=exc.code if exc else "")
--- /dev/null
+++ b/src/mangohatch/state/joining.py
@@ -0,0 +1,151 @@
+"""How a new host learns the configuration before it serves."""
+
+import asyncio
+import random
+from enum import StrEnum
+
+from mangohatch.clock import Clock
+from mangohatch.config import StateSettings
+from mangohatch.errors import StoreConflict, StoreError
+from mangohatch.platform.backoff import Backoff
+from mangohatch.platform.operations import put_resolved, with_operation
+from mangohatch.platform.store import ObjectStore
+from mangohatch.state.config_table import ConfigTable
+from mangohatch.state.distribution import Distribution
+from mangohatch.state.reader import ConfigReader
+
+__all__ = ["Joining", "Readiness"]
+
+START_KIND = "host_start"
+ASK_MS = 250.0
+STALE_READS = 5
+STALE_DELAY_MS = 100.0
+RETRY_FIRST_MS = 500.0
+MS_PER_S = 1000.0
+
+
+class Readiness(StrEnum):
+    """Whether this host may serve, and if not, why."""
+
+    READY = "ready"
+    STARTING = "starting"
+    NOTHING_KNOWN = "nothing_known"
+
+
+class Joining:
+    """
+    Makes a host ready once it knows no less than any host that it can reach.
+
+    A write of its own gives a revision that a read must reach to be fresh. With a
+    fresh read the host is ready; without one, it needs a peer that knows the
+    configuration, and every reachable peer's objects.
+
+    :param cfg: times
+    :param instance: name of this process, unique over hosts and restarts
+    :param store: the store
+    :param reader: reads the store into the table
+    :param table: configuration of this host
+    :param distribution: digests of peers
+    :param clock: clock of this host
+    :param rng: source of the jitter
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: StateSettings,
+        instance: str,
+        store: ObjectStore,
+        reader: ConfigReader,
+        table: ConfigTable,
+        distribution: Distribution,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.readiness = Readiness.STARTING
+        self._cfg = cfg
+        self._instance = instance
+        self._store = store
+        self._reader = reader
+        self._table = table
+        self._distribution = distribution
+        self._clock = clock
+        self._rng = rng
+        self._fresh = False
+
+    async def run(self) -> None:
+        """Learn until ready."""
+        reading = asyncio.create_task(self._read_until_fresh())
+        started_ms = self._clock.now_ms()
+        try:
+            while not self._is_ready(started_ms):
+                for host_id in self._distribution.peers():
+                    if not self._distribution.covers(host_id):
+                        self._distribution.ask(host_id)
+                await asyncio.sleep(ASK_MS / MS_PER_S)
+        finally:
+            reading.cancel()
+            await asyncio.gather(reading, return_exceptions=True)
+        self._table.as_of = max(self._table.revision, 1)
+        self._distribution.stop_collecting()
+        self.readiness = Readiness.READY
+
+    def _is_ready(self, started_ms: float) -> bool:
+        peers = self._distribution.peers()
+        waited = self._clock.now_ms() - started_ms >= self._cfg.join_wait_ms
+        behind = [host for host in peers if not self._distribution.covers(host)]
+        if self._fresh:
+            return waited or not behind
+        if not waited:
+            return False
+        silent = [host for host in behind if not self._has_answered(host)]
+        if len(silent) < len(behind):
+            return False
+        if any(self._distribution.informed_by(host) for host in peers):
+            return True
+        self.readiness = Readiness.NOTHING_KNOWN
+        return False
+
+    def _has_answered(self, host_id: str) -> bool:
+        return host_id in self._distribution.peer_revisions
+
+    async def _read_until_fresh(self) -> None:
+        backoff = Backoff(
+            first_ms=RETRY_FIRST_MS, limit_ms=self._cfg.retry_limit_ms, rng=self._rng
+        )
+        while not self._fresh:
+            try:
+                self._fresh = await self._read()
+            except StoreError:
+                self._fresh = False
+            if not self._fresh:
+                await asyncio.sleep(backoff.next_ms() / MS_PER_S)
+
+    async def _read(self) -> bool:
+        barrier = await self._write_barrier()
+        for _ in range(STALE_READS):
+            revision, _ = await self._reader.read()
+            if barrier is not None and revision >= barrier:
+                return True
+            await asyncio.sleep(STALE_DELAY_MS / MS_PER_S)
+        return False
+
+    async def _write_barrier(self) -> int | None:
+        host_id = self._instance.partition(":")[0]
+        base = await self._store.get(START_KIND, host_id)
+        operation_id = f"{self._instance}:{self._rng.getrandbits(64):016x}"
+        value = with_operation(
+            {"instance": self._instance}, operation_id=operation_id, base=None
+        )
+        try:
+            item = await put_resolved(
+                self._store,
+                kind=START_KIND,
+                name=host_id,
+                value=value,
+                expected_revision=base.revision if base else None,
+                rng=self._rng,
+            )
+        except StoreConflict:
+            return None
+        return item.revision
--- /dev/null
+++ b/src/mangohatch/state/ranking.py
@@ -0,0 +1,21 @@
+"""Order of the hosts that stand by for the lease."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+__all__ = ["rank_hosts"]
+
+
+def rank_hosts(hosts: Iterable[str]) -> list[str]:
+    """
+    Order hosts by rendezvous hashing; every host comes to the same order.
+
+    :param hosts: host ids
+    :return: host ids, the first in line first
+    """
+
+    def weight(host_id: str) -> tuple[int, str]:
+        return xxhash.xxh3_64_intdigest(host_id.encode()), host_id
+
+    return sorted(hosts, key=weight)
--- /dev/null
+++ b/src/mangohatch/state/service.py
@@ -0,0 +1,174 @@
+"""Lasting and agreed state of one host, wired together."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from mangohatch.clock import Clock
+from mangohatch.config import StateSettings
+from mangohatch.core.tables import Tables
+from mangohatch.peer.bus import PeerBus
+from mangohatch.platform.store import ObjectStore, StoredObject
+from mangohatch.state.config_table import ConfigTable
+from mangohatch.state.distribution import Distribution
+from mangohatch.state.duty import Duty
+from mangohatch.state.election import Election
+from mangohatch.state.items import item_of
+from mangohatch.state.joining import Joining, Readiness
+from mangohatch.state.lease import Lease
+from mangohatch.state.reader import ConfigReader
+from mangohatch.state.watcher import Heartbeat, Watcher
+from mangohatch.timeline.recorder import Recorder
+
+__all__ = ["StateService"]
+
+LEASE_NAME = "config-watch"
+MS_PER_S = 1000.0
+
+
+class StateService:
+    """
+    Keeps the configuration of this host in force and passes it on.
+
+    :param cfg: times and bounds
+    :param store: the object API, with the budget of configuration calls
+    :param bus: messages to other hosts
+    :param tables: tables of the decision core
+    :param clock: clock of this host
+    :param rng: source of random numbers; must differ between processes
+    :param recorder: the time line
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: StateSettings,
+        store: ObjectStore,
+        bus: PeerBus,
+        tables: Tables,
+        clock: Clock,
+        rng: random.Random,
+        recorder: Recorder,
+    ) -> None:
+        self._cfg = cfg
+        self._tasks: list[asyncio.Task[None]] = []
+        instance = f"{bus.host_id}:{rng.getrandbits(64):016x}"
+        self.table = ConfigTable(tables=tables, recorder=recorder)
+        self.lease = Lease(
+            name=LEASE_NAME,
+            holder=instance,
+            duration_ms=cfg.lease_ms,
+            store=store,
+            clock=clock,
+            rng=rng,
+        )
+        self.distribution = Distribution(
+            cfg=cfg,
+            bus=bus,
+            table=self.table,
+            lease=self.lease,
+            clock=clock,
+            rng=rng,
+        )
+        reader = ConfigReader(store=store, table=self.table)
+        self.election = Election(
+            cfg=cfg,
+            host_id=bus.host_id,
+            lease=self.lease,
+            reader=reader,
+            distribution=self.distribution,
+            clock=clock,
+            rng=rng,
+            recorder=recorder,
+        )
+        self.joining = Joining(
+            cfg=cfg,
+            instance=instance,
+            store=store,
+            reader=reader,
+            table=self.table,
+            distribution=self.distribution,
+            clock=clock,
+            rng=rng,
+        )
+        watcher = Watcher(
+            cfg=cfg,
+            reader=reader,
+            distribution=self.distribution,
+            lease=self.lease,
+            clock=clock,
+            rng=rng,
+        )
+        heartbeat = Heartbeat(
+            interval_ms=cfg.heartbeat_ms, distribution=self.distribution
+        )
+        self.add_duties([watcher, heartbeat])
+
+    def add_duties(self, duties: Sequence[Duty]) -> None:
+        """
+        Add work that only the holder of the lease does; call before the start.
+
+        :param duties: the work
+        """
+        self.election.duties.extend(duties)
+
+    async def start(self) -> None:
+        """Start to learn, to stand by and to exchange digests."""
+        work = (self.joining.run(), self.election.run(), self._exchange())
+        self._tasks = [asyncio.create_task(part) for part in work]
+
+    async def stop(self) -> None:
+        """Stop; give the lease up if it is held."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.election.stop()
+
+    def ready(self) -> bool:
+        """
+        Tell whether this host knows the configuration and may serve.
+
+        :return: True from then on, also in a store outage
+        """
+        return self.joining.readiness is Readiness.READY
+
+    def readiness(self) -> Readiness:
+        """
+        Tell why this host is not ready.
+
+        :return: the reason, or ready
+        """
+        return self.joining.readiness
+
+    def is_holder(self) -> bool:
+        """
+        Tell whether this host holds the watch lease now.
+
+        :return: whether it does
+        """
+        return self.lease.held()
+
+    def revision_of(self, kind: str, name: str) -> int:
+        """
+        Tell which revision of an object this host has in force.
+
+        :param kind: kind of object
+        :param name: name within the kind
+        :return: its revision, 0 when it is not known
+        """
+        return self.table.revision_of(kind, name)
+
+    def publish(self, stored: StoredObject) -> None:
+        """
+        Put an object that this host has just written in force here and at peers.
+
+        :param stored: the object as written
+        """
+        item = item_of(stored)
+        self.table.apply(item)
+        self.distribution.spread([item])
+
+    async def _exchange(self) -> None:
+        while True:
+            await asyncio.sleep(self._cfg.digest_ms / MS_PER_S)
+            self.distribution.send_digest()
--- /dev/null
+++ b/src/mangohatch/state/watcher.py
@@ -0,0 +1,96 @@
+"""The duty of following the store and pushing what changes."""
+
+import asyncio
+import random
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.config import StateSettings
+from mangohatch.errors import StoreError
+from mangohatch.platform.backoff import Backoff
+from mangohatch.state.distribution import Distribution
+from mangohatch.state.duty import Duty
+from mangohatch.state.lease import Lease
+from mangohatch.state.reader import ConfigReader
+
+__all__ = ["Heartbeat", "Watcher"]
+
+FIRST_RETRY_MS = 50.0
+RETRY_LIMIT_MS = 1000.0
+STALE_READS = 5
+STALE_DELAY_MS = 100.0
+MS_PER_S = 1000.0
+
+log = structlog.get_logger()
+
+
+class Watcher(Duty):
+    """
+    Follows the store while this host holds the lease.
+
+    A read older than this host's own lease write is stale and is repeated. The
+    configuration is read whole again every ``relist_ms``.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: StateSettings,
+        reader: ConfigReader,
+        distribution: Distribution,
+        lease: Lease,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._reader = reader
+        self._distribution = distribution
+        self._lease = lease
+        self._clock = clock
+        self._rng = rng
+
+    async def run(self, epoch: int) -> None:
+        backoff = Backoff(
+            first_ms=FIRST_RETRY_MS, limit_ms=RETRY_LIMIT_MS, rng=self._rng
+        )
+        while True:
+            try:
+                revision = await self._read_fresh()
+                backoff.reset()
+                await self._follow(revision)
+            except StoreError as exc:
+                log.info("config_watch_broke", code=exc.code, epoch=epoch)
+            await asyncio.sleep(backoff.next_ms() / MS_PER_S)
+
+    async def _read_fresh(self) -> int:
+        barrier = self._lease.revision
+        for _ in range(STALE_READS):
+            revision, fresh = await self._reader.read()
+            self._distribution.push_as_holder(fresh)
+            if revision >= barrier:
+                return revision
+            await asyncio.sleep(STALE_DELAY_MS / MS_PER_S)
+        log.warning("config_read_stale", revision=revision, barrier=barrier)
+        return revision
+
+    async def _follow(self, since: int) -> None:
+        until_ms = self._clock.now_ms() + self._cfg.relist_ms
+        async for fresh in self._reader.follow(since, self._cfg.watch_silence_ms):
+            if fresh:
+                self._distribution.push_as_holder(fresh)
+            if self._clock.now_ms() >= until_ms:
+                return
+
+
+class Heartbeat(Duty):
+    """Tells peers that this host holds the lease."""
+
+    def __init__(self, *, interval_ms: float, distribution: Distribution) -> None:
+        self._interval_ms = interval_ms
+        self._distribution = distribution
+
+    async def run(self, epoch: int) -> None:
+        while True:
+            self._distribution.push_as_holder([])
+            await asyncio.sleep(self._interval_ms / MS_PER_S)
--- /dev/null
+++ b/src/standins/state_hosts.py
@@ -0,0 +1,182 @@
+"""Entry hosts reduced to their lasting and agreed state, over fakes."""
+
+import random
+from dataclasses import dataclass
+
+from mangohatch.claims import StoreClaimRegistry
+from mangohatch.config import ClaimSettings, ServiceSpec, StateSettings
+from mangohatch.core.tables import Tables
+from mangohatch.platform.operations import with_operation
+from mangohatch.platform.store import StoredObject
+from mangohatch.state import StateService, service_value
+from mangohatch.timeline.recorder import HybridClock, Recorder
+from standins.memory_bus import MemoryNetwork
+from standins.memory_store import MemoryStore
+from standins.objects import ObjectTable
+from standins.virtual_loop import LoopClock, VirtualLoop
+
+__all__ = ["StateHost", "StateHosts"]
+
+
+@dataclass(slots=True, kw_only=True)
+class StateHost:
+    """One host: its tables, its state and its registry of keyed requests."""
+
+    host_id: str
+    tables: Tables
+    state: StateService
+    claims: StoreClaimRegistry
+    recorder: Recorder
+
+
+class StateHosts:
+    """
+    Several hosts over one object table and one network, in virtual time.
+
+    :param loop: the loop that all run in
+    :param seed: seed of all random numbers
+    :param state_type: class of the state, replaced to plant a fault
+    :param claims_type: class of the registry, replaced to plant a fault
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: VirtualLoop,
+        seed: int = 1,
+        state_type: type[StateService] = StateService,
+        claims_type: type[StoreClaimRegistry] = StoreClaimRegistry,
+    ) -> None:
+        self.loop = loop
+        self.rng = random.Random(seed)
+        self.objects = ObjectTable()
+        self.store = MemoryStore(table=self.objects, rng=self.rng)
+        self.network = MemoryNetwork(loop=loop, rng=self.rng)
+        self.live: dict[str, StateHost] = {}
+        self._state_type = state_type
+        self._claims_type = claims_type
+        self._written = 0
+
+    def add(self, host_id: str, **settings: float) -> StateHost:
+        """
+        Start a host.
+
+        :param host_id: an id that was never used
+        :param settings: changes of the state's settings
+        :return: the host
+        """
+        clock = LoopClock(loop=self.loop, wall_offset_ms=self.rng.uniform(-50.0, 50.0))
+        rng = random.Random(self.rng.getrandbits(64))
+        recorder = Recorder(host=host_id, zone="zone-a", clock=HybridClock(clock=clock))
+        tables = Tables()
+        state = self._state_type(
+            cfg=StateSettings.model_validate(settings),
+            store=self.store.client("state"),
+            bus=self.network.join(host_id),
+            tables=tables,
+            clock=clock,
+            rng=rng,
+            recorder=recorder,
+        )
+        claims = self._claims_type(
+            host_id=host_id,
+            cfg=ClaimSettings(),
+            store=self.store.client("claims"),
+            clock=clock,
+            rng=rng,
+        )
+        host = StateHost(
+            host_id=host_id,
+            tables=tables,
+            state=state,
+            claims=claims,
+            recorder=recorder,
+        )
+        self.live[host_id] = host
+        self.loop.spawn(host_id, state.start())
+        self.loop.spawn(host_id, claims.start())
+        return host
+
+    def kill(self, host_id: str) -> None:
+        """
+        End a host without notice.
+
+        :param host_id: the host
+        """
+        self.loop.kill(host_id)
+        del self.live[host_id]
+
+    def stop(self, host_id: str) -> None:
+        """
+        Stop a host in order.
+
+        :param host_id: the host
+        """
+        host = self.live.pop(host_id)
+        task = self.loop.spawn(host_id, host.state.stop())
+        self.loop.run_until_complete(task)
+        self.network.leave(host_id)
+
+    def holders(self) -> list[StateHost]:
+        """
+        List the hosts that hold the watch lease now.
+
+        :return: at most one, unless something is wrong
+        """
+        return [
+            host
+            for host in self.live.values()
+            if host.state.is_holder() and not self.loop.is_stopped(host.host_id)
+        ]
+
+    def write(self, spec: ServiceSpec) -> StoredObject:
+        """
+        Write a service to the store behind the hosts' backs.
+
+        :param spec: the service
+        :return: the object as written
+        """
+        self._written += 1
+        base = self.objects.objects.get(("service", spec.name))
+        value = with_operation(
+            service_value(spec), operation_id=f"write-{self._written}", base=base
+        )
+        return self.objects.put(
+            "service", spec.name, value, base.revision if base else None
+        )
+
+    def in_force(self, name: str) -> dict[str, int]:
+        """
+        Tell which revision of a service each live host has in force.
+
+        :param name: name of the service
+        :return: revisions by host id
+        """
+        return {
+            host_id: (
+                host.tables.services[name].revision
+                if name in host.tables.services
+                else 0
+            )
+            for host_id, host in self.live.items()
+        }
+
+    def wait_in_force(self, name: str, revision: int, limit_ms: float) -> float:
+        """
+        Let time pass until all hosts that run have a revision in force.
+
+        :param name: name of the service
+        :param revision: the revision
+        :param limit_ms: time to wait at most
+        :return: milliseconds that it took; the limit when it did not happen
+        """
+        started_ms = self.loop.time() * 1000.0
+        while True:
+            waited_ms = self.loop.time() * 1000.0 - started_ms
+            seen = self.in_force(name)
+            running = [host for host in seen if not self.loop.is_stopped(host)]
+            if all(seen[host] >= revision for host in running):
+                return waited_ms
+            if waited_ms >= limit_ms:
+                return limit_ms
+            self.loop.run_for(5.0)
