--- a/src/standins/caller/caller.py
+++ b/src/standins/caller/caller.py
@@ -39,7 +39,7 @@
     if reply.status == 200:
         return check_content(request, reply.body)
     outcome = reply.headers.get("X-Outcome", "")
-    if reply.headers.get("X-Error-Code") == "key_in_progress":
+    if reply.headers.get("X-Error-Code") == "request_in_progress":
         return AttemptResult.IN_PROGRESS
     if outcome == "not_run":
         return AttemptResult.NOT_RUN
