Route by leases of slots that one broker per shard grants

Cause: at 30x2 slots and 15 hosts a host's own counts say little; where calls wait decides the tail.

--- a/bench/virtual/policies.py
+++ b/bench/virtual/policies.py
@@ -19,6 +19,7 @@
     ProbeTransport,
     ProbingChooser,
     RoundRobinChooser,
+    TokenChooser,
     UniformChooser,
 )
 from mangohatch.core.health import Health
@@ -114,6 +115,22 @@
     return OracleChooser(oracle=oracle, **context.parts)
 
 
+def make_tokens(context: PolicyContext) -> Chooser:
+    """
+    Make the chooser of the product.
+
+    :param context: parts of the host
+    :return: the chooser
+    """
+    return TokenChooser(
+        tables=context.tables,
+        bus=context.bus,
+        timers=context.timers,
+        counters={context.site.service: context.counter},
+        **context.parts,
+    )
+
+
 POLICIES: dict[str, Callable[[PolicyContext], Chooser]] = {
     "random": lambda context: UniformChooser(**context.parts),
     "round-robin": lambda context: RoundRobinChooser(**context.parts),
@@ -122,6 +139,7 @@
     "idle-hints": lambda context: IdleHintsChooser(**context.parts),
     "late-binding": make_partition,
     "probing": make_probing,
+    "tokens": make_tokens,
     "oracle": lambda context: make_oracle(context, speed=False),
     "oracle-speed": lambda context: make_oracle(context, speed=True),
 }
--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -32,7 +32,7 @@
         self._heap: list[tuple[float, int, Waiting]] = []
         self._calls: dict[str, Waiting] = {}
         self._gap_ms = 0.0
-        self._ended_ms: float | None = None
+        self._served_ms = 0.0
 
     def __len__(self) -> int:
         return len(self._calls)
@@ -52,6 +52,8 @@
                 "the queue is too long", retry_after_ms=self.retry_after_ms()
             )
         waiting.until_ms = now_ms + allowed_ms
+        if not self._calls:
+            self._served_ms = now_ms
         self._calls[call.request_id] = waiting
         entry = (call.deadline_ms, next(self._sequence), waiting)
         heapq.heappush(self._heap, entry)
@@ -65,24 +67,25 @@
         """
         return (len(self._calls) + 1) * self._gap_ms if self._calls else 0.0
 
-    def retry_after_ms(self) -> float:
+    def serve(self, waiting: Waiting, now_ms: float) -> None:
         """
-        Estimate when a refused call may find room.
+        Remove a call that got an upstream.
 
-        :return: time for the queue of now to be served
+        :param waiting: the call
+        :param now_ms: monotonic time
         """
-        return max(self._spec.max_queue_wait_ms, self.estimate_ms())
+        gap_ms = now_ms - self._served_ms
+        self._gap_ms += RATE_WEIGHT * (gap_ms - self._gap_ms)
+        self._served_ms = now_ms
+        self.take(waiting)
 
-    def note_end(self, now_ms: float) -> None:
+    def retry_after_ms(self) -> float:
         """
-        Take note that an attempt ended, which frees an upstream for one call.
+        Estimate when a refused call may find room.
 
-        :param now_ms: monotonic time
+        :return: time for the queue of now to be served
         """
-        if self._ended_ms is not None:
-            gap_ms = now_ms - self._ended_ms
-            self._gap_ms += RATE_WEIGHT * (gap_ms - self._gap_ms)
-        self._ended_ms = now_ms
+        return max(self._spec.max_queue_wait_ms, self.estimate_ms())
 
     def head(self) -> Waiting | None:
         """
@@ -96,7 +99,7 @@
 
     def take(self, waiting: Waiting) -> None:
         """
-        Remove a call that was served.
+        Remove a call.
 
         :param waiting: the call
         """
--- a/src/mangohatch/core/choice/__init__.py
+++ b/src/mangohatch/core/choice/__init__.py
@@ -7,6 +7,7 @@
 from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
 from mangohatch.core.choice.probing import ProbeReply, ProbeTransport, ProbingChooser
 from mangohatch.core.choice.round_robin import RoundRobinChooser
+from mangohatch.core.choice.tokens import TokenChooser
 from mangohatch.core.choice.uniform import UniformChooser
 
 __all__ = [
@@ -20,5 +21,6 @@
     "ProbeTransport",
     "ProbingChooser",
     "RoundRobinChooser",
+    "TokenChooser",
     "UniformChooser",
 ]
--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -34,6 +34,13 @@
         """
         self._available = available
 
+    def note_request(self, service: ServiceRow) -> None:
+        """
+        Take note that a call arrived.
+
+        :param service: the service of the call
+        """
+
     @abstractmethod
     def choose(self, service: ServiceRow, call: Call) -> Grant | None:
         """
--- /dev/null
+++ b/src/mangohatch/core/measuring/size.py
@@ -0,0 +1,40 @@
+"""Sizes of slot messages on the wire."""
+
+from mangohatch.peer.messages import SlotGrant, SlotRequest, SlotReturn
+
+__all__ = ["size_of"]
+
+FRAME_BYTES = 52
+DOUBLE_BYTES = 9
+TOKEN_BYTES = 6
+USE_BYTES = 30
+
+
+def size_of(message: SlotRequest | SlotGrant | SlotReturn) -> int:
+    """
+    Bound the size of a message, envelope and frame included.
+
+    :param message: the message
+    :return: bytes, a little more than the codec needs
+    """
+    size = FRAME_BYTES + len(message.shard)
+    match message:
+        case SlotRequest():
+            return size + 2 * DOUBLE_BYTES + sum_names(message.avoid)
+        case SlotGrant():
+            tokens = TOKEN_BYTES * len(message.tokens)
+            return size + 2 * DOUBLE_BYTES + tokens + sum_names(message.upstreams)
+        case SlotReturn():
+            tokens = TOKEN_BYTES * len(message.held_tokens)
+            uses = sum(USE_BYTES + len(use.upstream) for use in message.uses)
+            return size + tokens + uses + sum_names(message.held)
+
+
+def sum_names(names: list[str]) -> int:
+    """
+    Add up the sizes of names.
+
+    :param names: names in a list
+    :return: bytes
+    """
+    return sum(len(name) + 1 for name in names)
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -52,6 +52,7 @@
         :param deliver: receives exactly one grant or refusal
         """
         service = self._tables.services[call.service]
+        self._chooser.note_request(service)
         queue = self._queue(service)
         waiting = Waiting(call=call, deliver=deliver)
         if not queue and self._grant(service, waiting):
@@ -90,7 +91,6 @@
             return
         self._chooser.release(service, grant, report)
         queue = self._queue(service)
-        queue.note_end(self._clock.now_ms())
         if queue:
             self.serve(grant.call.service)
         if not queue:
@@ -108,7 +108,7 @@
         while (waiting := queue.head()) is not None:
             if not self._grant(service, waiting):
                 return
-            queue.take(waiting)
+            queue.serve(waiting, self._clock.now_ms())
 
     def tick(self) -> None:
         """Run the systems over the tables: expiry, ejection, renewal."""
--- /dev/null
+++ b/src/mangohatch/core/slots/broker.py
@@ -0,0 +1,243 @@
+"""The broker of one shard: who gets which free slot, and for how long idle."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mangohatch.clock import Clock
+from mangohatch.core.call import Report, Result
+from mangohatch.core.health import Health
+from mangohatch.core.slots.ledger import Lease, Ledger, SlotRow
+from mangohatch.core.slots.shards import shard_rows
+from mangohatch.core.slots.speed import SpeedTable
+from mangohatch.core.tables import ServiceRow, UpstreamRow, UpstreamState
+from mangohatch.peer.messages import SlotGrant, SlotRequest, SlotReturn, SlotUse
+
+__all__ = ["Broker", "Sender"]
+
+LEASE_MS = 1_000.0
+SETTLE_MS = 12.0
+LINGER_START_MS = 4.0
+LINGER_MIN_MS = 0.25
+LINGER_MAX_MS = 100.0
+LINGER_SHRINK = 0.85
+LINGER_GROW = 1.03
+RECALL_GAP = 1
+RECALL_PAUSE_MS = 2.0
+
+Sender = Callable[[str, SlotGrant], None]
+
+
+@dataclass(slots=True, kw_only=True)
+class Demand:
+    """Slots that a holder waits for."""
+
+    holder: str
+    count: int
+    avoid: list[str]
+    until_ms: float
+    isolated: bool = False
+
+
+class Broker:
+    """
+    Grants the free slots of a shard to the hosts that ask, oldest demand first.
+
+    Its state is soft. A new broker waits a moment for the holders to state what
+    they hold; two brokers at once, or a broker that has forgotten leases, cause
+    worse routing and nothing else.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: str,
+        host_id: str,
+        clock: Clock,
+        rng: random.Random,
+        health: Health,
+        speeds: SpeedTable,
+        send: Sender,
+        zone_of: Callable[[str], str],
+    ) -> None:
+        self.shard = shard
+        self._host_id = host_id
+        self._clock = clock
+        self._health = health
+        self._speeds = speeds
+        self._send = send
+        self._zone_of = zone_of
+        self._service: ServiceRow | None = None
+        self._demands: OrderedDict[tuple[str, bool], Demand] = OrderedDict()
+        self._recalled_ms: dict[str, float] = {}
+        self.linger_ms = LINGER_START_MS
+        self.ledger = Ledger(rng=rng, speeds=speeds)
+        self.settled_ms = clock.now_ms() + SETTLE_MS
+
+    def sync(self, service: ServiceRow) -> None:
+        """
+        Follow a change of the service.
+
+        :param service: the service as configured now
+        """
+        if service is not self._service:
+            self._service = service
+            self.ledger.sync(shard_rows(service, self.shard))
+
+    def take_request(self, holder: str, message: SlotRequest) -> None:
+        """
+        Grant slots, or remember the demand.
+
+        :param holder: host id of the sender
+        :param message: the request
+        """
+        now_ms = self._clock.now_ms()
+        key = (holder, message.isolated)
+        demand = Demand(
+            holder=holder,
+            count=message.count,
+            avoid=message.avoid,
+            until_ms=now_ms + message.wait_ms,
+            isolated=message.isolated,
+        )
+        self._demands[key] = demand
+        grant = self._grant(demand, now_ms)
+        if demand.count:
+            self.linger_ms = max(LINGER_MIN_MS, self.linger_ms * LINGER_SHRINK)
+            self._recall(holder, now_ms)
+        else:
+            del self._demands[key]
+            self.linger_ms = min(LINGER_MAX_MS, self.linger_ms * LINGER_GROW)
+        grant.sequence = message.sequence
+        grant.linger_ms = self.linger_ms
+        self._send(holder, grant)
+
+    def take_return(self, holder: str, message: SlotReturn) -> None:
+        """
+        Take reports, ends of leases and renewals.
+
+        :param holder: host id of the sender
+        :param message: the return
+        """
+        now_ms = self._clock.now_ms()
+        for use in message.uses:
+            self._take_use(holder, use)
+        for upstream, token in zip(message.held, message.held_tokens, strict=True):
+            self._renew(holder, upstream, token, now_ms)
+        self.serve()
+
+    def serve(self) -> None:
+        """Grant free slots to the demands that wait."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self.settled_ms:
+            return
+        for key, demand in list(self._demands.items()):
+            if demand.until_ms <= now_ms:
+                del self._demands[key]
+                continue
+            if not self.ledger.free_count():
+                return
+            grant = self._grant(demand, now_ms)
+            if not demand.count:
+                self._demands.pop(key, None)
+            if grant.tokens:
+                grant.linger_ms = self.linger_ms
+                self._send(demand.holder, grant)
+
+    def tick(self) -> None:
+        """Expire leases and follow the health of the upstreams."""
+        self.ledger.expire(self._clock.now_ms())
+        for name, slot in self.ledger.slots.items():
+            share = self._health.capacity(slot.row)
+            limit = max(1, int(slot.row.slots * share)) if share > 0 else 0
+            self.ledger.set_limit(name, limit)
+        self.serve()
+
+    def _take_use(self, holder: str, use: SlotUse) -> None:
+        slot = self.ledger.slots.get(use.upstream)
+        if use.freed:
+            self.ledger.end(use.token)
+        if slot is None or not use.result:
+            return
+        if use.draining:
+            slot.row.state = UpstreamState.DRAINING
+        result = Result(use.result)
+        if holder != self._host_id:
+            if result is Result.OK:
+                self._speeds.note(use.upstream, use.latency_ms)
+            report = Report(
+                result=result, latency_ms=use.latency_ms, draining=use.draining
+            )
+            self._health.observe(slot.row, report, holder)
+
+    def _renew(self, holder: str, upstream: str, token: int, now_ms: float) -> None:
+        lease = self.ledger.leases.get(token)
+        if lease is not None:
+            lease.until_ms = now_ms + LEASE_MS
+        elif upstream in self.ledger.slots:
+            self.ledger.adopt(
+                Lease(
+                    token=token,
+                    upstream=upstream,
+                    holder=holder,
+                    until_ms=now_ms + LEASE_MS,
+                )
+            )
+
+    def _grant(self, demand: Demand, now_ms: float) -> SlotGrant:
+        grant = SlotGrant(shard=self.shard)
+        zone = self._zone_of(demand.holder)
+        while demand.count and now_ms >= self.settled_ms:
+            slot = self._find(demand, zone, now_ms)
+            if slot is None:
+                break
+            lease = self.ledger.lease(
+                slot,
+                holder=demand.holder,
+                until_ms=now_ms + LEASE_MS,
+                weight=slot.row.slots if demand.isolated else 1,
+            )
+            slot.reserved = False
+            demand.count -= 1
+            grant.upstreams.append(lease.upstream)
+            grant.tokens.append(lease.token)
+        grant.waiting = demand.count
+        return grant
+
+    def _find(self, demand: Demand, zone: str, now_ms: float) -> SlotRow | None:
+        if demand.isolated:
+            return self._find_empty(demand)
+        return self.ledger.find(
+            zone=zone, avoid=demand.avoid, is_open=self._is_open, now_ms=now_ms
+        )
+
+    def _find_empty(self, demand: Demand) -> SlotRow | None:
+        slots = [
+            slot
+            for name, slot in self.ledger.slots.items()
+            if name not in demand.avoid and self._is_open(slot.row)
+        ]
+        if not slots:
+            return None
+        slot = min(slots, key=lambda slot: (not slot.reserved, slot.used))
+        slot.reserved = bool(slot.used)
+        return None if slot.used else slot
+
+    def _is_open(self, row: UpstreamRow) -> bool:
+        if row.state not in (UpstreamState.ACTIVE, UpstreamState.WARMING):
+            return False
+        return self._health.eligible(row, None)
+
+    def _recall(self, holder: str, now_ms: float) -> None:
+        held = self.ledger.held
+        if not held:
+            return
+        richest = max(held, key=lambda name: held[name])
+        if held[richest] <= held.get(holder, 0) + RECALL_GAP:
+            return
+        if now_ms - self._recalled_ms.get(richest, -RECALL_PAUSE_MS) < RECALL_PAUSE_MS:
+            return
+        self._recalled_ms[richest] = now_ms
+        grant = SlotGrant(shard=self.shard, linger_ms=self.linger_ms, recall=1)
+        self._send(richest, grant)
--- /dev/null
+++ b/src/mangohatch/core/slots/holder.py
@@ -0,0 +1,210 @@
+"""The leases that this host holds on the slots of one shard."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mangohatch.clock import Clock
+from mangohatch.core.call import Report, Result
+from mangohatch.core.timers import Timers
+from mangohatch.peer.messages import SlotGrant, SlotReturn, SlotUse
+
+__all__ = ["Held", "Holder"]
+
+RENEW_MS = 300.0
+FLUSH_USES = 16
+BATCH_MS = 0.25
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Held:
+    """A lease; ``idle_ms`` is the time since which it is idle, None in use."""
+
+    token: int
+    upstream: str
+    isolated: bool = False
+    idle_ms: float | None = None
+
+
+class Holder:
+    """
+    Leases in use and idle leases, reports not yet sent, and slots asked for.
+
+    An idle lease goes back to the broker after the linger time that the broker
+    told last.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: str,
+        clock: Clock,
+        timers: Timers,
+        send: Callable[[str, SlotReturn], None],
+    ) -> None:
+        self.shard = shard
+        self._clock = clock
+        self._timers = timers
+        self._send = send
+        self.leases: dict[int, Held] = {}
+        self.idle: dict[int, Held] = {}
+        self.linger_ms = 0.0
+        self.asked = 0
+        self.asked_ms = 0.0
+        self.heard_ms = clock.now_ms()
+        self._owed = 0
+        self._uses: list[SlotUse] = []
+        self._renewed_ms = clock.now_ms()
+        self._timer_ms: float | None = None
+
+    def take_grant(self, grant: SlotGrant) -> None:
+        """
+        Take leases, the linger time and a recall from the broker.
+
+        :param grant: the broker's message
+        """
+        now_ms = self._clock.now_ms()
+        self.heard_ms = now_ms
+        self.linger_ms = grant.linger_ms
+        self.asked = max(0, self.asked - len(grant.tokens))
+        if grant.sequence:
+            self.asked = grant.waiting
+        for token, upstream in zip(grant.tokens, grant.upstreams, strict=True):
+            held = Held(token=token, upstream=upstream, idle_ms=now_ms)
+            self.leases[token] = held
+            self.idle[token] = held
+        self._owed += grant.recall
+
+    def pending(self, wait_ms: float) -> int:
+        """
+        Count the slots that the broker still owes.
+
+        :param wait_ms: time for which the broker remembers a demand
+        :return: slots asked for and not granted
+        """
+        if self._clock.now_ms() - self.asked_ms >= wait_ms:
+            self.asked = 0
+        return self.asked
+
+    def use(self, held: Held) -> None:
+        """
+        Start to use an idle lease.
+
+        :param held: the lease
+        """
+        held.idle_ms = None
+        del self.idle[held.token]
+
+    def end_use(self, token: int, report: Report) -> None:
+        """
+        End the use of a lease; it becomes idle unless it has to go back.
+
+        :param token: its token
+        :param report: how the attempt went
+        """
+        held = self.leases.get(token)
+        if held is None:
+            return
+        use = SlotUse(
+            upstream=held.upstream,
+            token=token,
+            result=str(report.result),
+            latency_ms=report.latency_ms,
+            draining=report.draining,
+        )
+        self._uses.append(use)
+        now_ms = self._clock.now_ms()
+        if report.result is not Result.OK or report.draining or self._owed:
+            self._owed = max(0, self._owed - 1)
+            del self.leases[token]
+            use.freed = True
+            self.flush()
+            return
+        held.idle_ms = now_ms
+        self.idle[token] = held
+        if len(self._uses) >= FLUSH_USES:
+            self.flush()
+
+    def settle(self) -> None:
+        """Send back idle leases that have lingered, and plan the next look."""
+        now_ms = self._clock.now_ms()
+        due_ms = now_ms - self.linger_ms + BATCH_MS
+        freed = [held for held in self.idle.values() if (held.idle_ms or 0) <= due_ms]
+        freed += self._pick_owed(freed)
+        if freed:
+            self._give_back(freed)
+        if self.idle:
+            self._plan(now_ms)
+
+    def _plan(self, now_ms: float) -> None:
+        oldest_ms = min(held.idle_ms or 0 for held in self.idle.values())
+        due_ms = max(now_ms, oldest_ms + self.linger_ms)
+        if self._timer_ms is None or due_ms < self._timer_ms - BATCH_MS:
+            self._timer_ms = due_ms
+            self._timers.call_later(due_ms - now_ms, self._wake)
+
+    def _wake(self) -> None:
+        self._timer_ms = None
+        self.settle()
+
+    def _pick_owed(self, freed: list[Held]) -> list[Held]:
+        self._owed = max(0, self._owed - len(freed))
+        rest = [held for held in self.idle.values() if held not in freed]
+        picked = rest[: self._owed]
+        self._owed -= len(picked)
+        return picked
+
+    def _give_back(self, freed: list[Held]) -> None:
+        for held in freed:
+            del self.idle[held.token]
+            del self.leases[held.token]
+            self._uses.append(
+                SlotUse(upstream=held.upstream, token=held.token, freed=True)
+            )
+        self.flush()
+
+    def flush(self) -> None:
+        """Send the reports and returns that have gathered."""
+        if self._uses:
+            message = SlotReturn(shard=self.shard, uses=merge_uses(self._uses))
+            self._uses = []
+            self._send(self.shard, message)
+
+    def renew(self, *, force: bool = False) -> None:
+        """
+        Renew all leases in one message, when it is time.
+
+        :param force: whether to renew before it is time
+        """
+        now_ms = self._clock.now_ms()
+        if not force and now_ms - self._renewed_ms < RENEW_MS:
+            return
+        self._renewed_ms = now_ms
+        if not self.leases and not self._uses:
+            return
+        message = SlotReturn(
+            shard=self.shard,
+            uses=merge_uses(self._uses),
+            held=[held.upstream for held in self.leases.values()],
+            held_tokens=list(self.leases),
+        )
+        self._uses = []
+        self._send(self.shard, message)
+
+
+def merge_uses(uses: list[SlotUse]) -> list[SlotUse]:
+    """
+    Join the end of a lease with the report of its last use.
+
+    :param uses: uses in order
+    :return: the same with fewer entries
+    """
+    merged: list[SlotUse] = []
+    last: dict[int, SlotUse] = {}
+    for use in uses:
+        known = last.get(use.token)
+        if use.freed and not use.result and known is not None and not known.freed:
+            known.freed = True
+            continue
+        merged.append(use)
+        last[use.token] = use
+    return merged
--- /dev/null
+++ b/src/mangohatch/core/slots/ledger.py
@@ -0,0 +1,216 @@
+"""The broker's table of slots and of the leases on them."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from mangohatch.core.slots.speed import SpeedTable
+from mangohatch.core.tables import UpstreamRow
+
+__all__ = ["Lease", "Ledger", "SlotRow"]
+
+SAMPLES = 12
+OTHER_ZONE_MS = 0.8
+SHARED_MS = 0.5
+TOKEN_BITS = 31
+
+Open = Callable[[UpstreamRow], bool]
+
+
+@dataclass(slots=True, kw_only=True)
+class Lease:
+    """The right of a holder to use ``weight`` slots of an upstream for a time."""
+
+    token: int
+    upstream: str
+    holder: str
+    until_ms: float
+    weight: int = 1
+
+
+@dataclass(slots=True, kw_only=True)
+class SlotRow:
+    """The slots of one upstream; ``limit`` of them may be leased."""
+
+    row: UpstreamRow
+    limit: int
+    used: int = 0
+    reserved: bool = False
+    tokens: set[int] = field(default_factory=set)
+
+    @property
+    def free(self) -> int:
+        """Slots that may be leased now."""
+        return max(0, self.limit - self.used)
+
+
+class Ledger:
+    """Slots of the upstreams of one shard."""
+
+    def __init__(self, *, rng: random.Random, speeds: SpeedTable) -> None:
+        self._rng = rng
+        self._speeds = speeds
+        self._next_token = rng.getrandbits(TOKEN_BITS) + 1
+        self.slots: dict[str, SlotRow] = {}
+        self.leases: dict[int, Lease] = {}
+        self.held: dict[str, int] = {}
+        self._open: list[str] = []
+        self._place: dict[str, int] = {}
+
+    def sync(self, rows: Iterable[UpstreamRow]) -> None:
+        """
+        Follow a change of the upstreams.
+
+        :param rows: all upstreams of the shard
+        """
+        fresh = {row.name: row for row in rows}
+        for name in self.slots.keys() - fresh.keys():
+            for token in list(self.slots[name].tokens):
+                self.end(token)
+            del self.slots[name]
+            self._list(name)
+        for name, row in fresh.items():
+            known = self.slots.get(name)
+            if known is None:
+                self.slots[name] = SlotRow(row=row, limit=row.slots)
+            else:
+                known.row = row
+                known.limit = min(known.limit, row.slots)
+            self._list(name)
+        self._speeds.forget(set(fresh))
+
+    def set_limit(self, upstream: str, limit: int) -> None:
+        """
+        Bound the leases on an upstream.
+
+        :param upstream: its name
+        :param limit: number of slots that may be leased
+        """
+        slot = self.slots[upstream]
+        if slot.limit != limit:
+            slot.limit = limit
+            self._list(upstream)
+
+    def free_count(self) -> int:
+        """
+        Count the upstreams with a free slot.
+
+        :return: number of upstreams
+        """
+        return len(self._open)
+
+    def find(
+        self, *, zone: str, avoid: Iterable[str], is_open: Open, now_ms: float
+    ) -> SlotRow | None:
+        """
+        Find the free slot that promises the earliest answer.
+
+        :param zone: availability zone of the holder
+        :param avoid: names of upstreams not to use
+        :param is_open: tells whether an upstream takes new work
+        :param now_ms: monotonic time
+        :return: the upstream's slots, None when none is free
+        """
+        best, best_ms = None, 0.0
+        for name in self._sample():
+            slot = self.slots[name]
+            if slot.reserved or name in avoid or not is_open(slot.row):
+                continue
+            cost_ms = self._speeds.excess_ms(name, now_ms)
+            if slot.row.zone != zone:
+                cost_ms += OTHER_ZONE_MS
+            if slot.used:
+                cost_ms += SHARED_MS
+            if best is None or cost_ms < best_ms:
+                best, best_ms = slot, cost_ms
+        return best
+
+    def _sample(self) -> Iterable[str]:
+        names = self._open
+        count = len(names)
+        if count <= SAMPLES:
+            return names
+        draw = self._rng.random
+        return {names[int(draw() * count)] for _ in range(SAMPLES)}
+
+    def lease(
+        self, slot: SlotRow, *, holder: str, until_ms: float, weight: int = 1
+    ) -> Lease:
+        """
+        Lease slots of an upstream.
+
+        :param slot: the upstream's slots
+        :param holder: host id of the holder
+        :param until_ms: when the lease lapses
+        :param weight: number of slots
+        :return: the lease
+        """
+        self._next_token += 1
+        return self.adopt(
+            Lease(
+                token=self._next_token,
+                upstream=slot.row.name,
+                holder=holder,
+                until_ms=until_ms,
+                weight=weight,
+            )
+        )
+
+    def adopt(self, lease: Lease) -> Lease:
+        """
+        Enter a lease, also one that another broker granted.
+
+        :param lease: the lease of a known upstream
+        :return: the lease
+        """
+        slot = self.slots[lease.upstream]
+        self.leases[lease.token] = lease
+        slot.tokens.add(lease.token)
+        slot.used += lease.weight
+        self.held[lease.holder] = self.held.get(lease.holder, 0) + 1
+        self._list(lease.upstream)
+        return lease
+
+    def end(self, token: int) -> Lease | None:
+        """
+        End a lease.
+
+        :param token: its token
+        :return: the lease, None when it is not known
+        """
+        lease = self.leases.pop(token, None)
+        if lease is None:
+            return None
+        slot = self.slots[lease.upstream]
+        slot.tokens.discard(token)
+        slot.used -= lease.weight
+        self.held[lease.holder] -= 1
+        if not self.held[lease.holder]:
+            del self.held[lease.holder]
+        self._list(lease.upstream)
+        return lease
+
+    def expire(self, now_ms: float) -> list[Lease]:
+        """
+        End the leases that have lapsed.
+
+        :param now_ms: monotonic time
+        :return: these leases
+        """
+        late = [lease for lease in self.leases.values() if lease.until_ms <= now_ms]
+        for lease in late:
+            self.end(lease.token)
+        return late
+
+    def _list(self, name: str) -> None:
+        slot = self.slots.get(name)
+        place = self._place.get(name)
+        if slot is not None and slot.free and place is None:
+            self._place[name] = len(self._open)
+            self._open.append(name)
+        elif place is not None and (slot is None or not slot.free):
+            last = self._open.pop()
+            del self._place[name]
+            if last != name:
+                self._open[place] = last
+                self._place[last] = place
--- /dev/null
+++ b/src/mangohatch/core/slots/speed.py
@@ -0,0 +1,76 @@
+"""What recent answers say of the present speed of upstreams."""
+
+import math
+from dataclasses import dataclass
+
+from mangohatch.clock import Clock
+
+__all__ = ["SpeedTable"]
+
+MEMORY_MS = 40.0
+NEW_WEIGHT = 0.5
+MEAN_WEIGHT = 0.02
+
+
+@dataclass(slots=True, kw_only=True)
+class SpeedRow:
+    """Excess of recent latencies over the mean of the service."""
+
+    excess_ms: float
+    seen_ms: float
+
+
+class SpeedTable:
+    """
+    Expected latencies of the upstreams of one shard.
+
+    Evidence loses its weight with age, so that an upstream that was slow is
+    tried again.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._rows: dict[str, SpeedRow] = {}
+        self.mean_ms = 0.0
+
+    def note(self, upstream: str, latency_ms: float) -> None:
+        """
+        Take an answer into account.
+
+        :param upstream: name of the upstream
+        :param latency_ms: its latency
+        """
+        if self.mean_ms == 0.0:
+            self.mean_ms = latency_ms
+        self.mean_ms += MEAN_WEIGHT * (latency_ms - self.mean_ms)
+        excess_ms = latency_ms - self.mean_ms
+        now_ms = self._clock.now_ms()
+        row = self._rows.get(upstream)
+        if row is None:
+            self._rows[upstream] = SpeedRow(excess_ms=excess_ms, seen_ms=now_ms)
+            return
+        old_ms = row.excess_ms * math.exp((row.seen_ms - now_ms) / MEMORY_MS)
+        row.excess_ms = old_ms + NEW_WEIGHT * (excess_ms - old_ms)
+        row.seen_ms = now_ms
+
+    def excess_ms(self, upstream: str, now_ms: float) -> float:
+        """
+        Estimate by how much an upstream is slower than the mean.
+
+        :param upstream: name of the upstream
+        :param now_ms: monotonic time
+        :return: milliseconds, below 0 for a faster one
+        """
+        row = self._rows.get(upstream)
+        if row is None:
+            return 0.0
+        return row.excess_ms * math.exp((row.seen_ms - now_ms) / MEMORY_MS)
+
+    def forget(self, names: set[str]) -> None:
+        """
+        Forget upstreams that are gone.
+
+        :param names: names of the upstreams to keep
+        """
+        for name in self._rows.keys() - names:
+            del self._rows[name]
