--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -12,7 +12,7 @@
 from mangohatch.core.slots import Broker, Holder, ShardMap, SpeedTable
 from mangohatch.core.slots.holder import Held
 from mangohatch.core.slots.shards import split_shard
-from mangohatch.core.tables import ServiceRow, Tables, UpstreamRow
+from mangohatch.core.tables import ServiceRow, Tables
 from mangohatch.core.timers import Timers
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages import SlotGrant, SlotRequest, SlotReturn
