Reach the object API and the host list over HTTP

Cause: state and claims ran over a fake only. A refused connection or 429 means no effect; any other failure of a write leaves it in doubt, to be settled by put_resolved. Conclusion: the same core runs over sockets.

--- /dev/null
+++ b/src/mangohatch/platform/http_call.py
@@ -0,0 +1,110 @@
+"""One HTTP call to the platform, and what its failure means."""
+
+import socket
+from dataclasses import dataclass
+
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.httputil import HTTPHeaders
+
+from mangohatch.errors import StoreRateLimited, StoreUnavailable
+
+__all__ = ["CallUnanswered", "HttpCaller", "HttpReply"]
+
+ROLE_HEADER = "X-Caller-Role"
+CONCURRENT_CALLS = 200
+REPLY_BYTES = 64 * 1024 * 1024
+RETRY_AFTER_MS = 1000.0
+RATE_LIMITED = 429
+SERVER_ERRORS = 500
+MS_PER_S = 1000.0
+
+
+class CallUnanswered(StoreUnavailable):
+    """A call was sent, or may have been, and got no usable answer."""
+
+    code = "store_call_unanswered"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HttpReply:
+    """An answer below status 500."""
+
+    status: int
+    body: bytes
+
+
+class HttpCaller:
+    """
+    Makes calls to one address of the platform.
+
+    :param address: IP address
+    :param port: TCP port
+    :param role: caller role under which the platform counts the calls
+    :param timeout_ms: time for a whole call
+    """
+
+    def __init__(
+        self, *, address: str, port: int, role: str, timeout_ms: float
+    ) -> None:
+        self.base = f"http://{address}:{port}"
+        self.headers = HTTPHeaders({ROLE_HEADER: role})
+        self._timeout_s = timeout_ms / MS_PER_S
+        self._client = AsyncHTTPClient(
+            force_instance=True,
+            max_clients=CONCURRENT_CALLS,
+            max_body_size=REPLY_BYTES,
+        )
+
+    async def call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> HttpReply:
+        """
+        Make a call.
+
+        :param method: HTTP method
+        :param path: path and query
+        :param body: body, None without one
+        :return: the answer
+        :raises StoreRateLimited: when the platform refused it before any effect
+        :raises CallUnanswered: when it may have taken effect
+        :raises StoreUnavailable: when no connection could be opened
+        """
+        req = HTTPRequest(
+            self.base + path,
+            method=method,
+            headers=self.headers,
+            body=body,
+            connect_timeout=self._timeout_s,
+            request_timeout=self._timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            answer = await self._client.fetch(req, raise_error=False)
+        except (ConnectionRefusedError, socket.gaierror) as exc:
+            raise StoreUnavailable(f"{method} {path}: {exc}") from exc
+        except (HTTPError, OSError) as exc:
+            raise CallUnanswered(f"{method} {path}: {exc}") from exc
+        if answer.code == RATE_LIMITED:
+            raise StoreRateLimited(
+                f"{method} {path}", retry_after_ms=read_retry_after(answer.headers)
+            )
+        if answer.code >= SERVER_ERRORS:
+            raise CallUnanswered(f"{method} {path}: status {answer.code}")
+        return HttpReply(status=answer.code, body=answer.body or b"")
+
+    def close(self) -> None:
+        """Close the client."""
+        self._client.close()
+
+
+def read_retry_after(headers: HTTPHeaders) -> float:
+    """
+    Read the time that the platform asks to wait.
+
+    :param headers: of an answer with status 429
+    :return: milliseconds
+    """
+    try:
+        return float(headers.get("Retry-After", "")) * MS_PER_S
+    except ValueError:
+        return RETRY_AFTER_MS
--- /dev/null
+++ b/src/mangohatch/platform/http_watch.py
@@ -0,0 +1,107 @@
+"""Streaming of a watch over one HTTP connection."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from mangohatch.errors import RevisionCompacted, StoreUnavailable
+
+__all__ = ["watch_lines"]
+
+GONE = 410
+OK = 200
+LINES_WAITING = 1000
+LINE_BYTES = 4 * 1024 * 1024
+MS_PER_S = 1000.0
+
+
+class LineReader(HTTPMessageDelegate):
+    """Splits the body of a response into lines."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.lines: asyncio.Queue[bytes | None] = asyncio.Queue(LINES_WAITING)
+        self._rest = b""
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, ResponseStartLine)
+        self.status = start_line.code
+
+    async def data_received(self, chunk: bytes) -> None:
+        *lines, self._rest = (self._rest + chunk).split(b"\n")
+        if len(self._rest) > LINE_BYTES:
+            raise StoreUnavailable("a line of the watch is too long")
+        for line in lines:
+            await self.lines.put(line)
+
+
+async def watch_lines(
+    *, address: str, port: int, path: str, headers: HTTPHeaders, timeout_ms: float
+) -> AsyncIterator[bytes]:
+    """
+    Open a watch and read its lines.
+
+    :param address: IP address
+    :param port: TCP port
+    :param path: path and query
+    :param headers: header fields to send
+    :param timeout_ms: time to connect and to get the head of the answer
+    :return: lines; closing the iterator closes the connection
+    :raises RevisionCompacted: when the changes asked for are no longer kept
+    :raises StoreUnavailable: when the watch cannot be opened or breaks
+    """
+    try:
+        async with asyncio.timeout(timeout_ms / MS_PER_S):
+            stream = await TCPClient().connect(address, port)
+    except (OSError, StreamClosedError, TimeoutError) as exc:
+        raise StoreUnavailable(f"{path}: no connection") from exc
+    reader = LineReader()
+    params = HTTP1ConnectionParameters(no_keep_alive=True, decompress=False)
+    conn = HTTP1Connection(stream, True, params)
+    reading = asyncio.create_task(read_response(conn, path, headers, reader))
+    try:
+        while True:
+            line = await reader.lines.get()
+            if line is None:
+                break
+            if line:
+                yield line
+        if reader.status == GONE:
+            raise RevisionCompacted(path)
+        raise StoreUnavailable(f"{path}: the watch ended with {reader.status}")
+    finally:
+        reading.cancel()
+        stream.close()
+
+
+async def read_response(
+    conn: HTTP1Connection, path: str, headers: HTTPHeaders, reader: LineReader
+) -> None:
+    """
+    Send the request of a watch and read until the response ends.
+
+    :param conn: a new connection
+    :param path: path and query
+    :param headers: header fields to send
+    :param reader: receives the lines, and None at the end
+    """
+    try:
+        await conn.write_headers(RequestStartLine("GET", path, "HTTP/1.1"), headers)
+        conn.finish()
+        await conn.read_response(reader)
+    except StreamClosedError:
+        pass
+    finally:
+        if not reader.lines.full():
+            reader.lines.put_nowait(None)
--- /dev/null
+++ b/src/standins/host_list.py
@@ -0,0 +1,122 @@
+"""The platform's list of live and leaving hosts as a process, with a lag."""
+
+import argparse
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.web import Application, RequestHandler
+
+from mangohatch.clock import Clock, SystemClock
+from mangohatch.errors import StoreUnavailable
+from mangohatch.platform.host_list import HostList, HostListing, ListedHost
+
+__all__ = ["HostBook", "MemoryHostList", "make_host_list"]
+
+
+@dataclass(slots=True, kw_only=True)
+class HostBook:
+    """Hosts by name; readers see each change ``lag_ms`` after it was made."""
+
+    clock: Clock
+    lag_ms: float = 0.0
+    outage: bool = False
+    reads: int = 0
+    _changes: list[tuple[float, ListedHost]] = field(default_factory=list)
+
+    def set(self, host: ListedHost) -> None:
+        """
+        Add or change a host.
+
+        :param host: its new entry
+        """
+        self._changes.append((self.clock.now_ms(), host))
+
+    def view(self) -> HostListing:
+        """
+        Read the list as readers see it now.
+
+        :return: the hosts that are visible
+        """
+        self.reads += 1
+        limit_ms = self.clock.now_ms() - self.lag_ms
+        seen = [host for at_ms, host in self._changes if at_ms <= limit_ms]
+        hosts = {host.name: host for host in seen}
+        return HostListing(version=len(seen), hosts=tuple(hosts.values()))
+
+
+class MemoryHostList(HostList):
+    """Reads a book in the same process."""
+
+    def __init__(self, *, book: HostBook) -> None:
+        self._book = book
+
+    async def read(self) -> HostListing:
+        if self._book.outage:
+            raise StoreUnavailable("the host list does not answer")
+        return self._book.view()
+
+
+class ListHandler(RequestHandler):
+    """The list."""
+
+    def get(self) -> None:
+        book: HostBook = self.application.settings["book"]
+        if book.outage:
+            self.detach().close()
+            return
+        self.write(book.view().model_dump())
+
+
+class HostHandler(RequestHandler):
+    """One entry, written by tests and the demo."""
+
+    def put(self, name: str) -> None:
+        fields: dict[str, Any] = json.loads(self.request.body)
+        book: HostBook = self.application.settings["book"]
+        book.set(ListedHost.model_validate(fields | {"name": name}))
+
+
+class LagHandler(RequestHandler):
+    """Sets ``lag_ms`` and ``outage``."""
+
+    def put(self) -> None:
+        fields = json.loads(self.request.body)
+        book: HostBook = self.application.settings["book"]
+        book.lag_ms = float(fields.get("lag_ms", book.lag_ms))
+        book.outage = bool(fields.get("outage", book.outage))
+
+
+def make_host_list(book: HostBook | None = None) -> Application:
+    """
+    Make a host list.
+
+    :param book: its hosts; empty without
+    :return: the application
+    """
+    return Application(
+        [
+            (r"/hosts", ListHandler),
+            (r"/hosts/([^/]+)", HostHandler),
+            (r"/faults", LagHandler),
+        ],
+        book=book or HostBook(clock=SystemClock()),
+        log_function=lambda handler: None,
+    )
+
+
+async def serve(port: int) -> None:
+    """
+    Serve until cancelled.
+
+    :param port: TCP port on loopback
+    """
+    make_host_list().listen(port, "127.0.0.1")
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    asyncio.run(serve(parser.parse_args().port))
