Find entry hosts by gossip and carry messages over TCP

Cause: hosts had no links, so no part could reach its peers. Change: codec on the thrift structs (data classes bound to the generated field tables), one outgoing TCP link per peer with heartbeats, and a SWIM membership with indirect probes, suspicion, local health, whole-table comparison, tombstones and incarnations.

--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -22,6 +22,7 @@
     UnsupportedCoding,
     UnsupportedVersion,
 )
+from mangohatch.errors.peer import PeerProtocolError
 from mangohatch.errors.request import (
     BadRequest,
     DeadlineExceeded,
@@ -64,6 +65,7 @@
     "Outcome",
     "OutcomeUnknown",
     "Overloaded",
+    "PeerProtocolError",
     "RequestError",
     "RequestInProgress",
     "RequestQuarantined",
--- /dev/null
+++ b/src/mangohatch/errors/peer.py
@@ -0,0 +1,12 @@
+"""Failures of links between entry hosts."""
+
+from mangohatch.errors.base import ExitCode, MangohatchError
+
+__all__ = ["PeerProtocolError"]
+
+
+class PeerProtocolError(MangohatchError):
+    """Bytes from a peer do not form a known message."""
+
+    code = "peer_protocol"
+    exit_code = ExitCode.UNREACHABLE
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -159,6 +159,7 @@
      - peer_port
      - admin_port
      - config_revision
+     - accusers
 
     """
 
@@ -171,10 +172,11 @@
         'peer_port',
         'admin_port',
         'config_revision',
+        'accusers',
     )
 
 
-    def __init__(self, host_id=None, incarnation=None, state=None, zone=None, address=None, peer_port=None, admin_port=None, config_revision=None,):
+    def __init__(self, host_id=None, incarnation=None, state=None, zone=None, address=None, peer_port=None, admin_port=None, config_revision=None, accusers=None,):
         self.host_id = host_id
         self.incarnation = incarnation
         self.state = state
@@ -183,6 +185,7 @@
         self.peer_port = peer_port
         self.admin_port = admin_port
         self.config_revision = config_revision
+        self.accusers = accusers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -233,6 +236,16 @@
                     self.config_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.accusers = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.accusers.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -275,6 +288,13 @@
             oprot.writeFieldBegin('config_revision', TType.I64, 8)
             oprot.writeI64(self.config_revision)
             oprot.writeFieldEnd()
+        if self.accusers is not None:
+            oprot.writeFieldBegin('accusers', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.accusers))
+            for iter6 in self.accusers:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -335,11 +355,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = Member()
-                        _elem5.read(iprot)
-                        self.members.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Member()
+                        _elem12.read(iprot)
+                        self.members.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -360,8 +380,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter6 in self.members:
-                iter6.write(oprot)
+            for iter13 in self.members:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -424,11 +444,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = Member()
-                        _elem12.read(iprot)
-                        self.members.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Member()
+                        _elem19.read(iprot)
+                        self.members.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -449,8 +469,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter13 in self.members:
-                iter13.write(oprot)
+            for iter20 in self.members:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -558,6 +578,233 @@
         return not (self == other)
 
 
+class Nack(object):
+    """
+    Attributes:
+     - sequence
+
+    """
+
+    __slots__ = (
+        'sequence',
+    )
+
+
+    def __init__(self, sequence=None,):
+        self.sequence = sequence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Nack')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemberDigest(object):
+    """
+    Anti-entropy of membership: hash first, the whole table when hashes differ.
+
+    Attributes:
+     - hash
+
+    """
+
+    __slots__ = (
+        'hash',
+    )
+
+
+    def __init__(self, hash=None,):
+        self.hash = hash
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.hash = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberDigest')
+        if self.hash is not None:
+            oprot.writeFieldBegin('hash', TType.I64, 1)
+            oprot.writeI64(self.hash)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemberSync(object):
+    """
+    Attributes:
+     - members
+     - reply_wanted
+
+    """
+
+    __slots__ = (
+        'members',
+        'reply_wanted',
+    )
+
+
+    def __init__(self, members=None, reply_wanted=None,):
+        self.members = members
+        self.reply_wanted = reply_wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Member()
+                        _elem26.read(iprot)
+                        self.members.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.reply_wanted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberSync')
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter27 in self.members:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reply_wanted is not None:
+            oprot.writeFieldBegin('reply_wanted', TType.BOOL, 2)
+            oprot.writeBool(self.reply_wanted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SlotRequest(object):
     """
     Slots: a holder asks the broker of a shard for the right to use slots.
@@ -622,10 +869,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.avoid = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoid.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoid.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -663,8 +910,8 @@
         if self.avoid is not None:
             oprot.writeFieldBegin('avoid', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.avoid))
-            for iter20 in self.avoid:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter34 in self.avoid:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.isolated is not None:
@@ -753,20 +1000,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readI64()
-                        self.tokens.append(_elem32)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readI64()
+                        self.tokens.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -806,15 +1053,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.upstreams))
-            for iter33 in self.upstreams:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter47 in self.upstreams:
+                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.tokens))
-            for iter34 in self.tokens:
-                oprot.writeI64(iter34)
+            for iter48 in self.tokens:
+                oprot.writeI64(iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.linger_ms is not None:
@@ -1027,31 +1274,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = SlotUse()
-                        _elem40.read(iprot)
-                        self.uses.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = SlotUse()
+                        _elem54.read(iprot)
+                        self.uses.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.held.append(_elem46)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.held.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.held_tokens = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = iprot.readI64()
-                        self.held_tokens.append(_elem52)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = iprot.readI64()
+                        self.held_tokens.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1072,22 +1319,22 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter53 in self.uses:
-                iter53.write(oprot)
+            for iter67 in self.uses:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.held))
-            for iter54 in self.held:
-                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            for iter68 in self.held:
+                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held_tokens is not None:
             oprot.writeFieldBegin('held_tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.held_tokens))
-            for iter55 in self.held_tokens:
-                oprot.writeI64(iter55)
+            for iter69 in self.held_tokens:
+                oprot.writeI64(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1306,10 +1553,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1342,8 +1589,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.upstreams))
-            for iter62 in self.upstreams:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter76 in self.upstreams:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1525,11 +1772,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ConfigItem()
-                        _elem68.read(iprot)
-                        self.items.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = ConfigItem()
+                        _elem82.read(iprot)
+                        self.items.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1561,8 +1808,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter69 in self.items:
-                iter69.write(oprot)
+            for iter83 in self.items:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revision is not None:
@@ -1631,11 +1878,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.revisions = {}
-                    (_ktype71, _vtype72, _size70) = iprot.readMapBegin()
-                    for _i74 in range(_size70):
-                        _key75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val76 = iprot.readI64()
-                        self.revisions[_key75] = _val76
+                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
+                    for _i88 in range(_size84):
+                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val90 = iprot.readI64()
+                        self.revisions[_key89] = _val90
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1652,9 +1899,9 @@
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.revisions))
-            for kiter77, viter78 in self.revisions.items():
-                oprot.writeString(kiter77.encode('utf-8') if sys.version_info[0] == 2 else kiter77)
-                oprot.writeI64(viter78)
+            for kiter91, viter92 in self.revisions.items():
+                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
+                oprot.writeI64(viter92)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1709,10 +1956,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.names = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.names.append(_elem84)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1729,8 +1976,8 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.names))
-            for iter85 in self.names:
-                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
+            for iter99 in self.names:
+                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2296,10 +2543,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.events.append(_elem91)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.events.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2325,8 +2572,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.events))
-            for iter92 in self.events:
-                oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
+            for iter106 in self.events:
+                oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
@@ -2490,10 +2737,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.rows.append(_elem98)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.rows.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2519,8 +2766,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.rows))
-            for iter99 in self.rows:
-                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            for iter113 in self.rows:
+                oprot.writeString(iter113.encode('utf-8') if sys.version_info[0] == 2 else iter113)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2571,6 +2818,7 @@
     (6, TType.I32, 'peer_port', None, None, ),  # 6
     (7, TType.I32, 'admin_port', None, None, ),  # 7
     (8, TType.I64, 'config_revision', None, None, ),  # 8
+    (9, TType.LIST, 'accusers', (TType.STRING, 'UTF8', False), None, ),  # 9
 )
 all_structs.append(Ping)
 Ping.thrift_spec = (
@@ -2590,6 +2838,22 @@
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
 )
+all_structs.append(Nack)
+Nack.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+)
+all_structs.append(MemberDigest)
+MemberDigest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'hash', None, None, ),  # 1
+)
+all_structs.append(MemberSync)
+MemberSync.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
+    (2, TType.BOOL, 'reply_wanted', None, None, ),  # 2
+)
 all_structs.append(SlotRequest)
 SlotRequest.thrift_spec = (
     None,  # 0
--- /dev/null
+++ b/src/mangohatch/peer/listener.py
@@ -0,0 +1,88 @@
+"""The listening side of links: reads frames and echoes heartbeats."""
+
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from mangohatch.clock import Clock
+from mangohatch.errors import PeerProtocolError
+from mangohatch.peer.counters import PeerCounters
+from mangohatch.peer.frames import HEARTBEAT, FrameReader
+
+__all__ = ["PeerListener"]
+
+READ_BYTES = 65_536
+
+
+class PeerListener(TCPServer):
+    """
+    Accepts links of peers.
+
+    :param on_frame: called with each message received
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        counters: PeerCounters,
+        on_frame: Callable[[bytes], None],
+    ) -> None:
+        super().__init__()
+        self._clock = clock
+        self._counters = counters
+        self._on_frame = on_frame
+        self._streams: dict[IOStream, float] = {}
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        """
+        Read a link until it ends.
+
+        :param stream: the accepted connection
+        :param address: address of the peer's end
+        """
+        stream.set_nodelay(True)
+        reader = FrameReader()
+        try:
+            while True:
+                self._streams[stream] = self._clock.now_ms()
+                chunk = await stream.read_bytes(READ_BYTES, partial=True)
+                self.take(stream, reader.feed(chunk))
+        except StreamClosedError:
+            pass
+        except PeerProtocolError:
+            self._counters.dropped["malformed"] += 1
+        finally:
+            stream.close()
+            self._streams.pop(stream, None)
+
+    def take(self, stream: IOStream, frames: list[bytes]) -> None:
+        """
+        Handle the frames of one read.
+
+        :param stream: the connection they came on
+        :param frames: complete messages; empty ones are heartbeats
+        """
+        for frame in frames:
+            if frame:
+                self._on_frame(frame)
+            else:
+                stream.write(HEARTBEAT)
+
+    def close_idle(self, now_ms: float, idle_ms: float) -> None:
+        """
+        Close links on which nothing has arrived for long.
+
+        :param now_ms: monotonic time
+        :param idle_ms: bound of the silence
+        """
+        for stream, seen_ms in list(self._streams.items()):
+            if now_ms - seen_ms >= idle_ms:
+                stream.close()
+
+    def close(self) -> None:
+        """Stop listening and close all links."""
+        self.stop()
+        for stream in list(self._streams):
+            stream.close()
--- /dev/null
+++ b/src/mangohatch/peer/membership/service.py
@@ -0,0 +1,399 @@
+"""The membership protocol of one host: tables and the systems run each tick."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from mangohatch.clock import Clock
+from mangohatch.peer.bus import MemberView
+from mangohatch.peer.membership.health import LocalHealth
+from mangohatch.peer.membership.news import NewsQueue
+from mangohatch.peer.membership.probe import ProbeSystem
+from mangohatch.peer.membership.settings import MembershipSettings
+from mangohatch.peer.membership.suspicion import SuspicionSystem
+from mangohatch.peer.membership.sync import SyncSystem
+from mangohatch.peer.membership.table import (
+    GONE,
+    RANKS,
+    Change,
+    Endpoint,
+    MemberRow,
+    MemberState,
+    MemberTable,
+)
+from mangohatch.peer.membership.transport import MemberTransport
+from mangohatch.peer.messages import (
+    Ack,
+    Member,
+    MemberDigest,
+    MemberSync,
+    Nack,
+    Ping,
+    PingRequest,
+)
+from mangohatch.timeline.event import EventKind
+from mangohatch.timeline.recorder import Recorder
+
+__all__ = ["Membership"]
+
+ANNOUNCE_FANOUT = 32
+
+EVENTS = {
+    MemberState.ALIVE: EventKind.MEMBER_JOINED,
+    MemberState.SUSPECT: EventKind.MEMBER_SUSPECTED,
+    MemberState.DEAD: EventKind.MEMBER_DEAD,
+    MemberState.LEFT: EventKind.MEMBER_LEFT,
+}
+
+
+class Membership:
+    """
+    Which hosts are alive, as this host sees it.
+
+    It does no I/O: messages leave through the transport and arrive at
+    :meth:`receive`; time passes in :meth:`tick`.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        zone: str,
+        endpoint: Endpoint,
+        admin_port: int,
+        seeds: Iterable[Endpoint],
+        clock: Clock,
+        rng: random.Random,
+        transport: MemberTransport,
+        recorder: Recorder,
+        cfg: MembershipSettings | None = None,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._clock = clock
+        self._transport = transport
+        self._recorder = recorder
+        self._on_change = on_change
+        self._cfg = cfg or MembershipSettings()
+        self._news = NewsQueue()
+        self._last_tick_ms = clock.now_ms()
+        self.health = LocalHealth()
+        self.table = MemberTable()
+        self.replaced = False
+        self.own = Member(
+            host_id=host_id,
+            incarnation=int(clock.wall_ms()),
+            state=MemberState.ALIVE,
+            zone=zone,
+            address=endpoint.address,
+            peer_port=endpoint.port,
+            admin_port=admin_port,
+        )
+        self._probes = ProbeSystem(
+            zone=zone,
+            cfg=self._cfg,
+            rng=rng,
+            table=self.table,
+            health=self.health,
+            transport=transport,
+            take_news=self.take_news,
+            suspect=self.suspect,
+        )
+        self._suspicions = SuspicionSystem(
+            cfg=self._cfg, table=self.table, health=self.health, bury=self.bury
+        )
+        self._sync = SyncSystem(
+            own_endpoint=endpoint,
+            seeds=seeds,
+            cfg=self._cfg,
+            rng=rng,
+            table=self.table,
+            transport=transport,
+            own=lambda: self.own,
+        )
+
+    @property
+    def joined(self) -> bool:
+        """
+        Tell whether another member has answered, or there is none to ask.
+
+        :return: False while the seeds are silent
+        """
+        return self._sync.joined or self._sync.alone
+
+    def views(self) -> Sequence[MemberView]:
+        """
+        List the members believed alive.
+
+        :return: members in the order of host id, this host included
+        """
+        found = [
+            MemberView(
+                host_id=row.host_id,
+                incarnation=row.incarnation,
+                zone=row.zone,
+                leaving=row.leaving,
+            )
+            for row in self.table.live()
+        ]
+        found.append(
+            MemberView(
+                host_id=self.own.host_id,
+                incarnation=self.own.incarnation,
+                zone=self.own.zone,
+                leaving=self.own.state != MemberState.ALIVE,
+            )
+        )
+        return sorted(found, key=lambda view: view.host_id)
+
+    def add_seeds(self, seeds: Iterable[Endpoint]) -> None:
+        """
+        Add addresses through which the fleet can be reached.
+
+        :param seeds: peer addresses, for example from the platform's host objects
+        """
+        self._sync.add_seeds(seeds)
+
+    def tick(self) -> None:
+        """Run all systems; call it every few tens of milliseconds."""
+        now_ms = self._clock.now_ms()
+        gap_ms = now_ms - self._last_tick_ms
+        self._last_tick_ms = now_ms
+        if gap_ms > self._cfg.stall_ms:
+            self.health.degrade()
+            self._probes.postpone(gap_ms)
+            self._suspicions.postpone(gap_ms)
+            return
+        if self.replaced or self.own.state == MemberState.LEFT:
+            return
+        self._probes.tick(now_ms)
+        self._suspicions.tick(now_ms)
+        self._sync.tick(now_ms)
+
+    def link_broken(self, host_id: str) -> None:
+        """
+        Take a hint that a member may have died.
+
+        :param host_id: the member whose link broke
+        """
+        row = self.table.rows.get(host_id)
+        if row is not None and row.live and row.state is not MemberState.SUSPECT:
+            self._probes.hurry(host_id)
+
+    def receive(self, sender: str, message: Any) -> None:
+        """
+        Take a message of the membership protocol.
+
+        :param sender: the host that sent it
+        :param message: one of the messages of this package
+        """
+        if self.replaced:
+            return
+        now_ms = self._clock.now_ms()
+        if isinstance(message, Ping | Ack | MemberSync):
+            self.take_in(message.members)
+        row = self.table.rows.get(sender)
+        if isinstance(message, Ack):
+            self._probes.on_ack(message)
+        elif isinstance(message, Nack):
+            self._probes.on_nack(sender, message)
+        elif row is None:
+            return
+        elif isinstance(message, Ping):
+            self.answer_ping(row, message)
+        elif isinstance(message, PingRequest):
+            self._probes.on_request(sender, message, now_ms)
+        elif isinstance(message, MemberDigest):
+            self._sync.on_digest(row.endpoint, message, now_ms)
+        elif isinstance(message, MemberSync):
+            endpoint = self.reply_endpoint(row, message.members)
+            self._sync.on_sync(endpoint, message, now_ms)
+
+    def answer_ping(self, row: MemberRow, message: Ping) -> None:
+        """
+        Answer a probe; a prober that others know otherwise is told so.
+
+        :param row: what is known of the prober
+        :param message: the probe
+        """
+        endpoint = self.reply_endpoint(row, message.members)
+        news = self.take_news(None)
+        if any(
+            (one.incarnation, RANKS[MemberState(one.state)]) < row.rank
+            for one in message.members
+            if one.host_id == row.host_id
+        ):
+            news.append(row.to_message())
+        self._transport.send_to(endpoint, Ack(sequence=message.sequence, members=news))
+
+    @staticmethod
+    def reply_endpoint(row: MemberRow, members: Iterable[Member]) -> Endpoint:
+        """
+        Find where the sender of a message listens.
+
+        A replaced host that woke up states its own address, not its successor's.
+
+        :param row: what is known of the sender
+        :param members: members named by the message, the sender among them
+        :return: the address stated, else the known one
+        """
+        for stated in members:
+            if stated.host_id == row.host_id:
+                return Endpoint(stated.address, stated.peer_port)
+        return row.endpoint
+
+    def take_in(self, members: Iterable[Member]) -> None:
+        """
+        Take in news of members.
+
+        :param members: members as another host knows them
+        """
+        for news in members:
+            if news.host_id == self.own.host_id:
+                self.hear_of_self(news)
+            else:
+                self.hear(news)
+
+    def hear(self, news: Member) -> None:
+        """
+        Take in news of another member and pass on what is new.
+
+        :param news: the member as another host knows it
+        """
+        before = self.table.rows.get(news.host_id)
+        state_before = before.state if before else None
+        change = self.table.apply(news, now_ms=self._clock.now_ms())
+        row = self.table.rows[news.host_id]
+        if change is Change.OUTDATED and not row.live:
+            self.publish(row)
+        if change in (Change.JOINED, Change.UPDATED):
+            self._news.put(row.to_message())
+            if change is Change.JOINED or row.state is not state_before:
+                self.record(row, joined=change is Change.JOINED)
+                self._on_change()
+
+    def hear_of_self(self, news: Member) -> None:
+        """
+        Refute news of this host that are wrong.
+
+        :param news: this host as another host knows it
+        """
+        own = self.own
+        rank = (news.incarnation, RANKS[MemberState(news.state)])
+        if rank <= (own.incarnation, RANKS[MemberState(own.state)]):
+            return
+        elsewhere = (news.address, news.peer_port) != (own.address, own.peer_port)
+        if elsewhere and self._sync.joined and news.state not in GONE:
+            self.replaced = True
+            self.record_self(EventKind.MEMBER_DEAD, cause="replaced by a newer host")
+            self._on_change()
+            return
+        if own.state == MemberState.LEFT:
+            return
+        if news.incarnation == own.incarnation:
+            self.health.degrade()
+        own.incarnation = news.incarnation + 1
+        self._news.put(self.copy_own())
+
+    def suspect(self, row: MemberRow, accusers: Iterable[str]) -> None:
+        """
+        Suspect a member whose probe got no answer.
+
+        :param row: the member
+        :param accusers: other hosts whose probes failed too
+        """
+        news = row.to_message()
+        news.state = MemberState.SUSPECT
+        news.accusers = sorted({self.own.host_id, *row.accusers, *accusers})
+        self.hear(news)
+
+    def bury(self, row: MemberRow) -> None:
+        """
+        Declare a suspect dead.
+
+        :param row: the suspect
+        """
+        news = row.to_message()
+        news.state = MemberState.DEAD
+        news.accusers = []
+        self.hear(news)
+
+    def set_leaving(self) -> None:
+        """Announce that this host takes no new work and will leave."""
+        if self.own.state == MemberState.ALIVE:
+            self.own.state = MemberState.LEAVING
+            self.announce()
+
+    def set_left(self) -> None:
+        """Announce that this host is gone; nothing is sent after this."""
+        if not self.replaced:
+            self.own.state = MemberState.LEFT
+            self.announce()
+
+    def announce(self) -> None:
+        """Send the own entry to some members at once; gossip does the rest."""
+        self._news.put(self.copy_own())
+        message = MemberSync(members=[self.copy_own()], reply_wanted=False)
+        for row in list(self.table.live())[:ANNOUNCE_FANOUT]:
+            self._transport.send_to(row.endpoint, message)
+
+    def set_revision(self, revision: int) -> None:
+        """
+        State the configuration in force here, for others to see.
+
+        :param revision: revision of the store
+        """
+        self.own.config_revision = revision
+
+    def take_news(self, target: MemberRow | None) -> list[Member]:
+        """
+        Choose the news for one message: this host, the target if suspect, changes.
+
+        :param target: the receiver of a probe, None for an answer
+        :return: members
+        """
+        if target is not None and target.state is MemberState.SUSPECT:
+            return [self.own, target.to_message()]
+        fleet_size = len(self.table.rows) + 1
+        news = self._news.take(self._cfg.news_per_message, fleet_size=fleet_size)
+        return [self.own, *news]
+
+    def publish(self, row: MemberRow) -> None:
+        """
+        Spread a member's entry.
+
+        :param row: the member
+        """
+        self._news.put(row.to_message())
+
+    def copy_own(self) -> Member:
+        """
+        Copy the own entry, which may change later.
+
+        :return: the copy
+        """
+        return dataclasses.replace(self.own)
+
+    def record(self, row: MemberRow, *, joined: bool) -> None:
+        """
+        Record a change of a member on the time line.
+
+        :param row: the member after the change
+        :param joined: whether it was not live before
+        """
+        kind = EventKind.MEMBER_JOINED if joined else EVENTS.get(row.state)
+        if kind is not None:
+            accusers = ",".join(sorted(row.accusers))
+            cause = f"{row.host_id} {row.state}"
+            self._recorder.record(
+                kind, cause=f"{cause}, accused by {accusers}" if accusers else cause
+            )
+
+    def record_self(self, kind: EventKind, *, cause: str) -> None:
+        """
+        Record an event about this host.
+
+        :param kind: what happened
+        :param cause: why
+        """
+        self._recorder.record(kind, cause=f"{self.own.host_id} {cause}")
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -11,6 +11,9 @@
     "EventBatch",
     "EventQuery",
     "Member",
+    "MemberDigest",
+    "MemberSync",
+    "Nack",
     "OrderConfirm",
     "OrderConfirmed",
     "OrderPrepare",
@@ -30,7 +33,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class Member:
-    """A member as one host knows it; ``state`` is a MemberState value."""
+    """
+    A member as one host knows it; ``state`` is a MemberState value.
+
+    ``accusers`` are the hosts whose own probes failed, where the state is suspect.
+    """
 
     host_id: str = ""
     incarnation: int = 0
@@ -40,6 +47,7 @@
     peer_port: int = 0
     admin_port: int = 0
     config_revision: int = 0
+    accusers: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -66,6 +74,28 @@
     target: str = ""
 
 
+@dataclass(slots=True, kw_only=True)
+class Nack:
+    """States that the requested probe got no answer."""
+
+    sequence: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class MemberDigest:
+    """Hash of the sender's membership table."""
+
+    hash: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class MemberSync:
+    """The sender's whole membership table."""
+
+    members: list[Member] = field(default_factory=list)
+    reply_wanted: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class SlotRequest:
     """Asks the broker of a shard for the right to use slots within ``wait_ms``."""
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -21,6 +21,7 @@
   6: i32 peer_port,
   7: i32 admin_port,
   8: i64 config_revision,
+  9: list<string> accusers,
 }
 
 struct Ping {
@@ -38,6 +39,20 @@
   2: string target,
 }
 
+struct Nack {
+  1: i64 sequence,
+}
+
+/** Anti-entropy of membership: hash first, the whole table when hashes differ. */
+struct MemberDigest {
+  1: i64 hash,
+}
+
+struct MemberSync {
+  1: list<Member> members,
+  2: bool reply_wanted,
+}
+
 /** Slots: a holder asks the broker of a shard for the right to use slots. */
 struct SlotRequest {
   1: string shard,
--- /dev/null
+++ b/tests/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the links between entry hosts."""
--- /dev/null
+++ b/tests/peer/membership/test_membership.py
@@ -0,0 +1,128 @@
+"""Tests of membership in virtual time."""
+
+from mangohatch.timeline.event import EventKind
+from tests.functions import function_tests
+from tests.peer.membership.network import Network
+
+load_tests = function_tests(__name__)
+
+SETTLE_MS = 15_000.0
+FORGET_FLEET_MS = 60_000.0
+
+
+def names(nodes):
+    return {node.host_id for node in nodes}
+
+
+def assert_agreed(nodes):
+    for node in nodes:
+        assert node.live() == names(nodes), (node.host_id, node.live())
+
+
+def count_deaths(nodes):
+    return sum(
+        event.kind is EventKind.MEMBER_DEAD
+        for node in nodes
+        for event in node.recorder.events()
+    )
+
+
+def test_fleet_joins_through_seeds():
+    network = Network(seed=1)
+    nodes = network.start_fleet(17)
+    network.run(SETTLE_MS)
+    assert_agreed(nodes)
+    assert all(node.membership.joined for node in nodes)
+
+
+def test_dead_host_is_found_and_its_successor_under_the_same_id_joins():
+    network = Network(seed=2)
+    nodes = network.start_fleet(8)
+    network.run(SETTLE_MS)
+    nodes[3].running = False
+    network.run(SETTLE_MS)
+    rest = [node for node in nodes if node is not nodes[3]]
+    assert_agreed(rest)
+    successor = network.start("entry-3")
+    network.run(SETTLE_MS)
+    assert_agreed([*rest, successor])
+
+
+def test_successor_beats_a_predecessor_that_wakes_up():
+    network = Network(seed=3)
+    nodes = network.start_fleet(8)
+    network.run(SETTLE_MS)
+    ghost = nodes[3]
+    ghost.paused_until_ms = network.clock.now_ms() + 2 * SETTLE_MS
+    successor = network.start("entry-3")
+    network.run(4 * SETTLE_MS)
+    assert ghost.membership.replaced
+    others = [node for node in nodes if node is not ghost]
+    assert_agreed([*others, successor])
+    for node in others:
+        row = node.membership.table.rows["entry-3"]
+        assert row.endpoint == successor.endpoint
+
+
+def test_host_whose_clock_lags_replaces_one_with_a_later_start():
+    network = Network(seed=4)
+    nodes = network.start_fleet(5)
+    network.run(SETTLE_MS)
+    nodes[2].membership.own.incarnation += 10_000_000
+    network.run(SETTLE_MS)
+    nodes[2].running = False
+    successor = network.start("entry-2")
+    network.run(2 * SETTLE_MS)
+    rest = [node for node in nodes if node is not nodes[2]]
+    assert not successor.membership.replaced
+    assert_agreed([*rest, successor])
+
+
+def test_departed_host_is_dropped_without_suspicion():
+    network = Network(seed=5)
+    nodes = network.start_fleet(8)
+    network.run(SETTLE_MS)
+    nodes[0].membership.set_leaving()
+    network.run(1000.0)
+    assert all(
+        next(v for v in node.membership.views() if v.host_id == "entry-0").leaving
+        for node in nodes
+    )
+    nodes[0].membership.set_left()
+    nodes[0].running = False
+    network.run(1000.0)
+    assert_agreed(nodes[1:])
+    assert count_deaths(nodes) == 0
+
+
+def test_partition_heals():
+    network = Network(seed=6)
+    nodes = network.start_fleet(9)
+    network.run(SETTLE_MS)
+    network.sides = {node.endpoint: 1 for node in nodes[:3]}
+    network.run(FORGET_FLEET_MS)
+    assert_agreed(nodes[:3])
+    assert_agreed(nodes[3:])
+    network.sides = {}
+    network.run(2 * SETTLE_MS)
+    assert_agreed(nodes)
+
+
+def test_paused_host_wakes_without_burying_others():
+    network = Network(seed=7)
+    nodes = network.start_fleet(9)
+    network.run(SETTLE_MS)
+    nodes[4].paused_until_ms = network.clock.now_ms() + FORGET_FLEET_MS
+    network.run(FORGET_FLEET_MS + SETTLE_MS)
+    assert_agreed(nodes)
+    assert count_deaths([nodes[4]]) == 0
+
+
+def test_loss_of_a_tenth_kills_nobody():
+    network = Network(seed=8)
+    nodes = network.start_fleet(9)
+    network.run(SETTLE_MS)
+    network.loss = 0.1
+    network.run(FORGET_FLEET_MS)
+    assert count_deaths(nodes) == 0
+    assert_agreed(nodes)
--- /dev/null
+++ b/tests/peer/test_codec.py
@@ -0,0 +1,96 @@
+"""Tests of the message codec and of frames."""
+
+import random
+
+from mangohatch.errors import PeerProtocolError
+from mangohatch.peer import messages
+from mangohatch.peer.codec import decode_body, decode_envelope, encode
+from mangohatch.peer.frames import MAX_FRAME_BYTES, FrameReader, make_frame
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+DAMAGED_MESSAGES = 2000
+
+
+def encode_one(message):
+    return encode(
+        message, sender="entry-1", incarnation=7, time_ms=1_700_000_000_000.25, count=3
+    )
+
+
+def make_filled(kind):
+    values = {"int": 7, "float": 2.5, "str": "puno", "bool": True}
+    nested = {"members": [messages.Member(host_id="a", accusers=["b"])]}
+    nested["items"] = [messages.ConfigItem(kind="service", name="s", revision=4)]
+    nested["revisions"] = {"service/s": 4}
+    fields = {}
+    for name, field in kind.__dataclass_fields__.items():
+        kind_name = getattr(field.type, "__name__", "")
+        fields[name] = nested.get(name, values.get(kind_name, ["x", "y"]))
+    return kind(**fields)
+
+
+def test_every_message_survives_encoding():
+    for name in messages.__all__:
+        message = make_filled(getattr(messages, name))
+        envelope = decode_envelope(encode_one(message))
+        assert decode_body(envelope) == message, name
+        assert (envelope.sender, envelope.incarnation) == ("entry-1", 7)
+
+
+def test_clock_reading_is_never_rounded_down():
+    envelope = decode_envelope(encode_one(messages.Ack()))
+    assert envelope.sent_wall_us / 1000 >= 1_700_000_000_000.25
+
+
+def test_damaged_bytes_raise_a_typed_error(rng):
+    data = encode_one(messages.SlotGrant(service_name="tablero-misa", upstream="u1"))
+    refused = 0
+    for _ in range(DAMAGED_MESSAGES):
+        damaged = bytearray(data)
+        damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+        try:
+            decode_body(decode_envelope(bytes(damaged[: rng.randrange(len(damaged))])))
+        except PeerProtocolError:
+            refused += 1
+    assert refused > 0
+
+
+def test_message_of_wrong_type_is_refused():
+    try:
+        encode_one(messages.SlotGrant(token="not a number"))  # type: ignore[arg-type]
+    except PeerProtocolError as exc:
+        assert "SlotGrant" in str(exc)
+    else:
+        raise AssertionError("encoded a token that is no number")
+
+
+def test_frames_are_cut_at_any_chunk_size():
+    frames = [b"a", b"", b"bcd" * 100]
+    stream = b"".join(make_frame(frame) for frame in frames)
+    for size in range(1, 20):
+        reader = FrameReader()
+        found = []
+        for start in range(0, len(stream), size):
+            found += reader.feed(stream[start : start + size])
+        assert found == frames
+
+
+def test_too_large_frame_is_refused():
+    length = (MAX_FRAME_BYTES + 1).to_bytes(4, "big")
+    try:
+        FrameReader().feed(length)
+    except PeerProtocolError:
+        pass
+    else:
+        raise AssertionError("accepted a frame above the limit")
+
+
+def test_random_bytes_never_crash_the_decoder():
+    source = random.Random(2)
+    for size in range(200):
+        try:
+            decode_body(decode_envelope(source.randbytes(size)))
+        except PeerProtocolError:
+            continue
