Measure what an entry host adds to a call

Cause: the added time is the figure that users weigh most.

Change: bench.overhead runs a stand-in upstream and an entry host as processes and calls both in turn over kept connections.

--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,270 @@
+"""Time and processor time that an entry host adds to a call."""
+
+import json
+import os
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from cyclopts import App
+
+app = App(name="bench.overhead", help="Measure what an entry host adds to a call.")
+
+RESULT = Path(__file__).parent / "results" / "overhead.json"
+TARGET_P99_MS = 0.46
+LOOPBACK = "127.0.0.1"
+START_TIMEOUT_S = 15.0
+WARM_UP_PAIRS = 500
+RESPONSE_BYTES = 200
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(slots=True, kw_only=True)
+class Overhead:
+    """
+    Result of one run.
+
+    ``added`` is the difference of equal percentiles, ``paired`` the percentile of
+    the differences between two calls made one after the other.
+    """
+
+    pairs: int
+    load_average: float
+    direct_p50_ms: float
+    direct_p99_ms: float
+    proxied_p50_ms: float
+    proxied_p99_ms: float
+    added_p50_ms: float
+    added_p99_ms: float
+    paired_p99_ms: float
+    cpu_us_per_request: float
+    target_p99_ms: float
+    met: bool
+
+
+class RawCaller:
+    """A caller that keeps one connection open and blocks for each response."""
+
+    def __init__(self, port: int) -> None:
+        self._sock = connect(port)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._request = (
+            f"GET /bench/x?size={RESPONSE_BYTES}&work_ms=0 HTTP/1.1\r\n"
+            f"Host: {LOOPBACK}:{port}\r\nUser-Agent: bench\r\nAccept: */*\r\n\r\n"
+        ).encode()
+
+    def call_ms(self) -> float:
+        """
+        Send a request and read its whole response.
+
+        :return: milliseconds taken
+        """
+        started_ns = time.perf_counter_ns()
+        self._sock.sendall(self._request)
+        data = self._sock.recv(65_536)
+        while not is_whole(data):
+            more = self._sock.recv(65_536)
+            assert more, "the connection was closed"
+            data += more
+        elapsed_ns = time.perf_counter_ns() - started_ns
+        assert data.startswith(b"HTTP/1.1 200"), data[:200]
+        return elapsed_ns / 1e6
+
+
+def is_whole(data: bytes) -> bool:
+    """
+    Tell whether a response was read to its end.
+
+    :param data: bytes read so far
+    :return: whether head and body are there
+    """
+    head, separator, body = data.partition(b"\r\n\r\n")
+    return bool(separator) and len(body) == RESPONSE_BYTES
+
+
+def connect(port: int) -> socket.socket:
+    """
+    Connect to a process that may still be starting.
+
+    :param port: TCP port on loopback
+    :return: the connection
+    """
+    ends = time.monotonic() + START_TIMEOUT_S
+    while True:
+        try:
+            return socket.create_connection((LOOPBACK, port), timeout=5)
+        except ConnectionRefusedError:
+            if time.monotonic() > ends:
+                raise
+            time.sleep(0.05)
+
+
+def free_ports(count: int) -> list[int]:
+    """
+    Find ports that nothing listens on.
+
+    :param count: number of ports
+    :return: the ports
+    """
+    socks = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def make_settings(entry_port: int, upstream_port: int) -> str:
+    """
+    Make the settings of the entry host.
+
+    :param entry_port: where callers connect
+    :param upstream_port: where the upstream listens
+    :return: JSON text
+    """
+    upstream = {
+        "name": "u1",
+        "address": LOOPBACK,
+        "port": upstream_port,
+        "zone": "puno",
+    }
+    service = {"name": "bench", "path_prefix": "/bench", "upstreams": [upstream]}
+    settings = {
+        "host_id": "h1",
+        "zone": "puno",
+        "region": "sur-andino",
+        "entry": {"address": LOOPBACK, "port": entry_port},
+        "balancer_delay_ms": 0,
+        "services": [service],
+    }
+    return json.dumps(settings)
+
+
+def cpu_ticks(pid: int) -> int:
+    """
+    Read the processor time of a process.
+
+    :param pid: its id
+    :return: clock ticks in user and system mode
+    """
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return int(fields[11]) + int(fields[12])
+
+
+def percentile(samples: list[float], share: float) -> float:
+    """
+    Compute a percentile.
+
+    :param samples: samples in any order
+    :param share: 0 to 1
+    :return: the sample of that rank
+    """
+    ordered = sorted(samples)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def measure(direct: RawCaller, proxied: RawCaller, pid: int, pairs: int) -> Overhead:
+    """
+    Call both ways in turn.
+
+    :param direct: calls the upstream
+    :param proxied: calls the entry host
+    :param pid: process id of the entry host
+    :param pairs: calls each way
+    :return: what was seen
+    """
+    for _ in range(WARM_UP_PAIRS):
+        direct.call_ms()
+        proxied.call_ms()
+    load = os.getloadavg()[0]
+    ticks = cpu_ticks(pid)
+    samples = [(direct.call_ms(), proxied.call_ms()) for _ in range(pairs)]
+    cpu_us = (cpu_ticks(pid) - ticks) * 1e6 / TICKS_PER_SECOND / pairs
+    near = [pair[0] for pair in samples]
+    far = [pair[1] for pair in samples]
+    added_p99_ms = percentile(far, 0.99) - percentile(near, 0.99)
+    return Overhead(
+        pairs=pairs,
+        load_average=load,
+        direct_p50_ms=statistics.median(near),
+        direct_p99_ms=percentile(near, 0.99),
+        proxied_p50_ms=statistics.median(far),
+        proxied_p99_ms=percentile(far, 0.99),
+        added_p50_ms=statistics.median(far) - statistics.median(near),
+        added_p99_ms=added_p99_ms,
+        paired_p99_ms=percentile([b - a for a, b in samples], 0.99),
+        cpu_us_per_request=cpu_us,
+        target_p99_ms=TARGET_P99_MS,
+        met=added_p99_ms <= TARGET_P99_MS,
+    )
+
+
+def stop(process: subprocess.Popen) -> None:
+    """
+    End a process that this bench started.
+
+    :param process: the process
+    """
+    process.terminate()
+    try:
+        process.wait(5)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+@app.default
+def main(*, pairs: int = 10_000, profile: Path | None = None) -> None:
+    """
+    Run an upstream and an entry host and call them in turn.
+
+    :param pairs: calls each way
+    :param profile: write a profile of the entry host to this file
+    """
+    entry_port, upstream_port = free_ports(2)
+    python = [sys.executable, "-m"]
+    traced = ["cProfile", "-o", str(profile), "-m"] if profile else []
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as settings:
+        settings.write(make_settings(entry_port, upstream_port))
+        settings.flush()
+        upstream = subprocess.Popen(
+            python + ["standins.upstream", "--port", str(upstream_port)],
+            stdout=subprocess.DEVNULL,
+        )
+        entry = subprocess.Popen(
+            python + traced + ["mangohatch", "run", settings.name],
+            stderr=subprocess.DEVNULL,
+        )
+        try:
+            direct = RawCaller(upstream_port)
+            proxied = RawCaller(entry_port)
+            result = measure(direct, proxied, entry.pid, pairs)
+        finally:
+            stop(entry)
+            stop(upstream)
+    report(result)
+
+
+def report(result: Overhead) -> None:
+    """
+    Print a result and write it to the results folder.
+
+    :param result: what was measured
+    """
+    values = {
+        name: round(value, 4) if isinstance(value, float) else value
+        for name, value in asdict(result).items()
+    }
+    RESULT.parent.mkdir(exist_ok=True)
+    RESULT.write_text(json.dumps(values, indent=2) + "\n", encoding="utf-8")
+    for name, value in values.items():
+        print(f"{name:22} {value}")
+    print(json.dumps(values))
+
+
+if __name__ == "__main__":
+    app()
