Write heads in one piece and parse fields line by line

Change: mangohatch.wire joins and encodes a head once and passes each field to HTTPHeaders.add, which still checks it; writes return the stream's own future.

--- a/src/mangohatch/entry/connection.py
+++ b/src/mangohatch/entry/connection.py
@@ -7,6 +7,7 @@
 from mangohatch.entry.body import RequestBody
 from mangohatch.entry.head import parse_head
 from mangohatch.errors import BadRequest
+from mangohatch.wire import format_head
 
 __all__ = ["CallerConnection"]
 
@@ -22,6 +23,7 @@
     max_body_size=MAX_BODY_BYTES,
 )
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+BODYLESS_CODES = frozenset({204, 304})
 LAST_CHUNK = b"0\r\n\r\n"
 UNKNOWN_LINE = RequestStartLine("GET", "/", "HTTP/1.1")
 
@@ -106,6 +108,37 @@
         self._read_finished = True
         body.end()
 
+    def write_headers(self, start_line, headers, chunk=None):
+        request = self._request_start_line or UNKNOWN_LINE
+        code = start_line.code
+        bodyless = request.method == "HEAD" or code in BODYLESS_CODES
+        length = headers.get("Content-Length")
+        self._expected_content_remaining = None
+        if bodyless:
+            self._expected_content_remaining = 0
+        elif length is not None:
+            self._expected_content_remaining = int(length)
+        elif request.version == "HTTP/1.1":
+            self._chunking_output = True
+            headers["Transfer-Encoding"] = "chunked"
+        else:
+            self._disconnect_on_finish = True
+        if self._disconnect_on_finish:
+            headers["Connection"] = "close"
+        elif request.version == "HTTP/1.0":
+            headers["Connection"] = "keep-alive"
+        data = format_head(f"HTTP/1.1 {code} {start_line.reason}", headers)
+        if chunk:
+            data += self._format_chunk(chunk)
+        return self._send(data)
+
+    def write(self, chunk):
+        return self._send(self._format_chunk(chunk))
+
+    def _send(self, data: bytes):
+        self._pending_write = self.stream.write(data)
+        return self._pending_write
+
     def finish(self) -> None:
         if not self._read_finished:
             self._disconnect_on_finish = True
--- a/src/mangohatch/entry/head.py
+++ b/src/mangohatch/entry/head.py
@@ -19,6 +19,7 @@
     UnsupportedCoding,
     UnsupportedVersion,
 )
+from mangohatch.wire import parse_fields
 
 __all__ = ["MAX_HEAD_BYTES", "decode_path", "parse_head"]
 
@@ -46,14 +47,14 @@
         raise HeaderTooLarge(f"the request head has more than {MAX_HEAD_BYTES} bytes")
     if data.count(b"\n") != data.count(b"\r\n"):
         raise BadRequest("a line of the request head ends without carriage return")
-    first, _, rest = data.decode("latin1").partition("\r\n")
+    first, *fields = data.decode("latin1").rstrip("\r\n").split("\r\n")
     try:
         line = parse_request_start_line(first)
     except HTTPInputError as exc:
         raise BadRequest(f"the request line is malformed: {exc}") from exc
     check_line(line)
     try:
-        headers = HTTPHeaders.parse(rest)
+        headers = parse_fields(fields)
     except HTTPInputError as exc:
         raise BadRequest(f"a header field is malformed: {exc}") from exc
     check_host(line, headers)
--- a/src/mangohatch/entry/sink.py
+++ b/src/mangohatch/entry/sink.py
@@ -43,10 +43,12 @@
         head.headers[OUTCOME_HEADER] = self.outcome
         head.headers[REQUEST_ID_HEADER] = self._request_id
         self.head = self._head = head
-        self._flush = asyncio.get_running_loop().call_soon(self._write_head, None)
+        self._flush = asyncio.get_running_loop().call_soon(self._flush_head)
 
     def write(self, chunk: bytes) -> Awaitable[None] | None:
         self.body_bytes += len(chunk)
+        if self._conn.stream.closed():
+            return None
         if self._head is not None:
             fut = self._write_head(chunk)
         else:
@@ -66,8 +68,7 @@
 
         :raises UpstreamAborted: when the body is shorter than announced
         """
-        if self._head is not None:
-            self._write_head(None)
+        self._flush_head()
         if self._conn.is_short:
             raise UpstreamAborted("the response is shorter than announced")
         self._conn.finish()
@@ -86,6 +87,10 @@
         self.body_bytes = 0
         return True
 
+    def _flush_head(self) -> None:
+        if self._head is not None and not self._conn.stream.closed():
+            self._write_head(None)
+
     def _write_head(self, chunk: bytes | None) -> Awaitable[None]:
         assert self._head is not None and self._flush is not None
         self._flush.cancel()
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -19,6 +19,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import ResponseUnframed, UpstreamAborted, UpstreamUnreachable
+from mangohatch.wire import format_head, parse_fields
 
 __all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
 
@@ -29,6 +30,8 @@
 MAX_BODY_BYTES = 1 << 40
 MAX_INTERIM_RESPONSES = 10
 SWITCHING_PROTOCOLS = 101
+# Requests with these methods always have a body, if only an empty one.
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 
@@ -159,7 +162,18 @@
         """
         self.exchanges += 1
         self.sent_ms = self._clock.now_ms()
-        self.write_headers(line, headers, chunk)
+        self._request_start_line = line
+        self._chunking_output = (
+            "Content-Length" not in headers and line.method in BODY_METHODS
+        )
+        self._expected_content_remaining = None
+        if self._chunking_output:
+            headers["Transfer-Encoding"] = "chunked"
+        data = format_head(f"{line.method} {line.path} HTTP/1.1", headers)
+        if chunk:
+            data += self._format_chunk(chunk)
+        if not self.stream.closed():
+            self.stream.write(data)
 
     async def send_rest(self, body: AsyncIterator[bytes]) -> None:
         """
@@ -169,7 +183,7 @@
         :raises StreamClosedError: when the connection breaks
         """
         async for chunk in body:
-            await self.write(chunk)
+            await self.stream.write(self._format_chunk(chunk))
         if self._chunking_output:
             await self.stream.write(b"0\r\n\r\n")
 
@@ -192,8 +206,9 @@
     async def _read_one_head(self) -> ResponseHead:
         try:
             data = await self.stream.read_until_regex(HEAD_END, MAX_HEADER_BYTES)
-            text, headers = self._parse_headers(data)
-            line = parse_response_start_line(text)
+            first, *fields = data.decode("latin1").strip("\r\n").split("\r\n")
+            line = parse_response_start_line(first)
+            headers = parse_fields(fields)
         except StreamClosedError as exc:
             raise UpstreamAborted("connection broke before the response") from exc
         except HTTPInputError as exc:
--- /dev/null
+++ b/src/mangohatch/wire.py
@@ -0,0 +1,42 @@
+"""Reading and writing of the fields of HTTP/1.1 heads."""
+
+from tornado.httputil import HTTPHeaders, HTTPInputError
+
+__all__ = ["format_head", "parse_fields"]
+
+LINE_END = "\r\n"
+WHITESPACE = " \t"
+
+
+def parse_fields(lines: list[str]) -> HTTPHeaders:
+    """
+    Parse header lines; each name and value is checked by tornado.
+
+    :param lines: lines without line ends
+    :return: the fields
+    :raises HTTPInputError: when a line is malformed or folded
+    """
+    headers = HTTPHeaders()
+    for line in lines:
+        name, colon, value = line.partition(":")
+        if not colon:
+            raise HTTPInputError("no colon in header line")
+        headers.add(name, value.strip(WHITESPACE))
+    return headers
+
+
+def format_head(first: str, headers: HTTPHeaders) -> bytes:
+    """
+    Write a head.
+
+    :param first: request line or status line
+    :param headers: header fields
+    :return: the head with its empty line
+    :raises ValueError: when a value would start another line
+    """
+    lines = [first]
+    lines += [f"{name}: {value}" for name, value in headers.get_all()]
+    text = LINE_END.join(lines)
+    if text.count("\n") != len(lines) - 1 or text.count("\r") != len(lines) - 1:
+        raise ValueError("a header field holds a line end")
+    return f"{text}\r\n\r\n".encode("latin1")
