Answer operators' sentences over HTTP from all hosts

Cause: nothing told operators what is true now. Client: admin.client.query(address, text) and render(reply).

--- /dev/null
+++ b/src/mangohatch/admin/client.py
@@ -0,0 +1,58 @@
+"""Client side of the operators' language."""
+
+import asyncio
+
+from pydantic import ValidationError
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from mangohatch.admin.render import render
+from mangohatch.admin.reply import Reply
+from mangohatch.errors import HostUnanswered
+
+__all__ = ["ask", "query", "render"]
+
+TIMEOUT_S = 20.0
+ORDER_ID_HEADER = "X-Order-Id"
+
+
+def query(address: str, text: str, *, order_id: str = "") -> Reply:
+    """
+    Send a sentence to an entry host and wait for the answer.
+
+    :param address: IP address and port of its operators' server
+    :param text: the sentence
+    :param order_id: id for an order, so that it can be sent again; may be empty
+    :return: the answer
+    :raises HostUnanswered: when the host gives none
+    """
+    return asyncio.run(ask(address, text, order_id=order_id))
+
+
+async def ask(address: str, text: str, *, order_id: str = "") -> Reply:
+    """
+    Send a sentence to an entry host.
+
+    :param address: IP address and port of its operators' server
+    :param text: the sentence
+    :param order_id: id for an order, so that it can be sent again; may be empty
+    :return: the answer
+    :raises HostUnanswered: when the host gives none
+    """
+    client = AsyncHTTPClient(force_instance=True)
+    headers = {"Content-Type": "text/plain; charset=utf-8"}
+    if order_id:
+        headers[ORDER_ID_HEADER] = order_id
+    try:
+        response = await client.fetch(
+            f"http://{address}/query",
+            method="POST",
+            headers=headers,
+            body=text.encode(),
+            raise_error=False,
+            request_timeout=TIMEOUT_S,
+        )
+        return Reply.model_validate_json(response.body or b"")
+    except (HTTPError, OSError, ValueError, ValidationError) as exc:
+        raise HostUnanswered(f"no answer from {address}: {exc}") from exc
+    finally:
+        client.close()
--- /dev/null
+++ b/src/mangohatch/admin/events.py
@@ -0,0 +1,123 @@
+"""Reads of the time line of all hosts."""
+
+import uuid
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pydantic import TypeAdapter, ValidationError
+
+from mangohatch.clock import Clock
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.exchange import Exchange
+from mangohatch.peer.messages import EventBatch, EventQuery
+from mangohatch.timeline import Event, EventSelection, Recorder, merge_events
+from mangohatch.timeline.codec import decode_event, encode_event
+
+__all__ = ["EventReader", "FleetEvents"]
+
+WAIT_MS = 1000.0
+RESEND_MS = 300.0
+DEFAULT_LIMIT = 200
+MAX_LIMIT = 5000
+
+SELECTION = TypeAdapter(EventSelection)
+
+
+@dataclass(slots=True, kw_only=True)
+class FleetEvents:
+    """Events of all hosts that answered, in causal order."""
+
+    events: Sequence[Event]
+    silent_hosts: Sequence[str]
+
+
+class EventReader:
+    """
+    Asks every live member for events, and answers others' questions.
+
+    :param bus: messages to other hosts
+    :param clock: source of time
+    :param recorder: events of this host
+    """
+
+    def __init__(self, *, bus: PeerBus, clock: Clock, recorder: Recorder) -> None:
+        self._bus = bus
+        self._clock = clock
+        self._recorder = recorder
+        self._open: dict[str, Exchange[Sequence[Event]]] = {}
+        bus.subscribe(EventQuery, self.on_query)
+        bus.subscribe(EventBatch, self.on_batch)
+
+    async def ask(self, selection: EventSelection, *, limit: int = 0) -> FleetEvents:
+        """
+        Read events from all members.
+
+        :param selection: which events
+        :param limit: the most events, the latest are kept; 0 for the default
+        :return: events, and the hosts that stayed silent
+        """
+        limit = min(limit or DEFAULT_LIMIT, MAX_LIMIT)
+        query = EventQuery(
+            query_id=uuid.uuid4().hex,
+            filter_json=SELECTION.dump_json(selection).decode(),
+            limit=limit,
+        )
+        exchange: Exchange[Sequence[Event]] = Exchange(
+            bus=self._bus, clock=self._clock, message=query
+        )
+        self._open[query.query_id] = exchange
+        exchange.take(self._bus.host_id, self.select(selection, limit))
+        members = frozenset(view.host_id for view in self._bus.members())
+        try:
+            silent = await exchange.run(
+                wanted=lambda: members,
+                final=lambda answer: True,
+                wait_ms=WAIT_MS,
+                resend_ms=RESEND_MS,
+            )
+        finally:
+            del self._open[query.query_id]
+        events = merge_events(exchange.answers.values(), limit=limit)
+        return FleetEvents(events=events, silent_hosts=sorted(silent))
+
+    def select(self, selection: EventSelection, limit: int) -> Sequence[Event]:
+        """
+        Choose events of this host.
+
+        :param selection: which events
+        :param limit: the most events, the latest are kept
+        :return: events, oldest first
+        """
+        return list(selection.select(self._recorder.events()))[-limit:]
+
+    def on_query(self, sender: str, query: EventQuery) -> None:
+        """
+        Answer another host's question.
+
+        :param sender: the host
+        :param query: its question
+        """
+        try:
+            selection = SELECTION.validate_json(query.filter_json)
+        except ValidationError:
+            return
+        limit = max(1, min(query.limit, MAX_LIMIT))
+        events = [encode_event(event) for event in self.select(selection, limit)]
+        batch = EventBatch(query_id=query.query_id, events=events, last=True)
+        self._bus.send(sender, batch)
+
+    def on_batch(self, sender: str, batch: EventBatch) -> None:
+        """
+        Take another host's events; those that come too late are dropped.
+
+        :param sender: the host
+        :param batch: its events
+        """
+        exchange = self._open.get(batch.query_id)
+        if exchange is None:
+            return
+        try:
+            events = [decode_event(text) for text in batch.events]
+        except (TypeError, ValueError):
+            return
+        exchange.take(sender, events)
--- /dev/null
+++ b/src/mangohatch/admin/explain.py
@@ -0,0 +1,111 @@
+"""Explanation of one request from the events of all hosts."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from mangohatch.admin.events import EventReader, FleetEvents
+from mangohatch.timeline import Event, EventSelection, merge_events
+
+__all__ = ["Explainer", "Explanation"]
+
+MARGIN_MS = 2000.0
+MAX_UPSTREAMS = 5
+MAX_EVENTS = 500
+
+
+@dataclass(slots=True, kw_only=True)
+class Explanation:
+    """The events of a request and of its upstreams around it, with a summary."""
+
+    events: Sequence[Event]
+    notes: Sequence[str]
+    silent_hosts: Sequence[str]
+
+
+class Explainer:
+    """
+    Tells what happened to a request.
+
+    :param reader: reads the time line of all hosts
+    """
+
+    def __init__(self, *, reader: EventReader) -> None:
+        self._reader = reader
+
+    async def explain(self, request_id: str) -> Explanation:
+        """
+        Collect what is known of a request.
+
+        :param request_id: id of the request
+        :return: its events, and those of its upstreams at that time
+        """
+        own = await self._reader.ask(
+            EventSelection(request_id=request_id), limit=MAX_EVENTS
+        )
+        if not own.events:
+            note = (
+                f"no host remembers an event of request {request_id}: it was neither "
+                "slow, retried, refused nor failed, or it was too long ago"
+            )
+            return Explanation(events=(), notes=(note,), silent_hosts=own.silent_hosts)
+        around = await self.read_around(own.events)
+        batches = [own.events, *(found.events for found in around)]
+        silent = {host for found in (own, *around) for host in found.silent_hosts}
+        return Explanation(
+            events=merge_events(batches, limit=MAX_EVENTS),
+            notes=summarize(own.events),
+            silent_hosts=sorted(silent),
+        )
+
+    async def read_around(self, events: Sequence[Event]) -> list[FleetEvents]:
+        """
+        Read events of the upstreams that a request was sent to.
+
+        :param events: events of the request
+        :return: events shortly before and during the request, by upstream
+        """
+        first_ms = events[0].time_ms - events[0].duration_ms - MARGIN_MS
+        last_ms = events[-1].time_ms
+        upstreams = {
+            (event.service, event.upstream) for event in events if event.upstream
+        }
+        found = []
+        for service, upstream in sorted(upstreams)[:MAX_UPSTREAMS]:
+            selection = EventSelection(
+                service=service, upstream=upstream, since_ms=first_ms
+            )
+            answer = await self._reader.ask(selection, limit=MAX_EVENTS)
+            answer.events = [
+                event
+                for event in answer.events
+                if event.time_ms <= last_ms and not event.request_id
+            ]
+            found.append(answer)
+        return found
+
+
+def summarize(events: Sequence[Event]) -> tuple[str, ...]:
+    """
+    Put the events of a request into sentences.
+
+    :param events: events of the request, in causal order
+    :return: one sentence an event
+    """
+    return tuple(describe(event) for event in events)
+
+
+def describe(event: Event) -> str:
+    """
+    Put one event into a sentence.
+
+    :param event: the event
+    :return: the sentence
+    """
+    text = f"{event.host}: {str(event.kind).replace('_', ' ')}"
+    if event.upstream:
+        text += f" at upstream {event.upstream} of {event.service}"
+    if event.duration_ms:
+        text += f" after {event.duration_ms:.1f} ms"
+    if event.cause:
+        text += f": {event.cause}"
+    return text
--- /dev/null
+++ b/src/mangohatch/admin/release.py
@@ -0,0 +1,78 @@
+"""Release of quarantined requests on all hosts."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from mangohatch.admin.fleet import FleetReader
+from mangohatch.clock import Clock
+from mangohatch.language import (
+    Condition,
+    Operator,
+    ReleaseRequest,
+    ShowRows,
+    Subject,
+)
+
+__all__ = ["ReleaseResult", "Releaser"]
+
+WAIT_MS = 3000.0
+RETRY_MS = 200.0
+MS_PER_S = 1000.0
+
+
+@dataclass(slots=True, kw_only=True)
+class ReleaseResult:
+    """Hosts that still hold the request back, and those that did not answer."""
+
+    holding: Sequence[str]
+    silent_hosts: Sequence[str]
+
+
+class Releaser:
+    """
+    Releases a request and looks on all hosts whether it is released.
+
+    :param fleet: reads the quarantine of all hosts
+    :param clock: source of time
+    :param release: releases a request here and tells the other hosts
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: FleetReader,
+        clock: Clock,
+        release: Callable[[str, str], bool],
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._release = release
+
+    async def run(self, order: ReleaseRequest) -> ReleaseResult:
+        """
+        Release a request everywhere, repeating what was lost.
+
+        :param order: the request
+        :return: hosts where it is not known to be released
+        """
+        question = ShowRows(
+            subject=Subject.QUARANTINE,
+            service=order.service,
+            conditions=(
+                Condition(
+                    field="fingerprint",
+                    operator=Operator.EQUAL,
+                    value=order.fingerprint,
+                ),
+            ),
+        )
+        until_ms = self._clock.now_ms() + WAIT_MS
+        while True:
+            self._release(order.service, order.fingerprint)
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+            answer = await self._fleet.ask(question)
+            holding = sorted({row["host"] for row in answer.rows})
+            done = not holding and not answer.silent_hosts
+            if done or self._clock.now_ms() >= until_ms:
+                return ReleaseResult(holding=holding, silent_hosts=answer.silent_hosts)
--- /dev/null
+++ b/src/mangohatch/admin/render.py
@@ -0,0 +1,99 @@
+"""Answers as text for people."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from mangohatch.admin.reply import OrderAnswer, Reply
+from mangohatch.timeline.render.text import format_time
+
+__all__ = ["render"]
+
+GAP = "  "
+TIME_COLUMN = "time_ms"
+MAX_CELL_CHARS = 120
+
+
+def render(reply: Reply) -> str:
+    """
+    Render an answer as a table with notes, or as the outcome of an order.
+
+    :param reply: the answer
+    :return: lines of text
+    """
+    if reply.error is not None:
+        return f"{reply.error.code}: {reply.error.message}\n"
+    if reply.order is not None:
+        return render_order(reply.order)
+    lines = list(reply.notes)
+    if lines and reply.rows:
+        lines.append("")
+    lines += render_table(reply.columns, reply.rows)
+    lines += [f"# no answer from {host}" for host in reply.silent_hosts]
+    lines += [f"# rows left out by {host}" for host in reply.truncated_hosts]
+    return "\n".join(lines) + "\n"
+
+
+def render_order(order: OrderAnswer) -> str:
+    """
+    Render the outcome of an order.
+
+    :param order: the outcome
+    :return: one line
+    """
+    parts = [order.state]
+    if order.order_id:
+        parts.append(f"order {order.order_id}")
+    if order.revision:
+        parts.append(f"revision {order.revision}")
+    if order.code:
+        parts.append(order.code)
+    text = ", ".join(parts)
+    if order.reason:
+        text += f": {order.reason}"
+    if order.waiting_for:
+        text += f"; waiting for {', '.join(order.waiting_for)}"
+    return text + "\n"
+
+
+def render_table(columns: Sequence[str], rows: Sequence[dict[str, Any]]) -> list[str]:
+    """
+    Render rows under their column names.
+
+    :param columns: names of the columns in order
+    :param rows: values by column
+    :return: lines, the header first; empty columns are left out
+    """
+    if not rows:
+        return ["no rows"]
+    used = [name for name in columns if any(name in row for row in rows)]
+    cells = [[render_cell(name, row.get(name, "")) for name in used] for row in rows]
+    table = [used, *cells]
+    widths = [max(len(line[index]) for line in table) for index in range(len(used))]
+    return [
+        GAP.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in table
+    ]
+
+
+def render_cell(name: str, value: Any) -> str:
+    """
+    Render one value.
+
+    :param name: name of the column
+    :param value: the value
+    :return: the text, cut where it is long
+    """
+    if name == TIME_COLUMN and isinstance(value, int | float):
+        return format_time(value)
+    if isinstance(value, list | tuple):
+        text = ",".join(str(element) for element in value)
+    elif isinstance(value, dict):
+        text = json.dumps(value)
+    elif isinstance(value, float):
+        text = f"{value:g}"
+    else:
+        text = str(value)
+    return text if len(text) <= MAX_CELL_CHARS else text[: MAX_CELL_CHARS - 1] + "…"
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -1,5 +1,6 @@
 """Typed failures: every error has a code, and request errors have an outcome."""
 
+from mangohatch.errors.admin import HostUnanswered
 from mangohatch.errors.attempt import (
     CallerGone,
     ConnectionSilent,
@@ -22,6 +23,17 @@
     UnsupportedCoding,
     UnsupportedVersion,
 )
+from mangohatch.errors.language import SentenceError
+from mangohatch.errors.order import (
+    OrderConflict,
+    OrderError,
+    OrderInvalid,
+    OrderPending,
+    OrderStoreUnavailable,
+    OrderUnsupported,
+    OrderVotedDown,
+    OrderVotesMissing,
+)
 from mangohatch.errors.peer import PeerProtocolError
 from mangohatch.errors.request import (
     BadRequest,
@@ -58,10 +70,19 @@
     "ExitCode",
     "ExpectationFailed",
     "HeaderTooLarge",
+    "HostUnanswered",
     "MangohatchError",
     "MethodRefused",
     "NoRoute",
     "NoUpstream",
+    "OrderConflict",
+    "OrderError",
+    "OrderInvalid",
+    "OrderPending",
+    "OrderStoreUnavailable",
+    "OrderUnsupported",
+    "OrderVotedDown",
+    "OrderVotesMissing",
     "Outcome",
     "OutcomeUnknown",
     "Overloaded",
@@ -72,6 +93,7 @@
     "RequestTimeout",
     "ResponseUnframed",
     "RevisionCompacted",
+    "SentenceError",
     "SettingsError",
     "Stopping",
     "StoreBudgetExhausted",
--- /dev/null
+++ b/src/mangohatch/language/fields.py
@@ -0,0 +1,66 @@
+"""Fields that sentences may name."""
+
+from pydantic import BaseModel
+
+from mangohatch.config import ServiceSpec
+from mangohatch.language.sentences import Subject
+
+__all__ = ["COLUMNS", "list_settable"]
+
+COLUMNS: dict[Subject, tuple[str, ...]] = {
+    Subject.SERVICES: (
+        "service",
+        "path_prefix",
+        "revision",
+        "upstreams",
+        "active",
+        "warming",
+        "ejected",
+        "draining",
+        "in_flight",
+        "deadline_ms",
+    ),
+    Subject.UPSTREAMS: (
+        "service",
+        "upstream",
+        "state",
+        "zone",
+        "address",
+        "port",
+        "slots",
+        "in_flight",
+    ),
+    Subject.HOSTS: ("zone", "state", "ready", "incarnation", "members", "revision"),
+    Subject.CONFIG: ("service", "revision", "config"),
+    Subject.QUARANTINE: ("service", "fingerprint", "state", "crashes", "upstreams"),
+    Subject.ORDERS: (
+        "order",
+        "state",
+        "service",
+        "revision",
+        "code",
+        "reason",
+        "waiting_for",
+    ),
+}
+ANSWER_COLUMNS = ("host", "age_ms", "source")
+IDENTITY = "name"
+SCALARS = (int, float, str, bool)
+
+
+def list_settable(model: type[BaseModel] = ServiceSpec, prefix: str = "") -> list[str]:
+    """
+    List the fields of a service that hold one value.
+
+    :param model: the model, or one nested in it
+    :param prefix: path to the nested model
+    :return: dotted paths in the order of declaration, the name excluded
+    """
+    found: list[str] = []
+    for name, info in model.model_fields.items():
+        kind = info.annotation
+        if kind in SCALARS and (prefix or name != IDENTITY):
+            found.append(prefix + name)
+        elif isinstance(kind, type) and issubclass(kind, BaseModel):
+            found += list_settable(kind, f"{prefix}{name}.")
+    return found
--- /dev/null
+++ b/src/mangohatch/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' orders: checked by every host, written once, confirmed by every host."""
--- /dev/null
+++ b/src/mangohatch/peer/exchange.py
@@ -0,0 +1,101 @@
+"""One question to several hosts, repeated until they have answered."""
+
+import asyncio
+from collections.abc import Callable, Set
+from typing import Any, Generic, TypeVar
+
+from mangohatch.clock import Clock
+from mangohatch.peer.bus import PeerBus
+
+__all__ = ["Exchange"]
+
+MS_PER_S = 1000.0
+
+T = TypeVar("T")
+
+
+class Exchange(Generic[T]):
+    """
+    Answers of hosts to one question.
+
+    :param bus: messages to other hosts
+    :param clock: source of time
+    :param message: the question, sent again to hosts that stay silent
+    """
+
+    def __init__(self, *, bus: PeerBus, clock: Clock, message: Any) -> None:
+        self.answers: dict[str, T] = {}
+        self._bus = bus
+        self._clock = clock
+        self._message = message
+        self._changed = asyncio.Event()
+
+    def take(self, host_id: str, answer: T) -> None:
+        """
+        Take an answer; a later one of the same host replaces it.
+
+        :param host_id: the host that answered
+        :param answer: its answer
+        """
+        self.answers[host_id] = answer
+        self._changed.set()
+
+    async def run(
+        self,
+        *,
+        wanted: Callable[[], Set[str]],
+        final: Callable[[T], bool],
+        wait_ms: float,
+        resend_ms: float,
+    ) -> Set[str]:
+        """
+        Ask until every wanted host has given a final answer, or time is up.
+
+        :param wanted: hosts whose answers are needed, read again each time
+        :param final: tells whether an answer needs no repetition
+        :param wait_ms: time to wait at most
+        :param resend_ms: time between repetitions
+        :return: hosts without a final answer
+        """
+        until_ms = self._clock.now_ms() + wait_ms
+        while True:
+            missing = self.missing(wanted(), final)
+            left_ms = until_ms - self._clock.now_ms()
+            if not missing or left_ms <= 0:
+                return missing
+            for host_id in sorted(missing):
+                self._bus.send(host_id, self._message)
+            resend_at_ms = self._clock.now_ms() + min(left_ms, resend_ms)
+            while self.missing(wanted(), final):
+                wait_left_ms = resend_at_ms - self._clock.now_ms()
+                if wait_left_ms <= 0 or not await self.wait(wait_left_ms):
+                    break
+
+    def missing(self, wanted: Set[str], final: Callable[[T], bool]) -> Set[str]:
+        """
+        List the hosts without a final answer.
+
+        :param wanted: hosts whose answers are needed
+        :param final: tells whether an answer needs no repetition
+        :return: host ids
+        """
+        return {
+            host_id
+            for host_id in wanted
+            if host_id not in self.answers or not final(self.answers[host_id])
+        }
+
+    async def wait(self, wait_ms: float) -> bool:
+        """
+        Wait for the next answer.
+
+        :param wait_ms: time to wait at most
+        :return: whether one came
+        """
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(wait_ms / MS_PER_S):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -2705,6 +2705,7 @@
      - query_id
      - rows
      - age_ms
+     - truncated
 
     """
 
@@ -2712,13 +2713,15 @@
         'query_id',
         'rows',
         'age_ms',
+        'truncated',
     )
 
 
-    def __init__(self, query_id=None, rows=None, age_ms=None,):
+    def __init__(self, query_id=None, rows=None, age_ms=None, truncated=None,):
         self.query_id = query_id
         self.rows = rows
         self.age_ms = age_ms
+        self.truncated = truncated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2749,6 +2752,11 @@
                     self.age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.truncated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2774,6 +2782,10 @@
             oprot.writeFieldBegin('age_ms', TType.I64, 3)
             oprot.writeI64(self.age_ms)
             oprot.writeFieldEnd()
+        if self.truncated is not None:
+            oprot.writeFieldBegin('truncated', TType.BOOL, 4)
+            oprot.writeBool(self.truncated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2997,6 +3009,7 @@
     (1, TType.STRING, 'query_id', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'rows', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'truncated', None, None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -274,8 +274,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class StatusReply:
-    """Rows as JSON and the age of what they state."""
+    """Rows as JSON, the age of what they state, and whether some were left out."""
 
     query_id: str = ""
     rows: list[str] = field(default_factory=list)
     age_ms: int = 0
+    truncated: bool = False
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -188,4 +188,5 @@
   1: string query_id,
   2: list<string> rows,
   3: i64 age_ms,
+  4: bool truncated,
 }
