Continue cut downloads and answer resends of keyed requests

Cause: a download that lost its upstream was broken off, and the key of a non-idempotent request was ignored.

Change: a cut GET with 200 or 206, strong ETag and known length goes on with Range and If-Range on another upstream, whose version, range and length are checked; otherwise the caller's connection is reset. A keyed request claims its key, scoped by customer, method and path; kept answers are repeated with X-Replayed. One attempt has its own module.

Conclusion: no part passes for the whole, no keyed request runs twice by resend.

--- a/src/mangohatch/entry/active.py
+++ b/src/mangohatch/entry/active.py
@@ -10,6 +10,7 @@
 from mangohatch.core.router import Router
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.entry.body import RequestBody
+from mangohatch.entry.continuation import Continuation
 from mangohatch.entry.sink import CallerSink
 from mangohatch.errors import RequestError
 from mangohatch.upstream.connection import UpstreamConnection
@@ -39,6 +40,8 @@
     upstream: UpstreamRow | None = None
     conn: UpstreamConnection | None = None
     wants_new_connection: bool = False
+    continuation: Continuation | None = None
+    continuations: int = 0
     awaits_head: bool = False
     silence_limit_ms: float = 0.0
 
--- /dev/null
+++ b/src/mangohatch/entry/continuation.py
@@ -0,0 +1,107 @@
+"""Continuation of a download that was cut, on another upstream."""
+
+import re
+from collections.abc import Awaitable
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders
+
+from mangohatch.entry.sink import CallerSink
+from mangohatch.errors import UpstreamAborted
+from mangohatch.upstream.connection import ResponseHead, ResponseSink
+
+__all__ = ["Continuation", "ContinuationSink", "plan_continuation"]
+
+OK = 200
+PARTIAL_CONTENT = 206
+CONTENT_RANGE = re.compile(r"bytes ([0-9]{1,15})-([0-9]{1,15})/([0-9]{1,15})")
+STRONG_ETAG = re.compile(r'"[^"]*"')
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Continuation:
+    """The bytes of a representation that the caller still lacks."""
+
+    etag: str
+    first_byte: int
+    last_byte: int
+    total_bytes: int
+
+    @property
+    def length(self) -> int:
+        """Number of bytes that are missing."""
+        return self.last_byte - self.first_byte + 1
+
+    def ask(self, headers: HTTPHeaders) -> None:
+        """
+        Ask for the missing bytes, on condition that they are of the same version.
+
+        :param headers: header fields sent upstream
+        """
+        headers["Range"] = f"bytes={self.first_byte}-{self.last_byte}"
+        headers["If-Range"] = self.etag
+
+    def check(self, head: ResponseHead) -> None:
+        """
+        Check that a response holds the missing bytes and nothing else.
+
+        :param head: head of the response
+        :raises UpstreamAborted: when it does not
+        """
+        headers = head.headers
+        expected = f"bytes {self.first_byte}-{self.last_byte}/{self.total_bytes}"
+        same = (
+            head.line.code == PARTIAL_CONTENT
+            and headers.get("Etag") == self.etag
+            and headers.get("Content-Range") == expected
+            and headers.get("Content-Length") == str(self.length)
+        )
+        if not same:
+            raise UpstreamAborted("the upstream can't continue the response")
+
+
+class ContinuationSink(ResponseSink):
+    """Adds the body of a continuing response to the response under way."""
+
+    def __init__(self, *, sink: CallerSink) -> None:
+        self._sink = sink
+
+    def start(self, head: ResponseHead) -> None:
+        return None
+
+    def write(self, chunk: bytes) -> Awaitable[None] | None:
+        return self._sink.write(chunk)
+
+
+def plan_continuation(method: str, sink: CallerSink) -> Continuation | None:
+    """
+    Find what is missing of a response that was cut.
+
+    :param method: method of the request
+    :param sink: what the caller got so far
+    :return: the missing bytes; None when another upstream can't be asked for them
+    """
+    head = sink.head
+    if method != "GET" or head is None:
+        return None
+    etag = head.headers.get("Etag", "")
+    length = head.headers.get("Content-Length")
+    if STRONG_ETAG.fullmatch(etag) is None or length is None:
+        return None
+    if head.line.code == OK:
+        first, last, total = 0, int(length) - 1, int(length)
+    elif head.line.code == PARTIAL_CONTENT:
+        match = CONTENT_RANGE.fullmatch(head.headers.get("Content-Range", ""))
+        if match is None:
+            return None
+        first, last, total = (int(group) for group in match.groups())
+        if last - first + 1 != int(length) or last >= total:
+            return None
+    else:
+        return None
+    missing = first + sink.body_bytes
+    if missing > last:
+        return None
+    return Continuation(
+        etag=etag, first_byte=missing, last_byte=last, total_bytes=total
+    )
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -3,20 +3,17 @@
 import asyncio
 from dataclasses import replace
 
+from mangohatch.claims import Answer, ClaimRegistry
 from mangohatch.clock import Clock
 from mangohatch.core.call import Decision, Grant, Refusal, Report, Result
 from mangohatch.core.quarantine import QuarantineGate
 from mangohatch.core.retry import LocalRetryBudget, RetryBudget
 from mangohatch.core.router import Router
 from mangohatch.entry.active import ActiveRequest
-from mangohatch.entry.headers import DEADLINE_HEADER
-from mangohatch.entry.retry import (
-    is_retry_safe,
-    is_server_failure,
-    result_of,
-    result_of_status,
-    states_not_run,
-)
+from mangohatch.entry.attempt import AttemptRunner
+from mangohatch.entry.continuation import plan_continuation
+from mangohatch.entry.keyed import claim, is_keyed, make_answer, replay
+from mangohatch.entry.retry import is_retry_safe, result_of
 from mangohatch.errors import (
     CallerGone,
     ConnectionSilent,
@@ -24,18 +21,19 @@
     Outcome,
     RequestError,
     UpstreamAborted,
-    UpstreamFailed,
     UpstreamRefused,
+    UpstreamUnreachable,
 )
 from mangohatch.timeline.event import EventKind
 from mangohatch.timeline.recorder import Recorder
-from mangohatch.upstream.connection import ResponseHead, UpstreamConnection
-from mangohatch.upstream.liveness import SilenceDetector
 from mangohatch.upstream.pool import ConnectionPool
 
 __all__ = ["Forwarder"]
 
 MAX_ATTEMPTS = 3
+MAX_CONTINUATIONS = 8
+CONTINUATION_DEADLINE_MS = 5_000.0
+CONTINUED = (UpstreamAborted, UpstreamRefused, UpstreamUnreachable)
 SLOW_REQUEST_MS = 1_000.0
 BODY_STALL_MS = 30_000.0
 RETRY_AFTER_MS = 1_000.0
@@ -50,6 +48,7 @@
     :param router: chooses upstreams
     :param pool: connections to upstreams
     :param budget: gives leave for retries; a local one by default
+    :param registry: claims keys of non-idempotent requests; None to ignore keys
     :param recorder: receives events; None for no events
     """
 
@@ -60,23 +59,46 @@
         router: Router | QuarantineGate,
         pool: ConnectionPool,
         budget: RetryBudget | None = None,
+        registry: ClaimRegistry | None = None,
         recorder: Recorder | None = None,
     ) -> None:
         self._clock = clock
         self._router = router
         self._pool = pool
         self._budget = budget or LocalRetryBudget(clock=clock)
+        self._registry = registry
         self._recorder = recorder
-        self._silence = SilenceDetector()
+        self._attempts = AttemptRunner(
+            clock=clock, pool=pool, may_retry=self._spend_retry
+        )
         self.active: set[ActiveRequest] = set()
 
     async def forward(self, req: ActiveRequest) -> None:
         """
-        Run a request and stream its response to the caller.
+        Run a request, or repeat the answer to its key, and answer the caller.
 
         :param req: the request
         :raises RequestError: when the caller has to be told of a failure
         """
+        if self._registry is None or not is_keyed(req):
+            await self._run(req)
+            return
+        result = await claim(self._registry, req)
+        if isinstance(result, Answer):
+            replay(result, req.sink)
+            return
+        req.sink.copy = bytearray()
+        try:
+            await self._run(req)
+        except RequestError as exc:
+            await result.finish(exc.outcome, None)
+            raise
+        except BaseException:
+            await result.finish(Outcome.UNKNOWN, None)
+            raise
+        await result.finish(req.sink.outcome, make_answer(req.sink))
+
+    async def _run(self, req: ActiveRequest) -> None:
         self.active.add(req)
         try:
             if req.body is not None:
@@ -120,7 +142,8 @@
             if not req.sink.sent:
                 self._check_waiting(req, now_ms)
             elif req.conn is not None and not req.sink.stalled:
-                if now_ms - req.conn.last_read_ms > BODY_STALL_MS:
+                quiet_since_ms = max(req.conn.last_read_ms, req.conn.sent_ms)
+                if now_ms - quiet_since_ms > BODY_STALL_MS:
                     req.abort_attempt(UpstreamAborted("the response stopped"))
 
     def _check_waiting(self, req: ActiveRequest, now_ms: float) -> None:
@@ -139,7 +162,7 @@
         started_ms = self._clock.now_ms()
         report = Report(result=Result.CANCELLED, latency_ms=0.0)
         try:
-            await self._attempt(req, grant, report)
+            await self._attempts.run(req, grant, report)
             return None
         except RequestError as exc:
             error = req.failure or req.attempt_failure or exc
@@ -175,63 +198,8 @@
         req.upstream = decision.upstream
         return decision
 
-    async def _attempt(self, req: ActiveRequest, grant: Grant, report: Report) -> None:
-        call = req.call
-        conn = self._pool.take(
-            grant.upstream,
-            fresh=req.wants_new_connection,
-            lively=not call.idempotent,
-        )
-        req.conn = conn
-        reusable = False
-        try:
-            if not conn.connected:
-                await conn.connect()
-            if req.failure is not None:
-                raise req.failure
-            reusable = await self._exchange(req, conn, report)
-        finally:
-            req.conn = None
-            req.awaits_head = False
-            if isinstance(req.attempt_failure, ConnectionSilent):
-                self._pool.drop_silent(conn)
-            self._pool.give_back(conn, reusable=reusable)
-
-    async def _exchange(
-        self, req: ActiveRequest, conn: UpstreamConnection, report: Report
-    ) -> bool:
-        reused = conn.exchanges > 0
-        req.silence_limit_ms = self._silence.limit_ms(conn.upstream, reused=reused)
-        remaining_ms = req.call.deadline_ms - self._clock.now_ms()
-        req.headers[DEADLINE_HEADER] = str(max(int(remaining_ms), 1))
-        ran_before = req.may_have_run
-        req.may_have_run = True
-        req.awaits_head = True
-        sending = send_request(req, conn)
-        try:
-            head = await conn.read_head()
-            req.awaits_head = False
-            report.first_byte_ms = conn.last_read_ms - conn.sent_ms
-            self._silence.observe(conn.upstream, report.first_byte_ms)
-            report.result = result_of_status(head.line.code)
-            self._judge(req, head)
-            reusable = await conn.read_body(head, req.sink)
-            return reusable and (sending is None or sending.done())
-        except UpstreamRefused:
-            req.may_have_run = ran_before
-            raise
-        finally:
-            if sending is not None:
-                sending.cancel()
-
-    def _judge(self, req: ActiveRequest, head: ResponseHead) -> None:
-        if states_not_run(head):
-            raise UpstreamRefused("the upstream did not run the request")
-        if not req.call.idempotent or not is_server_failure(head):
-            return
-        if self._may_retry(req) and self._budget.allow(req.call):
-            req.retry_allowed = True
-            raise UpstreamFailed(f"the upstream answered {head.line.code}")
+    def _spend_retry(self, req: ActiveRequest) -> bool:
+        return self._may_retry(req) and self._budget.allow(req.call)
 
     def _may_retry(self, req: ActiveRequest) -> bool:
         return (
@@ -241,7 +209,32 @@
             and self._clock.now_ms() < req.call.deadline_ms
         )
 
+    def _prepare_continuation(self, req: ActiveRequest, error: RequestError) -> None:
+        plan = plan_continuation(req.line.method, req.sink)
+        if plan is None or req.continuations >= MAX_CONTINUATIONS:
+            raise error
+        if not isinstance(error, CONTINUED) or not self._budget.allow(req.call):
+            raise error
+        assert req.upstream is not None
+        before = req.continuation
+        stuck = before is not None and before.first_byte == plan.first_byte
+        avoid = req.call.avoid if stuck else frozenset()
+        plan.ask(req.headers)
+        req.continuation = plan
+        req.continuations += 1
+        req.wants_new_connection = True
+        req.call = replace(
+            req.call,
+            avoid=avoid | {req.upstream.name},
+            attempt=req.call.attempt + 1,
+            deadline_ms=self._clock.now_ms() + CONTINUATION_DEADLINE_MS,
+        )
+        self._record(EventKind.REQUEST_RETRIED, req, error.code)
+
     def _prepare_retry(self, req: ActiveRequest, error: RequestError) -> None:
+        if req.sink.sent:
+            self._prepare_continuation(req, error)
+            return
         call = req.call
         allowed = req.retry_allowed
         req.retry_allowed = False
@@ -284,36 +277,3 @@
             upstream=req.upstream.name if req.upstream else "",
             duration_ms=self._clock.now_ms() - req.call.arrived_ms,
         )
-
-
-def send_request(
-    req: ActiveRequest, conn: UpstreamConnection
-) -> asyncio.Task[None] | None:
-    """
-    Send a request, its body as far as it is kept.
-
-    :param req: the request
-    :param conn: a connection to the upstream
-    :return: sends the rest of the body; None without a rest
-    """
-    body = req.body
-    if body is None:
-        conn.send_head(req.line, req.headers, None)
-        return None
-    conn.send_head(req.line, req.headers, bytes(body.kept))
-    if not body.has_rest:
-        return None
-    body.rest_taken = True
-    sending = asyncio.create_task(conn.send_rest(body.rest()))
-    sending.add_done_callback(take_exception)
-    return sending
-
-
-def take_exception(task: asyncio.Task[None]) -> None:
-    """
-    Mark the exception of a task as seen; its connection tells of the failure.
-
-    :param task: a task that ended
-    """
-    if not task.cancelled():
-        task.exception()
--- a/src/mangohatch/entry/headers.py
+++ b/src/mangohatch/entry/headers.py
@@ -10,6 +10,8 @@
     "OUTCOME_HEADER",
     "REPLAYED_HEADER",
     "REQUEST_ID_HEADER",
+    "UPSTREAM_LOAD_HEADER",
+    "UPSTREAM_STATE_HEADER",
     "drop_hop_by_hop",
 ]
 
@@ -20,6 +22,8 @@
 CUSTOMER_HEADER = "X-Customer"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 REPLAYED_HEADER = "X-Replayed"
+UPSTREAM_LOAD_HEADER = "X-Upstream-Load"
+UPSTREAM_STATE_HEADER = "X-Upstream-State"
 
 HOP_BY_HOP = frozenset(
     {
--- /dev/null
+++ b/src/mangohatch/entry/keyed.py
@@ -0,0 +1,88 @@
+"""Requests with an idempotency key: the claim of the key and its answer."""
+
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+
+from mangohatch.claims import Answer, ClaimRegistry, ClaimTicket
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.headers import (
+    IDEMPOTENCY_KEY_HEADER,
+    OUTCOME_HEADER,
+    REPLAYED_HEADER,
+    REQUEST_ID_HEADER,
+)
+from mangohatch.entry.sink import CallerSink
+from mangohatch.errors import AnswerNotKept, Outcome
+from mangohatch.upstream.connection import ResponseHead
+
+__all__ = ["claim", "is_keyed", "make_answer", "replay"]
+
+# Stated anew for each response.
+OWN_FIELDS = frozenset({"Transfer-Encoding", OUTCOME_HEADER, REQUEST_ID_HEADER})
+
+
+def is_keyed(req: ActiveRequest) -> bool:
+    """
+    Tell whether a request must claim its key.
+
+    :param req: the request
+    :return: whether it is non-idempotent and has a key
+    """
+    return not req.call.idempotent and bool(req.headers.get(IDEMPOTENCY_KEY_HEADER))
+
+
+async def claim(registry: ClaimRegistry, req: ActiveRequest) -> ClaimTicket | Answer:
+    """
+    Claim the key of a request.
+
+    A key belongs to the customer, method and path that it came with.
+
+    :param registry: knows the keys of all entry hosts
+    :param req: a request with a key
+    :return: the right to run the request, or the answer to repeat
+    :raises RequestError: when it must not be run and has no answer
+    """
+    path = req.line.path.partition("?")[0]
+    key = req.headers[IDEMPOTENCY_KEY_HEADER]
+    return await registry.begin(
+        service=req.call.service,
+        key="\n".join((req.call.customer, req.line.method, path, key)),
+        request_id=req.call.request_id,
+        deadline_ms=req.call.deadline_ms,
+    )
+
+
+def make_answer(sink: CallerSink) -> Answer | None:
+    """
+    Make the answer to keep from a response that was sent whole.
+
+    :param sink: what was sent
+    :return: the answer; without its body when that was too long
+    """
+    head = sink.head
+    if head is None or sink.outcome is not Outcome.DONE:
+        return None
+    kept = tuple(pair for pair in head.headers.get_all() if pair[0] not in OWN_FIELDS)
+    body = bytes(sink.copy) if sink.copy is not None else None
+    return Answer(status=head.line.code, headers=kept, body=body)
+
+
+def replay(answer: Answer, sink: CallerSink) -> None:
+    """
+    Repeat the answer that the first request with a key got.
+
+    :param answer: the kept answer
+    :param sink: the caller
+    :raises AnswerNotKept: when its body was too long
+    """
+    if answer.body is None:
+        raise AnswerNotKept("the request was run; its answer was too long to be kept")
+    headers = HTTPHeaders()
+    for name, value in answer.headers:
+        headers.add(name, value)
+    headers[REPLAYED_HEADER] = "true"
+    headers["Content-Length"] = str(len(answer.body))
+    line = ResponseStartLine("HTTP/1.1", answer.status, "")
+    sink.start(ResponseHead(line=line, headers=headers))
+    if answer.body:
+        sink.write(answer.body)
+    sink.end()
--- a/src/mangohatch/entry/sink.py
+++ b/src/mangohatch/entry/sink.py
@@ -16,6 +16,7 @@
 
 NO_LINGER = struct.pack("ii", 1, 0)
 FIRST_SERVER_ERROR = 500
+MAX_COPY_BYTES = 65_536
 OUTCOMES = frozenset(Outcome)
 
 
@@ -24,7 +25,8 @@
     Writes a response to the caller as it arrives.
 
     The head waits for the first piece of the body, so that both leave in one
-    segment, but never longer than one turn of the event loop.
+    segment, but never longer than one turn of the event loop. ``copy`` collects
+    the body for a later replay while it is short enough.
     """
 
     def __init__(self, *, conn: CallerConnection, request_id: str) -> None:
@@ -36,6 +38,7 @@
         self.outcome = Outcome.DONE
         self.sent = False
         self.body_bytes = 0
+        self.copy: bytearray | None = None
 
     def start(self, head: ResponseHead) -> None:
         drop_hop_by_hop(head.headers)
@@ -47,6 +50,8 @@
 
     def write(self, chunk: bytes) -> Awaitable[None] | None:
         self.body_bytes += len(chunk)
+        if self.copy is not None:
+            self._keep(chunk)
         if self._conn.stream.closed():
             return None
         if self._head is not None:
@@ -57,6 +62,13 @@
             return drained(fut)
         return None
 
+    def _keep(self, chunk: bytes) -> None:
+        assert self.copy is not None
+        if len(self.copy) + len(chunk) <= MAX_COPY_BYTES:
+            self.copy += chunk
+        else:
+            self.copy = None
+
     @property
     def stalled(self) -> bool:
         """Whether the caller has yet to take what was written."""
@@ -85,6 +97,8 @@
             self._flush.cancel()
         self.head = self._head = None
         self.body_bytes = 0
+        if self.copy is not None:
+            self.copy = bytearray()
         return True
 
     def _flush_head(self) -> None:
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -9,6 +9,7 @@
 )
 from mangohatch.errors.base import ExitCode, MangohatchError
 from mangohatch.errors.claim import (
+    AnswerNotKept,
     ClaimKeyMismatch,
     ClaimUnavailable,
     OutcomeUnknown,
@@ -61,6 +62,7 @@
 )
 
 __all__ = [
+    "AnswerNotKept",
     "BadRequest",
     "CallerGone",
     "ClaimKeyMismatch",
--- a/src/mangohatch/errors/claim.py
+++ b/src/mangohatch/errors/claim.py
@@ -3,6 +3,7 @@
 from mangohatch.errors.request import Outcome, RequestError
 
 __all__ = [
+    "AnswerNotKept",
     "ClaimKeyMismatch",
     "ClaimUnavailable",
     "OutcomeUnknown",
@@ -42,3 +43,11 @@
 
     code = "claim_key_mismatch"
     status = 409
+
+
+class AnswerNotKept(RequestError):
+    """The keyed request was run before, and its answer was too long to be kept."""
+
+    code = "answer_not_kept"
+    status = 409
+    default_outcome = Outcome.DONE
--- /dev/null
+++ b/tests/entry/test_continuation.py
@@ -0,0 +1,103 @@
+"""Tests of cut downloads."""
+
+from tests.entry.harness import fixed, open_entry
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+HYMNAL = bytes(range(256)) * 4096
+ETAG = '"v1"'
+
+
+def cut_at(size, *, etag=ETAG, **headers):
+    async def script(upstream, message, writer):
+        whole = fixed(HYMNAL, ETag=etag, **headers)
+        writer.write(whole[: len(whole) - len(HYMNAL) + size])
+        await writer.drain()
+        writer.close()
+
+    return script
+
+
+def ranges(*, etag=ETAG, shift=0):
+    async def script(upstream, message, writer):
+        if "range" not in message.headers:
+            writer.transport.abort()
+            return
+        first, last = message.headers["range"].removeprefix("bytes=").split("-")
+        span = f"bytes {int(first) + shift}-{last}/{len(HYMNAL)}"
+        part = HYMNAL[int(first) : int(last) + 1]
+        writer.write(fixed(part, status=206, ETag=etag, Content_Range=span))
+
+    return script
+
+
+async def download(*scripts, **headers):
+    """Ask until the first upstream was first, so that its cut is seen."""
+    async with open_entry(*scripts) as (entry, upstreams):
+        for row in entry.tables.upstreams():
+            row.in_flight = 0 if row.name == "u1" else 1
+        caller = await entry.connect()
+        response = await caller.ask(**headers)
+        return response, upstreams
+
+
+async def test_cut_download_is_continued_on_another_upstream():
+    response, upstreams = await download(cut_at(300_000), ranges())
+    assert response.whole
+    assert response.body == HYMNAL
+    seen = upstreams[1].requests[0].headers
+    assert seen["range"] == f"bytes=300000-{len(HYMNAL) - 1}"
+    assert seen["if-range"] == ETAG
+
+
+async def test_range_of_the_caller_is_continued():
+    async def cut_range(upstream, message, writer):
+        span = f"bytes 100-299999/{len(HYMNAL)}"
+        part = fixed(HYMNAL[100:300_000], status=206, ETag=ETAG, Content_Range=span)
+        writer.write(part[:-200_000])
+        await writer.drain()
+        writer.close()
+
+    response, upstreams = await download(cut_range, ranges(), Range="bytes=100-299999")
+    assert (response.status, response.whole) == (206, True)
+    assert response.body == HYMNAL[100:300_000]
+    assert upstreams[1].requests[0].headers["range"] == "bytes=100000-299999"
+
+
+async def test_other_version_is_never_joined():
+    others = (
+        ranges(etag='"v2"'),
+        ranges(shift=1),
+        cut_at(len(HYMNAL)),
+    )
+    for other in others:
+        response, upstreams = await download(cut_at(300_000), other)
+        assert not response.whole
+        assert len(upstreams[1].requests) == 1
+
+
+async def test_response_without_strong_etag_is_broken_off():
+    for headers in ({"etag": 'W/"v1"'}, {"etag": "v1"}):
+        response, upstreams = await download(cut_at(300_000, **headers), ranges())
+        assert not response.whole
+        assert not upstreams[1].requests
+
+
+async def test_second_cut_is_continued_too():
+    async def cut_then_serve(upstream, message, writer):
+        first, last = message.headers["range"].removeprefix("bytes=").split("-")
+        span = f"bytes {first}-{last}/{len(HYMNAL)}"
+        part = HYMNAL[int(first) : int(last) + 1]
+        whole = fixed(part, status=206, ETag=ETAG, Content_Range=span)
+        writer.write(whole[:-100_000])
+        await writer.drain()
+        writer.close()
+
+    async def first_then_ranges(upstream, message, writer):
+        script = ranges() if "range" in message.headers else cut_at(300_000)
+        await script(upstream, message, writer)
+
+    response, upstreams = await download(first_then_ranges, cut_then_serve)
+    assert response.whole
+    assert response.body == HYMNAL
