Ask late, recall across zones and serve the zone of the free slot first

Cause: the budget of calls bound at 85 %, a denied call waited; at 120 % slots idled while requests crossed zones. Change: a host with leases in use asks after 1.5 ms for all calls that wait; a broker with at least 3 demands recalls a lease held from another zone, and prefers demands of the zone of the free slot.

--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -13,6 +13,7 @@
 __all__ = ["Available", "Chooser", "ImmediateChooser"]
 
 Available = Callable[[str], None]
+CountWaiting = Callable[[str], int]
 
 OPEN_STATES = frozenset({UpstreamState.ACTIVE, UpstreamState.WARMING})
 
@@ -25,14 +26,18 @@
         self._rng = rng
         self._health = health
         self._available: Available = ignore_service
+        self._count_waiting: CountWaiting = count_none
 
-    def bind(self, available: Available) -> None:
+    def bind(self, available: Available, count_waiting: CountWaiting) -> None:
         """
-        Set the function to call when a call that waits may find an upstream.
+        Connect the chooser to the queues of its router.
 
-        :param available: takes the name of a service
+        :param available: to be called when a call that waits may find an
+            upstream; takes the name of the service
+        :param count_waiting: counts the calls of a service that wait
         """
         self._available = available
+        self._count_waiting = count_waiting
 
     def note_request(self, service: ServiceRow) -> None:
         """
@@ -142,6 +147,16 @@
         """
 
 
+def count_none(service: str) -> int:
+    """
+    Stand in for the queues until the chooser is bound.
+
+    :param service: name of a service
+    :return: 0
+    """
+    return 0
+
+
 def ignore_service(service: str) -> None:
     """
     Stand in for the router until it is bound.
--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -19,6 +19,7 @@
 
 __all__ = ["TokenChooser"]
 
+ASK_DELAY_MS = 1.5
 ANSWER_MS = 4.0
 SILENCE_MS = 50.0
 BROKER_IDLE_MS = 5_000.0
@@ -56,6 +57,7 @@
         self.brokers: dict[str, Broker] = {}
         self._silent_until: dict[str, float] = {}
         self._sequence = 0
+        self._planned: set[str] = set()
         self._update_members()
         bus.subscribe(SlotRequest, self._take_request)
         bus.subscribe(SlotGrant, self._take_grant)
@@ -77,7 +79,7 @@
         shard = self._shards.home(service)
         holder = self._holder(shard)
         if waiting > holder.pending(service.spec.max_queue_wait_ms):
-            self._ask(service, shard, call, waiting)
+            self._plan_ask(service, shard, call)
         return not holder.idle and not self._is_silent(shard)
 
     def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
@@ -118,7 +120,26 @@
                 best, best_ms = held, excess_ms
         return best
 
-    def _ask(self, service: ServiceRow, shard: str, call: Call, waiting: int) -> None:
+    def _plan_ask(self, service: ServiceRow, shard: str, call: Call) -> None:
+        # A lease in use may end first, and calls that arrive meanwhile share the
+        # request to the broker.
+        if not self._holder(shard).leases or call.avoid:
+            self._ask(service, shard, call)
+        elif shard not in self._planned:
+            self._planned.add(shard)
+            self._timers.call_later(ASK_DELAY_MS, lambda: self._ask_now(shard, call))
+
+    def _ask_now(self, shard: str, call: Call) -> None:
+        self._planned.discard(shard)
+        service = self._tables.services.get(split_shard(shard)[0])
+        if service is None:
+            return
+        waiting = self._count_waiting(service.spec.name)
+        if waiting > self._holder(shard).pending(service.spec.max_queue_wait_ms):
+            self._ask(service, shard, call)
+
+    def _ask(self, service: ServiceRow, shard: str, call: Call) -> None:
+        waiting = self._count_waiting(service.spec.name)
         holder = self._holder(shard)
         self._sequence += 1
         message = SlotRequest(
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -41,7 +41,7 @@
         self._chooser = chooser or LeastInFlightChooser(
             clock=clock, rng=rng, health=self._health
         )
-        self._chooser.bind(self.serve)
+        self._chooser.bind(self.serve, self.count_waiting)
         self._queues: dict[str, WaitQueue] = {}
 
     def request(self, call: Call, deliver: Deliver) -> None:
@@ -110,6 +110,16 @@
                 return
             queue.serve(waiting, self._clock.now_ms())
 
+    def count_waiting(self, name: str) -> int:
+        """
+        Count the calls that wait for an upstream.
+
+        :param name: name of the service
+        :return: calls in the queue
+        """
+        queue = self._queues.get(name)
+        return len(queue) if queue is not None else 0
+
     def tick(self) -> None:
         """Run the systems over the tables: expiry, ejection, renewal."""
         self._health.tick()
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -1,7 +1,7 @@
 """The broker of one shard: who gets which free slot, and for how long idle."""
 
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,10 +21,12 @@
 LINGER_START_MS = 4.0
 LINGER_MIN_MS = 0.25
 LINGER_MAX_MS = 100.0
-LINGER_SHRINK = 0.85
+LINGER_SHRINK = 0.9
 LINGER_GROW = 1.03
+ZONE_PATIENCE_MS = 15.0
 RECALL_GAP = 1
-RECALL_PAUSE_MS = 2.0
+CROWD = 3
+RECALL_PAUSE_MS = 1.0
 
 Sender = Callable[[str, SlotGrant], None]
 
@@ -36,9 +38,15 @@
     holder: str
     count: int
     avoid: list[str]
+    asked_ms: float
     until_ms: float
     isolated: bool = False
 
+    @property
+    def key(self) -> tuple[str, bool]:
+        """Holder and kind; a holder has one demand of each kind."""
+        return self.holder, self.isolated
+
 
 class Broker:
     """
@@ -71,6 +79,8 @@
         self._service: ServiceRow | None = None
         self._demands: OrderedDict[tuple[str, bool], Demand] = OrderedDict()
         self._recalled_ms: dict[str, float] = {}
+        self._outbox: deque[tuple[str, SlotGrant]] = deque()
+        self._delivering = False
         self.linger_ms = LINGER_START_MS
         self.ledger = Ledger(rng=rng, speeds=speeds)
         self.settled_ms = clock.now_ms() + SETTLE_MS
@@ -93,25 +103,29 @@
         :param message: the request
         """
         now_ms = self._clock.now_ms()
-        key = (holder, message.isolated)
         demand = Demand(
             holder=holder,
             count=message.count,
             avoid=message.avoid,
+            asked_ms=now_ms,
             until_ms=now_ms + message.wait_ms,
             isolated=message.isolated,
         )
-        self._demands[key] = demand
+        known = self._demands.get(demand.key)
+        if known is not None:
+            demand.asked_ms = known.asked_ms
+        self._demands[demand.key] = demand
         grant = self._grant(demand, now_ms)
         if demand.count:
             self.linger_ms = max(LINGER_MIN_MS, self.linger_ms * LINGER_SHRINK)
             self._recall(holder, now_ms)
         else:
-            del self._demands[key]
+            del self._demands[demand.key]
             self.linger_ms = min(LINGER_MAX_MS, self.linger_ms * LINGER_GROW)
         grant.sequence = message.sequence
         grant.linger_ms = self.linger_ms
-        self._send(holder, grant)
+        self._outbox.append((holder, grant))
+        self._deliver()
 
     def take_return(self, holder: str, message: SlotReturn) -> None:
         """
@@ -125,25 +139,48 @@
             self._take_use(holder, use)
         for upstream, token in zip(message.held, message.held_tokens, strict=True):
             self._renew(holder, upstream, token, now_ms)
-        self.serve()
+        self._serve()
+        self._deliver()
 
-    def serve(self) -> None:
-        """Grant free slots to the demands that wait."""
+    def _serve(self) -> None:
         now_ms = self._clock.now_ms()
         if now_ms < self.settled_ms:
             return
-        for key, demand in list(self._demands.items()):
-            if demand.until_ms <= now_ms:
-                del self._demands[key]
-                continue
+        for demand in self._order_demands(now_ms):
             if not self.ledger.free_count():
                 return
             grant = self._grant(demand, now_ms)
             if not demand.count:
-                self._demands.pop(key, None)
+                del self._demands[demand.key]
             if grant.tokens:
                 grant.linger_ms = self.linger_ms
-                self._send(demand.holder, grant)
+                self._outbox.append((demand.holder, grant))
+
+    def _order_demands(self, now_ms: float) -> list[Demand]:
+        for key, demand in list(self._demands.items()):
+            if demand.until_ms <= now_ms:
+                del self._demands[key]
+        demands = list(self._demands.values())
+        if len(demands) < 2:
+            return demands
+        zone = self.ledger.first_zone()
+        old_ms = now_ms - ZONE_PATIENCE_MS
+
+        def is_remote(demand: Demand) -> bool:
+            return demand.asked_ms > old_ms and self._zone_of(demand.holder) != zone
+
+        return sorted(demands, key=is_remote)
+
+    def _deliver(self) -> None:
+        # A grant to this host may lead back here before the send returns.
+        if self._delivering:
+            return
+        self._delivering = True
+        try:
+            while self._outbox:
+                self._send(*self._outbox.popleft())
+        finally:
+            self._delivering = False
 
     def tick(self) -> None:
         """Expire leases and follow the health of the upstreams."""
@@ -152,7 +189,8 @@
             share = self._health.capacity(slot.row)
             limit = max(1, int(slot.row.slots * share)) if share > 0 else 0
             self.ledger.set_limit(name, limit)
-        self.serve()
+        self._serve()
+        self._deliver()
 
     def _take_use(self, holder: str, use: SlotUse) -> None:
         slot = self.ledger.slots.get(use.upstream)
@@ -233,11 +271,20 @@
         held = self.ledger.held
         if not held:
             return
-        richest = max(held, key=lambda name: held[name])
-        if held[richest] <= held.get(holder, 0) + RECALL_GAP:
+        if len(self._demands) >= CROWD:
+            lease = self.ledger.find_remote(self._zone_of(holder), self._zone_of)
+            if lease is not None:
+                grant = SlotGrant(shard=self.shard, recalled=[lease.token])
+                self._ask_back(lease.holder, now_ms, grant)
             return
-        if now_ms - self._recalled_ms.get(richest, -RECALL_PAUSE_MS) < RECALL_PAUSE_MS:
+        richest = max(held, key=lambda name: held[name])
+        if held[richest] > held.get(holder, 0) + RECALL_GAP:
+            self._ask_back(richest, now_ms, SlotGrant(shard=self.shard, recall=1))
+
+    def _ask_back(self, holder: str, now_ms: float, grant: SlotGrant) -> None:
+        last_ms = self._recalled_ms.get(holder, -RECALL_PAUSE_MS)
+        if now_ms - last_ms < RECALL_PAUSE_MS:
             return
-        self._recalled_ms[richest] = now_ms
-        grant = SlotGrant(shard=self.shard, linger_ms=self.linger_ms, recall=1)
-        self._send(richest, grant)
+        self._recalled_ms[holder] = now_ms
+        grant.linger_ms = self.linger_ms
+        self._outbox.append((holder, grant))
--- a/src/mangohatch/core/slots/holder.py
+++ b/src/mangohatch/core/slots/holder.py
@@ -22,6 +22,7 @@
     token: int
     upstream: str
     isolated: bool = False
+    recalled: bool = False
     idle_ms: float | None = None
 
 
@@ -51,7 +52,6 @@
         self.asked = 0
         self.asked_ms = 0.0
         self.heard_ms = clock.now_ms()
-        self._owed = 0
         self._uses: list[SlotUse] = []
         self._renewed_ms = clock.now_ms()
         self._timer_ms: float | None = None
@@ -72,7 +72,18 @@
             held = Held(token=token, upstream=upstream, idle_ms=now_ms)
             self.leases[token] = held
             self.idle[token] = held
-        self._owed += grant.recall
+        if grant.recall or grant.recalled:
+            self._recall(grant)
+
+    def _recall(self, grant: SlotGrant) -> None:
+        for token in grant.recalled:
+            held = self.leases.get(token)
+            if held is not None:
+                held.recalled = True
+        idle = list(self.idle.values())[: grant.recall]
+        idle += [held for held in self.idle.values() if held.recalled]
+        if idle:
+            self._give_back(idle)
 
     def pending(self, wait_ms: float) -> int:
         """
@@ -113,8 +124,7 @@
         )
         self._uses.append(use)
         now_ms = self._clock.now_ms()
-        if report.result is not Result.OK or report.draining or self._owed:
-            self._owed = max(0, self._owed - 1)
+        if report.result is not Result.OK or report.draining or held.recalled:
             del self.leases[token]
             use.freed = True
             self.flush()
@@ -129,7 +139,6 @@
         now_ms = self._clock.now_ms()
         due_ms = now_ms - self.linger_ms + BATCH_MS
         freed = [held for held in self.idle.values() if (held.idle_ms or 0) <= due_ms]
-        freed += self._pick_owed(freed)
         if freed:
             self._give_back(freed)
         if self.idle:
@@ -146,16 +155,10 @@
         self._timer_ms = None
         self.settle()
 
-    def _pick_owed(self, freed: list[Held]) -> list[Held]:
-        self._owed = max(0, self._owed - len(freed))
-        rest = [held for held in self.idle.values() if held not in freed]
-        picked = rest[: self._owed]
-        self._owed -= len(picked)
-        return picked
-
     def _give_back(self, freed: list[Held]) -> None:
         for held in freed:
-            del self.idle[held.token]
+            if self.idle.pop(held.token, None) is None:
+                continue
             del self.leases[held.token]
             self._uses.append(
                 SlotUse(upstream=held.upstream, token=held.token, freed=True)
--- a/src/mangohatch/core/slots/ledger.py
+++ b/src/mangohatch/core/slots/ledger.py
@@ -54,6 +54,7 @@
         self.slots: dict[str, SlotRow] = {}
         self.leases: dict[int, Lease] = {}
         self.held: dict[str, int] = {}
+        self._names: list[str] = []
         self._open: list[str] = []
         self._place: dict[str, int] = {}
 
@@ -78,6 +79,7 @@
                 known.limit = min(known.limit, row.slots)
             self._list(name)
         self._speeds.forget(set(fresh))
+        self._names = list(fresh)
 
     def set_limit(self, upstream: str, limit: int) -> None:
         """
@@ -99,6 +101,14 @@
         """
         return len(self._open)
 
+    def first_zone(self) -> str:
+        """
+        Read the zone of one upstream with a free slot.
+
+        :return: its availability zone, empty when no slot is free
+        """
+        return self.slots[self._open[0]].row.zone if self._open else ""
+
     def find(
         self, *, zone: str, avoid: Iterable[str], is_open: Open, now_ms: float
     ) -> SlotRow | None:
@@ -133,6 +143,24 @@
         draw = self._rng.random
         return {names[int(draw() * count)] for _ in range(SAMPLES)}
 
+    def find_remote(self, zone: str, zone_of: Callable[[str], str]) -> Lease | None:
+        """
+        Look for a lease on an upstream of a zone whose holder is in another zone.
+
+        :param zone: availability zone of the upstream
+        :param zone_of: tells the zone of a holder
+        :return: a lease, None when a few samples show none
+        """
+        for _ in range(SAMPLES):
+            slot = self.slots[self._names[int(self._rng.random() * len(self._names))]]
+            if slot.row.zone != zone:
+                continue
+            for token in slot.tokens:
+                lease = self.leases[token]
+                if zone_of(lease.holder) != zone:
+                    return lease
+        return None
+
     def lease(
         self, slot: SlotRow, *, holder: str, until_ms: float, weight: int = 1
     ) -> Lease:
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -945,7 +945,7 @@
 
 class SlotGrant(object):
     """
-    `recall` is the number of leases to give back, idle ones first.
+    `recall` idle leases are to be given back, and each of `recalled` in any case.
 
     Attributes:
      - shard
@@ -955,6 +955,7 @@
      - linger_ms
      - waiting
      - recall
+     - recalled
 
     """
 
@@ -966,10 +967,11 @@
         'linger_ms',
         'waiting',
         'recall',
+        'recalled',
     )
 
 
-    def __init__(self, shard=None, sequence=None, upstreams=None, tokens=None, linger_ms=None, waiting=None, recall=None,):
+    def __init__(self, shard=None, sequence=None, upstreams=None, tokens=None, linger_ms=None, waiting=None, recall=None, recalled=None,):
         self.shard = shard
         self.sequence = sequence
         self.upstreams = upstreams
@@ -977,6 +979,7 @@
         self.linger_ms = linger_ms
         self.waiting = waiting
         self.recall = recall
+        self.recalled = recalled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1032,6 +1035,16 @@
                     self.recall = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.recalled = []
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = iprot.readI64()
+                        self.recalled.append(_elem52)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1053,15 +1066,15 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.upstreams))
-            for iter47 in self.upstreams:
-                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
+            for iter53 in self.upstreams:
+                oprot.writeString(iter53.encode('utf-8') if sys.version_info[0] == 2 else iter53)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.tokens))
-            for iter48 in self.tokens:
-                oprot.writeI64(iter48)
+            for iter54 in self.tokens:
+                oprot.writeI64(iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.linger_ms is not None:
@@ -1076,6 +1089,13 @@
             oprot.writeFieldBegin('recall', TType.I32, 7)
             oprot.writeI32(self.recall)
             oprot.writeFieldEnd()
+        if self.recalled is not None:
+            oprot.writeFieldBegin('recalled', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.recalled))
+            for iter55 in self.recalled:
+                oprot.writeI64(iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1274,31 +1294,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = SlotUse()
-                        _elem54.read(iprot)
-                        self.uses.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = SlotUse()
+                        _elem61.read(iprot)
+                        self.uses.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.held.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.held.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.held_tokens = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = iprot.readI64()
-                        self.held_tokens.append(_elem66)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = iprot.readI64()
+                        self.held_tokens.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1319,22 +1339,22 @@
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter67 in self.uses:
-                iter67.write(oprot)
+            for iter74 in self.uses:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.held))
-            for iter68 in self.held:
-                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
+            for iter75 in self.held:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.held_tokens is not None:
             oprot.writeFieldBegin('held_tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.held_tokens))
-            for iter69 in self.held_tokens:
-                oprot.writeI64(iter69)
+            for iter76 in self.held_tokens:
+                oprot.writeI64(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1553,10 +1573,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1589,8 +1609,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.upstreams))
-            for iter76 in self.upstreams:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter83 in self.upstreams:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1772,11 +1792,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = ConfigItem()
-                        _elem82.read(iprot)
-                        self.items.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = ConfigItem()
+                        _elem89.read(iprot)
+                        self.items.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1808,8 +1828,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter83 in self.items:
-                iter83.write(oprot)
+            for iter90 in self.items:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revision is not None:
@@ -1878,11 +1898,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.revisions = {}
-                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
-                    for _i88 in range(_size84):
-                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val90 = iprot.readI64()
-                        self.revisions[_key89] = _val90
+                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
+                    for _i95 in range(_size91):
+                        _key96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val97 = iprot.readI64()
+                        self.revisions[_key96] = _val97
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1899,9 +1919,9 @@
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.revisions))
-            for kiter91, viter92 in self.revisions.items():
-                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
-                oprot.writeI64(viter92)
+            for kiter98, viter99 in self.revisions.items():
+                oprot.writeString(kiter98.encode('utf-8') if sys.version_info[0] == 2 else kiter98)
+                oprot.writeI64(viter99)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1956,10 +1976,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.names = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.names.append(_elem98)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1976,8 +1996,8 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.names))
-            for iter99 in self.names:
-                oprot.writeString(iter99.encode('utf-8') if sys.version_info[0] == 2 else iter99)
+            for iter106 in self.names:
+                oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2543,10 +2563,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.events.append(_elem105)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.events.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2572,8 +2592,8 @@
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.events))
-            for iter106 in self.events:
-                oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
+            for iter113 in self.events:
+                oprot.writeString(iter113.encode('utf-8') if sys.version_info[0] == 2 else iter113)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
@@ -2740,10 +2760,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.rows.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.rows.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2774,8 +2794,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.rows))
-            for iter113 in self.rows:
-                oprot.writeString(iter113.encode('utf-8') if sys.version_info[0] == 2 else iter113)
+            for iter120 in self.rows:
+                oprot.writeString(iter120.encode('utf-8') if sys.version_info[0] == 2 else iter120)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -2886,6 +2906,7 @@
     (5, TType.DOUBLE, 'linger_ms', None, None, ),  # 5
     (6, TType.I32, 'waiting', None, None, ),  # 6
     (7, TType.I32, 'recall', None, None, ),  # 7
+    (8, TType.LIST, 'recalled', (TType.I64, None, False), None, ),  # 8
 )
 all_structs.append(SlotUse)
 SlotUse.thrift_spec = (
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -114,7 +114,8 @@
     The right to use slots, each to be kept idle for at most ``linger_ms``.
 
     ``waiting`` counts the slots that are still owed to the receiver; ``recall``
-    the leases that it has to give back, idle ones first.
+    the idle leases that it has to give back. It gives back those in ``recalled``
+    as well, as soon as their attempts end.
     """
 
     shard: str = ""
@@ -124,6 +125,7 @@
     linger_ms: float = 0.0
     waiting: int = 0
     recall: int = 0
+    recalled: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -63,7 +63,7 @@
   6: bool isolated,
 }
 
-/** `recall` is the number of leases to give back, idle ones first. */
+/** `recall` idle leases are to be given back, and each of `recalled` in any case. */
 struct SlotGrant {
   1: string shard,
   2: i64 sequence,
@@ -72,6 +72,7 @@
   5: double linger_ms,
   6: i32 waiting,
   7: i32 recall,
+  8: list<i64> recalled,
 }
 
 /** The end of an attempt, or of a lease when `freed` is set. */
