Check histories of concurrent state and claims with injected failures

Cause: single tests do not show what several failures together do. Change: a hypothesis state machine drives the real state and claims over fakes (pauses, kills, replacement, partitions, lost and refused writes, stale reads, outages, silent watches, conflicting orders, resends) and checks each promise; ten mutants of the core must each be rejected for the promise they break. Paused hosts hold back callbacks without losing a cancellation.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 SOURCES := src tests bench demo
 
-.PHONY: all setup test lint format gen slopes demo bench binary reference
+.PHONY: all setup test lint format gen slopes demo bench binary reference history
 
 all: lint test
 
@@ -21,6 +21,10 @@
 test: setup
 	$(BIN)/python -m tests
 
+# Longer runs of the concurrent histories; SEED selects them.
+history: setup
+	$(BIN)/python -m tests.state.machine --seed $(SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/isort --check-only --quiet $(SOURCES)
--- a/src/mangohatch/state/service.py
+++ b/src/mangohatch/state/service.py
@@ -39,6 +39,10 @@
     :param recorder: the time line
     """
 
+    table_type = ConfigTable
+    lease_type = Lease
+    joining_type = Joining
+
     def __init__(
         self,
         *,
@@ -53,8 +57,8 @@
         self._cfg = cfg
         self._tasks: list[asyncio.Task[None]] = []
         instance = f"{bus.host_id}:{rng.getrandbits(64):016x}"
-        self.table = ConfigTable(tables=tables, recorder=recorder)
-        self.lease = Lease(
+        self.table = self.table_type(tables=tables, recorder=recorder)
+        self.lease = self.lease_type(
             name=LEASE_NAME,
             holder=instance,
             duration_ms=cfg.lease_ms,
@@ -81,7 +85,7 @@
             rng=rng,
             recorder=recorder,
         )
-        self.joining = Joining(
+        self.joining = self.joining_type(
             cfg=cfg,
             instance=instance,
             store=store,
--- a/src/standins/memory_bus.py
+++ b/src/standins/memory_bus.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -36,6 +36,7 @@
 
     def __init__(self, *, loop: VirtualLoop, rng: random.Random) -> None:
         self.faults = NetworkFaults()
+        self.observers: list[Callable[[str, Any], None]] = []
         self.sent: Counter[str] = Counter()
         self.sent_by_host: Counter[str] = Counter()
         self._loop = loop
@@ -113,6 +114,8 @@
         """
         self.sent[type(message).__name__] += 1
         self.sent_by_host[sender] += 1
+        for observe in self.observers:
+            observe(sender, message)
         if self._rng.random() < self.faults.loss:
             return
         copies = 2 if self._rng.random() < self.faults.duplicates else 1
--- a/src/standins/memory_store.py
+++ b/src/standins/memory_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
 from mangohatch.errors import StoreUnavailable, StoreWriteUnknown
@@ -15,7 +15,7 @@
 ANSWER_MAX_MS = 4.0
 OUTAGE_ANSWER_MS = 200.0
 SIGN_OF_LIFE_MS = 1000.0
-WATCH_POLL_MS = 2.0
+WATCH_POLL_MS = 50.0
 MS_PER_S = 1000.0
 
 
@@ -79,11 +79,16 @@
     async def watch(self, kind: str, *, since: int) -> AsyncIterator[WatchEvent]:
         await self._reach("watch")
         quiet_ms = 0.0
+        seen: tuple[int, int | None] | None = None
         while True:
-            if self._table.faults.outage:
+            faults = self._table.faults
+            if faults.outage:
                 raise StoreUnavailable("the watch broke")
-            silent = self._table.faults.silent_watches
-            changes = [] if silent else self._table.changes_since(kind, since)
+            silent = faults.silent_watches
+            changes: Sequence[WatchEvent] = []
+            if not silent and seen != (self._table.revision, faults.stale_revision):
+                changes = self._table.changes_since(kind, since)
+                seen = (self._table.revision, faults.stale_revision)
             for event in changes:
                 since = event.revision
                 yield event
@@ -91,7 +96,7 @@
             if quiet_ms >= SIGN_OF_LIFE_MS and not silent:
                 quiet_ms = 0.0
                 yield WatchEvent(item=None, deleted=False, revision=since)
-            await asyncio.sleep(WATCH_POLL_MS / MS_PER_S)
+            await self._table.wait_for_change(WATCH_POLL_MS)
 
     async def _reach(self, call: str) -> None:
         self._table.calls[(self._role, call)] += 1
--- a/src/standins/objects.py
+++ b/src/standins/objects.py
@@ -1,5 +1,6 @@
 """The object table behind the stand-ins of the platform's object API."""
 
+import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
@@ -10,6 +11,7 @@
 __all__ = ["ObjectTable", "StoreFaults"]
 
 CHANGES_KEPT = 5_000
+MS_PER_S = 1000.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -39,6 +41,7 @@
     changes: list[WatchEvent] = field(default_factory=list)
     calls: Counter[tuple[str, str]] = field(default_factory=Counter)
     faults: StoreFaults = field(default_factory=StoreFaults)
+    waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     def get(self, kind: str, name: str) -> StoredObject | None:
         """
@@ -118,6 +121,16 @@
             and event.item.kind == kind
         ]
 
+    async def wait_for_change(self, timeout_ms: float) -> None:
+        """
+        Wait until an object is written or deleted.
+
+        :param timeout_ms: time to wait at most
+        """
+        fut = asyncio.get_running_loop().create_future()
+        self.waiters.append(fut)
+        await asyncio.wait([fut], timeout=timeout_ms / MS_PER_S)
+
     def _check(self, kind: str, name: str, expected: int | None) -> None:
         current = self.objects.get((kind, name))
         found = current.revision if current else None
@@ -126,6 +139,10 @@
 
     def _note(self, event: WatchEvent) -> None:
         self.changes.append(event)
+        waiters, self.waiters = self.waiters, []
+        for fut in waiters:
+            if not fut.done():
+                fut.set_result(None)
         if len(self.changes) > 2 * CHANGES_KEPT:
             del self.changes[:CHANGES_KEPT]
 
--- a/src/standins/virtual_loop.py
+++ b/src/standins/virtual_loop.py
@@ -28,6 +28,25 @@
         return self.now_ms() + self._wall_offset_ms
 
 
+class HeldCall:
+    """A callback with its handle, which may be cancelled while it is held back."""
+
+    __slots__ = ("args", "callback", "context", "handle")
+
+    def __init__(
+        self, *, callback: Callable[..., Any], args: tuple[Any, ...], context: Context
+    ) -> None:
+        self.callback = callback
+        self.args = args
+        self.context = context
+        self.handle: asyncio.Handle | None = None
+
+    def run(self) -> None:
+        """Call the callback unless its handle was cancelled."""
+        if self.handle is None or not self.handle.cancelled():
+            self.context.run(self.callback, *self.args)
+
+
 class JumpSelector(selectors.DefaultSelector):
     """Moves virtual time forward instead of waiting."""
 
@@ -52,12 +71,12 @@
     Runs all hosts of a test in one thread and in virtual time.
 
     Callbacks belong to the host in whose context they were scheduled. Those of a
-    paused host are held back until it resumes, those of a killed one are dropped.
+    paused host are held back until it resumes, those of a killed one until shutdown.
     """
 
     def __init__(self) -> None:
         self._jump = JumpSelector()
-        self._paused: dict[str, list[tuple[Callable[..., Any], tuple, Context]]] = {}
+        self._paused: dict[str, list[HeldCall]] = {}
         self._killed: set[str] = set()
         super().__init__(self._jump)
         self._clock_resolution = 1e-9
@@ -68,29 +87,24 @@
     def call_soon(  # type: ignore[override]
         self, callback: Any, *args: Any, context: Context | None = None
     ) -> asyncio.Handle:
-        context = context or copy_context()
-        return super().call_soon(
-            self._guard, callback, args, context, context=copy_context()
-        )
+        call = HeldCall(callback=callback, args=args, context=context or copy_context())
+        call.handle = super().call_soon(self._guard, call)
+        return call.handle
 
     def call_at(  # type: ignore[override]
         self, when: float, callback: Any, *args: Any, context: Context | None = None
     ) -> asyncio.TimerHandle:
-        context = context or copy_context()
-        return super().call_at(
-            when, self._guard, callback, args, context, context=copy_context()
-        )
-
-    def _guard(
-        self, callback: Callable[..., Any], args: tuple[Any, ...], context: Context
-    ) -> None:
-        host = context.get(HOST, "")
-        if host in self._killed:
+        call = HeldCall(callback=callback, args=args, context=context or copy_context())
+        handle = super().call_at(when, self._guard, call)
+        call.handle = handle
+        return handle
+
+    def _guard(self, call: HeldCall) -> None:
+        held = self._paused.get(call.context.get(HOST, ""))
+        if held is not None:
+            held.append(call)
             return
-        if host in self._paused:
-            self._paused[host].append((callback, args, context))
-            return
-        context.run(callback, *args)
+        call.run()
 
     def spawn(self, host: str, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """
@@ -127,8 +141,10 @@
 
         :param host: the host
         """
-        for callback, args, context in self._paused.pop(host, []):
-            self.call_soon(callback, *args, context=context)
+        if host in self._killed:
+            return
+        for call in self._paused.pop(host, []):
+            super().call_soon(self._guard, call)
 
     def kill(self, host: str) -> None:
         """
@@ -137,7 +153,7 @@
         :param host: the host; its id cannot be used again
         """
         self._killed.add(host)
-        self._paused.pop(host, None)
+        self.pause(host)
 
     def is_stopped(self, host: str) -> bool:
         """
@@ -146,7 +162,7 @@
         :param host: the host
         :return: whether none of its code runs
         """
-        return host in self._paused or host in self._killed
+        return host in self._paused
 
     def run_for(self, duration_ms: float) -> None:
         """
@@ -158,13 +174,12 @@
 
     def shutdown(self) -> None:
         """Cancel every task, those of stopped hosts too, and close the loop."""
-        self._killed.clear()
-        for host in list(self._paused):
-            self.resume(host)
-        tasks = asyncio.all_tasks(self)
-        for task in tasks:
-            task.cancel()
-        if tasks:
+        while tasks := asyncio.all_tasks(self):
+            for task in tasks:
+                task.cancel()
+            self._killed.clear()
+            for host in list(self._paused):
+                self.resume(host)
             self.run_until_complete(asyncio.wait(tasks, timeout=1.0))
         self.run_until_complete(self.shutdown_asyncgens())
         self.close()
--- /dev/null
+++ b/tests/state/mutants.py
@@ -0,0 +1,125 @@
+"""Faults planted in the state and the claims, which the histories must show."""
+
+from dataclasses import replace
+
+from mangohatch.claims import StoreClaimRegistry
+from mangohatch.claims.record import CLAIM_KIND, ClaimState, read_claim
+from mangohatch.claims.store_registry import StoreTicket
+from mangohatch.errors import StoreConflict, StoreError
+from mangohatch.state import ConfigTable, StateService
+from mangohatch.state.joining import Joining
+from mangohatch.state.lease import Lease
+from tests.state.machine import StateMachine
+
+__all__ = ["MUTANTS"]
+
+
+class ForgetfulTable(ConfigTable):
+    """Puts in force whatever arrives, older revisions too."""
+
+    def apply(self, item):
+        known = self.items.pop(f"{item.kind}/{item.name}", None)
+        service = self._tables.services.get(item.name)
+        if known is not None and service is not None:
+            service.revision = 0
+        return super().apply(item)
+
+
+class UndeadLease(Lease):
+    """A holder that does not look at its own deadline."""
+
+    def held(self):
+        return self._tenure is not None
+
+
+class HastyLease(Lease):
+    """A standby that takes the lease without waiting for its end."""
+
+    def is_free(self, item):
+        return True
+
+
+class SharedEpochLease(Lease):
+    """A new holder that does not raise the epoch."""
+
+    async def acquire(self, base, *, above_epoch):
+        return await self._write(base, 1)
+
+
+class TrustingJoining(Joining):
+    """A new host that trusts any read of the store."""
+
+    async def _write_barrier(self):
+        return 0
+
+
+class HopefulRegistry(StoreClaimRegistry):
+    """Runs a request although the outcome of the claim's write is not known."""
+
+    async def _claim(self, attempt):
+        try:
+            return await self._write_claim(attempt)
+        except StoreError:
+            return StoreTicket(registry=self, attempt=attempt, base=None)
+
+
+class ImpatientRegistry(StoreClaimRegistry):
+    """Claims a key again once the first attempt's deadline has passed."""
+
+    async def _write_claim(self, attempt):
+        found = await self._store.get(CLAIM_KIND, attempt.name)
+        record = read_claim(found.value) if found else None
+        if record is not None and record.state is ClaimState.RUNNING:
+            if record.deadline_wall_ms < self._clock.wall_ms():
+                item = await self._put(attempt, found)
+                return StoreTicket(registry=self, attempt=attempt, base=item)
+        return await super()._write_claim(attempt)
+
+
+class LyingRegistry(StoreClaimRegistry):
+    """Writes an unknown outcome down as not run."""
+
+    def end(self, attempt, state, answer, base):
+        told = ClaimState.NOT_RUN if state is ClaimState.UNKNOWN else state
+        super().end(attempt, told, answer, base)
+
+
+class MixedUpRegistry(StoreClaimRegistry):
+    """Gives a resend another body than the first answer."""
+
+    def _repeat(self, record):
+        return replace(super()._repeat(record), body=b"another")
+
+
+class BlindWinnerMachine(StateMachine):
+    """Operators whose conflict is taken for success."""
+
+    async def _write_order(self, host, base, upstreams):
+        try:
+            await super()._write_order(host, base, upstreams)
+        except StoreConflict:
+            pass
+        self.wins.setdefault(base.revision, set()).add(f"order-{next(self._numbers)}")
+
+
+def make_machine(**types):
+    state = type("MutantState", (StateService,), types)
+    return type("MutantMachine", (StateMachine,), {"state_type": state})
+
+
+def make_claims_machine(registry):
+    return type("MutantMachine", (StateMachine,), {"claims_type": registry})
+
+
+MUTANTS = (
+    ("config never reverts", make_machine(table_type=ForgetfulTable)),
+    ("fenced watcher is silent", make_machine(lease_type=UndeadLease)),
+    ("fenced watcher is silent", make_machine(lease_type=HastyLease)),
+    ("one watcher an epoch", make_machine(lease_type=SharedEpochLease)),
+    ("accepted never reverts", make_machine(joining_type=TrustingJoining)),
+    ("at most once", make_claims_machine(HopefulRegistry)),
+    ("at most once", make_claims_machine(ImpatientRegistry)),
+    ("at most once", make_claims_machine(LyingRegistry)),
+    ("the first answer is repeated", make_claims_machine(MixedUpRegistry)),
+    ("one winner a conflict", BlindWinnerMachine),
+)
