Measure the live path of both sites over loopback

Cause: the decision core was only measured in virtual time. Change: four entry processes a site against its stand-in upstreams, open-loop arrivals whose latency counts from the planned time, the caller's own lag, counts of doubled runs, measuring calls and CPU time of the entry hosts, as JSON.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,6 @@
 
 demo: setup
 	$(BIN)/python -m demo --seed $(SEED)
+
+bench: setup
+	$(BIN)/python -m bench.live --seed $(SEED)
--- /dev/null
+++ b/bench/live/__init__.py
@@ -0,0 +1,1 @@
+"""The live path: entry processes and stand-in upstreams over loopback."""
--- /dev/null
+++ b/bench/live/cases.py
@@ -0,0 +1,108 @@
+"""Cases of the live bench."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from standins.caller.plan import PlannedRequest, RequestKind, Stream, make_plan
+from standins.sites import Site
+from standins.upstream import Behaviour
+from standins.upstream.noise import mean_speed
+
+__all__ = ["Case", "Condition", "behaviour_of", "make_case_plan", "rate_per_s"]
+
+NOISE_FACTOR = 3.0
+LOOKUP_WORK_MS = 50.0
+CONFIRM_WORK_MS = 50.0
+LOOKUP_SHARE = 0.8
+KEYED_SHARE = 0.5
+DEADLINE_MS = 2000.0
+LOADS = (0.5, 0.7, 0.85)
+DURATION_MS = 6000.0
+
+
+class Condition(StrEnum):
+    """What happens to the upstreams during a case."""
+
+    CALM = "calm"
+    NOISY = "noisy"
+    SILENT = "silent"
+    CRASH = "crash"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Case:
+    """One cell of the table."""
+
+    site: Site
+    condition: Condition
+    load: float
+    seed: int
+
+    @property
+    def name(self) -> str:
+        """Prefix of the request ids."""
+        percent = round(self.load * 100)
+        return f"{self.site.name}-{self.condition}-{percent}-{self.seed}"
+
+
+def behaviour_of(condition: Condition) -> Behaviour:
+    """
+    Make the behaviour of all upstreams at the start of a condition.
+
+    :param condition: the condition
+    :return: the behaviour
+    """
+    if condition is Condition.NOISY:
+        return Behaviour(noise_factor=NOISE_FACTOR)
+    return Behaviour()
+
+
+def rate_per_s(case: Case) -> float:
+    """
+    Compute the arrivals a second at a share of the capacity.
+
+    :param case: the case
+    :return: requests a second over all entry hosts
+    """
+    speed = mean_speed(behaviour_of(case.condition).noise_factor)
+    desk = case.site.desk
+    capacity = desk.upstreams * desk.slots * speed * 1000 / LOOKUP_WORK_MS
+    return capacity * case.load
+
+
+def make_streams(case: Case) -> Sequence[Stream]:
+    """
+    Split the load into lookups, keyed and unkeyed confirmations.
+
+    :param case: the case
+    :return: three streams
+    """
+    rate = rate_per_s(case)
+    confirms = rate * (1 - LOOKUP_SHARE)
+    parts = (
+        (RequestKind.LOOKUP, rate * LOOKUP_SHARE, LOOKUP_WORK_MS),
+        (RequestKind.KEYED, confirms * KEYED_SHARE, CONFIRM_WORK_MS),
+        (RequestKind.UNKEYED, confirms * (1 - KEYED_SHARE), CONFIRM_WORK_MS),
+    )
+    return [
+        Stream(
+            service=case.site.desk.name,
+            kind=kind,
+            per_second=per_second,
+            work_ms=work_ms,
+            deadline_ms=DEADLINE_MS,
+        )
+        for kind, per_second, work_ms in parts
+    ]
+
+
+def make_case_plan(case: Case) -> list[PlannedRequest]:
+    """
+    Plan the arrivals of a case.
+
+    :param case: the case
+    :return: requests in order of time
+    """
+    streams = make_streams(case)
+    return make_plan(streams, duration_ms=DURATION_MS, name=case.name, seed=case.seed)
--- a/src/standins/caller/caller.py
+++ b/src/standins/caller/caller.py
@@ -77,16 +77,21 @@
         self._clock = clock
         self._rng = rng
 
-    async def send(self, request: PlannedRequest) -> Record:
+    async def send(
+        self, request: PlannedRequest, *, due_ms: float | None = None
+    ) -> Record:
         """
         Send a request, again where that is safe, until it is settled.
 
         :param request: the request
+        :param due_ms: when it should be sent; its latency counts from there
         :return: what was seen
         """
         record = Record(request=request)
         self.records.append(record)
-        started_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        started_ms = now_ms if due_ms is None else due_ms
+        record.lag_ms = now_ms - started_ms
         avoid: Address | None = None
         for number in range(1, MAX_ATTEMPTS + 1):
             address = self._balancer.choose(avoid)
@@ -109,10 +114,11 @@
         started_ms = self._clock.now_ms()
         async with asyncio.TaskGroup() as group:
             for request in plan:
-                wait_ms = started_ms + request.at_ms - self._clock.now_ms()
+                due_ms = started_ms + request.at_ms
+                wait_ms = due_ms - self._clock.now_ms()
                 if wait_ms > 0:
                     await asyncio.sleep(wait_ms / 1000)
-                group.create_task(self.send(request))
+                group.create_task(self.send(request, due_ms=due_ms))
 
     def _backoff_ms(self, number: int) -> float:
         return BACKOFF_MS * 2**number * self._rng.uniform(0.5, 1.5)
--- a/src/standins/caller/record.py
+++ b/src/standins/caller/record.py
@@ -35,10 +35,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class Record:
-    """A request with all attempts of its caller."""
+    """A request with all attempts of its caller; ``lag_ms`` is the caller's own."""
 
     request: PlannedRequest
     latency_ms: float = 0.0
+    lag_ms: float = 0.0
     attempts: list[Attempt] = field(default_factory=list)
 
     @property
--- a/src/standins/upstream/noise.py
+++ b/src/standins/upstream/noise.py
@@ -4,10 +4,22 @@
 from collections import deque
 from dataclasses import dataclass
 
-__all__ = ["NoiseSchedule"]
+__all__ = ["NoiseSchedule", "mean_speed"]
 
 SEGMENT_MIN_MS = 5.0
 SEGMENT_MAX_MS = 50.0
+LEVELS = (0.0, 0.0, 0.5, 1.0)
+
+
+def mean_speed(factor: float) -> float:
+    """
+    Compute how fast an upstream works on average, 1 without neighbours.
+
+    :param factor: greatest slow-down
+    :return: the mean over time
+    """
+    speeds = [1.0 / (1.0 + level * (factor - 1.0)) for level in LEVELS]
+    return sum(speeds) / len(speeds)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -70,5 +82,5 @@
 
     def _extend(self) -> None:
         self._end_ms += self._rng.uniform(SEGMENT_MIN_MS, SEGMENT_MAX_MS)
-        level = self._rng.choice((0.0, 0.0, 0.5, 1.0))
+        level = self._rng.choice(LEVELS)
         self._segments.append(Segment(end_ms=self._end_ms, level=level))
--- /dev/null
+++ b/tests/bench/live/test_cases.py
@@ -0,0 +1,55 @@
+"""Tests of the cases of the live bench and of their figures."""
+
+import os
+
+from bench.live.cases import Case, Condition, make_case_plan, rate_per_s
+from bench.live.run import Totals, summarize
+from bench.live.usage import read_usage
+from standins.caller import Attempt, AttemptResult, Record
+from standins.sites import HIMAL
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def make_case(condition=Condition.CALM):
+    return Case(site=HIMAL, condition=condition, load=0.5, seed=1)
+
+
+def make_totals(scale):
+    return Totals(
+        measuring_calls=2 * scale, measuring_bytes=40 * scale, entry_cpu_ms=3.0 * scale
+    )
+
+
+def test_load_is_a_share_of_what_slowed_upstreams_can_run():
+    calm, noisy = rate_per_s(make_case()), rate_per_s(make_case(Condition.NOISY))
+    assert calm == 0.5 * 40 * 1000 / 50
+    assert 0.5 < noisy / calm < 1.0
+    planned = len(make_case_plan(make_case()))
+    assert abs(planned - calm * 6) < 4 * (calm * 6) ** 0.5
+
+
+def test_figures_count_only_what_the_case_spent():
+    plan = make_case_plan(make_case())[:4]
+    results = [AttemptResult.DONE] * 3 + [AttemptResult.NOT_RUN]
+    records = [
+        Record(
+            request=request,
+            latency_ms=10.0,
+            attempts=[Attempt(number=1, entry_port=1, result=result)],
+        )
+        for request, result in zip(plan, results)
+    ]
+    ledger = {"runs": {}, "measuring_calls": 99}
+    before, after = make_totals(1), make_totals(3)
+    figures = summarize(make_case(), records, [ledger], before, after)
+    assert (figures.goodput, figures.refusals) == (0.75, 0.25)
+    assert figures.measuring_calls_per_request == 1.0
+    assert figures.measuring_bytes_per_request == 20.0
+    assert figures.entry_cpu_us_per_request == 1500.0
+
+
+def test_usage_of_a_process_is_read_and_of_an_ended_one_is_nothing():
+    assert read_usage(os.getpid()).resident_bytes > 1_000_000
+    assert read_usage(2**30).cpu_ms == 0.0
--- a/tests/standins/upstream/test_noise.py
+++ b/tests/standins/upstream/test_noise.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, settings, strategies
 
-from standins.upstream.noise import NoiseSchedule
+from standins.upstream.noise import NoiseSchedule, mean_speed
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
@@ -26,3 +26,9 @@
     changes = sum(1 for old, new in zip(ends, ends[1:]) if old != new)
     assert 1000 / 50 <= changes <= 2 * 1000 / 5
     assert {round(end, 3) for end in ends} >= {1.0, 2.5, 4.0}
+
+
+def test_mean_speed_agrees_with_the_schedule():
+    schedule = NoiseSchedule(seed=7, start_ms=0)
+    end_ms = schedule.finish_ms(0.0, 100_000.0, 3.0)
+    assert abs(100_000.0 / end_ms - mean_speed(3.0)) < 0.02
