Take orders that are in force everywhere or refused plainly

Cause: operators could ask but not order. Change: OrderService has an order checked by every required host, writes it on the condition that the object has not changed, publishes it and waits until every required host confirms; a lost answer is settled by the operation id, a lost race names the order that won, a store outage refuses at once. ListedRequirement keeps a dead member as required until the host list no longer names it.

--- a/src/mangohatch/admin/sources/config.py
+++ b/src/mangohatch/admin/sources/config.py
@@ -1,6 +1,6 @@
 """Rows of the configuration in force."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from mangohatch.admin.conditions import Row
 from mangohatch.admin.sources.base import RowSource
@@ -11,12 +11,20 @@
 
 
 class ConfigSource(RowSource):
-    """One row per service with its whole specification."""
+    """
+    One row per service with its whole specification.
+
+    :param tables: tables of the decision core
+    :param order_of: id of the order that wrote a service, empty when not known
+    """
 
     subject = Subject.CONFIG
 
-    def __init__(self, *, tables: Tables) -> None:
+    def __init__(
+        self, *, tables: Tables, order_of: Callable[[str], str] = lambda name: ""
+    ) -> None:
         self._tables = tables
+        self._order_of = order_of
 
     def rows(self, service: str) -> Iterable[Row]:
         for name, row in sorted(self._tables.services.items()):
@@ -24,5 +32,6 @@
                 yield {
                     "service": name,
                     "revision": row.revision,
+                    "order": self._order_of(name),
                     "config": row.spec.model_dump(mode="json"),
                 }
--- a/src/mangohatch/language/fields.py
+++ b/src/mangohatch/language/fields.py
@@ -31,7 +31,7 @@
         "in_flight",
     ),
     Subject.HOSTS: ("zone", "state", "ready", "incarnation", "members", "revision"),
-    Subject.CONFIG: ("service", "revision", "config"),
+    Subject.CONFIG: ("service", "revision", "order", "config"),
     Subject.QUARANTINE: ("service", "fingerprint", "state", "crashes", "upstreams"),
     Subject.ORDERS: (
         "order",
--- /dev/null
+++ b/src/mangohatch/orders/ballot.py
@@ -0,0 +1,191 @@
+"""Questions to all hosts about one order: before the write and after it."""
+
+from collections.abc import Callable
+
+from mangohatch.clock import Clock
+from mangohatch.errors import (
+    OrderConflict,
+    OrderError,
+    OrderInvalid,
+    OrderVotedDown,
+    OrderVotesMissing,
+)
+from mangohatch.orders.record import OrderRecord
+from mangohatch.orders.required import RequiredHosts
+from mangohatch.orders.votes import VoteCode, Voter
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.exchange import Exchange
+from mangohatch.peer.messages import (
+    OrderConfirm,
+    OrderConfirmed,
+    OrderPrepare,
+    OrderVote,
+)
+
+__all__ = ["Ballot"]
+
+PREPARE_MS = 2000.0
+RESEND_MS = 250.0
+ROUND_MS = 500.0
+
+REFUSALS: dict[VoteCode, type[OrderError]] = {
+    VoteCode.CONFLICT: OrderConflict,
+    VoteCode.INVALID: OrderVotedDown,
+}
+
+
+class Ballot:
+    """
+    Collects votes and confirmations of the required hosts.
+
+    :param bus: messages to other hosts
+    :param clock: source of time
+    :param voter: votes for this host
+    :param hosts: the hosts that must vote and confirm
+    """
+
+    def __init__(
+        self, *, bus: PeerBus, clock: Clock, voter: Voter, hosts: RequiredHosts
+    ) -> None:
+        self._bus = bus
+        self._clock = clock
+        self._voter = voter
+        self._hosts = hosts
+        self._votes: dict[str, Exchange[OrderVote]] = {}
+        self._confirmations: dict[str, Exchange[OrderConfirmed]] = {}
+        bus.subscribe(OrderVote, self.on_vote)
+        bus.subscribe(OrderConfirmed, self.on_confirmed)
+
+    async def prepare(self, order: OrderPrepare) -> None:
+        """
+        Have an order checked by every required host.
+
+        :param order: the order
+        :raises OrderError: when a host refuses or does not vote in time
+        """
+        own = self._voter.vote(order)
+        if own.code in REFUSALS:
+            raise make_refusal(self._bus.host_id, own)
+        await self._hosts.refresh()
+        exchange: Exchange[OrderVote] = Exchange(
+            bus=self._bus, clock=self._clock, message=order
+        )
+        exchange.take(self._bus.host_id, own)
+        self._votes[order.order_id] = exchange
+        try:
+            missing = await exchange.run(
+                wanted=lambda: (
+                    frozenset() if find_refusal(exchange) else self._hosts.required()
+                ),
+                final=lambda vote: vote.code != VoteCode.BEHIND,
+                wait_ms=PREPARE_MS,
+                resend_ms=RESEND_MS,
+            )
+        finally:
+            del self._votes[order.order_id]
+        refusal = find_refusal(exchange)
+        if refusal is not None:
+            raise refusal
+        if missing:
+            raise make_missing(sorted(missing), exchange)
+
+    async def confirm(
+        self, record: OrderRecord, *, proceed: Callable[[], bool]
+    ) -> bool:
+        """
+        Wait until the revision of an order is in force on every required host.
+
+        The hosts still waited for are kept up to date in the record.
+
+        :param record: the order
+        :param proceed: whether to wait on, asked every round
+        :return: whether it is in force everywhere
+        """
+        message = OrderConfirm(
+            order_id=record.order_id,
+            kind="service",
+            name=record.service,
+            revision=record.revision,
+        )
+        exchange: Exchange[OrderConfirmed] = Exchange(
+            bus=self._bus, clock=self._clock, message=message
+        )
+        self._confirmations[record.order_id] = exchange
+        try:
+            while proceed():
+                await self._hosts.refresh()
+                exchange.take(self._bus.host_id, self._voter.confirm(message))
+                missing = await exchange.run(
+                    wanted=self._hosts.required,
+                    final=lambda one: one.revision >= record.revision,
+                    wait_ms=ROUND_MS,
+                    resend_ms=RESEND_MS,
+                )
+                record.waiting_for = tuple(sorted(missing))
+                if not missing:
+                    return True
+            return False
+        finally:
+            del self._confirmations[record.order_id]
+
+    def on_vote(self, sender: str, vote: OrderVote) -> None:
+        """
+        Take a vote; one that comes too late is dropped.
+
+        :param sender: the voter
+        :param vote: its vote
+        """
+        exchange = self._votes.get(vote.order_id)
+        if exchange is not None:
+            exchange.take(sender, vote)
+
+    def on_confirmed(self, sender: str, confirmed: OrderConfirmed) -> None:
+        """
+        Take a confirmation; one that comes too late is dropped.
+
+        :param sender: the host that confirms
+        :param confirmed: the revision in force there
+        """
+        exchange = self._confirmations.get(confirmed.order_id)
+        if exchange is not None:
+            exchange.take(sender, confirmed)
+
+
+def find_refusal(exchange: Exchange[OrderVote]) -> OrderError | None:
+    """
+    Find a vote that refuses the order.
+
+    :param exchange: votes by host
+    :return: the error, None when no host refuses
+    """
+    for host_id, vote in sorted(exchange.answers.items()):
+        if vote.code in REFUSALS:
+            return make_refusal(host_id, vote)
+    return None
+
+
+def make_refusal(host_id: str, vote: OrderVote) -> OrderError:
+    """
+    Make the error for a vote that refuses.
+
+    :param host_id: the voter
+    :param vote: its vote
+    :return: the error
+    """
+    kind = REFUSALS.get(VoteCode(vote.code), OrderInvalid)
+    return kind(f"host {host_id}: {vote.reason}")
+
+
+def make_missing(hosts: list[str], exchange: Exchange[OrderVote]) -> OrderError:
+    """
+    Make the error for hosts that did not vote in time.
+
+    :param hosts: host ids
+    :param exchange: votes by host
+    :return: the error
+    """
+    told = []
+    for host_id in hosts:
+        vote = exchange.answers.get(host_id)
+        told.append(f"{host_id} ({vote.reason if vote else 'no answer'})")
+    return OrderVotesMissing(f"no vote of {', '.join(told)}")
--- /dev/null
+++ b/src/mangohatch/orders/service.py
@@ -0,0 +1,272 @@
+"""Orders from the sentence to the confirmation by every host."""
+
+import asyncio
+import dataclasses
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.config import ServiceSpec
+from mangohatch.errors import MangohatchError, OrderInvalid, StoreWriteUnknown
+from mangohatch.language import OrderSentence
+from mangohatch.orders.ballot import Ballot
+from mangohatch.orders.base import OrderTaker
+from mangohatch.orders.changes import change_service, name_service
+from mangohatch.orders.record import OrderRecord, OrderState
+from mangohatch.orders.required import RequiredHosts
+from mangohatch.orders.view import ConfigView
+from mangohatch.orders.votes import Voter
+from mangohatch.orders.writer import OrderWriter, WriteTask
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.messages import ConfigItem, OrderPrepare
+from mangohatch.platform.store import ObjectStore, StoredObject
+from mangohatch.state.items import (
+    SERVICE_KIND,
+    ConfigRejected,
+    item_of,
+    read_service,
+    service_value,
+)
+from mangohatch.timeline import EventKind, Recorder
+
+__all__ = ["OrderService"]
+
+ANSWER_MS = 8000.0
+CONFIRM_MS = 6000.0
+GIVE_UP_MS = 1_800_000.0
+MAX_RECORDS = 500
+PENDING_CODE = "order_pending"
+
+log = structlog.get_logger()
+
+
+class OrderService(OrderTaker):
+    """
+    Takes orders on this host.
+
+    An order is checked by every required host, written once on the condition that
+    the object has not changed, and accepted when every required host has it in
+    force. Nothing is written before all have agreed.
+
+    :param bus: messages to other hosts
+    :param clock: source of time
+    :param rng: source of ids and jitter; must differ between processes
+    :param store: the object API
+    :param view: configuration of this host
+    :param hosts: the hosts that must agree and confirm
+    :param serving: whether this host serves requests
+    :param publish: puts a written object in force here and at peers
+    :param recorder: the time line
+    """
+
+    def __init__(
+        self,
+        *,
+        bus: PeerBus,
+        clock: Clock,
+        rng: random.Random,
+        store: ObjectStore,
+        view: ConfigView,
+        hosts: RequiredHosts,
+        serving: Callable[[], bool],
+        publish: Callable[[StoredObject], None],
+        recorder: Recorder,
+    ) -> None:
+        self._host_id = bus.host_id
+        self._clock = clock
+        self._rng = rng
+        self._view = view
+        self._publish = publish
+        self._recorder = recorder
+        voter = Voter(bus=bus, view=view, serving=serving)
+        self._ballot = Ballot(bus=bus, clock=clock, voter=voter, hosts=hosts)
+        self._writer = OrderWriter(store=store, view=view, rng=rng)
+        self._records: OrderedDict[str, OrderRecord] = OrderedDict()
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def records(self) -> Sequence[OrderRecord]:
+        return tuple(self._records.values())
+
+    async def take(self, sentence: OrderSentence, *, order_id: str) -> OrderRecord:
+        order_id = order_id or f"{self._host_id}:{self._rng.getrandbits(64):016x}"
+        record = self._records.get(order_id)
+        if record is None:
+            record = self.open(order_id, sentence)
+        task = self._tasks.get(order_id)
+        if task is not None:
+            await asyncio.wait({task}, timeout=ANSWER_MS / 1000)
+        answer = dataclasses.replace(record)
+        if not answer.final:
+            answer.state = OrderState.PENDING
+            answer.code = PENDING_CODE
+        return answer
+
+    def open(self, order_id: str, sentence: OrderSentence) -> OrderRecord:
+        """
+        Start to carry an order out.
+
+        :param order_id: id of the order
+        :param sentence: the order
+        :return: its record
+        :raises OrderInvalid: when the order names no service
+        """
+        record = OrderRecord(order_id=order_id, service=name_service(sentence))
+        self._records[order_id] = record
+        while len(self._records) > MAX_RECORDS:
+            self._records.popitem(last=False)
+        task = asyncio.ensure_future(self.run(record, sentence))
+        self._tasks[order_id] = task
+        task.add_done_callback(lambda done: self._tasks.pop(order_id, None))
+        return record
+
+    async def stop(self) -> None:
+        """Stop waiting for confirmations; what was written stays written."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def run(self, record: OrderRecord, sentence: OrderSentence) -> None:
+        """
+        Carry an order out and keep its record up to date.
+
+        :param record: the order
+        :param sentence: what it says
+        """
+        try:
+            await self.write(record, sentence)
+            await self.confirm(record)
+        except StoreWriteUnknown as exc:
+            record.reason = str(exc)
+        except MangohatchError as exc:
+            self.refuse(record, exc)
+        except Exception:
+            log.exception("order_failed", order=record.order_id)
+            record.reason = "internal error"
+
+    async def write(self, record: OrderRecord, sentence: OrderSentence) -> None:
+        """
+        Have an order checked by every host and write it.
+
+        :param record: the order; its revision is set
+        :param sentence: what it says
+        :raises MangohatchError: when it is refused; nothing was written
+        :raises StoreWriteUnknown: when its outcome could not be found out
+        """
+        base = await self._writer.read(record.service)
+        before = read_base(base)
+        after = change_service(sentence, before)
+        if base is not None and after == before:
+            record.revision = base.revision
+            return
+        task = WriteTask(
+            order_id=record.order_id,
+            name=record.service,
+            value=service_value(after),
+            base=base,
+        )
+        await self._ballot.prepare(self.make_prepare(record, after, base))
+        record.state = OrderState.WRITING
+        until_ms = self._clock.now_ms() + GIVE_UP_MS
+
+        def on_doubt() -> bool:
+            record.state = OrderState.PENDING
+            record.code = PENDING_CODE
+            record.reason = "the store's answer was lost; the outcome is being read"
+            return self._clock.now_ms() < until_ms
+
+        stored = await self._writer.write(task, on_doubt=on_doubt)
+        record.revision = stored.revision
+        self._publish(stored)
+
+    def make_prepare(
+        self, record: OrderRecord, spec: ServiceSpec, base: StoredObject | None
+    ) -> OrderPrepare:
+        """
+        Make the question to the hosts.
+
+        :param record: the order
+        :param spec: the service as ordered
+        :param base: the object it replaces
+        :return: the message
+        """
+        known = self._view.revision_known(record.service)
+        return OrderPrepare(
+            order_id=record.order_id,
+            kind=SERVICE_KIND,
+            name=record.service,
+            base_revision=max(known, base.revision if base is not None else 0),
+            json=spec.model_dump_json(),
+        )
+
+    async def confirm(self, record: OrderRecord) -> None:
+        """
+        Wait until an order is in force everywhere.
+
+        :param record: the order, written
+        """
+        started_ms = self._clock.now_ms()
+        record.reason = ""
+
+        def proceed() -> bool:
+            waited_ms = self._clock.now_ms() - started_ms
+            if waited_ms >= CONFIRM_MS:
+                record.state = OrderState.PENDING
+                record.code = PENDING_CODE
+                record.reason = "written, but not known to be in force everywhere"
+            return waited_ms < GIVE_UP_MS
+
+        if await self._ballot.confirm(record, proceed=proceed):
+            self.accept(record)
+
+    def accept(self, record: OrderRecord) -> None:
+        """
+        End an order that is in force everywhere.
+
+        :param record: the order
+        """
+        record.state = OrderState.ACCEPTED
+        record.code = ""
+        record.reason = ""
+        self._recorder.record(
+            EventKind.ORDER_ACCEPTED,
+            service=record.service,
+            revision=record.revision,
+            cause=record.order_id,
+        )
+
+    def refuse(self, record: OrderRecord, exc: MangohatchError) -> None:
+        """
+        End an order that was not written.
+
+        :param record: the order
+        :param exc: why
+        """
+        record.state = OrderState.REFUSED
+        record.code = exc.code
+        record.reason = str(exc)
+        self._recorder.record(
+            EventKind.ORDER_REFUSED,
+            service=record.service,
+            cause=f"{record.order_id}: {exc.code}: {exc}",
+        )
+
+
+def read_base(base: StoredObject | None) -> ServiceSpec | None:
+    """
+    Read the service that an order changes.
+
+    :param base: its object
+    :return: the service; None when there is none
+    :raises OrderInvalid: when the object is not valid
+    """
+    if base is None:
+        return None
+    item: ConfigItem = item_of(base)
+    try:
+        return read_service(item)
+    except ConfigRejected as exc:
+        raise OrderInvalid(f"the service in force is not valid: {exc}") from exc
--- /dev/null
+++ b/src/mangohatch/orders/writer.py
@@ -0,0 +1,200 @@
+"""Writing of one order to the store, at most once."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from mangohatch.errors import (
+    OrderConflict,
+    OrderStoreUnavailable,
+    StoreConflict,
+    StoreError,
+    StoreWriteUnknown,
+)
+from mangohatch.orders.view import ConfigView
+from mangohatch.platform.backoff import Backoff
+from mangohatch.platform.operations import (
+    OPERATION_ID,
+    holds_operation,
+    put_resolved,
+    with_operation,
+)
+from mangohatch.platform.store import ObjectStore, StoredObject
+from mangohatch.state.items import SERVICE_KIND
+
+__all__ = ["OrderWriter", "WriteTask"]
+
+READ_MS = 1500.0
+RETRY_FIRST_MS = 250.0
+RETRY_LIMIT_MS = 5000.0
+MS_PER_S = 1000.0
+
+
+class WriteTask:
+    """
+    One write: what to replace, and by what.
+
+    :param order_id: operation id of the write
+    :param name: name of the service
+    :param value: the service
+    :param base: the object to replace; None when there is none
+    """
+
+    def __init__(
+        self, *, order_id: str, name: str, value: dict, base: StoredObject | None
+    ) -> None:
+        self.order_id = order_id
+        self.name = name
+        self.value = with_operation(value, operation_id=order_id, base=base)
+        self.expected = base.revision if base is not None else None
+
+
+class OrderWriter:
+    """
+    Reads and writes objects of services.
+
+    :param store: the object API
+    :param view: configuration of this host
+    :param rng: source of the jitter
+    """
+
+    def __init__(
+        self, *, store: ObjectStore, view: ConfigView, rng: random.Random
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._rng = rng
+
+    async def read(self, name: str) -> StoredObject | None:
+        """
+        Read a service, from the store or from this host, whichever is newer.
+
+        :param name: name of the service
+        :return: the object; None when there is none
+        :raises OrderStoreUnavailable: when the store gives no answer in time
+        """
+        try:
+            async with asyncio.timeout(READ_MS / MS_PER_S):
+                stored = await self._store.get(SERVICE_KIND, name)
+        except (StoreError, TimeoutError) as exc:
+            problem = f"the store gives no answer ({exc}); nothing was written"
+            raise OrderStoreUnavailable(problem) from exc
+        if stored is not None and stored.revision > self._view.revision_known(name):
+            return stored
+        return self._view.find(name)
+
+    async def write(
+        self, task: WriteTask, *, on_doubt: Callable[[], bool]
+    ) -> StoredObject:
+        """
+        Write once; where the answer is lost, go on until the outcome is known.
+
+        :param task: the write
+        :param on_doubt: called while the outcome is unknown; False gives up
+        :return: the object as written
+        :raises OrderConflict: another change came first; nothing was written
+        :raises OrderStoreUnavailable: the store refused; nothing was written
+        :raises StoreWriteUnknown: given up while the outcome is unknown
+        """
+        try:
+            return await self.put(task)
+        except StoreConflict as exc:
+            raise await self.explain_conflict(task) from exc
+        except StoreWriteUnknown:
+            return await self.resolve(task, on_doubt)
+        except StoreError as exc:
+            problem = f"the store refused the write ({exc}); nothing was written"
+            raise OrderStoreUnavailable(problem) from exc
+
+    async def put(self, task: WriteTask) -> StoredObject:
+        """
+        Send the conditional write.
+
+        :param task: the write
+        :return: the object as written
+        :raises StoreError: as :func:`put_resolved` does
+        """
+        return await put_resolved(
+            self._store,
+            kind=SERVICE_KIND,
+            name=task.name,
+            value=task.value,
+            expected_revision=task.expected,
+            rng=self._rng,
+        )
+
+    async def resolve(
+        self, task: WriteTask, on_doubt: Callable[[], bool]
+    ) -> StoredObject:
+        """
+        Find out whether a write took effect, and make it so if it can be.
+
+        The condition lets the repeated write take effect at most once, and only on
+        the object that the hosts voted on.
+
+        :param task: the write
+        :param on_doubt: called before each attempt; False gives up
+        :return: the object as written
+        :raises OrderConflict: another change came first; nothing was written
+        :raises StoreWriteUnknown: given up
+        """
+        backoff = Backoff(
+            first_ms=RETRY_FIRST_MS, limit_ms=RETRY_LIMIT_MS, rng=self._rng
+        )
+        while on_doubt():
+            await asyncio.sleep(backoff.next_ms() / MS_PER_S)
+            known = self._view.find(task.name)
+            if known is not None and holds_operation(known, task.order_id):
+                return known
+            try:
+                return await self.put(task)
+            except StoreConflict:
+                found = await self.read_settled(task)
+                if found is not None and holds_operation(found, task.order_id):
+                    return found
+                if found is not None:
+                    raise make_conflict(found) from None
+            except StoreError:
+                continue
+        raise StoreWriteUnknown(f"service/{task.name}: outcome of the write unknown")
+
+    async def read_settled(self, task: WriteTask) -> StoredObject | None:
+        """
+        Read the object that replaced the expected one.
+
+        :param task: the write
+        :return: the object; None while reads are stale or fail
+        """
+        try:
+            found = await self._store.get(SERVICE_KIND, task.name)
+        except StoreError:
+            return None
+        if found is None or found.revision <= (task.expected or 0):
+            return None
+        return found
+
+    async def explain_conflict(self, task: WriteTask) -> OrderConflict:
+        """
+        Name the change that came first.
+
+        :param task: the write that lost
+        :return: the error
+        """
+        found = await self.read_settled(task)
+        if found is None:
+            return OrderConflict("another change came first; nothing was written")
+        return make_conflict(found)
+
+
+def make_conflict(winner: StoredObject) -> OrderConflict:
+    """
+    Make the error that names the change that came first.
+
+    :param winner: the object as that change left it
+    :return: the error
+    """
+    order_id = winner.value.get(OPERATION_ID, "unknown")
+    return OrderConflict(
+        f"order {order_id} came first with revision {winner.revision}; "
+        "nothing was written"
+    )
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -2150,6 +2150,7 @@
      - accepted
      - reason
      - revision
+     - code
 
     """
 
@@ -2158,14 +2159,16 @@
         'accepted',
         'reason',
         'revision',
+        'code',
     )
 
 
-    def __init__(self, order_id=None, accepted=None, reason=None, revision=None,):
+    def __init__(self, order_id=None, accepted=None, reason=None, revision=None, code=None,):
         self.order_id = order_id
         self.accepted = accepted
         self.reason = reason
         self.revision = revision
+        self.code = code
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2196,6 +2199,11 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.code = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2222,6 +2230,10 @@
             oprot.writeFieldBegin('revision', TType.I64, 4)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.STRING, 5)
+            oprot.writeString(self.code.encode('utf-8') if sys.version_info[0] == 2 else self.code)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2988,6 +3000,7 @@
     (2, TType.BOOL, 'accepted', None, None, ),  # 2
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
     (4, TType.I64, 'revision', None, None, ),  # 4
+    (5, TType.STRING, 'code', 'UTF8', None, ),  # 5
 )
 all_structs.append(OrderConfirm)
 OrderConfirm.thrift_spec = (
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -221,12 +221,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class OrderVote:
-    """Answer to a prepare; ``revision`` is the one in force at the voter."""
+    """
+    Answer to a prepare; ``revision`` is the one known to the voter.
+
+    ``code`` is a VoteCode value.
+    """
 
     order_id: str = ""
     accepted: bool = False
     reason: str = ""
     revision: int = 0
+    code: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -151,6 +151,7 @@
   2: bool accepted,
   3: string reason,
   4: i64 revision,
+  5: string code,
 }
 
 struct OrderConfirm {
--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of operators' orders."""
--- /dev/null
+++ b/tests/orders/test_required.py
@@ -0,0 +1,87 @@
+"""Tests of which hosts an order needs."""
+
+from mangohatch.errors import StoreUnavailable
+from mangohatch.orders.required import ListedRequirement
+from mangohatch.platform.host_list import HostList, HostListing, ListedHost, ListedState
+from tests.functions import fixture, function_tests
+from tests.peer.membership.network import Network
+
+load_tests = function_tests(__name__)
+
+SETTLE_MS = 15_000.0
+
+
+class FixedList(HostList):
+    """A host list that says what it is told to."""
+
+    def __init__(self):
+        self.names = ["entry-0", "entry-1", "entry-2"]
+        self.outage = False
+        self.reads = 0
+
+    async def read(self):
+        self.reads += 1
+        if self.outage:
+            raise StoreUnavailable("the host list gives no answer")
+        hosts = tuple(
+            ListedHost(name=name, address="10.9.9.9", state=ListedState.LIVE)
+            for name in self.names
+        )
+        return HostListing(version=1, hosts=hosts)
+
+
+@fixture
+def member_network():
+    network = Network(seed=1)
+    network.start_fleet(3)
+    network.run(SETTLE_MS)
+    return network
+
+
+@fixture
+def host_list():
+    return FixedList()
+
+
+@fixture
+def requirement(member_network, host_list):
+    first = member_network.running()[0]
+    return ListedRequirement(membership=first.membership, host_list=host_list)
+
+
+async def test_live_members_are_needed_without_a_read(requirement, host_list):
+    await requirement.refresh()
+    assert requirement.required() == {"entry-0", "entry-1", "entry-2"}
+    assert host_list.reads == 0
+
+
+async def test_dead_member_is_needed_until_the_list_drops_it(
+    member_network, requirement, host_list
+):
+    member_network.running()[2].running = False
+    member_network.run(SETTLE_MS)
+    await requirement.refresh()
+    assert "entry-2" in requirement.required()
+    host_list.names.remove("entry-2")
+    await requirement.refresh()
+    assert requirement.required() == {"entry-0", "entry-1"}
+
+
+async def test_dead_member_is_needed_while_the_list_is_silent(
+    member_network, requirement, host_list
+):
+    member_network.running()[2].running = False
+    member_network.run(SETTLE_MS)
+    host_list.names.remove("entry-2")
+    host_list.outage = True
+    await requirement.refresh()
+    assert "entry-2" in requirement.required()
+
+
+async def test_departed_member_is_not_needed(member_network, requirement):
+    leaver = member_network.running()[2]
+    leaver.membership.set_left()
+    leaver.running = False
+    member_network.run(SETTLE_MS)
+    await requirement.refresh()
+    assert requirement.required() == {"entry-0", "entry-1"}
