Test silence, drain, slow callers and the connection pool

Cause: these parts had code without tests.

Change: tests with an injected clock over real sockets. They showed that a connection whose response had begun before a drain stayed open after it; it is closed now.

Conclusion: a drain ends once the last response has.

--- a/src/mangohatch/entry/link.py
+++ b/src/mangohatch/entry/link.py
@@ -57,6 +57,13 @@
         """Whether no request has begun."""
         return self.phase is Phase.HEAD and not self.stream._read_buffer_size
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes read of the body of the request under way."""
+        if self._req is None or self._req.body is None:
+            return 0
+        return self._req.body.received_bytes
+
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         try:
@@ -94,7 +101,7 @@
         self.stream.close()
 
     def _check_body(self, now_ms: float) -> None:
-        received = self._req.body.received_bytes if self._req and self._req.body else 0
+        received = self.received_bytes
         waits_for_caller = self.stream.reading()
         if received != self._progress_bytes or not waits_for_caller:
             self._progress_bytes = received
@@ -134,6 +141,8 @@
         except RequestError as exc:
             self._answer(exc, request_id or self._server.next_request_id())
         await conn.flush()
+        if self._server.closing:
+            conn.close_after_response()
         return conn.keeps_open and not self.stream.closed()
 
     async def _forward(
--- a/src/mangohatch/entry/server.py
+++ b/src/mangohatch/entry/server.py
@@ -57,7 +57,7 @@
         self._balancer_delay_ms = balancer_delay_ms
         self._sequence = itertools.count(1)
         self._listener = CallerListener(entry=self)
-        self._links: set[CallerLink] = set()
+        self.links: set[CallerLink] = set()
         self._drain_began_ms: float | None = None
         self._checked_ms = clock.now_ms()
 
@@ -94,11 +94,19 @@
         """
         stream.set_nodelay(True)
         link = CallerLink(stream=stream, server=self)
-        self._links.add(link)
+        self.links.add(link)
         try:
             await link.run()
         finally:
-            self._links.discard(link)
+            self.links.discard(link)
+
+    def idle_links(self) -> int:
+        """
+        Count the callers' connections on which no request has begun.
+
+        :return: number of connections
+        """
+        return sum(link.idle for link in self.links)
 
     def begin_drain(self) -> None:
         """Report not ready; stop taking work once the balancer has noticed."""
@@ -111,12 +119,12 @@
 
         :return: whether no caller is connected any more
         """
-        return self.closing and not self._links
+        return self.closing and not self.links
 
     async def close(self) -> None:
         """Stop accepting connections and close those that are open."""
         self._listener.stop()
-        for link in list(self._links):
+        for link in list(self.links):
             link.stream.close()
 
     def tick(self) -> None:
@@ -128,13 +136,13 @@
                 self._stop_taking_work()
         if now_ms - self._checked_ms >= LINK_CHECK_MS:
             self._checked_ms = now_ms
-            for link in list(self._links):
+            for link in list(self.links):
                 link.check(now_ms)
 
     def _stop_taking_work(self) -> None:
         self.closing = True
         self._listener.stop()
-        for link in list(self._links):
+        for link in list(self.links):
             if link.idle:
                 link.stream.close()
 
--- /dev/null
+++ b/tests/entry/test_drain.py
@@ -0,0 +1,90 @@
+"""Tests of leaving: no new work, nothing in flight is cut."""
+
+import asyncio
+
+from tests.entry.harness import fixed, open_entry, request
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+BALANCER_DELAY_MS = 3000.0
+
+
+class Gate:
+    """A script that holds the second half of a response until it is opened."""
+
+    def __init__(self) -> None:
+        self.opened = asyncio.Event()
+
+    async def __call__(self, upstream, message, writer) -> None:
+        whole = fixed(b"x" * 1000)
+        writer.write(whole[:-500])
+        await self.opened.wait()
+        writer.write(whole[-500:])
+
+
+async def test_requests_are_served_until_the_balancer_has_noticed():
+    async def answer(upstream, message, writer):
+        writer.write(fixed())
+
+    async with open_entry(answer) as (entry, upstreams):
+        caller = await entry.connect()
+        port = entry.server.port
+        entry.server.begin_drain()
+        assert not entry.server.ready
+        entry.pass_time(BALANCER_DELAY_MS - 1)
+        assert (await caller.ask()).status == 200
+        late = await entry.connect()
+        assert (await late.ask()).status == 200
+        entry.pass_time(1)
+        assert await caller.read_to_end() == b""
+        assert await late.read_to_end() == b""
+        try:
+            await asyncio.open_connection("127.0.0.1", port)
+        except ConnectionRefusedError:
+            pass
+        else:
+            raise AssertionError("a connection was accepted")
+        await wait_until(entry.server.drained)
+
+
+async def test_long_download_ends_before_the_drain():
+    gate = Gate()
+    async with open_entry(gate) as (entry, upstreams):
+        caller = await entry.connect()
+        await caller.send(request())
+        await upstreams[0].arrived.wait()
+        entry.server.begin_drain()
+        await caller.reader.readuntil(b"\r\n\r\n")
+        for _ in range(60):
+            entry.pass_time(10_000)
+            # The upstream keeps sending; only the time that passes matters here.
+            for req in entry.forwarder.active:
+                req.conn.mark_alive()
+        assert not entry.server.drained()
+        gate.opened.set()
+        assert len(await caller.reader.readexactly(1000)) == 1000
+        assert await caller.read_to_end() == b""
+        await wait_until(entry.server.drained)
+
+
+async def test_response_during_a_drain_closes_the_connection():
+    gate = Gate()
+    async with open_entry(gate) as (entry, upstreams):
+        caller = await entry.connect()
+        await caller.send(request()[:10])
+        while entry.server.idle_links():
+            await asyncio.sleep(0)
+        entry.server.begin_drain()
+        entry.pass_time(BALANCER_DELAY_MS)
+        gate.opened.set()
+        await caller.send(request()[10:])
+        response = await caller.read()
+        assert response.whole
+        assert response.headers["connection"] == "close"
+        assert await caller.read_to_end() == b""
+
+
+async def wait_until(condition) -> None:
+    while not condition():
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/entry/test_silence.py
@@ -0,0 +1,99 @@
+"""Tests of connections that go silent."""
+
+import asyncio
+
+from mangohatch.timeline.event import EventKind
+from tests.entry.harness import fixed, open_entry, request
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+WARM_UP_REQUESTS = 30
+PAST_LIMIT_MS = 150.0
+
+
+class Silencer:
+    """A script that swallows requests on the connections marked silent."""
+
+    def __init__(self) -> None:
+        self.silent: set = set()
+        self.swallowed = asyncio.Event()
+
+    async def __call__(self, upstream, message, writer) -> None:
+        if writer.get_extra_info("peername") in self.silent:
+            self.swallowed.set()
+            await asyncio.Event().wait()
+        self.writer = writer
+        writer.write(fixed())
+
+    def silence_last(self) -> None:
+        self.silent.add(self.writer.get_extra_info("peername"))
+
+
+async def warm_up(entry, caller) -> None:
+    for _ in range(WARM_UP_REQUESTS):
+        assert (await caller.ask()).status == 200
+
+
+async def test_idempotent_request_moves_to_a_new_connection():
+    script = Silencer()
+    async with open_entry(script, script) as (entry, upstreams):
+        caller = await entry.connect()
+        await warm_up(entry, caller)
+        script.silence_last()
+        answered = 0
+        while not script.swallowed.is_set():
+            await caller.send(request())
+            reading = asyncio.ensure_future(caller.read())
+            waiting = asyncio.ensure_future(script.swallowed.wait())
+            await asyncio.wait({reading, waiting}, return_when="FIRST_COMPLETED")
+            waiting.cancel()
+            answered += 1
+        assert entry.clock.now_ms() == 0
+        entry.pass_time(PAST_LIMIT_MS)
+        response = await reading
+        assert (response.status, response.body) == (200, b"hello")
+        assert EventKind.CONNECTION_SILENT in entry.event_kinds()
+        assert entry.in_flight() == 0
+
+
+async def test_non_idempotent_request_is_never_repeated():
+    script = Silencer()
+    async with open_entry(script) as (entry, upstreams):
+        caller = await entry.connect()
+        await warm_up(entry, caller)
+        script.silence_last()
+        seen = len(upstreams[0].requests)
+        await caller.send(request(method="POST", body=b"book"))
+        await script.swallowed.wait()
+        entry.pass_time(PAST_LIMIT_MS)
+        assert entry.in_flight() == 1
+        entry.pass_time(1000 - PAST_LIMIT_MS)
+        response = await caller.read()
+        assert response.headers["x-outcome"] == "unknown"
+        assert len(upstreams[0].requests) == seen + 1
+
+
+async def test_non_idempotent_request_avoids_connections_without_sign_of_life():
+    script = Silencer()
+    async with open_entry(script) as (entry, upstreams):
+        caller = await entry.connect()
+        await warm_up(entry, caller)
+        assert upstreams[0].connections == 1
+        script.silence_last()
+        entry.pass_time(600)
+        response = await caller.ask(method="POST", body=b"book")
+        assert response.headers["x-outcome"] == "done"
+        assert upstreams[0].connections == 2
+
+
+async def test_slow_upstream_on_a_new_connection_gets_more_time():
+    async def hang(upstream, message, writer):
+        await asyncio.Event().wait()
+
+    async with open_entry(hang) as (entry, upstreams):
+        caller = await entry.connect()
+        await caller.send(request())
+        await upstreams[0].arrived.wait()
+        entry.pass_time(PAST_LIMIT_MS)
+        assert EventKind.CONNECTION_SILENT not in entry.event_kinds()
--- /dev/null
+++ b/tests/entry/test_slow_callers.py
@@ -0,0 +1,82 @@
+"""Tests of callers that send or read too slowly."""
+
+import asyncio
+
+from tests.entry.harness import fixed, open_entry, request
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+
+async def answer(upstream, message, writer):
+    writer.write(fixed())
+
+
+async def settle(entry) -> None:
+    """Let the entry server read what has arrived."""
+    while entry.server.idle_links():
+        await asyncio.sleep(0)
+
+
+async def received(entry, size) -> None:
+    """Wait until so much of the body was read that the rest can't come."""
+    while not any(
+        link.received_bytes >= min(size, 65_536) and link.stream.reading()
+        for link in entry.server.links
+    ):
+        await asyncio.sleep(0)
+
+
+async def test_half_a_head_is_refused_after_the_head_timeout():
+    async with open_entry(answer) as (entry, upstreams):
+        caller = await entry.connect()
+        await caller.send(request()[:20])
+        await settle(entry)
+        entry.pass_time(10_000)
+        entry.pass_time(1_000)
+        response = await caller.read()
+        assert response.status == 408
+        assert response.headers["x-error-code"] == "request_timeout"
+        assert response.headers["x-outcome"] == "not_run"
+
+
+async def test_idle_connection_is_closed_without_an_answer():
+    async with open_entry(answer) as (entry, upstreams):
+        caller = await entry.connect()
+        assert (await caller.ask()).status == 200
+        entry.pass_time(60_000)
+        assert (await caller.ask()).status == 200
+        entry.pass_time(76_000)
+        assert await caller.read_to_end() == b""
+
+
+async def test_body_that_stops_is_refused_and_frees_the_upstream():
+    for size in (10, 1_000_000):
+        async with open_entry(answer) as (entry, upstreams):
+            caller = await entry.connect()
+            await caller.send(request(method="POST", Content_Length=str(size)))
+            await caller.send(b"x" * (size // 2))
+            await received(entry, size // 2)
+            entry.pass_time(9_000)
+            entry.pass_time(11_000)
+            response = await caller.read()
+            assert response.status in (408, 504)
+            assert entry.in_flight() == 0
+
+
+async def test_caller_that_does_not_read_is_dropped():
+    async def flood(upstream, message, writer):
+        writer.write(fixed(b"x" * 20_000_000))
+
+    async with open_entry(flood) as (entry, upstreams):
+        caller = await entry.connect()
+        await caller.send(request())
+        while not any(req.sink.stalled for req in entry.forwarder.active):
+            await asyncio.sleep(0)
+        for _ in range(5):
+            entry.pass_time(20_000)
+            for _ in range(10):
+                await asyncio.sleep(0)
+        while entry.forwarder.active:
+            await asyncio.sleep(0)
+        assert entry.in_flight() == 0
