Wire one entry host from all of its parts

Cause: the parts had landed side by side. Change: package host composes the decision core, lasting state, peers and entry server; a host without peers runs alone.

--- /dev/null
+++ b/src/mangohatch/host/entry_host.py
@@ -0,0 +1,165 @@
+"""One entry host: all of its parts, wired together."""
+
+import asyncio
+import random
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.config import HostSettings
+from mangohatch.core.tables import Tables
+from mangohatch.entry.forwarder import Forwarder
+from mangohatch.entry.server import EntryServer
+from mangohatch.host.routing import make_routing
+from mangohatch.host.state import LastingState
+from mangohatch.metrics import Metrics
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.membership import Endpoint
+from mangohatch.peer.solo import SoloPeerBus
+from mangohatch.peer.tcp import TcpPeerBus
+from mangohatch.timeline import EventKind, HybridClock, Recorder
+from mangohatch.upstream.pool import ConnectionPool
+
+__all__ = ["EntryHost"]
+
+TICK_MS = 10.0
+MS_PER_S = 1000.0
+
+log = structlog.get_logger()
+
+
+class EntryHost:
+    """
+    All parts of one entry host.
+
+    :param cfg: checked settings
+    :param clock: source of time
+    """
+
+    def __init__(self, *, cfg: HostSettings, clock: Clock) -> None:
+        self.cfg = cfg
+        self._rng = random.Random()
+        self.tables = Tables()
+        for spec in cfg.services:
+            self.tables.apply(spec, revision=0)
+        self.recorder = Recorder(
+            host=cfg.host_id, zone=cfg.zone, clock=HybridClock(clock=clock)
+        )
+        self.bus = self._make_bus(clock)
+        self.routing = make_routing(
+            clock=clock,
+            rng=self._rng,
+            tables=self.tables,
+            bus=self.bus,
+            recorder=self.recorder,
+        )
+        self.state = self._make_state(clock)
+        self.metrics = Metrics(clock=clock)
+        self.pool = ConnectionPool(clock=clock)
+        forwarder = Forwarder(
+            clock=clock,
+            router=self.routing.gate,
+            pool=self.pool,
+            recorder=self.recorder,
+        )
+        self.entry = EntryServer(
+            host_id=cfg.host_id,
+            clock=clock,
+            tables=self.tables,
+            forwarder=forwarder,
+            balancer_delay_ms=cfg.balancer_delay_ms,
+        )
+        self._was_ready = False
+
+    def _make_bus(self, clock: Clock) -> PeerBus:
+        cfg = self.cfg
+        if cfg.peer is None:
+            return SoloPeerBus(host_id=cfg.host_id, zone=cfg.zone)
+        return TcpPeerBus(
+            host_id=cfg.host_id,
+            zone=cfg.zone,
+            endpoint=Endpoint(address=cfg.peer.address, port=cfg.peer.port),
+            admin_port=cfg.admin.port if cfg.admin else 0,
+            seeds=[
+                Endpoint(address=seed.address, port=seed.port) for seed in cfg.seeds
+            ],
+            clock=clock,
+            rng=self._rng,
+            recorder=self.recorder,
+        )
+
+    def _make_state(self, clock: Clock) -> LastingState | None:
+        if self.cfg.object_api is None:
+            return None
+        return LastingState(
+            cfg=self.cfg,
+            api=self.cfg.object_api,
+            clock=clock,
+            rng=self._rng,
+            tables=self.tables,
+            bus=self.bus,
+            recorder=self.recorder,
+        )
+
+    def ready(self) -> bool:
+        """
+        Tell whether the balancer should send callers here.
+
+        :return: False while the configuration is unknown and once a drain has begun
+        """
+        informed = self.state is None or self.state.service.ready()
+        return informed and self.entry.ready
+
+    async def start(self) -> None:
+        """Join the fleet, learn the configuration and listen for callers."""
+        if isinstance(self.bus, TcpPeerBus):
+            await self.bus.start()
+        if self.state is not None:
+            await self.state.start()
+        self.entry.listen(self.cfg.entry.address, self.cfg.entry.port)
+        self.recorder.record(EventKind.HOST_STARTED)
+        log.info("host_started", host=self.cfg.host_id, zone=self.cfg.zone)
+
+    async def leave(self) -> None:
+        """Announce that this host leaves, and end new work after a delay."""
+        self.recorder.record(EventKind.HOST_LEAVING)
+        log.info("host_leaving", host=self.cfg.host_id)
+        self.entry.begin_drain()
+        if isinstance(self.bus, TcpPeerBus):
+            await self.bus.leave()
+
+    async def stop(self) -> None:
+        """Close everything; requests in flight have ended when the drain has."""
+        await self.entry.close()
+        if self.state is not None:
+            await self.state.stop()
+        if isinstance(self.bus, TcpPeerBus):
+            await self.bus.stop()
+        self.pool.close()
+        log.info("host_stopped", host=self.cfg.host_id)
+
+    def tick(self) -> None:
+        """Run all systems once."""
+        self.routing.gate.tick()
+        self.entry.tick()
+        self.metrics.tick()
+        if not self._was_ready and self.ready():
+            self._was_ready = True
+            self.recorder.record(EventKind.HOST_READY)
+            log.info("host_ready", host=self.cfg.host_id)
+
+    async def run(self, leaving: asyncio.Event) -> None:
+        """
+        Serve until told to leave, then until no caller is left.
+
+        :param leaving: set when the host has to leave
+        """
+        await self.start()
+        announced = False
+        while not self.entry.drained():
+            if leaving.is_set() and not announced:
+                announced = True
+                await self.leave()
+            self.tick()
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+        await self.stop()
--- /dev/null
+++ b/src/mangohatch/host/health.py
@@ -0,0 +1,63 @@
+"""Exchange of ejections with peers and the time line."""
+
+from mangohatch.core.health import HealthListener, OutlierHealth
+from mangohatch.core.health.table import HealthRow, HealthState
+from mangohatch.core.tables import Tables
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.messages import UpstreamNotice
+from mangohatch.timeline import EventKind, Recorder
+
+__all__ = ["HealthNews", "subscribe_advice"]
+
+
+class HealthNews(HealthListener):
+    """Records ejections and returns, and tells peers of ejections."""
+
+    def __init__(self, *, bus: PeerBus, recorder: Recorder) -> None:
+        self._bus = bus
+        self._recorder = recorder
+
+    def ejected(self, row: HealthRow, *, duration_ms: float, cause: str) -> None:
+        self._recorder.record(
+            EventKind.UPSTREAM_EJECTED,
+            service=row.service,
+            upstream=row.name,
+            cause=cause,
+            duration_ms=duration_ms,
+        )
+        notice = UpstreamNotice(
+            service_name=row.service,
+            upstream=row.name,
+            state=HealthState.EJECTED,
+            ttl_ms=duration_ms,
+            cause=cause,
+        )
+        self._bus.broadcast(notice)
+
+    def returned(self, row: HealthRow) -> None:
+        self._recorder.record(
+            EventKind.UPSTREAM_RETURNED,
+            service=row.service,
+            upstream=row.name,
+            cause="answered on probation",
+        )
+
+
+def subscribe_advice(bus: PeerBus, *, tables: Tables, health: OutlierHealth) -> None:
+    """
+    Pass peers' ejections on to this host's judgement.
+
+    :param bus: where notices arrive
+    :param tables: services and upstreams known here
+    :param health: takes the advice
+    """
+
+    def receive(sender: str, notice: UpstreamNotice) -> None:
+        if notice.state != HealthState.EJECTED:
+            return
+        service = tables.services.get(notice.service_name)
+        row = service.upstreams.get(notice.upstream) if service else None
+        if row is not None:
+            health.advise(row, ttl_ms=notice.ttl_ms)
+
+    bus.subscribe(UpstreamNotice, receive)
--- /dev/null
+++ b/src/mangohatch/host/process.py
@@ -0,0 +1,28 @@
+"""The process of an entry host."""
+
+import asyncio
+import signal
+
+from mangohatch.clock import SystemClock
+from mangohatch.config import HostSettings
+from mangohatch.host.entry_host import EntryHost
+
+__all__ = ["run_host"]
+
+
+def run_host(cfg: HostSettings) -> None:
+    """
+    Run an entry host until SIGTERM or SIGINT, then until its work has ended.
+
+    :param cfg: checked settings
+    """
+    import uvloop
+
+    async def serve() -> None:
+        leaving = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, leaving.set)
+        await EntryHost(cfg=cfg, clock=SystemClock()).run(leaving)
+
+    uvloop.run(serve())
