Choose alone when the measuring budget is spent, and serve a new broker's queue

Cause: with its budget of calls spent and some leases in use a host waited for its own leases only and refused calls while slots were free; a new broker served its first demands at the next tick, after their longest wait. Change: a spent budget falls back to the local choice; a timer runs the broker when it has settled.

--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -10,6 +10,7 @@
 from mangohatch.core.measuring import BudgetGate, MeasuringCounter
 from mangohatch.core.measuring.size import size_of
 from mangohatch.core.slots import Broker, Holder, ShardMap, SpeedTable
+from mangohatch.core.slots.broker import SETTLE_MS
 from mangohatch.core.slots.holder import Held
 from mangohatch.core.slots.shards import split_shard
 from mangohatch.core.tables import ServiceRow, Tables
@@ -23,6 +24,7 @@
 ANSWER_MS = 4.0
 SILENCE_MS = 50.0
 BROKER_IDLE_MS = 5_000.0
+TIMER_STEP_MS = 1.0
 
 
 class TokenChooser(Chooser):
@@ -157,8 +159,7 @@
             return
         if not self._gate(service).spend_call(size_of(message)):
             holder.asked = 0
-            if not holder.leases:
-                self._fall_silent(shard)
+            self._fall_silent(shard)
             return
         self._bus.send(broker, message)
         asked_ms = holder.asked_ms
@@ -217,6 +218,7 @@
                 zone_of=lambda host_id: self._zones.get(host_id, ""),
             )
             broker.sync(self._tables.services[split_shard(shard)[0]])
+            self._timers.call_later(SETTLE_MS + TIMER_STEP_MS, broker.tick)
         return broker
 
     def _speed(self, shard: str) -> SpeedTable:
