Ask, order and read the time line from the command line

Cause: only run and check existed; operators had no program for their language. Change: a module for each command; sentences are parsed before they are sent, so that a question can't be given as an order; an order whose answer is lost names the id to give it again under; exit codes follow the type of error.

--- a/src/mangohatch/commands/app.py
+++ b/src/mangohatch/commands/app.py
@@ -1,38 +1,29 @@
 """The command-line application."""
 
-from pathlib import Path
-
 from cyclopts import App
 
 from mangohatch import __version__
-from mangohatch.config import load_settings
-from mangohatch.host import run_host
+from mangohatch.commands.ask import ask
+from mangohatch.commands.check import check
+from mangohatch.commands.events import events
+from mangohatch.commands.order import order
+from mangohatch.commands.run import run
+from mangohatch.commands.version import version
 
 __all__ = ["app"]
 
+EPILOGUE = """
+Exit status: 0 done, 1 failed or pending, 2 wrong usage or wrong sentence,
+3 settings refused, 4 host or store not reached, 5 order refused.
+"""
+
 app = App(
     name="mangohatch",
     help="A load balancer for servers whose load shifts in milliseconds.",
+    help_epilogue=EPILOGUE,
+    help_format="plaintext",
     version=__version__,
 )
-
-
-@app.command
-def run(settings: Path) -> None:
-    """
-    Run an entry host until SIGTERM.
-
-    :param settings: JSON settings file of the host
-    """
-    run_host(load_settings(settings))
-
-
-@app.command
-def check(settings: Path) -> None:
-    """
-    Check a settings file and say what is wrong with it.
-
-    :param settings: JSON settings file of a host
-    """
-    cfg = load_settings(settings)
-    print(f"{settings}: host {cfg.host_id}, {len(cfg.services)} services, no problem")
+for command in (run, check, ask, order, events, version):
+    app.command(command)
+app.register_install_completion_command(add_to_startup=False)
--- /dev/null
+++ b/src/mangohatch/commands/events.py
@@ -0,0 +1,108 @@
+"""The command that prints the time line."""
+
+import sys
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+
+from mangohatch.admin.client import query
+from mangohatch.admin.reply import Reply, ReplyKind
+from mangohatch.commands.answer import print_reply
+from mangohatch.language import parse
+from mangohatch.timeline.event import Event, EventKind
+from mangohatch.timeline.render import RENDERERS, Timeline
+
+__all__ = ["events"]
+
+
+class EventFormat(StrEnum):
+    """Form of the time line."""
+
+    TEXT = "text"
+    JSON = "json"
+    HTML = "html"
+
+
+def events(
+    *,
+    host: str,
+    request: str = "",
+    upstream: str = "",
+    service: str = "",
+    of_host: str = "",
+    kind: str = "",
+    since: str = "",
+    limit: int = 0,
+    form: Annotated[EventFormat, Parameter(name="--format")] = EventFormat.TEXT,
+    out: Path | None = None,
+) -> None:
+    """
+    Print the time line of all entry hosts in causal order.
+
+    :param host: ADDRESS:PORT of any entry host's operators' listener
+    :param request: only events of this request id
+    :param upstream: only events of this upstream
+    :param service: only events of this service
+    :param of_host: only events of this entry host
+    :param kind: only events of this kind, as in the reference of events
+    :param since: only events of the last while, as 30s, 5m or 2h
+    :param limit: the most events, the latest are kept
+    :param form: text, json or html
+    :param out: file to write instead of standard output
+    """
+    scopes = {
+        "request": request,
+        "upstream": upstream,
+        "service": service,
+        "host": of_host,
+        "kind": kind,
+    }
+    sentence = make_sentence(scopes, since, limit)
+    parse(sentence)
+    reply = query(host, sentence)
+    if reply.kind is not ReplyKind.EVENTS:
+        sys.exit(print_reply(reply, json=False))
+    text = RENDERERS[form].render(make_timeline(reply))
+    if out is None:
+        print(text, end="")
+    else:
+        out.write_text(text, encoding="utf-8")
+
+
+def make_sentence(scopes: dict[str, str], since: str, limit: int) -> str:
+    """
+    Make the question for events.
+
+    :param scopes: names by scope; empty ones are left out
+    :param since: age, empty for all
+    :param limit: the most events, 0 for the host's default
+    :return: a sentence of the operators' language
+    """
+    parts = ["show events"]
+    parts += [f'of {scope} "{name}"' for scope, name in scopes.items() if name]
+    if since:
+        parts.append(f"since {since}")
+    if limit:
+        parts.append(f"limit {limit}")
+    return " ".join(parts)
+
+
+def make_timeline(reply: Reply) -> Timeline:
+    """
+    Make the time line from an answer; events of unknown kinds are left out.
+
+    :param reply: an answer that lists events
+    :return: the time line
+    """
+    kinds = {kind.value for kind in EventKind}
+    defaults: dict[str, Any] = {"time_ms": 0.0, "count": 0, "host": "", "zone": ""}
+    found = []
+    for row in reply.rows:
+        if row.get("kind") not in kinds:
+            continue
+        known = {name: row[name] for name in Event.__slots__ if name in row}
+        known["kind"] = EventKind(known["kind"])
+        found.append(Event(**(defaults | known)))
+    return Timeline(events=found, silent_hosts=reply.silent_hosts)
--- /dev/null
+++ b/src/mangohatch/commands/order.py
@@ -0,0 +1,42 @@
+"""The command that gives an order."""
+
+import sys
+import uuid
+
+from mangohatch.admin.client import query
+from mangohatch.commands.answer import print_reply
+from mangohatch.errors import HostUnanswered, SentenceError
+from mangohatch.language import ExplainRequest, ShowEvents, ShowRows, parse
+
+__all__ = ["order"]
+
+
+def order(
+    sentence: str, /, *, host: str, order_id: str | None = None, json: bool = False
+) -> None:
+    """
+    Order a change; it takes effect everywhere or is refused plainly.
+
+    Examples of orders: "drain upstream u7 of booking-desk",
+    "undrain upstream u7 of booking-desk", "set deadline_ms of booking-desk to 2000",
+    "release request 4f1d... of booking-desk".
+
+    An order whose answer was lost can be given again under the same id; it is
+    carried out once.
+
+    :param sentence: a sentence of the operators' language, in quotes
+    :param host: ADDRESS:PORT of any entry host's operators' listener
+    :param order_id: id of the order; a new one when left out
+    :param json: print the answer as JSON
+    """
+    parsed = parse(sentence)
+    if isinstance(parsed, ShowRows | ShowEvents | ExplainRequest):
+        problem = "this is a question; use the command ask"
+        raise SentenceError(text=sentence, position=0, problem=problem)
+    chosen = order_id or uuid.uuid4().hex
+    try:
+        reply = query(host, sentence, order_id=chosen)
+    except HostUnanswered as exc:
+        again = f"give it again with --order-id {chosen}"
+        raise HostUnanswered(f"{exc}; the order may have been taken: {again}") from exc
+    sys.exit(print_reply(reply, json=json))
--- /dev/null
+++ b/src/mangohatch/commands/version.py
@@ -0,0 +1,10 @@
+"""The command that prints the version."""
+
+from mangohatch import __version__
+
+__all__ = ["version"]
+
+
+def version() -> None:
+    """Print the version of the program."""
+    print(__version__)
