Mark leaving upstreams from the host list and delete old claims

Change: HostWatch (marks as objects of kind leaving, ordered by the list's version, spread and repaired like configuration, so that a new host knows them before it is ready); ClaimSweep; claims lie in 256 kinds by hash. UpstreamNotice is not used for the marks: it is not repaired when lost and a new host would not get it. Conclusion: one host reads the list once a second.

--- a/src/mangohatch/claims/record.py
+++ b/src/mangohatch/claims/record.py
@@ -12,9 +12,17 @@
 from mangohatch.claims.registry import Answer
 from mangohatch.platform.operations import OPERATION_FIELDS
 
-__all__ = ["CLAIM_KIND", "ClaimRecord", "ClaimState", "claim_name", "read_claim"]
+__all__ = [
+    "SHARDS",
+    "ClaimRecord",
+    "ClaimState",
+    "claim_kind",
+    "claim_name",
+    "read_claim",
+]
 
-CLAIM_KIND = "claim"
+SHARD_DIGITS = 2
+SHARDS = tuple(f"{number:0{SHARD_DIGITS}x}" for number in range(16**SHARD_DIGITS))
 
 
 class ClaimState(StrEnum):
@@ -107,6 +115,16 @@
     return hashlib.sha256(f"{service}\0{key}".encode()).hexdigest()
 
 
+def claim_kind(name: str) -> str:
+    """
+    Tell the kind of a claim object; there are many, so that each list is short.
+
+    :param name: name of the claim object, or its shard
+    :return: the kind
+    """
+    return f"claim-{name[:SHARD_DIGITS]}"
+
+
 def read_claim(value: dict[str, Any]) -> ClaimRecord | None:
     """
     Check a stored claim.
--- a/src/mangohatch/claims/results.py
+++ b/src/mangohatch/claims/results.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from mangohatch.claims.record import CLAIM_KIND, ClaimRecord, ClaimState, read_claim
+from mangohatch.claims.record import ClaimRecord, ClaimState, claim_kind, read_claim
 from mangohatch.errors import StoreConflict, StoreError
 from mangohatch.platform.backoff import Backoff
 from mangohatch.platform.operations import (
@@ -154,7 +154,9 @@
             await asyncio.sleep(backoff.next_ms() / MS_PER_S)
 
     async def _write(self, result: Result) -> bool:
-        base = result.base or await self._store.get(CLAIM_KIND, result.name)
+        base = result.base or await self._store.get(
+            claim_kind(result.name), result.name
+        )
         result.base = None
         if holds_operation(base, result.operation_id):
             return True
@@ -167,7 +169,7 @@
         try:
             await put_resolved(
                 self._store,
-                kind=CLAIM_KIND,
+                kind=claim_kind(result.name),
                 name=result.name,
                 value=value,
                 expected_revision=base.revision,
--- a/src/mangohatch/claims/store_registry.py
+++ b/src/mangohatch/claims/store_registry.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 
 from mangohatch.claims.record import (
-    CLAIM_KIND,
     ClaimRecord,
     ClaimState,
+    claim_kind,
     claim_name,
     read_claim,
 )
@@ -234,7 +234,7 @@
                 item = await self._put(attempt, base)
                 return StoreTicket(registry=self, attempt=attempt, base=item)
             except StoreConflict:
-                found = await self._store.get(CLAIM_KIND, attempt.name)
+                found = await self._store.get(claim_kind(attempt.name), attempt.name)
             if found is None or (base is not None and found.revision <= base.revision):
                 await asyncio.sleep(REREAD_MS / MS_PER_S)
                 continue
@@ -252,7 +252,7 @@
         )
         return await put_resolved(
             self._store,
-            kind=CLAIM_KIND,
+            kind=claim_kind(attempt.name),
             name=attempt.name,
             value=value,
             expected_revision=base.revision if base else None,
--- /dev/null
+++ b/src/mangohatch/claims/sweep.py
@@ -0,0 +1,89 @@
+"""The duty of deleting old claims."""
+
+import asyncio
+import itertools
+
+import structlog
+
+from mangohatch.claims.record import (
+    SHARDS,
+    ClaimRecord,
+    ClaimState,
+    claim_kind,
+    read_claim,
+)
+from mangohatch.clock import Clock
+from mangohatch.config import ClaimSettings
+from mangohatch.errors import StoreConflict, StoreError
+from mangohatch.platform.store import ObjectStore, StoredObject
+from mangohatch.state.duty import Duty
+
+__all__ = ["ClaimSweep"]
+
+MS_PER_S = 1000.0
+
+log = structlog.get_logger()
+
+
+class ClaimSweep(Duty):
+    """
+    Deletes claims whose retention has passed, one shard after the other.
+
+    A claim whose attempt never ended is kept for the retention after its deadline.
+    Deletes are conditional, therefore a claim that changed meanwhile stays.
+
+    :param cfg: retention and pace
+    :param store: the store, with the budget of the sweep
+    :param clock: clock of this host
+    """
+
+    def __init__(self, *, cfg: ClaimSettings, store: ObjectStore, clock: Clock) -> None:
+        self._cfg = cfg
+        self._store = store
+        self._clock = clock
+        self.deleted = 0
+
+    async def run(self, epoch: int) -> None:
+        first = epoch % len(SHARDS)
+        for shard in itertools.cycle(SHARDS[first:] + SHARDS[:first]):
+            await asyncio.sleep(self._cfg.sweep_ms / MS_PER_S)
+            try:
+                await self.sweep(shard)
+            except StoreError as exc:
+                log.info("claim_sweep_failed", code=exc.code, shard=shard)
+
+    async def sweep(self, shard: str) -> None:
+        """
+        Delete old claims of one shard, up to the bound of one sweep.
+
+        :param shard: the shard
+        :raises StoreError: when the store gives no answer
+        """
+        listing = await self._store.list(claim_kind(shard))
+        old = [item for item in listing.items if self._is_old(item)]
+        for item in old[: self._cfg.sweep_deletes]:
+            try:
+                await self._store.delete(
+                    item.kind, item.name, expected_revision=item.revision
+                )
+            except StoreConflict:
+                continue
+            self.deleted += 1
+
+    def _is_old(self, item: StoredObject) -> bool:
+        record = read_claim(item.value)
+        if record is None:
+            return False
+        return end_of(record) + self._cfg.retention_ms < self._clock.wall_ms()
+
+
+def end_of(record: ClaimRecord) -> float:
+    """
+    Tell when the retention of a claim starts.
+
+    :param record: the claim
+    :return: wall-clock milliseconds
+    """
+    if record.state is ClaimState.RUNNING:
+        return max(record.deadline_wall_ms, record.changed_wall_ms)
+    return record.changed_wall_ms
--- a/src/mangohatch/config/state.py
+++ b/src/mangohatch/config/state.py
@@ -63,5 +63,7 @@
     retention_ms: float = Field(
         default=86_400_000.0, gt=0, description="age at which ended claims are deleted"
     )
-    sweep_ms: float = Field(default=60_000.0, gt=0, description="time between sweeps")
+    sweep_ms: float = Field(
+        default=10_000.0, gt=0, description="time between sweeps of one shard each"
+    )
     sweep_deletes: int = Field(default=200, ge=1, description="deletes of one sweep")
--- a/src/mangohatch/state/config_table.py
+++ b/src/mangohatch/state/config_table.py
@@ -8,14 +8,13 @@
 from mangohatch.core.tables import Tables
 from mangohatch.peer.messages import ConfigItem
 from mangohatch.platform.store import Listing
-from mangohatch.state.items import (
-    SERVICE_KIND,
-    ConfigRejected,
-    item_key,
-    item_of,
-    read_service,
+from mangohatch.state.effects import (
+    LEAVING_KIND,
+    ItemEffect,
+    LeavingEffect,
+    ServiceEffect,
 )
-from mangohatch.timeline.event import EventKind
+from mangohatch.state.items import SERVICE_KIND, ConfigRejected, item_key, item_of
 from mangohatch.timeline.recorder import Recorder
 
 __all__ = ["ConfigTable"]
@@ -43,14 +42,23 @@
         self.items: dict[str, ConfigItem] = {}
         self.rejected: dict[str, ConfigRejected] = {}
         self.as_of = 0
-        self._tables = tables
-        self._recorder = recorder
+        self.leaving = LeavingEffect(tables=tables, recorder=recorder)
         self._hash: int | None = None
+        self._tables = tables
+        self._effects: dict[str, ItemEffect] = {
+            LEAVING_KIND: self.leaving,
+            SERVICE_KIND: ServiceEffect(
+                tables=tables, recorder=recorder, leaving=self.leaving
+            ),
+        }
 
     @property
     def revision(self) -> int:
-        """The newest revision of any object, 0 when there is none."""
-        return max((item.revision for item in self.items.values()), default=0)
+        """The newest revision of any object of the store, 0 when there is none."""
+        revisions = (
+            item.revision for item in self.items.values() if item.kind != LEAVING_KIND
+        )
+        return max(revisions, default=0)
 
     def revision_of(self, kind: str, name: str) -> int:
         """
@@ -77,8 +85,7 @@
         self.items[key] = item
         self._hash = None
         self.rejected.pop(key, None)
-        if item.kind == SERVICE_KIND:
-            self._enforce(key, item)
+        self._enforce(key, item)
         return True
 
     def apply_all(self, items: Iterable[ConfigItem]) -> list[ConfigItem]:
@@ -148,17 +155,11 @@
         return self._hash
 
     def _enforce(self, key: str, item: ConfigItem) -> None:
-        if item.deleted:
-            applied = self._tables.remove(item.name, revision=item.revision)
-        else:
-            try:
-                spec = read_service(item)
-            except ConfigRejected as exc:
-                self.rejected[key] = exc
-                log.warning("config_rejected", key=key, revision=item.revision)
-                return
-            applied = self._tables.apply(spec, revision=item.revision)
-        if applied:
-            self._recorder.record(
-                EventKind.CONFIG_APPLIED, service=item.name, revision=item.revision
-            )
+        effect = self._effects.get(item.kind)
+        if effect is None:
+            return
+        try:
+            effect.enforce(item)
+        except ConfigRejected as exc:
+            self.rejected[key] = exc
+            log.warning("config_rejected", key=key, revision=item.revision)
--- /dev/null
+++ b/src/mangohatch/state/effects.py
@@ -0,0 +1,158 @@
+"""What an object does to the tables of the decision core, by kind."""
+
+import json
+from abc import ABC, abstractmethod
+
+from mangohatch.core.tables import Tables, UpstreamRow, UpstreamState
+from mangohatch.peer.messages import ConfigItem
+from mangohatch.state.items import ConfigRejected, read_service
+from mangohatch.timeline.event import EventKind
+from mangohatch.timeline.recorder import Recorder
+
+__all__ = [
+    "LEAVING_KIND",
+    "ItemEffect",
+    "LeavingEffect",
+    "ServiceEffect",
+    "leaving_name",
+]
+
+LEAVING_KIND = "leaving"
+
+
+class ItemEffect(ABC):
+    """Puts the objects of one kind in force."""
+
+    @abstractmethod
+    def enforce(self, item: ConfigItem) -> None:
+        """
+        Put an object in force that is newer than the one before.
+
+        :param item: the object or its tombstone
+        :raises ConfigRejected: when it is not valid; the one before stays in force
+        """
+
+
+def leaving_name(service: str, upstream: str) -> str:
+    """
+    Name the mark of a leaving upstream.
+
+    :param service: name of the service
+    :param upstream: name of the upstream
+    :return: name within the kind ``leaving``
+    """
+    return f"{service}/{upstream}"
+
+
+class LeavingEffect(ItemEffect):
+    """
+    Ends new work for upstreams that the host list names as leaving.
+
+    An upstream that was draining for another reason before it was marked stays so
+    when the mark goes.
+
+    :param tables: tables of the decision core
+    :param recorder: the time line
+    """
+
+    def __init__(self, *, tables: Tables, recorder: Recorder) -> None:
+        self._tables = tables
+        self._recorder = recorder
+        self._marks: dict[str, bool] = {}
+
+    def enforce(self, item: ConfigItem) -> None:
+        row = self._find(item.name)
+        if item.deleted:
+            was_active = self._marks.pop(item.name, False)
+            if row is not None and was_active and not self._is_ordered(row):
+                row.state = UpstreamState.ACTIVE
+            return
+        self._marks[item.name] = False
+        if row is not None:
+            self._mark(item.name, row, read_cause(item))
+
+    def enforce_again(self, service: str) -> None:
+        """
+        Repeat the marks of a service after its rows were made anew.
+
+        :param service: name of the service
+        """
+        for name in self._marks:
+            if name.partition("/")[0] != service:
+                continue
+            row = self._find(name)
+            if row is not None and row.state is not UpstreamState.DRAINING:
+                self._mark(name, row, "")
+
+    def is_marked(self, service: str, upstream: str) -> bool:
+        """
+        Tell whether an upstream is marked as leaving.
+
+        :param service: name of the service
+        :param upstream: name of the upstream
+        :return: whether it is
+        """
+        return leaving_name(service, upstream) in self._marks
+
+    def _mark(self, name: str, row: UpstreamRow, cause: str) -> None:
+        self._marks[name] = row.state is not UpstreamState.DRAINING
+        row.state = UpstreamState.DRAINING
+        if cause:
+            self._recorder.record(
+                EventKind.UPSTREAM_DRAINING,
+                service=row.service,
+                upstream=row.name,
+                cause=cause,
+            )
+
+    def _find(self, name: str) -> UpstreamRow | None:
+        service, _, upstream = name.partition("/")
+        row = self._tables.services.get(service)
+        return row.upstreams.get(upstream) if row else None
+
+    def _is_ordered(self, row: UpstreamRow) -> bool:
+        specs = self._tables.services[row.service].spec.upstreams
+        return any(spec.name == row.name and spec.draining for spec in specs)
+
+
+class ServiceEffect(ItemEffect):
+    """
+    Puts services in force.
+
+    :param tables: tables of the decision core
+    :param recorder: the time line
+    :param leaving: marks that outlast a change of the service
+    """
+
+    def __init__(
+        self, *, tables: Tables, recorder: Recorder, leaving: LeavingEffect
+    ) -> None:
+        self._tables = tables
+        self._recorder = recorder
+        self._leaving = leaving
+
+    def enforce(self, item: ConfigItem) -> None:
+        if item.deleted:
+            applied = self._tables.remove(item.name, revision=item.revision)
+        else:
+            spec = read_service(item)
+            applied = self._tables.apply(spec, revision=item.revision)
+            self._leaving.enforce_again(item.name)
+        if applied:
+            self._recorder.record(
+                EventKind.CONFIG_APPLIED, service=item.name, revision=item.revision
+            )
+
+
+def read_cause(item: ConfigItem) -> str:
+    """
+    Read why an upstream is marked.
+
+    :param item: the mark
+    :return: the cause
+    :raises ConfigRejected: when the mark is malformed
+    """
+    try:
+        return str(json.loads(item.json)["cause"])
+    except (KeyError, TypeError, ValueError) as exc:
+        raise ConfigRejected(f"leaving/{item.name}: {exc}") from exc
--- /dev/null
+++ b/src/mangohatch/state/host_watch.py
@@ -0,0 +1,96 @@
+"""The duty of following the platform's host list."""
+
+import asyncio
+import json
+
+import structlog
+
+from mangohatch.core.tables import Tables, UpstreamRow
+from mangohatch.errors import StoreError
+from mangohatch.peer.messages import ConfigItem
+from mangohatch.platform.host_list import HostList, HostListing, ListedState
+from mangohatch.state.config_table import ConfigTable
+from mangohatch.state.distribution import Distribution
+from mangohatch.state.duty import Duty
+from mangohatch.state.effects import LEAVING_KIND, leaving_name
+from mangohatch.state.items import item_key
+
+__all__ = ["HostWatch"]
+
+READ_MS = 1000.0
+MARK = json.dumps({"cause": "host_list"})
+MS_PER_S = 1000.0
+
+log = structlog.get_logger()
+
+
+class HostWatch(Duty):
+    """
+    Marks the upstreams of leaving hosts while this host holds the watch lease.
+
+    Marks are ordered by the version of the list. An upstream whose host is not in
+    the list, or whose list gives no answer, keeps the mark that it has.
+
+    :param host_list: the platform's list
+    :param tables: tables of the decision core
+    :param table: configuration of this host
+    :param distribution: pushes to other hosts
+    """
+
+    def __init__(
+        self,
+        *,
+        host_list: HostList,
+        tables: Tables,
+        table: ConfigTable,
+        distribution: Distribution,
+    ) -> None:
+        self._host_list = host_list
+        self._tables = tables
+        self._table = table
+        self._distribution = distribution
+
+    async def run(self, epoch: int) -> None:
+        while True:
+            try:
+                listing = await self._host_list.read()
+                fresh = self._table.apply_all(self._marks(listing))
+                if fresh:
+                    self._distribution.push_as_holder(fresh)
+            except StoreError as exc:
+                log.info("host_list_unread", code=exc.code)
+            await asyncio.sleep(READ_MS / MS_PER_S)
+
+    def _marks(self, listing: HostListing) -> list[ConfigItem]:
+        states = {(host.address, host.port): host.state for host in listing.hosts}
+        items = []
+        for row in self._tables.upstreams():
+            state = states.get((row.address, row.port))
+            state = state or states.get((row.address, None))
+            if state is not None and self._changes(row, state):
+                items.append(make_mark(row, state, listing.version))
+        return items
+
+    def _changes(self, row: UpstreamRow, state: ListedState) -> bool:
+        key = item_key(LEAVING_KIND, leaving_name(row.service, row.name))
+        known = self._table.items.get(key)
+        marked = known is not None and not known.deleted
+        return marked is not (state is ListedState.LEAVING)
+
+
+def make_mark(row: UpstreamRow, state: ListedState, version: int) -> ConfigItem:
+    """
+    Make the mark of an upstream, or its tombstone.
+
+    :param row: the upstream
+    :param state: state of its host
+    :param version: version of the list
+    :return: the object for the hosts
+    """
+    return ConfigItem(
+        kind=LEAVING_KIND,
+        name=leaving_name(row.service, row.name),
+        revision=version,
+        json=MARK if state is ListedState.LEAVING else "",
+        deleted=state is ListedState.LIVE,
+    )
--- a/src/standins/state_hosts.py
+++ b/src/standins/state_hosts.py
@@ -4,12 +4,15 @@
 from dataclasses import dataclass
 
 from mangohatch.claims import StoreClaimRegistry
+from mangohatch.claims.sweep import ClaimSweep
 from mangohatch.config import ClaimSettings, ServiceSpec, StateSettings
 from mangohatch.core.tables import Tables
 from mangohatch.platform.operations import with_operation
 from mangohatch.platform.store import StoredObject
 from mangohatch.state import StateService, service_value
+from mangohatch.state.host_watch import HostWatch
 from mangohatch.timeline.recorder import HybridClock, Recorder
+from standins.host_list import HostBook, MemoryHostList
 from standins.memory_bus import MemoryNetwork
 from standins.memory_store import MemoryStore
 from standins.objects import ObjectTable
@@ -53,6 +56,9 @@
         self.store = MemoryStore(table=self.objects, rng=self.rng)
         self.network = MemoryNetwork(loop=loop, rng=self.rng)
         self.live: dict[str, StateHost] = {}
+        self.dead: list[StateHost] = []
+        self.host_book = HostBook(clock=LoopClock(loop=loop))
+        self.claim_cfg = ClaimSettings()
         self._state_type = state_type
         self._claims_type = claims_type
         self._written = 0
@@ -80,11 +86,21 @@
         )
         claims = self._claims_type(
             host_id=host_id,
-            cfg=ClaimSettings(),
+            cfg=self.claim_cfg,
             store=self.store.client("claims"),
             clock=clock,
             rng=rng,
         )
+        watch = HostWatch(
+            host_list=MemoryHostList(book=self.host_book),
+            tables=tables,
+            table=state.table,
+            distribution=state.distribution,
+        )
+        sweep = ClaimSweep(
+            cfg=self.claim_cfg, store=self.store.client("sweep"), clock=clock
+        )
+        state.add_duties([watch, sweep])
         host = StateHost(
             host_id=host_id,
             tables=tables,
@@ -104,7 +120,7 @@
         :param host_id: the host
         """
         self.loop.kill(host_id)
-        del self.live[host_id]
+        self.dead.append(self.live.pop(host_id))
 
     def stop(self, host_id: str) -> None:
         """
