Tell silent connections from silent upstreams, and bound connecting

Cause: a hanging upstream was reported as silent connections for ever and so never ejected; a service with one upstream refused the retry on a new connection; a connect that hangs waited for the deadline; an unforeseen error ended without an answer.

Change: only a reused connection is taken for silent, a new one that stays quiet reports a timeout; when no other upstream is left an idempotent request may go to the same one; connecting is given up after 300 ms; unforeseen errors are logged and answered with code internal; events of requests are limited to 50 of a kind a second. The watch over requests in flight is a module of its own.

Conclusion: the upstream is blamed only when a fresh connection shows it.

--- a/src/mangohatch/entry/active.py
+++ b/src/mangohatch/entry/active.py
@@ -35,6 +35,7 @@
     may_have_run: bool = False
     failure: RequestError | None = None
     attempt_failure: RequestError | None = None
+    last_error: RequestError | None = None
     retry_allowed: bool = False
     admission: asyncio.Future[Decision] | None = None
     upstream: UpstreamRow | None = None
@@ -42,7 +43,10 @@
     wants_new_connection: bool = False
     continuation: Continuation | None = None
     continuations: int = 0
+    may_repeat_upstream: bool = False
     awaits_head: bool = False
+    silent: bool = False
+    on_reused: bool = False
     silence_limit_ms: float = 0.0
 
     def abort(self, error: RequestError, router: Router | QuarantineGate) -> None:
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -13,7 +13,7 @@
     UPSTREAM_STATE_HEADER,
 )
 from mangohatch.entry.retry import is_server_failure, result_of_status, states_not_run
-from mangohatch.errors import ConnectionSilent, UpstreamFailed, UpstreamRefused
+from mangohatch.errors import UpstreamFailed, UpstreamRefused
 from mangohatch.upstream.connection import (
     ResponseHead,
     ResponseSink,
@@ -75,19 +75,20 @@
         finally:
             req.conn = None
             req.awaits_head = False
-            if isinstance(req.attempt_failure, ConnectionSilent):
-                self._pool.drop_silent(conn)
             self._pool.give_back(conn, reusable=reusable)
 
     async def _exchange(
         self, req: ActiveRequest, conn: UpstreamConnection, report: Report
     ) -> bool:
-        reused = conn.exchanges > 0
-        req.silence_limit_ms = self._silence.limit_ms(conn.upstream, reused=reused)
+        req.on_reused = conn.exchanges > 0
+        req.silence_limit_ms = self._silence.limit_ms(
+            conn.upstream, reused=req.on_reused
+        )
         remaining_ms = req.call.deadline_ms - self._clock.now_ms()
         req.headers[DEADLINE_HEADER] = str(max(int(remaining_ms), 1))
         ran_before = req.may_have_run
         req.may_have_run = True
+        req.silent = False
         req.awaits_head = True
         sending = send_request(req, conn)
         try:
--- a/src/mangohatch/entry/connection.py
+++ b/src/mangohatch/entry/connection.py
@@ -23,6 +23,7 @@
     max_body_size=MAX_BODY_BYTES,
 )
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+NO_CONTENT = 204
 BODYLESS_CODES = frozenset({204, 304})
 LAST_CHUNK = b"0\r\n\r\n"
 UNKNOWN_LINE = RequestStartLine("GET", "/", "HTTP/1.1")
@@ -112,6 +113,8 @@
         request = self._request_start_line or UNKNOWN_LINE
         code = start_line.code
         bodyless = request.method == "HEAD" or code in BODYLESS_CODES
+        if code == NO_CONTENT:
+            headers.pop("Content-Length", None)
         length = headers.get("Content-Length")
         self._expected_content_remaining = None
         if bodyless:
--- /dev/null
+++ b/src/mangohatch/entry/events.py
@@ -0,0 +1,57 @@
+"""Events of requests, recorded at a bounded rate."""
+
+from mangohatch.clock import Clock
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.timeline.event import EventKind
+from mangohatch.timeline.recorder import Recorder
+
+__all__ = ["RequestEvents"]
+
+WINDOW_MS = 1_000.0
+MAX_EVENTS_PER_WINDOW = 50
+
+
+class RequestEvents:
+    """
+    Records what happens to requests, so many of a kind a second.
+
+    Under overload the kinds that come in numbers must not push the others out of
+    the recorder.
+
+    :param clock: source of time
+    :param recorder: receives the events; None for no events
+    """
+
+    def __init__(self, *, clock: Clock, recorder: Recorder | None) -> None:
+        self._clock = clock
+        self._recorder = recorder
+        self._window_ms = clock.now_ms()
+        self._counts: dict[EventKind, int] = {}
+
+    def record(self, kind: EventKind, req: ActiveRequest, cause: str) -> None:
+        """
+        Record an event of a request.
+
+        :param kind: what happened
+        :param req: the request
+        :param cause: code of the error that led to it
+        """
+        now_ms = self._clock.now_ms()
+        if self._recorder is None or not self._has_room(kind, now_ms):
+            return
+        self._recorder.record(
+            kind,
+            cause=cause,
+            request_id=req.call.request_id,
+            service=req.call.service,
+            upstream=req.upstream.name if req.upstream else "",
+            duration_ms=now_ms - req.call.arrived_ms,
+        )
+
+    def _has_room(self, kind: EventKind, now_ms: float) -> bool:
+        if now_ms - self._window_ms >= WINDOW_MS:
+            self._window_ms = now_ms
+            self._counts.clear()
+        count = self._counts.get(kind, 0)
+        self._counts[kind] = count + 1
+        return count < MAX_EVENTS_PER_WINDOW
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import replace
 
+import structlog
+
 from mangohatch.claims import Answer, ClaimRegistry
 from mangohatch.clock import Clock
 from mangohatch.core.call import Decision, Grant, Refusal, Report, Result
@@ -12,15 +14,19 @@
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.attempt import AttemptRunner
 from mangohatch.entry.continuation import plan_continuation
+from mangohatch.entry.events import RequestEvents
 from mangohatch.entry.keyed import claim, is_keyed, make_answer, replay
 from mangohatch.entry.retry import is_retry_safe, result_of
+from mangohatch.entry.watch import RequestWatch
 from mangohatch.errors import (
     CallerGone,
-    ConnectionSilent,
     DeadlineExceeded,
+    InternalFailure,
+    NoUpstream,
     Outcome,
     RequestError,
     UpstreamAborted,
+    UpstreamFailed,
     UpstreamRefused,
     UpstreamUnreachable,
 )
@@ -30,12 +36,13 @@
 
 __all__ = ["Forwarder"]
 
+log = structlog.get_logger()
+
 MAX_ATTEMPTS = 3
 MAX_CONTINUATIONS = 8
 CONTINUATION_DEADLINE_MS = 5_000.0
 CONTINUED = (UpstreamAborted, UpstreamRefused, UpstreamUnreachable)
 SLOW_REQUEST_MS = 1_000.0
-BODY_STALL_MS = 30_000.0
 RETRY_AFTER_MS = 1_000.0
 FIRST_SERVER_ERROR = 500
 
@@ -67,10 +74,17 @@
         self._pool = pool
         self._budget = budget or LocalRetryBudget(clock=clock)
         self._registry = registry
-        self._recorder = recorder
+        self._events = RequestEvents(clock=clock, recorder=recorder)
         self._attempts = AttemptRunner(
             clock=clock, pool=pool, may_retry=self._spend_retry
         )
+        self._watch = RequestWatch(
+            clock=clock,
+            router=router,
+            pool=pool,
+            events=self._events,
+            may_retry=self._may_retry,
+        )
         self.active: set[ActiveRequest] = set()
 
     async def forward(self, req: ActiveRequest) -> None:
@@ -112,6 +126,10 @@
             req.sink.end()
         except RequestError as exc:
             raise self._fail(req, exc) from exc
+        except Exception as exc:
+            log.exception("request_failed", request_id=req.call.request_id)
+            failure = InternalFailure("the entry host failed")
+            raise self._fail(req, failure) from exc
         finally:
             self.active.discard(req)
             self._record_slow(req)
@@ -136,25 +154,8 @@
 
     def tick(self) -> None:
         """Abort requests past their deadline or on connections taken for dead."""
-        now_ms = self._clock.now_ms()
         self._pool.tick()
-        for req in list(self.active):
-            if not req.sink.sent:
-                self._check_waiting(req, now_ms)
-            elif req.conn is not None and not req.sink.stalled:
-                quiet_since_ms = max(req.conn.last_read_ms, req.conn.sent_ms)
-                if now_ms - quiet_since_ms > BODY_STALL_MS:
-                    req.abort_attempt(UpstreamAborted("the response stopped"))
-
-    def _check_waiting(self, req: ActiveRequest, now_ms: float) -> None:
-        if now_ms >= req.call.deadline_ms:
-            error = DeadlineExceeded("no answer before the deadline")
-            req.abort(error, self._router)
-        elif req.awaits_head and req.call.idempotent and req.conn is not None:
-            quiet_ms = now_ms - req.conn.sent_ms
-            if quiet_ms > req.silence_limit_ms and self._may_retry(req):
-                self._record(EventKind.CONNECTION_SILENT, req, "")
-                req.abort_attempt(ConnectionSilent("the connection went silent"))
+        self._watch.tick(tuple(self.active))
 
     async def _try_once(self, req: ActiveRequest) -> RequestError | None:
         grant = await self._admit(req)
@@ -167,6 +168,8 @@
         except RequestError as exc:
             error = req.failure or req.attempt_failure or exc
             report.result = result_of(error)
+            if req.silent and report.result is Result.TIMEOUT and req.on_reused:
+                report.result = Result.SILENT
             if req.failure is not None:
                 raise req.failure from exc
             return error
@@ -194,10 +197,18 @@
             req.admission = asyncio.get_running_loop().create_future()
             decision = await req.admission
         if isinstance(decision, Refusal):
-            raise decision.error
+            return await self._admit_anywhere(req, decision.error)
         req.upstream = decision.upstream
         return decision
 
+    async def _admit_anywhere(self, req: ActiveRequest, error: RequestError) -> Grant:
+        if not req.call.avoid or not isinstance(error, NoUpstream):
+            raise error
+        if not req.may_repeat_upstream:
+            raise req.last_error or error
+        req.call = replace(req.call, avoid=frozenset())
+        return await self._admit(req)
+
     def _spend_retry(self, req: ActiveRequest) -> bool:
         return self._may_retry(req) and self._budget.allow(req.call)
 
@@ -229,7 +240,7 @@
             attempt=req.call.attempt + 1,
             deadline_ms=self._clock.now_ms() + CONTINUATION_DEADLINE_MS,
         )
-        self._record(EventKind.REQUEST_RETRIED, req, error.code)
+        self._events.record(EventKind.REQUEST_RETRIED, req, error.code)
 
     def _prepare_retry(self, req: ActiveRequest, error: RequestError) -> None:
         if req.sink.sent:
@@ -243,14 +254,16 @@
         if not allowed and not self._budget.allow(call):
             raise error
         assert req.upstream is not None
+        req.last_error = error
         req.sink.discard()
         req.wants_new_connection = isinstance(error, UpstreamAborted)
+        req.may_repeat_upstream = isinstance(error, (UpstreamAborted, UpstreamFailed))
         req.call = replace(
             call,
             avoid=call.avoid | {req.upstream.name},
             attempt=call.attempt + 1,
         )
-        self._record(EventKind.REQUEST_RETRIED, req, error.code)
+        self._events.record(EventKind.REQUEST_RETRIED, req, error.code)
 
     def _fail(self, req: ActiveRequest, error: RequestError) -> RequestError:
         error = req.failure or error
@@ -259,21 +272,11 @@
         if error.retry_after_ms is None and error.status >= FIRST_SERVER_ERROR:
             error.retry_after_ms = RETRY_AFTER_MS
         if not isinstance(error, CallerGone):
-            self._record(EventKind.REQUEST_FAILED, req, error.code)
+            refused = error.outcome is Outcome.NOT_RUN
+            kind = EventKind.REQUEST_REFUSED if refused else EventKind.REQUEST_FAILED
+            self._events.record(kind, req, error.code)
         return error
 
     def _record_slow(self, req: ActiveRequest) -> None:
         if self._clock.now_ms() - req.call.arrived_ms > SLOW_REQUEST_MS:
-            self._record(EventKind.REQUEST_SLOW, req, "")
-
-    def _record(self, kind: EventKind, req: ActiveRequest, cause: str) -> None:
-        if self._recorder is None:
-            return
-        self._recorder.record(
-            kind,
-            cause=cause,
-            request_id=req.call.request_id,
-            service=req.call.service,
-            upstream=req.upstream.name if req.upstream else "",
-            duration_ms=self._clock.now_ms() - req.call.arrived_ms,
-        )
+            self._events.record(EventKind.REQUEST_SLOW, req, "")
--- a/src/mangohatch/entry/retry.py
+++ b/src/mangohatch/entry/retry.py
@@ -8,6 +8,7 @@
     DeadlineExceeded,
     Outcome,
     RequestError,
+    ResponseLate,
     ResponseUnframed,
     UpstreamAborted,
     UpstreamFailed,
@@ -34,6 +35,7 @@
 
 RESULTS: tuple[tuple[type[RequestError], Result], ...] = (
     (ConnectionSilent, Result.SILENT),
+    (ResponseLate, Result.TIMEOUT),
     (CallerGone, Result.CANCELLED),
     (DeadlineExceeded, Result.TIMEOUT),
     (UpstreamRefused, Result.REFUSED),
--- /dev/null
+++ b/src/mangohatch/entry/watch.py
@@ -0,0 +1,101 @@
+"""The system that watches requests in flight for deadlines and silence."""
+
+from collections.abc import Callable, Iterable
+
+from mangohatch.clock import Clock
+from mangohatch.core.quarantine import QuarantineGate
+from mangohatch.core.router import Router
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.events import RequestEvents
+from mangohatch.errors import (
+    ConnectionSilent,
+    DeadlineExceeded,
+    ResponseLate,
+    UpstreamAborted,
+    UpstreamUnreachable,
+)
+from mangohatch.timeline.event import EventKind
+from mangohatch.upstream.connection import UpstreamConnection
+from mangohatch.upstream.pool import ConnectionPool
+
+__all__ = ["RequestWatch"]
+
+CONNECT_TIMEOUT_MS = 300.0
+BODY_STALL_MS = 30_000.0
+
+
+class RequestWatch:
+    """
+    Aborts requests past their deadline and attempts that make no progress.
+
+    :param clock: source of time
+    :param router: forgets calls that are aborted while they wait
+    :param pool: drops the siblings of a silent connection
+    :param events: receives events
+    :param may_retry: tells whether another attempt of a request could follow
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        router: Router | QuarantineGate,
+        pool: ConnectionPool,
+        events: RequestEvents,
+        may_retry: Callable[[ActiveRequest], bool],
+    ) -> None:
+        self._clock = clock
+        self._router = router
+        self._pool = pool
+        self._events = events
+        self._may_retry = may_retry
+
+    def tick(self, requests: Iterable[ActiveRequest]) -> None:
+        """
+        Look at each request once.
+
+        :param requests: requests in flight
+        """
+        now_ms = self._clock.now_ms()
+        for req in requests:
+            if req.sink.sent:
+                self._check_progress(req, now_ms)
+                continue
+            if req.awaits_head and not req.silent:
+                self._check_silence(req, now_ms)
+            elif req.conn is not None and not req.conn.connected:
+                self._check_connecting(req, req.conn, now_ms)
+            if now_ms >= req.call.deadline_ms:
+                error = DeadlineExceeded("no answer before the deadline")
+                req.abort(error, self._router)
+
+    def _check_progress(self, req: ActiveRequest, now_ms: float) -> None:
+        conn = req.conn
+        if conn is None or req.sink.stalled:
+            return
+        quiet_since_ms = max(conn.last_read_ms, conn.sent_ms)
+        if now_ms - quiet_since_ms > BODY_STALL_MS:
+            req.abort_attempt(UpstreamAborted("the response stopped"))
+
+    def _check_connecting(
+        self, req: ActiveRequest, conn: UpstreamConnection, now_ms: float
+    ) -> None:
+        if now_ms - conn.last_read_ms > CONNECT_TIMEOUT_MS:
+            detail = f"upstream {conn.upstream.name} did not accept in time"
+            req.abort_attempt(UpstreamUnreachable(detail))
+
+    def _check_silence(self, req: ActiveRequest, now_ms: float) -> None:
+        conn = req.conn
+        if conn is None or now_ms - conn.sent_ms <= req.silence_limit_ms:
+            return
+        req.silent = True
+        if req.on_reused:
+            self._events.record(EventKind.CONNECTION_SILENT, req, "")
+            self._pool.drop_silent(conn)
+        if not req.call.idempotent or not self._may_retry(req):
+            return
+        # A new connection that stays quiet speaks against the upstream.
+        if req.on_reused:
+            req.abort_attempt(ConnectionSilent("the connection went silent"))
+        else:
+            req.abort_attempt(ResponseLate("the response did not begin in time"))
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -4,6 +4,8 @@
 from mangohatch.errors.attempt import (
     CallerGone,
     ConnectionSilent,
+    InternalFailure,
+    ResponseLate,
     ResponseUnframed,
     UpstreamFailed,
 )
@@ -73,6 +75,7 @@
     "ExpectationFailed",
     "HeaderTooLarge",
     "HostUnanswered",
+    "InternalFailure",
     "MangohatchError",
     "MethodRefused",
     "NoRoute",
@@ -93,6 +96,7 @@
     "RequestInProgress",
     "RequestQuarantined",
     "RequestTimeout",
+    "ResponseLate",
     "ResponseUnframed",
     "RevisionCompacted",
     "SentenceError",
--- a/src/mangohatch/errors/attempt.py
+++ b/src/mangohatch/errors/attempt.py
@@ -2,7 +2,14 @@
 
 from mangohatch.errors.request import Outcome, RequestError, UpstreamAborted
 
-__all__ = ["CallerGone", "ConnectionSilent", "ResponseUnframed", "UpstreamFailed"]
+__all__ = [
+    "CallerGone",
+    "ConnectionSilent",
+    "InternalFailure",
+    "ResponseLate",
+    "ResponseUnframed",
+    "UpstreamFailed",
+]
 
 
 class ConnectionSilent(UpstreamAborted):
@@ -11,6 +18,12 @@
     code = "connection_silent"
 
 
+class ResponseLate(UpstreamAborted):
+    """The response did not begin in time on a connection that was just opened."""
+
+    code = "response_late"
+
+
 class ResponseUnframed(RequestError):
     """The response had no length, so that its end can't be told from a cut."""
 
@@ -33,3 +46,10 @@
     code = "upstream_failed"
     status = 502
     default_outcome = Outcome.UNKNOWN
+
+
+class InternalFailure(RequestError):
+    """The entry host failed in a way that nothing provides for."""
+
+    code = "internal"
+    default_outcome = Outcome.UNKNOWN
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -8,6 +8,7 @@
 
 from mangohatch.clock import ManualClock
 from mangohatch.config import IdempotencyRule, ServiceSpec, UpstreamSpec
+from mangohatch.core.call import Grant, Report, Result
 from mangohatch.core.router import Router
 from mangohatch.core.tables import Tables
 from mangohatch.entry.forwarder import Forwarder
@@ -150,10 +151,23 @@
     return f"{method} {target} HTTP/1.1\r\n{lines}\r\n".encode() + (body or b"")
 
 
+class SpyRouter(Router):
+    """A router that keeps the reports it gets."""
+
+    def __init__(self, **parts) -> None:
+        super().__init__(**parts)
+        self.reports: list[Report] = []
+
+    def release(self, grant: Grant, report: Report) -> None:
+        super().release(grant, report)
+        self.reports.append(report)
+
+
 @dataclass(slots=True)
 class Entry:
     """An entry server with its parts."""
 
+    router: "SpyRouter"
     clock: ManualClock
     tables: Tables
     pool: ConnectionPool
@@ -174,6 +188,12 @@
     def event_kinds(self) -> list[str]:
         return [event.kind for event in self.recorder.events()]
 
+    def reported(self) -> list[Result]:
+        """Results of the attempts since the last call."""
+        seen = [report.result for report in self.router.reports]
+        self.router.reports.clear()
+        return seen
+
     def in_flight(self) -> int:
         return sum(row.in_flight for row in self.tables.upstreams())
 
@@ -194,14 +214,14 @@
     tables = Tables()
     tables.apply(make_spec(upstreams), revision=1)
     pool = ConnectionPool(clock=clock)
-    router = Router(clock=clock, rng=random.Random(1), tables=tables)
+    router = SpyRouter(clock=clock, rng=random.Random(1), tables=tables)
     recorder = Recorder(host="h1", zone="puno", clock=HybridClock(clock=clock))
     forwarder = Forwarder(
         clock=clock, router=router, pool=pool, recorder=recorder, **parts
     )
     server = EntryServer(host_id="h1", clock=clock, tables=tables, forwarder=forwarder)
     server.listen(LOOPBACK, 0)
-    entry = Entry(clock, tables, pool, forwarder, server, recorder)
+    entry = Entry(router, clock, tables, pool, forwarder, server, recorder)
     try:
         yield entry, upstreams
     finally:
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -285,3 +285,30 @@
         await caller.send(request("/a/1") + request("/a/2") + request("/a/3"))
         bodies = [(await caller.read()).body for _ in range(3)]
         assert bodies == [b"/a/1", b"/a/2", b"/a/3"]
+
+
+async def test_unforeseen_failure_is_typed_and_frees_the_upstream():
+    async with open_entry(answer) as (entry, upstreams):
+        caller = await entry.connect()
+        assert (await caller.ask()).status == 200
+
+        def explode(*args, **options):
+            raise RuntimeError("unforeseen")
+
+        entry.pool.take = explode
+        response = await caller.ask()
+        assert response.status == 500
+        assert response.headers["x-error-code"] == "internal"
+        assert entry.in_flight() == 0
+
+
+async def test_load_and_drain_state_of_an_upstream_are_reported_and_hidden():
+    async def leaving(upstream, message, writer):
+        writer.write(fixed(X_Upstream_Load="2", X_Upstream_State="draining"))
+
+    async with open_entry(leaving) as (entry, upstreams):
+        caller = await entry.connect()
+        response = await caller.ask()
+        assert not any(name.startswith("x-upstream") for name in response.headers)
+        report = entry.router.reports[0]
+        assert (report.upstream_in_flight, report.draining) == (2, True)
--- a/tests/entry/test_silence.py
+++ b/tests/entry/test_silence.py
@@ -1,7 +1,10 @@
 """Tests of connections that go silent."""
 
 import asyncio
+import contextlib
+import socket
 
+from mangohatch.core.call import Result
 from mangohatch.timeline.event import EventKind
 from tests.entry.harness import fixed, open_entry, request
 from tests.functions import function_tests
@@ -33,6 +36,7 @@
 async def warm_up(entry, caller) -> None:
     for _ in range(WARM_UP_REQUESTS):
         assert (await caller.ask()).status == 200
+    entry.reported()
 
 
 async def test_idempotent_request_moves_to_a_new_connection():
@@ -87,6 +91,73 @@
         assert upstreams[0].connections == 2
 
 
+async def test_only_upstream_is_asked_again_on_a_new_connection():
+    script = Silencer()
+    async with open_entry(script) as (entry, upstreams):
+        caller = await entry.connect()
+        await warm_up(entry, caller)
+        script.silence_last()
+        await caller.send(request())
+        await script.swallowed.wait()
+        entry.pass_time(PAST_LIMIT_MS)
+        assert (await caller.read()).status == 200
+        assert upstreams[0].connections == 2
+        assert entry.reported() == [Result.SILENT, Result.OK]
+
+
+async def test_silence_of_a_new_connection_speaks_against_the_upstream():
+    script = Silencer()
+
+    async def hang_later(upstream, message, writer):
+        if len(upstream.requests) > WARM_UP_REQUESTS:
+            script.swallowed.set()
+            await asyncio.Event().wait()
+        writer.write(fixed(Connection="close"))
+
+    async with open_entry(hang_later) as (entry, upstreams):
+        caller = await entry.connect()
+        await warm_up(entry, caller)
+        await caller.send(request())
+        await script.swallowed.wait()
+        entry.pass_time(PAST_LIMIT_MS)
+        assert entry.in_flight() == 1
+        entry.pass_time(PAST_LIMIT_MS)
+        entry.pass_time(1000)
+        response = await caller.read()
+        assert response.status == 504
+        assert entry.reported()[0] is Result.TIMEOUT
+        assert EventKind.CONNECTION_SILENT not in entry.event_kinds()
+
+
+async def test_upstream_that_accepts_no_connection_is_given_up_early():
+    async with open_entry(Silencer()) as (entry, upstreams):
+        with full_listener() as port:
+            row = next(entry.tables.upstreams())
+            row.port = port
+            caller = await entry.connect()
+            await caller.send(request(method="POST", body=b"book"))
+            while not any(req.conn for req in entry.forwarder.active):
+                await asyncio.sleep(0)
+            entry.pass_time(301)
+            response = await caller.read()
+            assert response.headers["x-error-code"] == "upstream_unreachable"
+            assert response.headers["x-outcome"] == "not_run"
+
+
+@contextlib.contextmanager
+def full_listener():
+    """A port whose queue of connections is full, so that connecting hangs."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(4):
+            sock = stack.enter_context(socket.socket())
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+        yield listener.getsockname()[1]
+
+
 async def test_slow_upstream_on_a_new_connection_gets_more_time():
     async def hang(upstream, message, writer):
         await asyncio.Event().wait()
