Open the operators' door and claim keyed requests on each host

Cause: orders, claims, metrics and reads of the fleet had landed without a host. Change: the host composes them; ejected and warming upstreams show as such; parts contribute counters of measuring, peers and store calls.

--- a/src/mangohatch/admin/sources/upstreams.py
+++ b/src/mangohatch/admin/sources/upstreams.py
@@ -1,22 +1,33 @@
 """Rows of upstreams."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from mangohatch.admin.conditions import Row
 from mangohatch.admin.sources.base import RowSource
-from mangohatch.core.tables import Tables
+from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.language import Subject
 
 __all__ = ["UpstreamSource"]
 
 
 class UpstreamSource(RowSource):
-    """One row per upstream; ``in_flight`` counts the requests of the host alone."""
+    """
+    One row per upstream; ``in_flight`` counts the requests of the host alone.
+
+    :param tables: tables of the decision core
+    :param state_of: judges an upstream that is configured to take work
+    """
 
     subject = Subject.UPSTREAMS
 
-    def __init__(self, *, tables: Tables) -> None:
+    def __init__(
+        self,
+        *,
+        tables: Tables,
+        state_of: Callable[[UpstreamRow], str] = lambda row: row.state,
+    ) -> None:
         self._tables = tables
+        self._state_of = state_of
 
     def rows(self, service: str) -> Iterable[Row]:
         for row in self._tables.upstreams():
@@ -24,7 +35,7 @@
                 yield {
                     "service": row.service,
                     "upstream": row.name,
-                    "state": str(row.state),
+                    "state": str(self._state_of(row)),
                     "zone": row.zone,
                     "address": row.address,
                     "port": row.port,
--- a/src/mangohatch/core/health/ejection.py
+++ b/src/mangohatch/core/health/ejection.py
@@ -9,7 +9,7 @@
 from mangohatch.core.health.outlier import FAILURES, OutlierDetector
 from mangohatch.core.health.settings import HealthSettings
 from mangohatch.core.health.table import HealthRow, HealthState, HealthTable
-from mangohatch.core.tables import UpstreamRow
+from mangohatch.core.tables import UpstreamRow, UpstreamState
 
 __all__ = ["OutlierHealth"]
 
@@ -100,6 +100,21 @@
             return False
         return unhealthy > self._cfg.panic_share * len(self.table.rows[service])
 
+    def state_of(self, row: UpstreamRow) -> UpstreamState:
+        """
+        Tell the state of an upstream, the judgement included.
+
+        :param row: the upstream
+        :return: the configured state when it takes no work, else the judged one
+        """
+        if row.state is not UpstreamState.ACTIVE:
+            return row.state
+        if self._find(row).state is not HealthState.HEALTHY:
+            return UpstreamState.EJECTED
+        if self.capacity(row) < 1.0:
+            return UpstreamState.WARMING
+        return UpstreamState.ACTIVE
+
     def start_ramp(self, row: UpstreamRow) -> None:
         """
         Ramp an upstream up from the floor, after a cold start.
--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -10,7 +10,13 @@
 from mangohatch.core.tables import Tables
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.server import EntryServer
+from mangohatch.host.admin import make_admin
 from mangohatch.host.routing import make_routing
+from mangohatch.host.samples import (
+    measuring_samples,
+    peer_samples,
+    store_samples,
+)
 from mangohatch.host.state import LastingState
 from mangohatch.metrics import Metrics
 from mangohatch.peer.bus import PeerBus
@@ -24,6 +30,7 @@
 
 TICK_MS = 10.0
 MS_PER_S = 1000.0
+LEAVING = "leaving"
 
 log = structlog.get_logger()
 
@@ -54,12 +61,13 @@
             recorder=self.recorder,
         )
         self.state = self._make_state(clock)
-        self.metrics = Metrics(clock=clock)
+        self.metrics = self._make_metrics(clock)
         self.pool = ConnectionPool(clock=clock)
         forwarder = Forwarder(
             clock=clock,
             router=self.routing.gate,
             pool=self.pool,
+            registry=self.state.claims if self.state else None,
             recorder=self.recorder,
         )
         self.entry = EntryServer(
@@ -69,6 +77,18 @@
             forwarder=forwarder,
             balancer_delay_ms=cfg.balancer_delay_ms,
         )
+        self.admin = make_admin(
+            clock=clock,
+            tables=self.tables,
+            bus=self.bus,
+            recorder=self.recorder,
+            routing=self.routing,
+            metrics=self.metrics,
+            not_ready=self.not_ready,
+            view=self.state.view if self.state else None,
+            orders=self.state.orders if self.state else None,
+        )
+        self.started = False
         self._was_ready = False
 
     def _make_bus(self, clock: Clock) -> PeerBus:
@@ -101,14 +121,29 @@
             recorder=self.recorder,
         )
 
-    def ready(self) -> bool:
+    def _make_metrics(self, clock: Clock) -> Metrics:
+        metrics = Metrics(clock=clock)
+        counters = self.routing.chooser.counters
+        metrics.add_source(lambda: measuring_samples(counters))
+        if isinstance(self.bus, TcpPeerBus):
+            peers = self.bus.counters
+            metrics.add_source(lambda: peer_samples(peers))
+        if self.state is not None:
+            calls = self.state.calls
+            metrics.add_source(lambda: store_samples(calls))
+        return metrics
+
+    def not_ready(self) -> str | None:
         """
-        Tell whether the balancer should send callers here.
+        Tell why the balancer should send no callers here.
 
-        :return: False while the configuration is unknown and once a drain has begun
+        :return: the reason, None when the host is ready
         """
-        informed = self.state is None or self.state.service.ready()
-        return informed and self.entry.ready
+        if not self.entry.ready:
+            return LEAVING
+        if self.state is not None and not self.state.service.ready():
+            return str(self.state.service.readiness())
+        return None
 
     async def start(self) -> None:
         """Join the fleet, learn the configuration and listen for callers."""
@@ -117,7 +152,10 @@
         if self.state is not None:
             await self.state.start()
         self.entry.listen(self.cfg.entry.address, self.cfg.entry.port)
+        if self.cfg.admin is not None:
+            self.admin.listen(self.cfg.admin.address, self.cfg.admin.port)
         self.recorder.record(EventKind.HOST_STARTED)
+        self.started = True
         log.info("host_started", host=self.cfg.host_id, zone=self.cfg.zone)
 
     async def leave(self) -> None:
@@ -135,6 +173,7 @@
             await self.state.stop()
         if isinstance(self.bus, TcpPeerBus):
             await self.bus.stop()
+        await self.admin.close()
         self.pool.close()
         log.info("host_stopped", host=self.cfg.host_id)
 
@@ -143,7 +182,7 @@
         self.routing.gate.tick()
         self.entry.tick()
         self.metrics.tick()
-        if not self._was_ready and self.ready():
+        if not self._was_ready and self.not_ready() is None:
             self._was_ready = True
             self.recorder.record(EventKind.HOST_READY)
             log.info("host_ready", host=self.cfg.host_id)
--- /dev/null
+++ b/src/mangohatch/host/samples.py
@@ -0,0 +1,93 @@
+"""Samples that the parts of a host contribute to its metrics."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from mangohatch.core.measuring import MeasuringCounter
+from mangohatch.metrics import Sample, SampleKind
+from mangohatch.peer.counters import PeerCounters
+
+__all__ = ["measuring_samples", "peer_samples", "store_samples"]
+
+
+def make_counter(name: str, text: str, value: float, **labels: str) -> Sample:
+    """
+    Make a sample of a counter.
+
+    :param name: name of the metric
+    :param text: help text
+    :param value: the count
+    :param labels: labels by name
+    :return: the sample
+    """
+    return Sample(
+        name=name,
+        help=text,
+        kind=SampleKind.COUNTER,
+        value=value,
+        labels=tuple(labels.items()),
+    )
+
+
+def measuring_samples(counters: dict[str, MeasuringCounter]) -> Iterator[Sample]:
+    """
+    Give what measuring and coordination cost, by service.
+
+    :param counters: counters by service
+    :return: samples
+    """
+    for name, counter in counters.items():
+        values = {
+            "calls": counter.calls,
+            "call_bytes": counter.call_bytes,
+            "messages": counter.messages,
+            "message_bytes": counter.message_bytes,
+            "denied": counter.denied,
+        }
+        for kind, value in values.items():
+            yield make_counter(
+                f"mangohatch_measuring_{kind}",
+                f"Measuring and coordination: {kind.replace('_', ' ')}.",
+                value,
+                service=name,
+            )
+
+
+def peer_samples(counters: PeerCounters) -> Iterator[Sample]:
+    """
+    Give messages and bytes exchanged with peers, by kind.
+
+    :param counters: counters of the bus
+    :return: samples
+    """
+    groups = {
+        "messages_sent": counters.messages_sent,
+        "bytes_sent": counters.bytes_sent,
+        "messages_received": counters.messages_received,
+        "bytes_received": counters.bytes_received,
+    }
+    for group, values in groups.items():
+        for kind, value in values.items():
+            yield make_counter(
+                f"mangohatch_peer_{group}",
+                f"Peer links: {group.replace('_', ' ')}.",
+                value,
+                kind=kind,
+            )
+
+
+def store_samples(calls: Counter[tuple[str, str]]) -> Iterator[Sample]:
+    """
+    Give calls to the object API, by role and kind.
+
+    :param calls: counts by role and kind of call
+    :return: samples
+    """
+    for (role, kind), value in calls.items():
+        yield make_counter(
+            "mangohatch_store_calls",
+            "Calls to the object API.",
+            value,
+            role=role,
+            kind=kind,
+        )
--- a/src/mangohatch/host/state.py
+++ b/src/mangohatch/host/state.py
@@ -1,4 +1,4 @@
-"""Composition of lasting state: configuration and claims over the object API."""
+"""Composition of lasting state: configuration, orders and claims."""
 
 import random
 from collections import Counter
@@ -7,7 +7,16 @@
 from mangohatch.clock import Clock
 from mangohatch.config import HostSettings, Listener
 from mangohatch.core.tables import Tables
+from mangohatch.orders.required import (
+    BusRequirement,
+    ListedRequirement,
+    RequiredHosts,
+)
+from mangohatch.orders.service import OrderService
+from mangohatch.orders.view import TableView
 from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.tcp import TcpPeerBus
+from mangohatch.platform.host_list import HttpHostList
 from mangohatch.platform.http_store import HttpObjectStore
 from mangohatch.platform.metered import CallBudget, MeteredStore
 from mangohatch.state.service import StateService
@@ -16,12 +25,13 @@
 __all__ = ["LastingState"]
 
 FLUSH_MS = 10_000.0
+HOST_LIST_TIMEOUT_MS = 1_000.0
 CONFIG_ROLE = "config"
 CLAIMS_ROLE = "claims"
 
 
 class LastingState:
-    """Configuration in force and claims of keyed requests, each with its budget."""
+    """Configuration in force, orders and claims of keyed requests."""
 
     def __init__(
         self,
@@ -73,6 +83,18 @@
             clock=clock,
             rng=rng,
         )
+        self.view = TableView(table=self.service.table, tables=tables)
+        self.orders = OrderService(
+            bus=bus,
+            clock=clock,
+            rng=rng,
+            store=self.config_store,
+            view=self.view,
+            hosts=make_requirement(bus, cfg.host_list),
+            serving=self.service.ready,
+            publish=self.service.publish,
+            recorder=recorder,
+        )
 
     async def start(self) -> None:
         """Start to learn the configuration and to write results of claims."""
@@ -81,5 +103,24 @@
 
     async def stop(self) -> None:
         """Write the results that wait, and give up the watch lease."""
+        await self.orders.stop()
         await self.claims.stop(FLUSH_MS)
         await self.service.stop()
+
+
+def make_requirement(bus: PeerBus, host_list: Listener | None) -> RequiredHosts:
+    """
+    Choose how the hosts that must agree to an order are found.
+
+    :param bus: messages to other hosts
+    :param host_list: address of the platform's host list, None without one
+    :return: dead members count until the list no longer names them, if there is one
+    """
+    if host_list is None or not isinstance(bus, TcpPeerBus):
+        return BusRequirement(bus=bus)
+    listing = HttpHostList(
+        address=host_list.address,
+        port=host_list.port,
+        timeout_ms=HOST_LIST_TIMEOUT_MS,
+    )
+    return ListedRequirement(membership=bus.membership, host_list=listing)
--- /dev/null
+++ b/tests/host/test_entry_host.py
@@ -0,0 +1,86 @@
+"""Tests of an entry host put together, over real sockets on loopback."""
+
+import asyncio
+import socket
+
+from tornado.httpclient import AsyncHTTPClient
+
+from mangohatch.clock import SystemClock
+from mangohatch.config import HostSettings, Listener
+from mangohatch.host import EntryHost
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_settings(**fields):
+    return HostSettings(
+        host_id="entry-1",
+        zone="puno",
+        region="sur-andino",
+        entry=Listener(port=free_port()),
+        admin=Listener(port=free_port()),
+        balancer_delay_ms=0.0,
+        **fields,
+    )
+
+
+async def fetch(port, path, **options):
+    client = AsyncHTTPClient()
+    url = f"http://127.0.0.1:{port}{path}"
+    return await client.fetch(url, raise_error=False, **options)
+
+
+async def run_until_stopped(host, check):
+    leaving = asyncio.Event()
+    task = asyncio.create_task(host.run(leaving))
+    try:
+        while not host.started:
+            await asyncio.sleep(0)
+        await check()
+    finally:
+        leaving.set()
+        await task
+
+
+async def test_host_without_peers_or_store_is_ready_and_stops():
+    cfg = make_settings()
+    host = EntryHost(cfg=cfg, clock=SystemClock())
+
+    async def check():
+        ready = await fetch(cfg.admin.port, "/ready")
+        metrics = await fetch(cfg.admin.port, "/metrics")
+        assert (ready.code, metrics.code) == (200, 200)
+
+    await run_until_stopped(host, check)
+    assert host.not_ready() == "leaving"
+
+
+async def test_host_that_knows_no_configuration_is_not_ready():
+    cfg = make_settings(object_api=Listener(port=free_port()))
+    host = EntryHost(cfg=cfg, clock=SystemClock())
+
+    async def check():
+        ready = await fetch(cfg.admin.port, "/ready")
+        assert ready.code == 503
+        assert ready.body.strip()
+
+    await run_until_stopped(host, check)
+
+
+async def test_host_answers_a_sentence_and_points_at_an_error():
+    cfg = make_settings()
+    host = EntryHost(cfg=cfg, clock=SystemClock())
+
+    async def check():
+        good = await fetch(cfg.admin.port, "/query", method="POST", body="show hosts")
+        bad = await fetch(cfg.admin.port, "/query", method="POST", body="shaw hosts")
+        assert (good.code, bad.code) == (200, 400)
+
+    await run_until_stopped(host, check)
