Share the queue between customers and run suspects alone

Cause: one customer could fill the queue; a suspect request needs an upstream with nothing beside it; an upstream that says it leaves kept getting work. Change: least-served customer first, the greediest loses its newest call when the wait is too long; the ledger reserves and empties an upstream for an isolated call; the router marks a draining upstream; virtual hosts pass the quarantine gate and the retry budget.

--- /dev/null
+++ b/bench/virtual/cost.py
@@ -0,0 +1,131 @@
+"""Processor time of decisions against the number of known upstreams."""
+
+import random
+import time
+from dataclasses import dataclass
+
+from bench.virtual.bus import Fleet
+from bench.virtual.loop import EventLoop, LoopTimers
+from mangohatch.config import ServiceSpec, UpstreamSpec
+from mangohatch.core.call import Call, Grant, Report, Result
+from mangohatch.core.choice import TokenChooser
+from mangohatch.core.health import OutlierHealth
+from mangohatch.core.router import Router
+from mangohatch.core.tables import Tables
+
+__all__ = ["COST_SIZES", "DecisionCost", "measure_costs"]
+
+COST_SIZES = (10, 100, 1_000)
+REQUESTS = 4_000
+IN_FLIGHT = 8
+STEP_MS = 0.5
+NS_PER_US = 1000.0
+SERVICE = "costly"
+
+
+@dataclass(slots=True, kw_only=True)
+class DecisionCost:
+    """Time of one request and release at the host that brokers the service."""
+
+    upstreams: int
+    request_us: float
+    release_us: float
+
+    @property
+    def total_us(self) -> float:
+        """Time of both."""
+        return self.request_us + self.release_us
+
+
+def make_router(upstreams: int) -> tuple[EventLoop, Router]:
+    """
+    Make a host that is the only member and so brokers the service.
+
+    :param upstreams: number of upstreams
+    :return: the loop and the router
+    """
+    loop = EventLoop()
+    bus = Fleet(loop=loop).join("h00", "puno")
+    tables = Tables()
+    tables.apply(make_spec(upstreams), revision=1)
+    rng = random.Random(1)
+    health = OutlierHealth(clock=loop.clock, rng=rng)
+    timers = LoopTimers(loop=loop)
+    chooser = TokenChooser(
+        clock=loop.clock, rng=rng, health=health, tables=tables, bus=bus, timers=timers
+    )
+    router = Router(
+        clock=loop.clock,
+        rng=rng,
+        tables=tables,
+        health=health,
+        chooser=chooser,
+        timers=timers,
+    )
+    return loop, router
+
+
+def make_spec(upstreams: int) -> ServiceSpec:
+    """
+    Make a service of a size.
+
+    :param upstreams: number of upstreams
+    :return: the specification
+    """
+    return ServiceSpec(
+        name=SERVICE,
+        path_prefix="/",
+        upstreams=tuple(
+            UpstreamSpec(
+                name=f"u{index:04d}", address="127.0.0.1", port=1 + index, zone="puno"
+            )
+            for index in range(upstreams)
+        ),
+    )
+
+
+def measure_cost(upstreams: int) -> DecisionCost:
+    """
+    Measure requests and releases with some requests in flight.
+
+    :param upstreams: number of upstreams
+    :return: mean times
+    """
+    loop, router = make_router(upstreams)
+    grants: list[Grant] = []
+    request_ns = release_ns = 0
+    for number in range(REQUESTS):
+        loop.run(number * STEP_MS)
+        if number % 20 == 0:
+            router.tick()
+        now_ms = loop.clock.now_ms()
+        call = Call(
+            request_id=str(number),
+            service=SERVICE,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + 1_000.0,
+            idempotent=True,
+        )
+        started_ns = time.perf_counter_ns()
+        router.request(call, grants.append)
+        request_ns += time.perf_counter_ns() - started_ns
+        if len(grants) > IN_FLIGHT:
+            grant = grants.pop(0)
+            report = Report(result=Result.OK, latency_ms=IN_FLIGHT * STEP_MS)
+            started_ns = time.perf_counter_ns()
+            router.release(grant, report)
+            release_ns += time.perf_counter_ns() - started_ns
+    return DecisionCost(
+        upstreams=upstreams,
+        request_us=request_ns / REQUESTS / NS_PER_US,
+        release_us=release_ns / REQUESTS / NS_PER_US,
+    )
+
+
+def measure_costs() -> list[DecisionCost]:
+    """
+    Measure all sizes.
+
+    :return: costs in the order of size
+    """
+    return [measure_cost(size) for size in COST_SIZES]
--- a/bench/virtual/host.py
+++ b/bench/virtual/host.py
@@ -8,14 +8,13 @@
 from bench.virtual.loop import EventLoop
 from bench.virtual.upstream import FakeUpstream, Job, Request
 from mangohatch.core.call import Call, Decision, Grant, Refusal, Report, Result
-from mangohatch.core.router import Router
+from mangohatch.core.quarantine import QuarantineGate
+from mangohatch.core.retry import LocalRetryBudget
 
 __all__ = ["Outcomes", "VirtualHost"]
 
 DEADLINE_MS = 1000.0
 MAX_ATTEMPTS = 3
-RETRY_SHARE = 0.1
-RETRY_BURST = 5.0
 RESEND_DELAY_MS = 5.0
 NS_PER_US = 1000.0
 
@@ -45,7 +44,8 @@
         zone: str,
         loop: EventLoop,
         fleet: Fleet,
-        router: Router,
+        router: QuarantineGate,
+        retries: LocalRetryBudget,
         upstreams: dict[str, FakeUpstream],
         outcomes: Outcomes,
         resend: Callable[[Request], None],
@@ -58,7 +58,7 @@
         self._upstreams = upstreams
         self._out = outcomes
         self._resend = resend
-        self._retries = RETRY_BURST
+        self._retries = retries
         self._service = ""
 
     def arrive(self, request: Request, service: str) -> None:
@@ -70,7 +70,6 @@
         """
         self._service = service
         self._out.requests += 1
-        self._retries = min(RETRY_BURST, self._retries + RETRY_SHARE)
         now_ms = self._loop.now_ms
         call = Call(
             request_id=f"{request.number}.{request.resends}",
@@ -79,8 +78,9 @@
             deadline_ms=now_ms + DEADLINE_MS,
             idempotent=request.idempotent,
             customer=request.customer,
-            fingerprint=f"killer-{request.number}" if request.killer else "",
+            fingerprint=str(request.number),
         )
+        self._retries.earn(call)
         self._ask(request, call)
 
     def _ask(self, request: Request, call: Call) -> None:
@@ -133,18 +133,16 @@
             self._out.ended_ms.append(self._loop.now_ms)
             self._note(self._out.done, call)
         elif self._may_retry(call, result):
-            self._retries -= 1
             self._ask(request, self._next_attempt(call, grant))
         elif result is Result.REFUSED:
             self._refuse(request, call)
         else:
             self._note(self._out.failed, call)
-            if request.killer:
-                self._send_again(request)
+            self._send_again(request)
 
     def _may_retry(self, call: Call, result: Result) -> bool:
         safe = call.idempotent or result in SAFE_RETRY
-        return safe and call.attempt < MAX_ATTEMPTS and self._retries >= 1
+        return safe and call.attempt < MAX_ATTEMPTS and self._retries.allow(call)
 
     def _next_attempt(self, call: Call, grant: Grant) -> Call:
         return Call(
--- a/bench/virtual/run.py
+++ b/bench/virtual/run.py
@@ -13,8 +13,15 @@
 from bench.virtual.upstream import FakeUpstream, Request
 from mangohatch.core.health import OutlierHealth
 from mangohatch.core.measuring import MeasuringCounter
+from mangohatch.core.quarantine import (
+    QuarantineGate,
+    QuarantineNotices,
+    QuarantineTable,
+)
+from mangohatch.core.retry import LocalRetryBudget
 from mangohatch.core.router import Router
 from mangohatch.core.tables import Tables, UpstreamState
+from mangohatch.timeline import HybridClock, Recorder
 
 __all__ = ["Plan", "RunResult", "run_plan"]
 
@@ -166,12 +173,28 @@
             zone=self._zone(index),
             loop=loop,
             fleet=self.fleet,
-            router=router,
+            router=self._gate(bus, rng, router),
+            retries=LocalRetryBudget(clock=loop.clock),
             upstreams=self.upstreams,
             outcomes=self.outcomes,
             resend=self._resend,
         )
 
+    def _gate(self, bus, rng: random.Random, router: Router) -> QuarantineGate:
+        clock = self.loop.clock
+        table = QuarantineTable(clock=clock)
+        notices = QuarantineNotices(clock=clock, rng=rng, bus=bus, table=table)
+        recorder = Recorder(
+            host=bus.host_id, zone="", clock=HybridClock(clock=clock), capacity=10
+        )
+        return QuarantineGate(
+            clock=clock,
+            router=router,
+            table=table,
+            notices=notices,
+            recorder=recorder,
+        )
+
     def _activate(self, row) -> None:
         row.state = UpstreamState.ACTIVE
 
--- /dev/null
+++ b/bench/virtual/targets.py
@@ -0,0 +1,170 @@
+"""The stated targets, checked against the figures."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from bench.virtual.summary import Row
+
+__all__ = ["Check", "check_targets"]
+
+PRODUCT = "tokens"
+TAIL_LOADS = (0.7, 0.85)
+TAIL_BOUNDS = {
+    "least-in-flight": 0.5,
+    "power-of-two": 0.5,
+    "probing": 0.8,
+    "oracle": 1.25,
+}
+PROBING_CALLS_SHARE = 0.2
+OVERLOAD = 1.2
+GOODPUT_MIN = 0.95
+REFUSAL_MAX_MS = 20.0
+AMPLIFICATION_MAX = 1.1
+FAILER_MAX = 0.01
+KILLED_MAX = 3
+
+
+@dataclass(slots=True, kw_only=True)
+class Check:
+    """A figure and its bound; ``reachable`` is the same figure of the oracle."""
+
+    site: str
+    name: str
+    value: float
+    bound: float
+    least: bool = False
+    reachable: float | None = None
+
+    @property
+    def passed(self) -> bool:
+        """Whether the figure keeps within its bound."""
+        if self.least:
+            return self.value >= self.bound
+        return self.value <= self.bound
+
+    def describe(self) -> str:
+        """
+        Render the check.
+
+        :return: one line
+        """
+        sign = ">=" if self.least else "<="
+        word = "pass" if self.passed else "MISS"
+        text = f"{word} {self.site}: {self.name}: {self.value:.3f} {sign} {self.bound}"
+        if self.reachable is not None:
+            text += f" (oracle {self.reachable:.3f})"
+        return text
+
+
+Index = dict[tuple[str, float, str], Row]
+
+
+def check_targets(rows: list[Row], site: str) -> Iterator[Check]:
+    """
+    Check all targets that the rows of a site speak to.
+
+    :param rows: rows of all sites
+    :param site: name of the site
+    :return: checks
+    """
+    index = {(row.case, row.load, row.policy): row for row in rows if row.site == site}
+    yield from check_tail(index, site)
+    yield from check_overload(index, site)
+    yield from check_faults(index, site)
+
+
+def check_tail(index: Index, site: str) -> Iterator[Check]:
+    """
+    Check the tail against the baselines and the oracle.
+
+    :param index: rows by case, load and policy
+    :param site: name of the site
+    :return: checks
+    """
+    for load in TAIL_LOADS:
+        own = index.get(("shifting", load, PRODUCT))
+        if own is None:
+            continue
+        oracle = index.get(("shifting", load, "oracle"))
+        for policy, bound in TAIL_BOUNDS.items():
+            other = index[("shifting", load, policy)]
+            yield Check(
+                site=site,
+                name=f"p99 at {load:.0%} over that of {policy}",
+                value=own.p99_ms / other.p99_ms,
+                bound=bound,
+                reachable=oracle.p99_ms / other.p99_ms if oracle else None,
+            )
+        probing = index[("shifting", load, "probing")]
+        yield Check(
+            site=site,
+            name=f"measuring calls at {load:.0%} over those of probing",
+            value=own.calls / probing.calls,
+            bound=PROBING_CALLS_SHARE,
+        )
+
+
+def check_overload(index: Index, site: str) -> Iterator[Check]:
+    """
+    Check goodput, refusals and retries above capacity.
+
+    :param index: rows by case, load and policy
+    :param site: name of the site
+    :return: checks
+    """
+    own = index.get(("shifting", OVERLOAD, PRODUCT))
+    if own is None:
+        return
+    oracle = index.get(("shifting", OVERLOAD, "oracle"))
+    yield Check(
+        site=site,
+        name="goodput at 120 % over capacity",
+        value=own.goodput,
+        bound=GOODPUT_MIN,
+        least=True,
+        reachable=oracle.goodput if oracle else None,
+    )
+    yield Check(
+        site=site,
+        name="longest wait for a refusal at 120 % in ms",
+        value=own.refusal_max_ms,
+        bound=REFUSAL_MAX_MS,
+    )
+    yield Check(
+        site=site,
+        name="attempts a request at 120 %",
+        value=own.amplification,
+        bound=AMPLIFICATION_MAX,
+    )
+
+
+def check_faults(index: Index, site: str) -> Iterator[Check]:
+    """
+    Check fast failers, crashing requests and doubled runs.
+
+    :param index: rows by case, load and policy
+    :param site: name of the site
+    :return: checks
+    """
+    own = [row for (_, _, policy), row in index.items() if policy == PRODUCT]
+    for row in own:
+        if row.case == "fast-failer":
+            yield Check(
+                site=site,
+                name=f"share that touches a fast failer at {row.load:.0%}",
+                value=row.failer_share,
+                bound=FAILER_MAX,
+            )
+        if row.case == "killer":
+            yield Check(
+                site=site,
+                name=f"upstreams lost to a crashing request at {row.load:.0%}",
+                value=row.killed,
+                bound=KILLED_MAX,
+            )
+    yield Check(
+        site=site,
+        name="doubled runs in any case",
+        value=sum(row.doubled for row in own),
+        bound=0,
+    )
--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -1,16 +1,16 @@
 """The queue of one service on one host."""
 
-import heapq
-import itertools
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from mangohatch.config.service import ServiceSpec
 from mangohatch.core.call import Call, Deliver
-from mangohatch.errors import Overloaded
 
-__all__ = ["WaitQueue", "Waiting"]
+__all__ = ["WaitQueue", "Waiting", "max_wait_ms"]
 
 RATE_WEIGHT = 0.1
+ISOLATED_WAIT_MS = 250.0
+MAX_CUSTOMERS = 1_000
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -20,44 +20,67 @@
     call: Call
     deliver: Deliver
     until_ms: float = 0.0
-    gone: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class CustomerRow:
+    """
+    A customer's calls that wait, and a count of those served.
+
+    The count starts from the one served last when the customer comes back, so
+    that nobody saves up a claim while away.
+    """
+
+    waiting: int = 0
+    served: int = 0
 
 
 class WaitQueue:
-    """Calls in the order of their deadlines, none longer than the bound."""
+    """
+    Calls that wait, least-served customer first, then earliest deadline.
+
+    When a call would wait too long, the customer with the most calls waiting
+    loses its newest one.
+    """
 
     def __init__(self, *, spec: ServiceSpec) -> None:
-        self._spec = spec
-        self._sequence = itertools.count()
-        self._heap: list[tuple[float, int, Waiting]] = []
-        self._calls: dict[str, Waiting] = {}
+        self.spec = spec
+        self._calls: dict[int, Waiting] = {}
+        self._customers: dict[str, CustomerRow] = {}
+        self._served = 0
         self._gap_ms = 0.0
         self._served_ms = 0.0
 
     def __len__(self) -> int:
         return len(self._calls)
 
-    def offer(self, waiting: Waiting, now_ms: float) -> Overloaded | None:
+    def __contains__(self, waiting: Waiting) -> bool:
+        return id(waiting.call) in self._calls
+
+    def offer(self, waiting: Waiting, now_ms: float) -> Waiting | None:
         """
         Queue a call, unless it would wait too long.
 
         :param waiting: the call
         :param now_ms: monotonic time
-        :return: the refusal, None when the call was queued
+        :return: the call to refuse, this or another one; None when all may wait
         """
         call = waiting.call
-        allowed_ms = min(self._spec.max_queue_wait_ms, call.deadline_ms - now_ms)
-        if self.estimate_ms() > allowed_ms:
-            return Overloaded(
-                "the queue is too long", retry_after_ms=self.retry_after_ms()
-            )
+        allowed_ms = max_wait_ms(self.spec, call, now_ms)
+        if allowed_ms <= 0:
+            return waiting
+        victim = None
+        if not call.isolated and self.estimate_ms() > allowed_ms:
+            victim = self._find_victim(call)
+            if victim is None:
+                return waiting
+            self.take(victim)
         waiting.until_ms = now_ms + allowed_ms
         if not self._calls:
             self._served_ms = now_ms
-        self._calls[call.request_id] = waiting
-        entry = (call.deadline_ms, next(self._sequence), waiting)
-        heapq.heappush(self._heap, entry)
-        return None
+        self._calls[id(call)] = waiting
+        self._join(call.customer)
+        return victim
 
     def estimate_ms(self) -> float:
         """
@@ -67,35 +90,39 @@
         """
         return (len(self._calls) + 1) * self._gap_ms if self._calls else 0.0
 
-    def serve(self, waiting: Waiting, now_ms: float) -> None:
+    def retry_after_ms(self) -> float:
         """
-        Remove a call that got an upstream.
+        Estimate when a refused call may find room.
 
-        :param waiting: the call
-        :param now_ms: monotonic time
+        :return: time for the queue of now to be served
         """
-        gap_ms = now_ms - self._served_ms
-        self._gap_ms += RATE_WEIGHT * (gap_ms - self._gap_ms)
-        self._served_ms = now_ms
-        self.take(waiting)
+        return max(self.spec.max_queue_wait_ms, self.estimate_ms())
 
-    def retry_after_ms(self) -> float:
+    def ordered(self) -> Sequence[Waiting]:
         """
-        Estimate when a refused call may find room.
+        List the calls in the order of service.
 
-        :return: time for the queue of now to be served
+        :return: calls that wait
         """
-        return max(self._spec.max_queue_wait_ms, self.estimate_ms())
+        calls = list(self._calls.values())
+        if len(calls) > 1:
+            calls.sort(key=self._rank)
+        return calls
 
-    def head(self) -> Waiting | None:
+    def serve(self, waiting: Waiting, now_ms: float) -> None:
         """
-        Find the call to serve next.
+        Remove a call that got an upstream.
 
-        :return: the call, None when none waits
+        :param waiting: the call
+        :param now_ms: monotonic time
         """
-        while self._heap and self._heap[0][2].gone:
-            heapq.heappop(self._heap)
-        return self._heap[0][2] if self._heap else None
+        gap_ms = now_ms - self._served_ms
+        self._gap_ms += RATE_WEIGHT * (gap_ms - self._gap_ms)
+        self._served_ms = now_ms
+        row = self._customers[waiting.call.customer]
+        self._served = max(self._served, row.served)
+        row.served += 1
+        self.take(waiting)
 
     def take(self, waiting: Waiting) -> None:
         """
@@ -103,8 +130,8 @@
 
         :param waiting: the call
         """
-        waiting.gone = True
-        self._calls.pop(waiting.call.request_id, None)
+        if self._calls.pop(id(waiting.call), None) is not None:
+            self._customers[waiting.call.customer].waiting -= 1
 
     def remove(self, call: Call) -> None:
         """
@@ -112,7 +139,7 @@
 
         :param call: the call
         """
-        waiting = self._calls.get(call.request_id)
+        waiting = self._calls.get(id(call))
         if waiting is not None:
             self.take(waiting)
 
@@ -127,3 +154,47 @@
         for waiting in late:
             self.take(waiting)
         return late
+
+    def _rank(self, waiting: Waiting) -> tuple[int, float]:
+        call = waiting.call
+        return self._customers[call.customer].served, call.deadline_ms
+
+    def _join(self, customer: str) -> None:
+        row = self._customers.get(customer)
+        if row is None:
+            self._forget()
+            row = self._customers[customer] = CustomerRow()
+        if not row.waiting:
+            row.served = max(row.served, self._served)
+        row.waiting += 1
+
+    def _forget(self) -> None:
+        if len(self._customers) < MAX_CUSTOMERS:
+            return
+        for name in [name for name, row in self._customers.items() if not row.waiting]:
+            del self._customers[name]
+
+    def _find_victim(self, call: Call) -> Waiting | None:
+        own = self._customers.get(call.customer)
+        limit = (own.waiting if own is not None else 0) + 1
+        greedy = max(self._customers, key=self._count)
+        if self._customers[greedy].waiting <= limit:
+            return None
+        calls = [item for item in self._calls.values() if item.call.customer == greedy]
+        return calls[-1]
+
+    def _count(self, customer: str) -> int:
+        return self._customers[customer].waiting
+
+
+def max_wait_ms(spec: ServiceSpec, call: Call, now_ms: float) -> float:
+    """
+    Bound the wait of a call.
+
+    :param spec: the service of the call
+    :param call: the call; an isolated one waits for an upstream to be emptied
+    :param now_ms: monotonic time
+    :return: milliseconds from now
+    """
+    bound_ms = ISOLATED_WAIT_MS if call.isolated else spec.max_queue_wait_ms
+    return min(bound_ms, call.deadline_ms - now_ms)
--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from mangohatch.clock import Clock
+from mangohatch.core.admission import max_wait_ms
 from mangohatch.core.call import Call, Grant, Report, Result
 from mangohatch.core.choice.base import Chooser
 from mangohatch.core.health import Health
@@ -80,7 +81,9 @@
     def wait(self, service: ServiceRow, call: Call, waiting: int) -> bool:
         shard = self._shards.home(service)
         holder = self._holder(shard)
-        if waiting > holder.pending(service.spec.max_queue_wait_ms):
+        if call.isolated:
+            self._send_request(service, shard, call, count=1)
+        elif waiting > holder.pending(service.spec.max_queue_wait_ms):
             self._plan_ask(service, shard, call)
         return not holder.idle and not self._is_silent(shard)
 
@@ -115,6 +118,8 @@
         speeds = self._speed(holder.shard)
         for held in holder.idle.values():
             row = service.upstreams.get(held.upstream)
+            if held.isolated is not call.isolated:
+                continue
             if row is None or not self.is_open(row, call):
                 continue
             excess_ms = speeds.excess_ms(held.upstream, now_ms)
@@ -141,29 +146,35 @@
             self._ask(service, shard, call)
 
     def _ask(self, service: ServiceRow, shard: str, call: Call) -> None:
-        waiting = self._count_waiting(service.spec.name)
         holder = self._holder(shard)
+        holder.asked = self._count_waiting(service.spec.name)
+        holder.asked_ms = self._clock.now_ms()
+        if not self._send_request(service, shard, call, count=holder.asked):
+            holder.asked = 0
+            self._fall_silent(shard)
+
+    def _send_request(
+        self, service: ServiceRow, shard: str, call: Call, *, count: int
+    ) -> bool:
         self._sequence += 1
+        now_ms = self._clock.now_ms()
         message = SlotRequest(
             shard=shard,
             sequence=self._sequence,
-            count=waiting,
-            wait_ms=service.spec.max_queue_wait_ms,
+            count=count,
+            wait_ms=max_wait_ms(service.spec, call, now_ms),
             avoid=list(call.avoid),
+            isolated=call.isolated,
         )
         broker = self._shards.broker(shard)
-        holder.asked = waiting
-        holder.asked_ms = self._clock.now_ms()
         if broker == self._bus.host_id:
             self._broker(shard).take_request(broker, message)
-            return
+            return True
         if not self._gate(service).spend_call(size_of(message)):
-            holder.asked = 0
-            self._fall_silent(shard)
-            return
+            return False
         self._bus.send(broker, message)
-        asked_ms = holder.asked_ms
-        self._timers.call_later(ANSWER_MS, lambda: self._check(shard, asked_ms))
+        self._timers.call_later(ANSWER_MS, lambda: self._check(shard, now_ms))
+        return True
 
     def _check(self, shard: str, asked_ms: float) -> None:
         holder = self._holder(shard)
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -7,12 +7,14 @@
 from mangohatch.core.call import Call, Deliver, Grant, Refusal, Report
 from mangohatch.core.choice import Chooser, LeastInFlightChooser
 from mangohatch.core.health import Health, NoHealth
-from mangohatch.core.tables import ServiceRow, Tables
+from mangohatch.core.tables import ServiceRow, Tables, UpstreamState
 from mangohatch.core.timers import NoTimers, Timers
 from mangohatch.errors import NoUpstream, Overloaded, RequestError
 
 __all__ = ["Router"]
 
+MAX_MISSES = 3
+
 
 class Router:
     """
@@ -42,7 +44,7 @@
             clock=clock, rng=rng, health=self._health
         )
         self._chooser.bind(self.serve, self.count_waiting)
-        self._queues: dict[str, WaitQueue] = {}
+        self._queues: dict[tuple[str, bool], WaitQueue] = {}
 
     def request(self, call: Call, deliver: Deliver) -> None:
         """
@@ -53,13 +55,14 @@
         """
         service = self._tables.services[call.service]
         self._chooser.note_request(service)
-        queue = self._queue(service)
+        queue = self._queue(service, call.isolated)
         waiting = Waiting(call=call, deliver=deliver)
         if not queue and self._grant(service, waiting):
             return
-        error = queue.offer(waiting, self._clock.now_ms())
-        if error is not None:
-            deliver(Refusal(call=call, error=error))
+        refused = queue.offer(waiting, self._clock.now_ms())
+        if refused is not None:
+            self._refuse_busy(queue, refused)
+        if refused is waiting:
             return
         self._timers.call_later(
             waiting.until_ms - self._clock.now_ms(), lambda: self._refuse_late(queue)
@@ -73,7 +76,7 @@
 
         :param call: a call passed to :meth:`request`
         """
-        queue = self._queues.get(call.service)
+        queue = self._queues.get((call.service, call.isolated))
         if queue is not None:
             queue.remove(call)
 
@@ -89,11 +92,11 @@
         service = self._tables.services.get(grant.call.service)
         if service is None:
             return
+        if report.draining:
+            grant.upstream.state = UpstreamState.DRAINING
         self._chooser.release(service, grant, report)
-        queue = self._queue(service)
-        if queue:
-            self.serve(grant.call.service)
-        if not queue:
+        self.serve(grant.call.service)
+        if not self.count_waiting(grant.call.service):
             self._chooser.idle(service)
 
     def serve(self, name: str) -> None:
@@ -103,21 +106,31 @@
         :param name: name of the service
         """
         service = self._tables.services[name]
-        queue = self._queue(service)
+        for isolated in (False, True):
+            queue = self._queues.get((name, isolated))
+            if queue:
+                self._serve_queue(service, queue)
+
+    def _serve_queue(self, service: ServiceRow, queue: WaitQueue) -> None:
         self._refuse_late(queue)
-        while (waiting := queue.head()) is not None:
-            if not self._grant(service, waiting):
+        misses = 0
+        for waiting in queue.ordered():
+            if waiting not in queue:
+                continue
+            if self._grant(service, waiting, queue):
+                continue
+            misses += 1
+            if misses >= MAX_MISSES:
                 return
-            queue.serve(waiting, self._clock.now_ms())
 
     def count_waiting(self, name: str) -> int:
         """
-        Count the calls that wait for an upstream.
+        Count the calls that wait for a slot, isolated ones left out.
 
         :param name: name of the service
         :return: calls in the queue
         """
-        queue = self._queues.get(name)
+        queue = self._queues.get((name, False))
         return len(queue) if queue is not None else 0
 
     def tick(self) -> None:
@@ -127,32 +140,41 @@
         for queue in self._queues.values():
             self._refuse_late(queue)
 
-    def _queue(self, service: ServiceRow) -> WaitQueue:
-        queue = self._queues.get(service.spec.name)
+    def _queue(self, service: ServiceRow, isolated: bool) -> WaitQueue:
+        key = (service.spec.name, isolated)
+        queue = self._queues.get(key)
         if queue is None:
-            queue = WaitQueue(spec=service.spec)
-            self._queues[service.spec.name] = queue
+            queue = self._queues[key] = WaitQueue(spec=service.spec)
+        queue.spec = service.spec
         return queue
 
-    def _grant(self, service: ServiceRow, waiting: Waiting) -> bool:
+    def _grant(
+        self, service: ServiceRow, waiting: Waiting, queue: WaitQueue | None = None
+    ) -> bool:
         try:
             grant = self._chooser.choose(service, waiting.call)
         except NoUpstream as exc:
+            if queue is not None:
+                queue.take(waiting)
             self._refuse(waiting, exc)
             return True
         if grant is None:
             return False
+        if queue is not None:
+            queue.serve(waiting, self._clock.now_ms())
         grant.upstream.in_flight += 1
         waiting.deliver(grant)
         return True
 
     def _refuse_late(self, queue: WaitQueue) -> None:
         for waiting in queue.expire(self._clock.now_ms()):
-            error = Overloaded(
-                "no upstream became free in time",
-                retry_after_ms=queue.retry_after_ms(),
-            )
-            self._refuse(waiting, error)
+            self._refuse_busy(queue, waiting)
+
+    def _refuse_busy(self, queue: WaitQueue, waiting: Waiting) -> None:
+        error = Overloaded(
+            "no upstream is free in time", retry_after_ms=queue.retry_after_ms()
+        )
+        self._refuse(waiting, error)
 
     def _refuse(self, waiting: Waiting, error: RequestError) -> None:
         waiting.deliver(Refusal(call=waiting.call, error=error))
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -8,6 +8,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.call import Report, Result
 from mangohatch.core.health import Health
+from mangohatch.core.slots.isolation import Isolation
 from mangohatch.core.slots.ledger import Lease, Ledger, SlotRow
 from mangohatch.core.slots.shards import shard_rows
 from mangohatch.core.slots.speed import SpeedTable
@@ -83,6 +84,7 @@
         self._delivering = False
         self.linger_ms = LINGER_START_MS
         self.ledger = Ledger(rng=rng, speeds=speeds)
+        self._isolation = Isolation(ledger=self.ledger, recall=self._recall_lease)
         self.settled_ms = clock.now_ms() + SETTLE_MS
 
     def sync(self, service: ServiceRow) -> None:
@@ -116,7 +118,10 @@
             demand.asked_ms = known.asked_ms
         self._demands[demand.key] = demand
         grant = self._grant(demand, now_ms)
-        if demand.count:
+        if demand.isolated:
+            if not demand.count:
+                del self._demands[demand.key]
+        elif demand.count:
             self.linger_ms = max(LINGER_MIN_MS, self.linger_ms * LINGER_SHRINK)
             self._recall(holder, now_ms)
         else:
@@ -147,8 +152,6 @@
         if now_ms < self.settled_ms:
             return
         for demand in self._order_demands(now_ms):
-            if not self.ledger.free_count():
-                return
             grant = self._grant(demand, now_ms)
             if not demand.count:
                 del self._demands[demand.key]
@@ -160,6 +163,7 @@
         for key, demand in list(self._demands.items()):
             if demand.until_ms <= now_ms:
                 del self._demands[key]
+                self._isolation.give_up(key)
         demands = list(self._demands.values())
         if len(demands) < 2:
             return demands
@@ -224,7 +228,7 @@
             )
 
     def _grant(self, demand: Demand, now_ms: float) -> SlotGrant:
-        grant = SlotGrant(shard=self.shard)
+        grant = SlotGrant(shard=self.shard, isolated=demand.isolated)
         zone = self._zone_of(demand.holder)
         while demand.count and now_ms >= self.settled_ms:
             slot = self._find(demand, zone, now_ms)
@@ -236,7 +240,6 @@
                 until_ms=now_ms + LEASE_MS,
                 weight=slot.row.slots if demand.isolated else 1,
             )
-            slot.reserved = False
             demand.count -= 1
             grant.upstreams.append(lease.upstream)
             grant.tokens.append(lease.token)
@@ -245,22 +248,18 @@
 
     def _find(self, demand: Demand, zone: str, now_ms: float) -> SlotRow | None:
         if demand.isolated:
-            return self._find_empty(demand)
+            return self._isolation.find(
+                demand.key, avoid=demand.avoid, is_open=self._is_open
+            )
         return self.ledger.find(
             zone=zone, avoid=demand.avoid, is_open=self._is_open, now_ms=now_ms
         )
 
-    def _find_empty(self, demand: Demand) -> SlotRow | None:
-        slots = [
-            slot
-            for name, slot in self.ledger.slots.items()
-            if name not in demand.avoid and self._is_open(slot.row)
-        ]
-        if not slots:
-            return None
-        slot = min(slots, key=lambda slot: (not slot.reserved, slot.used))
-        slot.reserved = bool(slot.used)
-        return None if slot.used else slot
+    def _recall_lease(self, lease: Lease) -> None:
+        grant = SlotGrant(
+            shard=self.shard, linger_ms=self.linger_ms, recalled=[lease.token]
+        )
+        self._outbox.append((lease.holder, grant))
 
     def _is_open(self, row: UpstreamRow) -> bool:
         if row.state not in (UpstreamState.ACTIVE, UpstreamState.WARMING):
--- a/src/mangohatch/core/slots/holder.py
+++ b/src/mangohatch/core/slots/holder.py
@@ -25,6 +25,11 @@
     recalled: bool = False
     idle_ms: float | None = None
 
+    @property
+    def single(self) -> bool:
+        """Whether the lease ends with the attempt that uses it."""
+        return self.recalled or self.isolated
+
 
 class Holder:
     """
@@ -65,11 +70,17 @@
         now_ms = self._clock.now_ms()
         self.heard_ms = now_ms
         self.linger_ms = grant.linger_ms
-        self.asked = max(0, self.asked - len(grant.tokens))
-        if grant.sequence:
-            self.asked = grant.waiting
+        if not grant.isolated:
+            self.asked = max(0, self.asked - len(grant.tokens))
+            if grant.sequence:
+                self.asked = grant.waiting
         for token, upstream in zip(grant.tokens, grant.upstreams, strict=True):
-            held = Held(token=token, upstream=upstream, idle_ms=now_ms)
+            held = Held(
+                token=token,
+                upstream=upstream,
+                isolated=grant.isolated,
+                idle_ms=now_ms,
+            )
             self.leases[token] = held
             self.idle[token] = held
         if grant.recall or grant.recalled:
@@ -124,7 +135,7 @@
         )
         self._uses.append(use)
         now_ms = self._clock.now_ms()
-        if report.result is not Result.OK or report.draining or held.recalled:
+        if report.result is not Result.OK or report.draining or held.single:
             del self.leases[token]
             use.freed = True
             self.flush()
@@ -138,7 +149,11 @@
         """Send back idle leases that have lingered, and plan the next look."""
         now_ms = self._clock.now_ms()
         due_ms = now_ms - self.linger_ms + BATCH_MS
-        freed = [held for held in self.idle.values() if (held.idle_ms or 0) <= due_ms]
+        freed = [
+            held
+            for held in self.idle.values()
+            if held.single or (held.idle_ms or 0) <= due_ms
+        ]
         if freed:
             self._give_back(freed)
         if self.idle:
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -956,6 +956,7 @@
      - waiting
      - recall
      - recalled
+     - isolated
 
     """
 
@@ -968,10 +969,11 @@
         'waiting',
         'recall',
         'recalled',
+        'isolated',
     )
 
 
-    def __init__(self, shard=None, sequence=None, upstreams=None, tokens=None, linger_ms=None, waiting=None, recall=None, recalled=None,):
+    def __init__(self, shard=None, sequence=None, upstreams=None, tokens=None, linger_ms=None, waiting=None, recall=None, recalled=None, isolated=None,):
         self.shard = shard
         self.sequence = sequence
         self.upstreams = upstreams
@@ -980,6 +982,7 @@
         self.waiting = waiting
         self.recall = recall
         self.recalled = recalled
+        self.isolated = isolated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1045,6 +1048,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1096,6 +1104,10 @@
                 oprot.writeI64(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 9)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2919,6 +2931,7 @@
     (6, TType.I32, 'waiting', None, None, ),  # 6
     (7, TType.I32, 'recall', None, None, ),  # 7
     (8, TType.LIST, 'recalled', (TType.I64, None, False), None, ),  # 8
+    (9, TType.BOOL, 'isolated', None, None, ),  # 9
 )
 all_structs.append(SlotUse)
 SlotUse.thrift_spec = (
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -115,7 +115,8 @@
 
     ``waiting`` counts the slots that are still owed to the receiver; ``recall``
     the idle leases that it has to give back. It gives back those in ``recalled``
-    as well, as soon as their attempts end.
+    as well, as soon as their attempts end. An isolated grant gives all slots of
+    its upstream, for one attempt.
     """
 
     shard: str = ""
@@ -126,6 +127,7 @@
     waiting: int = 0
     recall: int = 0
     recalled: list[int] = field(default_factory=list)
+    isolated: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -73,6 +73,7 @@
   6: i32 waiting,
   7: i32 recall,
   8: list<i64> recalled,
+  9: bool isolated,
 }
 
 /** The end of an attempt, or of a lease when `freed` is set. */
