--- a/bench/virtual/cost.py
+++ b/bench/virtual/cost.py
@@ -7,7 +7,7 @@
 from bench.virtual.bus import Fleet
 from bench.virtual.loop import EventLoop, LoopTimers
 from mangohatch.config import ServiceSpec, UpstreamSpec
-from mangohatch.core.call import Call, Grant, Report, Result
+from mangohatch.core.call import Call, Decision, Grant, Report, Result
 from mangohatch.core.choice import TokenChooser
 from mangohatch.core.health import OutlierHealth
 from mangohatch.core.router import Router
@@ -93,6 +93,11 @@
     """
     loop, router = make_router(upstreams)
     grants: list[Grant] = []
+
+    def take(decision: Decision) -> None:
+        if isinstance(decision, Grant):
+            grants.append(decision)
+
     request_ns = release_ns = 0
     for number in range(REQUESTS):
         loop.run(number * STEP_MS)
@@ -107,7 +112,7 @@
             idempotent=True,
         )
         started_ns = time.perf_counter_ns()
-        router.request(call, grants.append)
+        router.request(call, take)
         request_ns += time.perf_counter_ns() - started_ns
         if len(grants) > IN_FLIGHT:
             grant = grants.pop(0)
