Give the demo its platform, peers and configuration from the store

Cause: the entry hosts of the demo ran alone on static settings. Change: object API and host list as processes for each site; services are declared in the object API, entry hosts know each other as peers and have no services in their settings.

--- a/bench/live/run.py
+++ b/bench/live/run.py
@@ -20,6 +20,7 @@
 from standins.caller import AttemptResult, Balancer, Caller, Record, judge
 from standins.caller.verdict import percentile
 from standins.fleet import Fleet
+from standins.platform import Platform
 from standins.sites import Site
 
 __all__ = ["CaseResult", "run_condition"]
@@ -197,10 +198,13 @@
     """
     results = []
     with tempfile.TemporaryDirectory(prefix="mangohatch-live-") as folder:
-        fleet = Fleet(site=site, folder=Path(folder), seed=seed)
+        platform = Platform(folder=Path(folder))
+        fleet = Fleet(site=site, folder=Path(folder), seed=seed, platform=platform)
         balancer = Balancer(rng=random.Random(seed))
         try:
+            await platform.start()
             await fleet.start_upstreams(behaviour_of(condition))
+            await fleet.declare_services()
             for _ in range(ENTRIES):
                 balancer.add((await fleet.start_entry()).entry)
             for load in loads:
--- a/demo/run.py
+++ b/demo/run.py
@@ -12,6 +12,7 @@
 from mangohatch.clock import Clock, SystemClock
 from standins.caller import Balancer, Caller, judge
 from standins.fleet import Fleet
+from standins.platform import Platform
 from standins.sites import SITES, Site
 from standins.upstream import Behaviour
 
@@ -28,7 +29,8 @@
     def __init__(self, *, site: Site, folder: Path, seed: int, clock: Clock) -> None:
         rng = random.Random(seed)
         self.site = site
-        self.fleet = Fleet(site=site, folder=folder, seed=seed)
+        platform = Platform(folder=folder)
+        self.fleet = Fleet(site=site, folder=folder, seed=seed, platform=platform)
         self.balancer = Balancer(rng=rng)
         self.caller = Caller(balancer=self.balancer, clock=clock, rng=rng)
         self.faults = Faults(fleet=self.fleet, balancer=self.balancer, clock=clock)
@@ -37,7 +39,9 @@
 
     async def run(self) -> None:
         """Start the processes, send the load, cause the failures, read the counts."""
+        await self.fleet.platform.start()
         await self.fleet.start_upstreams(BEHAVIOUR)
+        await self.fleet.declare_services()
         for _ in range(ENTRIES_PER_SITE):
             entry = await self.fleet.start_entry()
             self.balancer.add(entry.entry)
--- a/src/standins/fleet.py
+++ b/src/standins/fleet.py
@@ -7,19 +7,17 @@
 from pathlib import Path
 from typing import Any
 
-from tornado.httpclient import HTTPClientError
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
-
 from standins.caller.connection import Address
-from standins.processes import LOOPBACK, Child, ProcessError, free_port, wait_for_port
+from standins.http_json import fetch_json
+from standins.platform import Platform
+from standins.processes import LOOPBACK, Child, free_port, wait_for_port
 from standins.sites import ServiceSize, Site
 from standins.upstream import Behaviour
 
 __all__ = ["EntryChild", "Fleet", "UpstreamAddress"]
 
-CONTROL_TRIES = 20
-CONTROL_RETRY_MS = 250.0
 BALANCER_DELAY_MS = 1000.0
+SERVING_PATH = "/serving"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -40,6 +38,7 @@
     child: Child
     entry: Address
     admin: Address
+    peer: Address
 
 
 @dataclass(slots=True, kw_only=True)
@@ -49,6 +48,7 @@
     site: Site
     folder: Path
     seed: int
+    platform: Platform
     upstreams: list[UpstreamAddress] = field(default_factory=list)
     entries: list[EntryChild] = field(default_factory=list)
     _children: list[Child] = field(default_factory=list)
@@ -86,18 +86,35 @@
                     )
                 )
 
+    async def declare_services(self) -> None:
+        """Write the services to the object API and the upstreams to the host list."""
+        for size in self.site.services:
+            await self.platform.put_service(self.make_service(size))
+        for upstream in self.upstreams:
+            await self.platform.list_host(upstream.name, upstream.port, leaving=False)
+
     async def start_entry(self) -> EntryChild:
         """
-        Start an entry host and wait until it accepts connections.
+        Start an entry host and wait until it serves all services.
 
         :return: the entry host
         :raises ProcessError: when it does not come up
         """
         number = next(self._numbers)
         host_id = f"{self.site.name}-e{number}"
-        entry = (LOOPBACK, free_port())
-        admin = (LOOPBACK, free_port())
-        settings = self.make_settings(host_id, number, entry, admin)
+        entry, admin, peer = ((LOOPBACK, free_port()) for _ in range(3))
+        settings = {
+            "host_id": host_id,
+            "zone": self.site.zones[number % len(self.site.zones)],
+            "region": self.site.region,
+            "entry": make_listener(entry),
+            "admin": make_listener(admin),
+            "peer": make_listener(peer),
+            "seeds": [make_listener(other.peer) for other in self.entries],
+            "object_api": make_listener(self.platform.object_api),
+            "host_list": make_listener(self.platform.host_list),
+            "balancer_delay_ms": BALANCER_DELAY_MS,
+        }
         path = self.folder / f"{host_id}.json"
         path.write_text(json.dumps(settings, indent=1), encoding="utf-8")
         child = await Child.start(
@@ -109,32 +126,14 @@
         )
         self._children.append(child)
         await wait_for_port(entry)
-        made = EntryChild(host_id=host_id, child=child, entry=entry, admin=admin)
+        for size in self.site.services:
+            await fetch_json(entry[1], f"/{size.name}{SERVING_PATH}", parse=False)
+        made = EntryChild(
+            host_id=host_id, child=child, entry=entry, admin=admin, peer=peer
+        )
         self.entries.append(made)
         return made
 
-    def make_settings(
-        self, host_id: str, number: int, entry: Address, admin: Address
-    ) -> dict[str, Any]:
-        """
-        Make the settings of an entry host.
-
-        :param host_id: its id
-        :param number: decides its zone
-        :param entry: address for callers
-        :param admin: address for operators
-        :return: a JSON document
-        """
-        return {
-            "host_id": host_id,
-            "zone": self.site.zones[number % len(self.site.zones)],
-            "region": self.site.region,
-            "entry": {"address": entry[0], "port": entry[1]},
-            "admin": {"address": admin[0], "port": admin[1]},
-            "balancer_delay_ms": BALANCER_DELAY_MS,
-            "services": [self.make_service(size) for size in self.site.services],
-        }
-
     def make_service(self, size: ServiceSize) -> dict[str, Any]:
         """
         Declare a service.
@@ -195,30 +194,15 @@
 
     async def stop(self) -> None:
         """End all processes that this fleet started."""
-        for child in self._children:
-            await child.kill()
+        await asyncio.gather(*(child.kill() for child in self._children))
+        await self.platform.stop()
 
 
-async def fetch_json(port: int, path: str, **options: Any) -> dict[str, Any]:
+def make_listener(address: Address) -> dict[str, Any]:
     """
-    Talk to an upstream's control endpoints; a crashed one gets time to return.
+    Write an address as settings do.
 
-    :param port: its port
-    :param path: path and query
-    :param options: options of the HTTP client
-    :return: the JSON answer, empty without one
-    :raises ProcessError: when no answer comes
+    :param address: IP address and port
+    :return: a JSON document
     """
-    client = SimpleAsyncHTTPClient(force_instance=True)
-    url = f"http://{LOOPBACK}:{port}{path}"
-    try:
-        for _ in range(CONTROL_TRIES):
-            try:
-                response = await client.fetch(url, **options)
-            except (HTTPClientError, OSError):
-                await asyncio.sleep(CONTROL_RETRY_MS / 1000)
-                continue
-            return json.loads(response.body or b"{}")
-    finally:
-        client.close()
-    raise ProcessError(f"no answer from port {port} for {path}")
+    return {"address": address[0], "port": address[1]}
--- /dev/null
+++ b/src/standins/platform.py
@@ -0,0 +1,82 @@
+"""The platform's object API and host list as child processes."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from standins.caller.connection import Address
+from standins.http_json import fetch_json
+from standins.processes import LOOPBACK, Child, free_port, wait_for_port
+
+__all__ = ["Platform"]
+
+
+@dataclass(slots=True, kw_only=True)
+class Platform:
+    """Both services of the platform, for one site."""
+
+    folder: Path
+    object_api: Address = (LOOPBACK, 0)
+    host_list: Address = (LOOPBACK, 0)
+    _children: list[Child] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """
+        Start both services.
+
+        :raises ProcessError: when one does not come up
+        """
+        self.object_api = await self._start("standins.object_api")
+        self.host_list = await self._start("standins.host_list")
+
+    async def _start(self, module: str) -> Address:
+        address = (LOOPBACK, free_port())
+        child = await Child.start(
+            module,
+            f"--port={address[1]}",
+            name=module,
+            log=self.folder / f"{module}.log",
+        )
+        self._children.append(child)
+        await wait_for_port(address)
+        return address
+
+    async def put_service(self, spec: dict[str, Any]) -> None:
+        """
+        Write a service that no entry host knows yet.
+
+        :param spec: the specification of the service
+        """
+        path = f"/objects/service/{spec['name']}"
+        port = self.object_api[1]
+        await fetch_json(port, path, method="PUT", body=json.dumps(spec))
+
+    async def list_host(self, name: str, port: int, *, leaving: bool) -> None:
+        """
+        Write an entry of the host list.
+
+        :param name: name of the host
+        :param port: its port
+        :param leaving: whether it leaves
+        """
+        entry = {
+            "address": LOOPBACK,
+            "port": port,
+            "state": "leaving" if leaving else "live",
+        }
+        body = json.dumps(entry)
+        await fetch_json(self.host_list[1], f"/hosts/{name}", method="PUT", body=body)
+
+    async def read_calls(self) -> dict[str, int]:
+        """
+        Read how often the object API was called.
+
+        :return: calls by role and kind of call
+        """
+        return await fetch_json(self.object_api[1], "/calls")
+
+    async def stop(self) -> None:
+        """End both processes."""
+        await asyncio.gather(*(child.kill() for child in self._children))
