--- a/src/mangohatch/entry/active.py
+++ b/src/mangohatch/entry/active.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -10,11 +11,13 @@
 from mangohatch.core.router import Router
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.entry.body import RequestBody
-from mangohatch.entry.continuation import Continuation
 from mangohatch.entry.sink import CallerSink
 from mangohatch.errors import RequestError
 from mangohatch.upstream.connection import UpstreamConnection
 
+if TYPE_CHECKING:
+    from mangohatch.entry.continuation import Continuation
+
 __all__ = ["ActiveRequest"]
 
 
@@ -41,7 +44,7 @@
     upstream: UpstreamRow | None = None
     conn: UpstreamConnection | None = None
     wants_new_connection: bool = False
-    continuation: Continuation | None = None
+    continuation: "Continuation | None" = None
     continuations: int = 0
     may_repeat_upstream: bool = False
     awaits_head: bool = False
--- a/src/mangohatch/entry/continuation.py
+++ b/src/mangohatch/entry/continuation.py
@@ -6,11 +6,19 @@
 
 from tornado.httputil import HTTPHeaders
 
+from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.sink import CallerSink
 from mangohatch.errors import UpstreamAborted
 from mangohatch.upstream.connection import ResponseHead, ResponseSink
 
-__all__ = ["Continuation", "ContinuationSink", "plan_continuation"]
+__all__ = [
+    "Continuation",
+    "ContinuationSink",
+    "can_continue",
+    "plan_continuation",
+]
+
+MAX_CONTINUATIONS = 8
 
 OK = 200
 PARTIAL_CONTENT = 206
@@ -73,6 +81,18 @@
         return self._sink.write(chunk)
 
 
+def can_continue(req: ActiveRequest) -> bool:
+    """
+    Tell whether another upstream may be asked for the rest of a response.
+
+    :param req: a request whose response is under way
+    :return: whether it may
+    """
+    if req.continuations >= MAX_CONTINUATIONS:
+        return False
+    return plan_continuation(req.line.method, req.sink) is not None
+
+
 def plan_continuation(method: str, sink: CallerSink) -> Continuation | None:
     """
     Find what is missing of a response that was cut.
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -13,7 +13,7 @@
 from mangohatch.core.router import Router
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.attempt import AttemptRunner
-from mangohatch.entry.continuation import plan_continuation
+from mangohatch.entry.continuation import can_continue, plan_continuation
 from mangohatch.entry.events import RequestEvents
 from mangohatch.entry.keyed import claim, is_keyed, make_answer, replay
 from mangohatch.entry.retry import is_retry_safe, result_of
@@ -39,7 +39,6 @@
 log = structlog.get_logger()
 
 MAX_ATTEMPTS = 3
-MAX_CONTINUATIONS = 8
 CONTINUATION_DEADLINE_MS = 5_000.0
 CONTINUED = (UpstreamAborted, UpstreamRefused, UpstreamUnreachable)
 SLOW_REQUEST_MS = 1_000.0
@@ -222,7 +221,7 @@
 
     def _prepare_continuation(self, req: ActiveRequest, error: RequestError) -> None:
         plan = plan_continuation(req.line.method, req.sink)
-        if plan is None or req.continuations >= MAX_CONTINUATIONS:
+        if plan is None or not can_continue(req):
             raise error
         if not isinstance(error, CONTINUED) or not self._budget.allow(req.call):
             raise error
--- a/src/mangohatch/entry/watch.py
+++ b/src/mangohatch/entry/watch.py
@@ -6,6 +6,7 @@
 from mangohatch.core.quarantine import QuarantineGate
 from mangohatch.core.router import Router
 from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.continuation import can_continue
 from mangohatch.entry.events import RequestEvents
 from mangohatch.errors import (
     ConnectionSilent,
@@ -21,6 +22,7 @@
 __all__ = ["RequestWatch"]
 
 CONNECT_TIMEOUT_MS = 300.0
+CONTINUABLE_STALL_MS = 1_500.0
 BODY_STALL_MS = 30_000.0
 
 
@@ -74,8 +76,13 @@
         if conn is None or req.sink.stalled:
             return
         quiet_since_ms = max(conn.last_read_ms, conn.sent_ms)
-        if now_ms - quiet_since_ms > BODY_STALL_MS:
+        quiet_ms = now_ms - quiet_since_ms
+        if quiet_ms > BODY_STALL_MS:
             req.abort_attempt(UpstreamAborted("the response stopped"))
+        elif quiet_ms > CONTINUABLE_STALL_MS and can_continue(req):
+            self._events.record(EventKind.CONNECTION_SILENT, req, "")
+            self._pool.drop_silent(conn)
+            req.abort_attempt(ConnectionSilent("the response stopped"))
 
     def _check_connecting(
         self, req: ActiveRequest, conn: UpstreamConnection, now_ms: float
--- a/tests/entry/test_continuation.py
+++ b/tests/entry/test_continuation.py
@@ -1,6 +1,9 @@
 """Tests of cut downloads."""
 
-from tests.entry.harness import fixed, open_entry
+import asyncio
+
+from mangohatch.timeline.event import EventKind
+from tests.entry.harness import fixed, open_entry, request
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
@@ -84,6 +87,32 @@
         assert not upstreams[1].requests
 
 
+async def test_download_that_stops_is_continued():
+    async def stop_half_way(upstream, message, writer):
+        whole = fixed(HYMNAL, ETag=ETAG)
+        writer.write(whole[:-500_000])
+        await asyncio.Event().wait()
+
+    async with open_entry(stop_half_way, ranges()) as (entry, upstreams):
+        second = list(entry.tables.upstreams())[1]
+        second.in_flight = 1
+        caller = await entry.connect()
+        await caller.send(request())
+        reading = asyncio.ensure_future(caller.read())
+        while not any(
+            req.sink.body_bytes == len(HYMNAL) - 500_000
+            for req in entry.forwarder.active
+        ):
+            await asyncio.sleep(0)
+        entry.pass_time(1_400)
+        assert len(upstreams[1].requests) == 0
+        entry.pass_time(200)
+        response = await reading
+        assert response.whole
+        assert response.body == HYMNAL
+        assert EventKind.CONNECTION_SILENT in entry.event_kinds()
+
+
 async def test_second_cut_is_continued_too():
     async def cut_then_serve(upstream, message, writer):
         first, last = message.headers["range"].removeprefix("bytes=").split("-")
