--- a/src/mangohatch/config/state.py
+++ b/src/mangohatch/config/state.py
@@ -66,4 +66,7 @@
     sweep_ms: float = Field(
         default=10_000.0, gt=0, description="time between sweeps of one shard each"
     )
+    sweep_calls_per_second: float = Field(
+        default=30.0, gt=0, description="budget of the sweeping host's store calls"
+    )
     sweep_deletes: int = Field(default=200, ge=1, description="deletes of one sweep")
--- a/src/mangohatch/host/state.py
+++ b/src/mangohatch/host/state.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from mangohatch.claims.store_registry import StoreClaimRegistry
+from mangohatch.claims.sweep import ClaimSweep
 from mangohatch.clock import Clock
 from mangohatch.config import HostSettings, Listener
 from mangohatch.core.tables import Tables
@@ -19,6 +20,7 @@
 from mangohatch.platform.host_list import HttpHostList
 from mangohatch.platform.http_store import HttpObjectStore
 from mangohatch.platform.metered import CallBudget, MeteredStore
+from mangohatch.state.host_watch import HostWatch
 from mangohatch.state.service import StateService
 from mangohatch.timeline import Recorder
 
@@ -28,6 +30,7 @@
 HOST_LIST_TIMEOUT_MS = 1_000.0
 CONFIG_ROLE = "config"
 CLAIMS_ROLE = "claims"
+SWEEP_ROLE = "sweep"
 
 
 class LastingState:
@@ -45,27 +48,19 @@
         recorder: Recorder,
     ) -> None:
         self.calls: Counter[tuple[str, str]] = Counter()
-        self.config_store = MeteredStore(
-            store=HttpObjectStore(
-                address=api.address,
-                port=api.port,
-                role=CONFIG_ROLE,
-                timeout_ms=cfg.state.store_timeout_ms,
-            ),
+        self.config_store = self._make_store(
+            api=api,
+            clock=clock,
             role=CONFIG_ROLE,
-            budget=CallBudget(per_second=cfg.state.store_calls_per_second, clock=clock),
-            calls=self.calls,
+            timeout_ms=cfg.state.store_timeout_ms,
+            per_second=cfg.state.store_calls_per_second,
         )
-        self.claim_store = MeteredStore(
-            store=HttpObjectStore(
-                address=api.address,
-                port=api.port,
-                role=CLAIMS_ROLE,
-                timeout_ms=cfg.claims.timeout_ms,
-            ),
+        self.claim_store = self._make_store(
+            api=api,
+            clock=clock,
             role=CLAIMS_ROLE,
-            budget=CallBudget(per_second=cfg.claims.calls_per_second, clock=clock),
-            calls=self.calls,
+            timeout_ms=cfg.claims.timeout_ms,
+            per_second=cfg.claims.calls_per_second,
         )
         self.service = StateService(
             cfg=cfg.state,
@@ -95,6 +90,52 @@
             publish=self.service.publish,
             recorder=recorder,
         )
+        self.sweep = ClaimSweep(
+            cfg=cfg.claims,
+            store=self._make_store(
+                api=api,
+                clock=clock,
+                role=SWEEP_ROLE,
+                timeout_ms=cfg.state.store_timeout_ms,
+                per_second=cfg.claims.sweep_calls_per_second,
+            ),
+            clock=clock,
+        )
+        self.service.add_duties([self.sweep])
+        if cfg.host_list is not None:
+            self._watch_hosts(cfg, cfg.host_list, tables)
+
+    def _make_store(
+        self,
+        *,
+        api: Listener,
+        clock: Clock,
+        role: str,
+        timeout_ms: float,
+        per_second: float,
+    ) -> MeteredStore:
+        return MeteredStore(
+            store=HttpObjectStore(
+                address=api.address, port=api.port, role=role, timeout_ms=timeout_ms
+            ),
+            role=role,
+            budget=CallBudget(per_second=per_second, clock=clock),
+            calls=self.calls,
+        )
+
+    def _watch_hosts(self, cfg: HostSettings, api: Listener, tables: Tables) -> None:
+        host_list = HttpHostList(
+            address=api.address,
+            port=api.port,
+            timeout_ms=cfg.state.store_timeout_ms,
+        )
+        watch = HostWatch(
+            host_list=host_list,
+            tables=tables,
+            table=self.service.table,
+            distribution=self.service.distribution,
+        )
+        self.service.add_duties([watch])
 
     async def start(self) -> None:
         """Start to learn the configuration and to write results of claims."""
--- a/src/mangohatch/state/distribution.py
+++ b/src/mangohatch/state/distribution.py
@@ -8,6 +8,7 @@
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages import ConfigDigest, ConfigItem, ConfigPull, ConfigPush
 from mangohatch.state.config_table import ConfigTable
+from mangohatch.state.items import item_key
 from mangohatch.state.lease import Lease
 from mangohatch.state.ranking import rank_hosts
 
@@ -18,6 +19,7 @@
 CONTROL_KEYS = frozenset({HASH_KEY, AS_OF_KEY})
 PUSH_BYTES = 128 * 1024
 CATCH_UP_MS = 200.0
+PULL_AGAIN_MS = 500.0
 NO_EPOCH = 0
 
 
@@ -61,6 +63,7 @@
         self._clock = clock
         self._rng = rng
         self._caught_up_ms = clock.now_ms()
+        self._pulled: dict[str, tuple[int, float]] = {}
         bus.subscribe(ConfigPush, self._on_push)
         bus.subscribe(ConfigDigest, self._on_digest)
         bus.subscribe(ConfigPull, self._on_pull)
@@ -185,6 +188,8 @@
         elif push.watcher:
             self.reader_heard_ms = self._clock.now_ms()
         fresh = self._table.apply_all(push.items)
+        for item in push.items:
+            self._pulled.pop(item_key(item.kind, item.name), None)
         if fresh and len(self._bus.members()) > self._cfg.relay_above:
             self._relay(ConfigPush(items=fresh, revision=push.revision), [])
         if push.revision > self._table.revision:
@@ -216,15 +221,24 @@
         if self.collecting:
             self.peer_revisions[sender] = revisions
         self._answer(sender, self._table.newer_than(revisions))
-        mine = self._table.revisions()
-        wanted = [
-            key
-            for key, revision in revisions.items()
-            if key not in CONTROL_KEYS and revision > mine.get(key, 0)
-        ]
+        wanted = self._select_wanted(revisions)
         if wanted:
             self._bus.send(sender, ConfigPull(names=wanted))
 
+    def _select_wanted(self, revisions: dict[str, int]) -> list[str]:
+        now_ms = self._clock.now_ms()
+        mine = self._table.revisions()
+        wanted = []
+        for key, revision in revisions.items():
+            if key in CONTROL_KEYS or revision <= mine.get(key, 0):
+                continue
+            asked_revision, asked_ms = self._pulled.get(key, (0, now_ms))
+            if revision <= asked_revision and now_ms - asked_ms < PULL_AGAIN_MS:
+                continue
+            self._pulled[key] = (revision, now_ms)
+            wanted.append(key)
+        return wanted
+
     def _on_pull(self, sender: str, pull: ConfigPull) -> None:
         if not pull.names:
             self._bus.send(sender, self._full_digest())
--- a/src/mangohatch/state/joining.py
+++ b/src/mangohatch/state/joining.py
@@ -1,6 +1,7 @@
 """How a new host learns the configuration before it serves."""
 
 import asyncio
+import itertools
 import random
 from enum import StrEnum
 
@@ -18,6 +19,7 @@
 
 START_KIND = "host_start"
 ASK_MS = 250.0
+ASK_AGAIN_TURNS = 4
 STALE_READS = 5
 STALE_DELAY_MS = 100.0
 RETRY_FIRST_MS = 500.0
@@ -78,10 +80,10 @@
         reading = asyncio.create_task(self._read_until_fresh())
         started_ms = self._clock.now_ms()
         try:
-            while not self._is_ready(started_ms):
-                for host_id in self._distribution.peers():
-                    if not self._distribution.covers(host_id):
-                        self._distribution.ask(host_id)
+            for turn in itertools.count():
+                if self._is_ready(started_ms):
+                    break
+                self._ask(turn % ASK_AGAIN_TURNS == 0)
                 await asyncio.sleep(ASK_MS / MS_PER_S)
         finally:
             reading.cancel()
@@ -90,6 +92,12 @@
         self._distribution.stop_collecting()
         self.readiness = Readiness.READY
 
+    def _ask(self, again: bool) -> None:
+        for host_id in self._distribution.peers():
+            answered = self._has_answered(host_id)
+            if not answered or (again and not self._distribution.covers(host_id)):
+                self._distribution.ask(host_id)
+
     def _is_ready(self, started_ms: float) -> bool:
         peers = self._distribution.peers()
         waited = self._clock.now_ms() - started_ms >= self._cfg.join_wait_ms
--- a/src/standins/state_hosts.py
+++ b/src/standins/state_hosts.py
@@ -20,6 +20,8 @@
 
 __all__ = ["StateHost", "StateHosts"]
 
+STEP_MS = 0.5
+
 
 @dataclass(slots=True, kw_only=True)
 class StateHost:
@@ -195,4 +197,4 @@
                 return waited_ms
             if waited_ms >= limit_ms:
                 return limit_ms
-            self.loop.run_for(5.0)
+            self.loop.run_for(STEP_MS)
--- a/tests/functions.py
+++ b/tests/functions.py
@@ -22,7 +22,14 @@
 
     :param function: makes the value, or yields it once
     :return: the function itself
+    :raises ValueError: when another module has a fixture of the same name
     """
+    known = FIXTURES.get(function.__name__)
+    if known is not None and known.__module__ != function.__module__:
+        raise ValueError(
+            f"fixture {function.__name__} is defined in {known.__module__} and in "
+            f"{function.__module__}"
+        )
     FIXTURES[function.__name__] = function
     return function
 
--- a/tests/state/test_service.py
+++ b/tests/state/test_service.py
@@ -202,3 +202,20 @@
     heartbeat, digest = RELAY_ABOVE, 2
     assert sent <= 2 * (RELAY_ABOVE + FANOUT) + heartbeat + digest
     assert_in_force(hosts, revision)
+
+
+def test_new_host_pulls_each_object_once(hosts):
+    for number in range(50):
+        hosts.write(make_service(f"s{number}"))
+    hosts.loop.run_for(2000)
+    hosts.objects.faults.outage = True
+    received = []
+    hosts.network.observers.append(
+        lambda sender, message: received.extend(
+            item.name for item in getattr(message, "items", []) if message.items
+        )
+    )
+    newcomer = hosts.add("e9")
+    while not newcomer.state.ready():
+        hosts.loop.run_for(10.0)
+    assert len(received) == len(set(received)) == 51
