--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -130,7 +130,8 @@
     def _plan_ask(self, service: ServiceRow, shard: str, call: Call) -> None:
         # A lease in use may end first, and calls that arrive meanwhile share the
         # request to the broker.
-        if not self._holder(shard).leases or call.avoid:
+        local = self._shards.broker(shard) == self._bus.host_id
+        if local or call.avoid or not self._holder(shard).leases:
             self._ask(service, shard, call)
         elif shard not in self._planned:
             self._planned.add(shard)
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -25,6 +25,8 @@
 LINGER_SHRINK = 0.9
 LINGER_GROW = 1.03
 ZONE_PATIENCE_MS = 15.0
+LINGER_TICK_GROW = 1.1
+FREE_SHARE = 0.5
 RECALL_GAP = 1
 CROWD = 3
 RECALL_PAUSE_MS = 1.0
@@ -193,6 +195,9 @@
             share = self._health.capacity(slot.row)
             limit = max(1, int(slot.row.slots * share)) if share > 0 else 0
             self.ledger.set_limit(name, limit)
+        free_share = self.ledger.free_count() / max(1, len(self.ledger.slots))
+        if free_share > FREE_SHARE and not self._demands:
+            self.linger_ms = min(LINGER_MAX_MS, self.linger_ms * LINGER_TICK_GROW)
         self._serve()
         self._deliver()
 
--- a/src/mangohatch/core/slots/shards.py
+++ b/src/mangohatch/core/slots/shards.py
@@ -46,6 +46,7 @@
         self._host_id = host_id
         self._members: Sequence[MemberView] = ()
         self._brokers: dict[str, str] = {}
+        self._homes: dict[tuple[str, int], str] = {}
 
     def update(self, members: Sequence[MemberView]) -> bool:
         """
@@ -87,10 +88,15 @@
         :return: name of the shard
         """
         name = service.spec.name
-        count = count_shards(service)
-        if count == 1:
+        count = len(service.upstreams)
+        if count <= SHARD_UPSTREAMS:
             return name
-        return f"{name}{SEPARATOR}{rank(name, self._host_id) % count}"
+        home = self._homes.get((name, count))
+        if home is None:
+            number = rank(name, self._host_id) % count_shards(service)
+            home = f"{name}{SEPARATOR}{number}"
+            self._homes[name, count] = home
+        return home
 
     def next(self, service: ServiceRow, shard: str) -> str:
         """
