Recall idle leases until a demand is met

Change: while a demand waits and leases may linger, recall every 2 ms, those not asked lately first.

--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -228,6 +228,7 @@
                 speeds=self._speed(shard),
                 send=self._send_grant,
                 zone_of=lambda host_id: self._zones.get(host_id, ""),
+                timers=self._timers,
             )
             broker.sync(self._tables.services[split_shard(shard)[0]])
             self._timers.call_later(SETTLE_MS + TIMER_STEP_MS, broker.tick)
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -13,6 +13,7 @@
 from mangohatch.core.slots.shards import shard_rows
 from mangohatch.core.slots.speed import SpeedTable
 from mangohatch.core.tables import ServiceRow, UpstreamRow, UpstreamState
+from mangohatch.core.timers import Timers
 from mangohatch.peer.messages import SlotGrant, SlotRequest, SlotReturn, SlotUse
 
 __all__ = ["Broker", "Sender"]
@@ -27,8 +28,11 @@
 ZONE_PATIENCE_MS = 15.0
 LINGER_TICK_GROW = 1.1
 FREE_SHARE = 0.5
-RECALL_GAP = 1
+RECALL_GAP = 0
+RECALL_AGAIN_MS = 5.0
+PRESS_MS = 2.0
 CROWD = 3
+IDLE_LINGER_MS = 1.0
 RECALL_PAUSE_MS = 1.0
 
 Sender = Callable[[str, SlotGrant], None]
@@ -71,6 +75,7 @@
         speeds: SpeedTable,
         send: Sender,
         zone_of: Callable[[str], str],
+        timers: Timers,
     ) -> None:
         self.shard = shard
         self._host_id = host_id
@@ -79,6 +84,8 @@
         self._speeds = speeds
         self._send = send
         self._zone_of = zone_of
+        self._timers = timers
+        self._pressing = False
         self._service: ServiceRow | None = None
         self._demands: OrderedDict[tuple[str, bool], Demand] = OrderedDict()
         self._recalled_ms: dict[str, float] = {}
@@ -125,7 +132,7 @@
                 del self._demands[demand.key]
         elif demand.count:
             self.linger_ms = max(LINGER_MIN_MS, self.linger_ms * LINGER_SHRINK)
-            self._recall(holder, now_ms)
+            self._recall(demand, now_ms)
         else:
             del self._demands[demand.key]
             self.linger_ms = min(LINGER_MAX_MS, self.linger_ms * LINGER_GROW)
@@ -271,19 +278,44 @@
             return False
         return self._health.eligible(row, None)
 
-    def _recall(self, holder: str, now_ms: float) -> None:
-        held = self.ledger.held
-        if not held:
-            return
-        if len(self._demands) >= CROWD:
-            lease = self.ledger.find_remote(self._zone_of(holder), self._zone_of)
-            if lease is not None:
-                grant = SlotGrant(shard=self.shard, recalled=[lease.token])
-                self._ask_back(lease.holder, now_ms, grant)
+    def _recall(self, demand: Demand, now_ms: float) -> None:
+        if self.linger_ms > IDLE_LINGER_MS:
+            self._recall_idle(demand, now_ms)
+            if not self._pressing:
+                self._pressing = True
+                self._timers.call_later(PRESS_MS, self._press)
+        elif len(self._demands) >= CROWD:
+            self._recall_remote(demand, now_ms)
+        else:
+            self._recall_idle(demand, now_ms)
+
+    def _press(self) -> None:
+        self._pressing = False
+        demand = next(iter(self._demands.values()), None)
+        if demand is None or demand.isolated:
             return
-        richest = max(held, key=lambda name: held[name])
-        if held[richest] > held.get(holder, 0) + RECALL_GAP:
-            self._ask_back(richest, now_ms, SlotGrant(shard=self.shard, recall=1))
+        self.linger_ms = max(LINGER_MIN_MS, self.linger_ms * LINGER_SHRINK)
+        self._recall(demand, self._clock.now_ms())
+        self._deliver()
+
+    def _recall_idle(self, demand: Demand, now_ms: float) -> None:
+        held = self.ledger.held
+        limit = held.get(demand.holder, 0) + RECALL_GAP
+        old_ms = now_ms - RECALL_AGAIN_MS
+        last_ms = self._recalled_ms.get
+        rich = sorted(
+            (name for name in held if held[name] > limit),
+            key=lambda name: (last_ms(name, 0.0) > old_ms, -held[name]),
+        )
+        for name in rich[: demand.count]:
+            self._ask_back(name, now_ms, SlotGrant(shard=self.shard, recall=1))
+
+    def _recall_remote(self, demand: Demand, now_ms: float) -> None:
+        zone = self._zone_of(demand.holder)
+        lease = self.ledger.find_remote(zone, self._zone_of)
+        if lease is not None:
+            grant = SlotGrant(shard=self.shard, recalled=[lease.token])
+            self._ask_back(lease.holder, now_ms, grant)
 
     def _ask_back(self, holder: str, now_ms: float, grant: SlotGrant) -> None:
         last_ms = self._recalled_ms.get(holder, -RECALL_PAUSE_MS)
