Tell the broker with each return how many calls wait

Cause: a host whose own leases had emptied its queue was still granted leases. Change: SlotReturn carries the count; the broker cuts the demand down to it.

--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -264,6 +264,7 @@
         self._bus.send(host_id, message)
 
     def _send_return(self, shard: str, message: SlotReturn) -> None:
+        message.waiting = self._count_waiting(split_shard(shard)[0])
         broker = self._shards.broker(shard)
         if broker == self._bus.host_id:
             self._broker(shard).take_return(broker, message)
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -153,6 +153,11 @@
             self._take_use(holder, use)
         for upstream, token in zip(message.held, message.held_tokens, strict=True):
             self._renew(holder, upstream, token, now_ms)
+        demand = self._demands.get((holder, False))
+        if demand is not None:
+            demand.count = min(demand.count, message.waiting)
+            if not demand.count:
+                del self._demands[demand.key]
         self._serve()
         self._deliver()
 
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -1265,13 +1265,14 @@
 
 class SlotReturn(object):
     """
-    `held` and `held_tokens` renew leases; a new broker learns them from here.
+    `waiting` counts the calls that wait at the sender. `held` and `held_tokens` renew leases; a new broker learns them from here.
 
     Attributes:
      - shard
      - uses
      - held
      - held_tokens
+     - waiting
 
     """
 
@@ -1280,14 +1281,16 @@
         'uses',
         'held',
         'held_tokens',
+        'waiting',
     )
 
 
-    def __init__(self, shard=None, uses=None, held=None, held_tokens=None,):
+    def __init__(self, shard=None, uses=None, held=None, held_tokens=None, waiting=None,):
         self.shard = shard
         self.uses = uses
         self.held = held
         self.held_tokens = held_tokens
+        self.waiting = waiting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1334,6 +1337,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1369,6 +1377,10 @@
                 oprot.writeI64(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 5)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2950,6 +2962,7 @@
     (2, TType.LIST, 'uses', (TType.STRUCT, [SlotUse, None], False), None, ),  # 2
     (3, TType.LIST, 'held', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.LIST, 'held_tokens', (TType.I64, None, False), None, ),  # 4
+    (5, TType.I32, 'waiting', None, None, ),  # 5
 )
 all_structs.append(UpstreamNotice)
 UpstreamNotice.thrift_spec = (
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -144,12 +144,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class SlotReturn:
-    """Ends of attempts and leases, and the leases that the sender still holds."""
+    """
+    Ends of attempts and leases, and the leases that the sender still holds.
+
+    ``waiting`` counts the calls that wait at the sender.
+    """
 
     shard: str = ""
     uses: list[SlotUse] = field(default_factory=list)
     held: list[str] = field(default_factory=list)
     held_tokens: list[int] = field(default_factory=list)
+    waiting: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -86,12 +86,13 @@
   6: bool draining,
 }
 
-/** `held` and `held_tokens` renew leases; a new broker learns them from here. */
+/** `waiting` counts the calls that wait at the sender. `held` and `held_tokens` renew leases; a new broker learns them from here. */
 struct SlotReturn {
   1: string shard,
   2: list<SlotUse> uses,
   3: list<string> held,
   4: list<i64> held_tokens,
+  5: i32 waiting,
 }
 
 /** An upstream's state as observed by one host. */
