End new work on all hosts when an upstream says that it leaves

Cause: an upstream's own sign of draining reached the broker only, and a change of configuration or the host list could undo it. Change: an upstream row keeps the causes of its drain; LeavingSystem tells all peers, repeats, and probes by connecting until the upstream has restarted. A test's fixtures no longer clash with those of other test modules. Conclusion: the first source to speak ends new work, the last to fall silent lets it begin again.

--- a/src/mangohatch/core/health/ejection.py
+++ b/src/mangohatch/core/health/ejection.py
@@ -40,6 +40,8 @@
 
     def observe(self, row: UpstreamRow, report: Report, holder_id: str) -> None:
         now_ms = self._clock.now_ms()
+        if report.draining:
+            self._listener.leaving(row)
         health = self._find(row)
         self._detector.update(health, report, now_ms=now_ms)
         if health.state is HealthState.HEALTHY:
--- a/src/mangohatch/core/health/listener.py
+++ b/src/mangohatch/core/health/listener.py
@@ -3,12 +3,13 @@
 from abc import ABC, abstractmethod
 
 from mangohatch.core.health.table import HealthRow
+from mangohatch.core.tables import UpstreamRow
 
 __all__ = ["HealthListener", "NoListener"]
 
 
 class HealthListener(ABC):
-    """Hears of ejections and returns."""
+    """Hears of ejections, returns and upstreams that leave."""
 
     @abstractmethod
     def ejected(self, row: HealthRow, *, duration_ms: float, cause: str) -> None:
@@ -28,6 +29,14 @@
         :param row: its row
         """
 
+    @abstractmethod
+    def leaving(self, upstream: UpstreamRow) -> None:
+        """
+        An answer said that its upstream is draining.
+
+        :param upstream: the upstream
+        """
+
 
 class NoListener(HealthListener):
     """Ignores all changes."""
@@ -37,3 +46,6 @@
 
     def returned(self, row: HealthRow) -> None:
         return None
+
+    def leaving(self, upstream: UpstreamRow) -> None:
+        return None
--- /dev/null
+++ b/src/mangohatch/core/leaving/system.py
@@ -0,0 +1,171 @@
+"""The system that keeps upstreams out which said that they are leaving."""
+
+from dataclasses import dataclass
+
+from mangohatch.clock import Clock
+from mangohatch.core.leaving.probe import ReachabilityProbe
+from mangohatch.core.slots.shards import rank
+from mangohatch.core.tables import DrainCause, Tables, UpstreamRow
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.messages import UpstreamNotice
+from mangohatch.timeline import EventKind, Recorder
+
+__all__ = ["LeavingSystem"]
+
+LEAVING = "leaving"
+ARRIVED = "arrived"
+PROBE_INTERVAL_MS = 1_000.0
+REPEAT_MS = 1_000.0
+TERM_MS = 900_000.0
+
+Key = tuple[str, str]
+
+
+@dataclass(slots=True, kw_only=True)
+class LeavingRow:
+    """An upstream that said it is leaving; ``gone`` once it refused a connection."""
+
+    address: str
+    port: int
+    until_ms: float
+    probe_at_ms: float
+    repeat_at_ms: float
+    gone: bool = False
+
+
+class LeavingSystem:
+    """
+    Ends new work for a leaving upstream on all hosts until it has restarted.
+
+    One host, chosen by rendezvous hashing, connects to the upstream every second
+    without sending a request. An upstream that refused and then accepts again is
+    a new process; it gets work again, on all hosts.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        tables: Tables,
+        bus: PeerBus,
+        probe: ReachabilityProbe,
+        recorder: Recorder,
+    ) -> None:
+        self._clock = clock
+        self._tables = tables
+        self._bus = bus
+        self._probe = probe
+        self._recorder = recorder
+        self._rows: dict[Key, LeavingRow] = {}
+        bus.subscribe(UpstreamNotice, self._receive)
+
+    def mark(self, upstream: UpstreamRow, *, cause: str) -> None:
+        """
+        Take note that an upstream said it is leaving, and tell all peers.
+
+        :param upstream: the upstream
+        :param cause: who heard it
+        """
+        if self._add(upstream, cause):
+            self._announce(upstream, LEAVING, cause)
+
+    def tick(self) -> None:
+        """Keep marks in force, probe for restarts, repeat notices and expire."""
+        now_ms = self._clock.now_ms()
+        for key, row in list(self._rows.items()):
+            upstream = self._find(key)
+            if upstream is None or now_ms >= row.until_ms or has_moved(upstream, row):
+                self._drop(key, upstream)
+                continue
+            upstream.start_drain(DrainCause.SIGN)
+            if not self._is_owner(key):
+                continue
+            if now_ms >= row.repeat_at_ms:
+                row.repeat_at_ms = now_ms + REPEAT_MS
+                self._announce(upstream, LEAVING, "repeated")
+            if now_ms >= row.probe_at_ms:
+                row.probe_at_ms = now_ms + PROBE_INTERVAL_MS
+                self._start_probe(key, row)
+
+    def _add(self, upstream: UpstreamRow, cause: str) -> bool:
+        now_ms = self._clock.now_ms()
+        key = (upstream.service, upstream.name)
+        known = self._rows.get(key)
+        if known is not None and not has_moved(upstream, known):
+            return False
+        self._rows[key] = LeavingRow(
+            address=upstream.address,
+            port=upstream.port,
+            until_ms=now_ms + TERM_MS,
+            probe_at_ms=now_ms + PROBE_INTERVAL_MS,
+            repeat_at_ms=now_ms + REPEAT_MS,
+        )
+        upstream.start_drain(DrainCause.SIGN)
+        self._record(EventKind.UPSTREAM_DRAINING, upstream, cause)
+        return True
+
+    def _start_probe(self, key: Key, row: LeavingRow) -> None:
+        def done(accepted: bool) -> None:
+            if self._rows.get(key) is row:
+                self._take_probe(key, row, accepted)
+
+        self._probe.check(row.address, row.port, done)
+
+    def _take_probe(self, key: Key, row: LeavingRow, accepted: bool) -> None:
+        if not accepted:
+            row.gone = True
+            return
+        if not row.gone:
+            return
+        upstream = self._find(key)
+        self._drop(key, upstream)
+        if upstream is not None:
+            self._announce(upstream, ARRIVED, "accepts connections again")
+
+    def _drop(self, key: Key, upstream: UpstreamRow | None) -> None:
+        del self._rows[key]
+        if upstream is not None and upstream.end_drain(DrainCause.SIGN):
+            self._record(EventKind.UPSTREAM_RETURNED, upstream, "no longer leaving")
+
+    def _receive(self, sender: str, notice: UpstreamNotice) -> None:
+        key = (notice.service_name, notice.upstream)
+        upstream = self._find(key)
+        if upstream is None:
+            return
+        if notice.state == LEAVING:
+            self._add(upstream, f"{notice.cause}, told by {sender}")
+        elif notice.state == ARRIVED and key in self._rows:
+            self._drop(key, upstream)
+
+    def _find(self, key: Key) -> UpstreamRow | None:
+        service = self._tables.services.get(key[0])
+        return service.upstreams.get(key[1]) if service else None
+
+    def _is_owner(self, key: Key) -> bool:
+        hosts = [member.host_id for member in self._bus.members()]
+        return max(hosts, key=lambda host: rank(host, *key)) == self._bus.host_id
+
+    def _announce(self, upstream: UpstreamRow, state: str, cause: str) -> None:
+        notice = UpstreamNotice(
+            service_name=upstream.service,
+            upstream=upstream.name,
+            state=state,
+            cause=cause,
+        )
+        self._bus.broadcast(notice)
+
+    def _record(self, kind: EventKind, upstream: UpstreamRow, cause: str) -> None:
+        self._recorder.record(
+            kind, service=upstream.service, upstream=upstream.name, cause=cause
+        )
+
+
+def has_moved(upstream: UpstreamRow, row: LeavingRow) -> bool:
+    """
+    Tell whether an upstream has another address than the one that is leaving.
+
+    :param upstream: the upstream as configured
+    :param row: the mark
+    :return: whether the mark is about another process
+    """
+    return (upstream.address, upstream.port) != (row.address, row.port)
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -6,7 +6,7 @@
 
 from mangohatch.config.service import ServiceSpec, UpstreamSpec
 
-__all__ = ["ServiceRow", "Tables", "UpstreamRow", "UpstreamState"]
+__all__ = ["DrainCause", "ServiceRow", "Tables", "UpstreamRow", "UpstreamState"]
 
 
 class UpstreamState(StrEnum):
@@ -18,6 +18,14 @@
     DRAINING = "draining"
 
 
+class DrainCause(StrEnum):
+    """Who said that an upstream takes no new work."""
+
+    ORDER = "order"
+    LISTED = "listed"
+    SIGN = "sign"
+
+
 @dataclass(slots=True, kw_only=True)
 class UpstreamRow:
     """
@@ -36,6 +44,34 @@
     connections: int
     state: UpstreamState = UpstreamState.ACTIVE
     in_flight: int = 0
+    drain_causes: set[DrainCause] = field(default_factory=set)
+
+    def start_drain(self, cause: DrainCause) -> bool:
+        """
+        End new work.
+
+        :param cause: who asks for it
+        :return: whether new work was still allowed
+        """
+        began = not self.drain_causes
+        self.drain_causes.add(cause)
+        self.state = UpstreamState.DRAINING
+        return began
+
+    def end_drain(self, cause: DrainCause) -> bool:
+        """
+        Withdraw a cause; new work begins when none is left.
+
+        :param cause: who asked for it
+        :return: whether new work is allowed again
+        """
+        if cause not in self.drain_causes:
+            return False
+        self.drain_causes.discard(cause)
+        if self.drain_causes:
+            return False
+        self.state = UpstreamState.ACTIVE
+        return True
 
 
 @dataclass(slots=True, kw_only=True)
@@ -74,8 +110,8 @@
                 fresh.port,
             ):
                 fresh.in_flight = old.in_flight
-                if not upstream.draining and old.state is not UpstreamState.DRAINING:
-                    fresh.state = old.state
+                for cause in old.drain_causes - {DrainCause.ORDER}:
+                    fresh.start_drain(cause)
             row.upstreams[upstream.name] = fresh
         self.services[spec.name] = row
         return True
@@ -112,8 +148,7 @@
     :param spec: the checked specification
     :return: the row
     """
-    state = UpstreamState.DRAINING if spec.draining else UpstreamState.ACTIVE
-    return UpstreamRow(
+    row = UpstreamRow(
         service=service,
         name=spec.name,
         address=spec.address,
@@ -121,5 +156,7 @@
         zone=spec.zone,
         slots=spec.slots,
         connections=spec.connections,
-        state=state,
     )
+    if spec.draining:
+        row.start_drain(DrainCause.ORDER)
+    return row
--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -179,7 +179,7 @@
 
     def tick(self) -> None:
         """Run all systems once."""
-        self.routing.gate.tick()
+        self.routing.tick()
         self.entry.tick()
         self.metrics.tick()
         if not self._was_ready and self.not_ready() is None:
--- a/src/mangohatch/host/health.py
+++ b/src/mangohatch/host/health.py
@@ -1,8 +1,9 @@
-"""Exchange of ejections with peers and the time line."""
+"""What health tells peers and the time line."""
 
 from mangohatch.core.health import HealthListener, OutlierHealth
 from mangohatch.core.health.table import HealthRow, HealthState
-from mangohatch.core.tables import Tables
+from mangohatch.core.leaving import LeavingSystem
+from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages import UpstreamNotice
 from mangohatch.timeline import EventKind, Recorder
@@ -11,11 +12,20 @@
 
 
 class HealthNews(HealthListener):
-    """Records ejections and returns, and tells peers of ejections."""
+    """
+    Records ejections and returns, and tells peers of ejections.
+
+    :param bus: messages to other hosts
+    :param recorder: the time line
+    :param leaving: keeps out upstreams that say they are leaving
+    """
 
-    def __init__(self, *, bus: PeerBus, recorder: Recorder) -> None:
+    def __init__(
+        self, *, bus: PeerBus, recorder: Recorder, leaving: LeavingSystem
+    ) -> None:
         self._bus = bus
         self._recorder = recorder
+        self._leaving = leaving
 
     def ejected(self, row: HealthRow, *, duration_ms: float, cause: str) -> None:
         self._recorder.record(
@@ -42,6 +52,9 @@
             cause="answered on probation",
         )
 
+    def leaving(self, upstream: UpstreamRow) -> None:
+        self._leaving.mark(upstream, cause="its answer said so")
+
 
 def subscribe_advice(bus: PeerBus, *, tables: Tables, health: OutlierHealth) -> None:
     """
--- a/src/mangohatch/host/routing.py
+++ b/src/mangohatch/host/routing.py
@@ -6,6 +6,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.choice.tokens import TokenChooser
 from mangohatch.core.health import OutlierHealth
+from mangohatch.core.leaving import LeavingSystem
 from mangohatch.core.quarantine import (
     QuarantineGate,
     QuarantineNotices,
@@ -14,6 +15,7 @@
 from mangohatch.core.router import Router
 from mangohatch.core.tables import Tables
 from mangohatch.host.health import HealthNews, subscribe_advice
+from mangohatch.host.reach import TcpReachability
 from mangohatch.host.timers import LoopTimers
 from mangohatch.peer.bus import PeerBus
 from mangohatch.timeline import Recorder
@@ -29,6 +31,12 @@
     health: OutlierHealth
     chooser: TokenChooser
     quarantine: QuarantineTable
+    leaving: LeavingSystem
+
+    def tick(self) -> None:
+        """Run the systems over the tables once."""
+        self.leaving.tick()
+        self.gate.tick()
 
 
 def make_routing(
@@ -49,9 +57,15 @@
     :param recorder: the time line
     :return: the parts that others need
     """
-    health = OutlierHealth(
-        clock=clock, rng=rng, listener=HealthNews(bus=bus, recorder=recorder)
+    leaving = LeavingSystem(
+        clock=clock,
+        tables=tables,
+        bus=bus,
+        probe=TcpReachability(),
+        recorder=recorder,
     )
+    news = HealthNews(bus=bus, recorder=recorder, leaving=leaving)
+    health = OutlierHealth(clock=clock, rng=rng, listener=news)
     subscribe_advice(bus, tables=tables, health=health)
     timers = LoopTimers()
     chooser = TokenChooser(
@@ -71,4 +85,10 @@
     gate = QuarantineGate(
         clock=clock, router=router, table=quarantine, notices=notices, recorder=recorder
     )
-    return Routing(gate=gate, health=health, chooser=chooser, quarantine=quarantine)
+    return Routing(
+        gate=gate,
+        health=health,
+        chooser=chooser,
+        quarantine=quarantine,
+        leaving=leaving,
+    )
--- a/src/mangohatch/state/effects.py
+++ b/src/mangohatch/state/effects.py
@@ -3,7 +3,7 @@
 import json
 from abc import ABC, abstractmethod
 
-from mangohatch.core.tables import Tables, UpstreamRow, UpstreamState
+from mangohatch.core.tables import DrainCause, Tables, UpstreamRow
 from mangohatch.peer.messages import ConfigItem
 from mangohatch.state.items import ConfigRejected, read_service
 from mangohatch.timeline.event import EventKind
@@ -48,9 +48,6 @@
     """
     Ends new work for upstreams that the host list names as leaving.
 
-    An upstream that was draining for another reason before it was marked stays so
-    when the mark goes.
-
     :param tables: tables of the decision core
     :param recorder: the time line
     """
@@ -58,18 +55,23 @@
     def __init__(self, *, tables: Tables, recorder: Recorder) -> None:
         self._tables = tables
         self._recorder = recorder
-        self._marks: dict[str, bool] = {}
+        self._marks: set[str] = set()
 
     def enforce(self, item: ConfigItem) -> None:
         row = self._find(item.name)
         if item.deleted:
-            was_active = self._marks.pop(item.name, False)
-            if row is not None and was_active and not self._is_ordered(row):
-                row.state = UpstreamState.ACTIVE
+            self._marks.discard(item.name)
+            if row is not None:
+                row.end_drain(DrainCause.LISTED)
             return
-        self._marks[item.name] = False
-        if row is not None:
-            self._mark(item.name, row, read_cause(item))
+        self._marks.add(item.name)
+        if row is not None and row.start_drain(DrainCause.LISTED):
+            self._recorder.record(
+                EventKind.UPSTREAM_DRAINING,
+                service=row.service,
+                upstream=row.name,
+                cause=read_cause(item),
+            )
 
     def enforce_again(self, service: str) -> None:
         """
@@ -78,11 +80,9 @@
         :param service: name of the service
         """
         for name in self._marks:
-            if name.partition("/")[0] != service:
-                continue
             row = self._find(name)
-            if row is not None and row.state is not UpstreamState.DRAINING:
-                self._mark(name, row, "")
+            if row is not None and row.service == service:
+                row.start_drain(DrainCause.LISTED)
 
     def is_marked(self, service: str, upstream: str) -> bool:
         """
@@ -94,26 +94,11 @@
         """
         return leaving_name(service, upstream) in self._marks
 
-    def _mark(self, name: str, row: UpstreamRow, cause: str) -> None:
-        self._marks[name] = row.state is not UpstreamState.DRAINING
-        row.state = UpstreamState.DRAINING
-        if cause:
-            self._recorder.record(
-                EventKind.UPSTREAM_DRAINING,
-                service=row.service,
-                upstream=row.name,
-                cause=cause,
-            )
-
     def _find(self, name: str) -> UpstreamRow | None:
         service, _, upstream = name.partition("/")
         row = self._tables.services.get(service)
         return row.upstreams.get(upstream) if row else None
 
-    def _is_ordered(self, row: UpstreamRow) -> bool:
-        specs = self._tables.services[row.service].spec.upstreams
-        return any(spec.name == row.name and spec.draining for spec in specs)
-
 
 class ServiceEffect(ItemEffect):
     """
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,6 +8,7 @@
 import structlog
 
 import tests.fixtures  # noqa: F401
+import tests.network  # noqa: F401
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
--- a/tests/core/health/test_ejection.py
+++ b/tests/core/health/test_ejection.py
@@ -29,6 +29,9 @@
     def returned(self, row):
         self.lines.append(("returned", row.name))
 
+    def leaving(self, upstream):
+        self.lines.append(("leaving", upstream.name))
+
 
 @fixture
 def notes():
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -11,10 +11,10 @@
 )
 from mangohatch.core.router import Router
 from mangohatch.core.tables import Tables
-from mangohatch.peer.bus import MemberView, PeerBus
 from mangohatch.timeline import HybridClock, Recorder
 from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
+from tests.network import Bus
 
 load_tests = function_tests(__name__)
 
@@ -26,53 +26,6 @@
 ABORTED = Report(result=Result.ABORTED, latency_ms=5.0)
 
 
-class Network:
-    """Messages between hosts, delivered when the test says so."""
-
-    def __init__(self):
-        self.buses = {}
-        self.queue = []
-        self.cut = set()
-
-    def deliver(self):
-        while self.queue:
-            sender, receiver, message = self.queue.pop(0)
-            if receiver not in self.cut and sender not in self.cut:
-                self.buses[receiver].handlers[type(message)](sender, message)
-
-
-class Bus(PeerBus):
-    """One host's end of the network."""
-
-    def __init__(self, *, network, name):
-        self._network = network
-        self._name = name
-        self.handlers = {}
-        network.buses[name] = self
-
-    @property
-    def host_id(self):
-        return self._name
-
-    def members(self):
-        return [
-            MemberView(host_id=name, incarnation=1, zone="puno")
-            for name in sorted(self._network.buses)
-        ]
-
-    def send(self, host_id, message):
-        self._network.queue.append((self._name, host_id, message))
-        return True
-
-    def broadcast(self, message):
-        for member in self.members():
-            if member.host_id != self._name:
-                self.send(member.host_id, message)
-
-    def subscribe(self, message_type, handler):
-        self.handlers[message_type] = handler
-
-
 def make_gate(network, clock, name):
     tables = Tables()
     tables.apply(make_service(SERVICE, upstreams=30), revision=1)
@@ -88,11 +41,6 @@
     )
 
 
-@fixture
-def network():
-    return Network()
-
-
 @fixture
 def gates(network, clock):
     return [make_gate(network, clock, f"entry-{n}") for n in range(HOSTS)]
--- a/tests/functions.py
+++ b/tests/functions.py
@@ -10,7 +10,7 @@
 
 __all__ = ["fixture", "function_tests"]
 
-FIXTURES: dict[str, Callable[..., Any]] = {}
+FIXTURES: dict[str, dict[str, Callable[..., Any]]] = {}
 
 
 def fixture(function: Callable[..., Any]) -> Callable[..., Any]:
@@ -18,56 +18,77 @@
     Register a fixture under the name of its function.
 
     A fixture may take other fixtures as parameters; a generator's code after
-    ``yield`` runs when the test has ended.
+    ``yield`` runs when the test has ended. A test module's own fixtures go
+    before shared ones of the same name, and no other test module sees them.
 
     :param function: makes the value, or yields it once
     :return: the function itself
-    :raises ValueError: when another module has a fixture of the same name
     """
-    known = FIXTURES.get(function.__name__)
-    if known is not None and known.__module__ != function.__module__:
-        raise ValueError(
-            f"fixture {function.__name__} is defined in {known.__module__} and in "
-            f"{function.__module__}"
-        )
-    FIXTURES[function.__name__] = function
+    FIXTURES.setdefault(function.__module__, {})[function.__name__] = function
     return function
 
 
-def make_fixture(name: str, stack: contextlib.ExitStack, made: dict[str, Any]) -> Any:
+def find_fixture(name: str, module: str) -> Callable[..., Any]:
     """
-    Make a fixture and those it needs, each once per test.
+    Find a fixture.
 
     :param name: name of the fixture
-    :param stack: closes the fixtures
-    :param made: fixtures made so far in this test
-    :return: the value
+    :param module: module of the test
+    :return: the fixture of the module, else the shared one
+    :raises LookupError: when there is none
     """
-    if name not in made:
-        function = FIXTURES[name]
-        value = function(**make_arguments(function, stack, made))
-        if inspect.isgenerator(value):
-            value = stack.enter_context(contextlib.contextmanager(lambda: value)())
-        made[name] = value
-    return made[name]
-
-
-def make_arguments(
-    function: Callable[..., Any], stack: contextlib.ExitStack, made: dict[str, Any]
-) -> dict[str, Any]:
+    own = FIXTURES.get(module, {})
+    if name in own:
+        return own[name]
+    for other, fixtures in FIXTURES.items():
+        is_shared = not other.rpartition(".")[2].startswith("test_")
+        if is_shared and name in fixtures:
+            return fixtures[name]
+    raise LookupError(f"no fixture {name} for {module}")
+
+
+class FixtureMaker:
     """
-    Make the fixtures that a function takes as parameters.
+    Makes the fixtures of one test, each once.
 
-    :param function: a test or a fixture
+    :param module: module of the test
     :param stack: closes the fixtures
-    :param made: fixtures made so far in this test
-    :return: arguments by name
     """
-    return {
-        name: make_fixture(name, stack, made)
-        for name, parameter in inspect.signature(function).parameters.items()
-        if parameter.default is parameter.empty
-    }
+
+    def __init__(self, *, module: str, stack: contextlib.ExitStack) -> None:
+        self._module = module
+        self._stack = stack
+        self._made: dict[str, Any] = {}
+
+    def make(self, name: str) -> Any:
+        """
+        Make a fixture and those it needs.
+
+        :param name: name of the fixture
+        :return: the value
+        """
+        if name not in self._made:
+            function = find_fixture(name, self._module)
+            value = function(**self.make_arguments(function))
+            if inspect.isgenerator(value):
+                manager = contextlib.contextmanager(lambda: value)()
+                value = self._stack.enter_context(manager)
+            self._made[name] = value
+        return self._made[name]
+
+    def make_arguments(self, function: Callable[..., Any]) -> dict[str, Any]:
+        """
+        Make the fixtures that a function takes as parameters.
+
+        :param function: a test or a fixture
+        :return: arguments by name
+        """
+        parameters = inspect.signature(function).parameters
+        return {
+            name: self.make(name)
+            for name, parameter in parameters.items()
+            if parameter.default is parameter.empty
+        }
 
 
 def run_test(function: Callable[..., Any]) -> None:
@@ -77,7 +98,8 @@
     :param function: the test
     """
     with contextlib.ExitStack() as stack:
-        result = function(**make_arguments(function, stack, {}))
+        maker = FixtureMaker(module=function.__module__, stack=stack)
+        result = function(**maker.make_arguments(function))
         if inspect.iscoroutine(result):
             asyncio.run(result)
 
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,58 @@
+"""Messages between hosts in memory, delivered when a test says so."""
+
+from mangohatch.peer.bus import MemberView, PeerBus
+from tests.functions import fixture
+
+__all__ = ["Bus", "Network"]
+
+
+class Network:
+    """Messages between hosts, delivered when the test says so."""
+
+    def __init__(self):
+        self.buses = {}
+        self.queue = []
+        self.cut = set()
+
+    def deliver(self):
+        while self.queue:
+            sender, receiver, message = self.queue.pop(0)
+            if receiver not in self.cut and sender not in self.cut:
+                self.buses[receiver].handlers[type(message)](sender, message)
+
+
+class Bus(PeerBus):
+    """One host's end of the network."""
+
+    def __init__(self, *, network, name):
+        self._network = network
+        self._name = name
+        self.handlers = {}
+        network.buses[name] = self
+
+    @property
+    def host_id(self):
+        return self._name
+
+    def members(self):
+        return [
+            MemberView(host_id=name, incarnation=1, zone="puno")
+            for name in sorted(self._network.buses)
+        ]
+
+    def send(self, host_id, message):
+        self._network.queue.append((self._name, host_id, message))
+        return True
+
+    def broadcast(self, message):
+        for member in self.members():
+            if member.host_id != self._name:
+                self.send(member.host_id, message)
+
+    def subscribe(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+
+@fixture
+def network():
+    return Network()
--- a/tests/state/test_leaving.py
+++ b/tests/state/test_leaving.py
@@ -1,6 +1,6 @@
 """Tests of upstreams that the host list names as leaving."""
 
-from mangohatch.core.tables import UpstreamState
+from mangohatch.core.tables import DrainCause, UpstreamState
 from mangohatch.platform.host_list import ListedHost, ListedState
 from standins.state_hosts import StateHosts
 from tests.fixtures import make_service
@@ -61,7 +61,7 @@
 def test_upstream_that_drains_by_itself_is_not_revived_by_the_list(fleet):
     for host in fleet.live.values():
         row = host.tables.services[SERVICE].upstreams["u1"]
-        row.state = UpstreamState.DRAINING
+        row.start_drain(DrainCause.SIGN)
     list_upstream(fleet, ListedState.LEAVING)
     fleet.loop.run_for(NO_NEW_WORK_MS)
     list_upstream(fleet, ListedState.LIVE)
