Run entry hosts on asyncio's loop, since uvloop sets up an io_uring

Cause: strace of an entry host showed io_uring_setup and io_uring_enter although UV_USE_IO_URING is 0; the libuv of uvloop 0.23 batches its epoll changes over a ring whatever that setting says. A process of the system uses no io_uring.

Change: run_host uses asyncio.run; the setting that had no effect is gone.

--- a/src/mangohatch/host/process.py
+++ b/src/mangohatch/host/process.py
@@ -16,7 +16,6 @@
 
     :param cfg: checked settings
     """
-    import uvloop
 
     async def serve() -> None:
         leaving = asyncio.Event()
@@ -25,4 +24,5 @@
             loop.add_signal_handler(signum, leaving.set)
         await EntryHost(cfg=cfg, clock=SystemClock()).run(leaving)
 
-    uvloop.run(serve())
+    # uvloop is not used: its libuv sets up an io_uring whatever its settings.
+    asyncio.run(serve())
--- a/src/mangohatch/run.py
+++ b/src/mangohatch/run.py
@@ -1,6 +1,5 @@
 """Command line of the program; turns handled errors into exit codes."""
 
-import os
 import sys
 
 from mangohatch.errors import MangohatchError
@@ -10,8 +9,6 @@
 
 def main() -> None:
     """Run the command line and exit with the code of the error, if any."""
-    # libuv reads this when it starts; entry hosts use no io_uring.
-    os.environ["UV_USE_IO_URING"] = "0"
     from mangohatch.commands import app
     from mangohatch.log import configure_logging
 
