Measure the slopes of peer messages, brokers, members and connections

Cause: the capacity page needs what the parts that landed since cost. Change: six more slopes; whole numbers are printed as such.

--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -1,8 +1,12 @@
 """Measures all slopes and rewrites the table in docs/CAPACITY.md."""
 
+import logging
 from pathlib import Path
 
+import structlog
+
 from bench.slopes.base import Slope, measure_slope
+from bench.slopes.fleet import FLEET_SLOPES
 from bench.slopes.report import make_table, replace_table, write_results
 from bench.slopes.state import STATE_SLOPES
 from bench.slopes.work import WORK_SLOPES
@@ -14,7 +18,10 @@
 
 def main() -> None:
     """Measure, print and write."""
-    slopes: list[Slope] = [*STATE_SLOPES, *WORK_SLOPES]
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING)
+    )
+    slopes: list[Slope] = [*STATE_SLOPES, *WORK_SLOPES, *FLEET_SLOPES]
     fits = [measure_slope(slope) for slope in slopes]
     table = make_table(fits)
     print(table)
--- a/bench/slopes/report.py
+++ b/bench/slopes/report.py
@@ -13,6 +13,16 @@
 END = "<!-- slopes: end -->"
 
 
+def format_cost(value: float) -> str:
+    """
+    Format a cost with three significant figures or as a whole number.
+
+    :param value: the cost
+    :return: the text
+    """
+    return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"
+
+
 def make_table(fits: Sequence[Fit]) -> str:
     """
     Render slopes as a Markdown table.
@@ -26,8 +36,8 @@
     ]
     for fit in fits:
         lines.append(
-            f"| {fit.name} | {fit.slope:.3g} {fit.unit} per {fit.per} "
-            f"| {fit.low:.3g} to {fit.high:.3g} over {fit.runs} runs "
+            f"| {fit.name} | {format_cost(fit.slope)} {fit.unit} per {fit.per} "
+            f"| {format_cost(fit.low)} to {format_cost(fit.high)}, {fit.runs} runs "
             f"| {fit.smallest:,} to {fit.largest:,} |"
         )
     return "\n".join(lines)
--- a/bench/slopes/work.py
+++ b/bench/slopes/work.py
@@ -37,9 +37,9 @@
 
 
 class DecisionTime(Slope):
-    """Decisions and releases of the router with health."""
+    """Decisions and releases of the router with health, without leases."""
 
-    name = "decision and release at 100 upstreams"
+    name = "decision by least in flight at 100 upstreams"
     unit = "us"
     per = "request"
     sizes = SIZES
