Check drains, a crashing request and costs in the demo

Cause: the demo did not see work on a drained upstream, the spread of a crashing request, an operator's order or what measuring and the store cost. Change: the balancer removes a leaving host when it reports not ready; an operator orders a drain; one request crashes each upstream that runs it, at most 3 allowed; runs on upstreams 4 s after their drain began count; metrics of the entry hosts are scraped, those of the replaced one before its end.

--- a/bench/live/report.py
+++ b/bench/live/report.py
@@ -23,6 +23,8 @@
     ("doubled", 8),
     ("unknown", 8),
     ("measuring_calls_per_request", 28),
+    ("measuring_bytes_per_request", 28),
+    ("store_calls_per_request", 24),
     ("entry_cpu_us_per_request", 25),
     ("caller_lag_p99_ms", 18),
 )
--- a/bench/live/run.py
+++ b/bench/live/run.py
@@ -19,6 +19,7 @@
 from mangohatch.clock import Clock, SystemClock
 from standins.caller import AttemptResult, Balancer, Caller, Record, judge
 from standins.caller.verdict import percentile
+from standins.costs import costs_of
 from standins.fleet import Fleet
 from standins.platform import Platform
 from standins.sites import Site
@@ -52,6 +53,7 @@
     unknown: int
     measuring_calls_per_request: float
     measuring_bytes_per_request: float
+    store_calls_per_request: float
     entry_cpu_us_per_request: float
     caller_lag_p99_ms: float
     machine_load: float
@@ -61,8 +63,9 @@
 class Totals:
     """Counters that only grow, read before and after a case."""
 
-    measuring_calls: int
-    measuring_bytes: int
+    measuring_calls: float
+    measuring_bytes: float
+    store_calls: float
     entry_cpu_ms: float
 
 
@@ -74,10 +77,14 @@
     :return: the counters
     """
     ledgers = await fleet.read_ledgers()
+    costs = costs_of(await fleet.read_metrics())
+    calls = sum(ledger["measuring_calls"] for ledger in ledgers)
+    size = sum(ledger["measuring_bytes"] for ledger in ledgers)
     cpu_ms = sum(read_usage(entry.child.pid).cpu_ms for entry in fleet.entries)
     return Totals(
-        measuring_calls=sum(ledger["measuring_calls"] for ledger in ledgers),
-        measuring_bytes=sum(ledger["measuring_bytes"] for ledger in ledgers),
+        measuring_calls=calls + costs.measuring_calls,
+        measuring_bytes=size + costs.measuring_bytes,
+        store_calls=sum((await fleet.platform.read_calls()).values()),
         entry_cpu_ms=cpu_ms,
     )
 
@@ -178,6 +185,9 @@
         unknown=verdict.unknown,
         measuring_calls_per_request=round(calls / count, 4),
         measuring_bytes_per_request=round(size / count, 2),
+        store_calls_per_request=round(
+            (after.store_calls - before.store_calls) / count, 4
+        ),
         entry_cpu_us_per_request=round(cpu_ms * 1000 / count, 1),
         caller_lag_p99_ms=round(percentile([r.lag_ms for r in records], 0.99), 2),
         machine_load=round(os.getloadavg()[0], 2),
--- a/demo/faults.py
+++ b/demo/faults.py
@@ -4,9 +4,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from mangohatch.admin.client import ask
 from mangohatch.clock import Clock
 from standins.caller import Balancer
-from standins.fleet import Fleet
+from standins.fleet import EntryChild, Fleet, UpstreamAddress
+from standins.scrape import is_ready
 
 __all__ = ["FaultNote", "Faults"]
 
@@ -14,7 +16,10 @@
 CRASH_AT_MS = 5000.0
 SILENCE_AT_MS = 8000.0
 REPLACE_AT_MS = 11_000.0
-BALANCER_NOTICES_MS = 500.0
+ORDER_AT_MS = 14_000.0
+DRAIN_TIME_MS = 4000.0
+BALANCER_CHECK_MS = 500.0
+ORDERED = 3
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -35,6 +40,10 @@
     clock: Clock
     notes: list[FaultNote] = field(default_factory=list)
     exit_status: int | None = None
+    order_state: str = ""
+    worked_after_drain: int = 0
+    _drained: list[tuple[UpstreamAddress, int]] = field(default_factory=list)
+    _background: list[asyncio.Task[None]] = field(default_factory=list)
 
     async def run(self) -> None:
         """Cause each failure at its time."""
@@ -44,6 +53,7 @@
             (CRASH_AT_MS, self.crash),
             (SILENCE_AT_MS, self.silence),
             (REPLACE_AT_MS, self.replace),
+            (ORDER_AT_MS, self.order),
         )
         for at_ms, step in steps:
             wait_ms = started_ms + at_ms - self.clock.now_ms()
@@ -51,6 +61,22 @@
             text = await step()
             site = self.fleet.site.name
             self.notes.append(FaultNote(at_ms=at_ms, site=site, text=text))
+        await asyncio.gather(*self._background)
+
+    async def finish(self) -> None:
+        """Count the work that upstreams got long after they began to leave."""
+        for upstream, before in self._drained:
+            after = (await self.fleet.read_ledger(upstream))["total"]
+            self.worked_after_drain += after - before
+
+    async def _note_drained(self, upstream: UpstreamAddress) -> None:
+        await asyncio.sleep(DRAIN_TIME_MS / 1000)
+        total = (await self.fleet.read_ledger(upstream))["total"]
+        self._drained.append((upstream, total))
+
+    def _watch_drain(self, upstream: UpstreamAddress) -> None:
+        task = asyncio.create_task(self._note_drained(upstream))
+        self._background.append(task)
 
     async def drain(self) -> str:
         """
@@ -60,6 +86,7 @@
         """
         upstream = self.fleet.upstreams[0]
         await self.fleet.control(upstream, draining=True)
+        self._watch_drain(upstream)
         return f"upstream {upstream.name} drains, refuses new work after 2 s"
 
     async def crash(self) -> str:
@@ -93,8 +120,26 @@
         old = self.fleet.entries[0]
         new = await self.fleet.start_entry()
         self.balancer.add(new.entry)
-        old.child.terminate()
-        await asyncio.sleep(BALANCER_NOTICES_MS / 1000)
-        self.balancer.remove(old.entry)
-        self.exit_status = await old.child.wait()
+        self._background.append(asyncio.create_task(self._retire(old)))
         return f"entry host {old.host_id} gets SIGTERM, {new.host_id} takes over"
+
+    async def _retire(self, old: EntryChild) -> None:
+        ending = asyncio.create_task(self.fleet.retire(old))
+        while await is_ready(old.admin):
+            await asyncio.sleep(BALANCER_CHECK_MS / 1000)
+        self.balancer.remove(old.entry)
+        self.exit_status = await ending
+
+    async def order(self) -> str:
+        """
+        Order through the operators' language that an upstream drains.
+
+        :return: what was ordered, and the answer
+        """
+        upstream = self.fleet.upstreams[ORDERED]
+        sentence = f"drain upstream {upstream.name} of {upstream.service}"
+        admin = self.fleet.entries[0].admin
+        reply = await ask(f"{admin[0]}:{admin[1]}", sentence)
+        self.order_state = reply.order.state if reply.order else "error"
+        self._watch_drain(upstream)
+        return f'operator orders "{sentence}": {self.order_state}'
--- a/demo/load.py
+++ b/demo/load.py
@@ -11,6 +11,7 @@
 DOWNLOADS_PER_S = 2.0
 LOOKUP_WORK_MS = 8.0
 CONFIRM_WORK_MS = 15.0
+CRASHING_AT_MS = 16_000.0
 DEADLINE_MS = 2000.0
 DOWNLOAD_DEADLINE_MS = 20_000.0
 DOWNLOAD_BYTES = 512 * 1024
@@ -58,4 +59,25 @@
             rate_bytes_per_s=DOWNLOAD_BYTES_PER_S,
         ),
     )
-    return make_plan(streams, duration_ms=duration_ms, name=site.name, seed=seed)
+    plan = make_plan(streams, duration_ms=duration_ms, name=site.name, seed=seed)
+    plan.append(make_crashing_request(site))
+    return sorted(plan, key=lambda request: request.at_ms)
+
+
+def make_crashing_request(site: Site) -> PlannedRequest:
+    """
+    Make the request that crashes each upstream that runs it.
+
+    :param site: the site
+    :return: a lookup
+    """
+    request_id = f"{site.name}-crashing"
+    return PlannedRequest(
+        request_id=request_id,
+        kind=RequestKind.LOOKUP,
+        at_ms=CRASHING_AT_MS,
+        path=f"/{site.desk.name}/lookup/{request_id}",
+        work_ms=LOOKUP_WORK_MS,
+        deadline_ms=DEADLINE_MS,
+        crashes_upstream=True,
+    )
--- a/demo/report.py
+++ b/demo/report.py
@@ -1,6 +1,7 @@
 """The table and the closing line of the demo."""
 
 import json
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import asdict
 
@@ -8,7 +9,13 @@
 from standins.caller import AttemptResult, Record, RequestKind, Verdict
 from standins.caller.verdict import percentile
 
-__all__ = ["closing_line", "print_faults", "print_table"]
+__all__ = [
+    "closing_line",
+    "print_faults",
+    "print_header",
+    "print_refusals",
+    "print_table",
+]
 
 ROW = "{:<10}{:<17}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10}{:>10}"
 
@@ -59,6 +66,23 @@
     print(ROW.format("site", "kind", *names))
 
 
+def print_refusals(records: Sequence[Record]) -> None:
+    """
+    Print how often attempts ended otherwise than done.
+
+    :param records: requests of both sites
+    """
+    counts = Counter(
+        (attempt.result, attempt.code or "-")
+        for record in records
+        for attempt in record.attempts
+        if attempt.result is not AttemptResult.DONE
+    )
+    print("\nattempts that were not done, by result and error code")
+    for (result, code), count in counts.most_common():
+        print(f"  {count:>5} {result:<12} {code}")
+
+
 def closing_line(verdict: Verdict) -> str:
     """
     Render the verdict as one JSON line.
--- a/demo/run.py
+++ b/demo/run.py
@@ -3,16 +3,25 @@
 import asyncio
 import random
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
 from demo.faults import Faults
 from demo.load import make_load
-from demo.report import closing_line, print_faults, print_header, print_table
+from demo.report import (
+    closing_line,
+    print_faults,
+    print_header,
+    print_refusals,
+    print_table,
+)
 from mangohatch.clock import Clock, SystemClock
-from standins.caller import Balancer, Caller, judge
+from standins.caller import Balancer, Caller, Costs, judge
+from standins.costs import costs_of
 from standins.fleet import Fleet
 from standins.platform import Platform
+from standins.scrape import Totals
 from standins.sites import SITES, Site
 from standins.upstream import Behaviour
 
@@ -35,6 +44,8 @@
         self.caller = Caller(balancer=self.balancer, clock=clock, rng=rng)
         self.faults = Faults(fleet=self.fleet, balancer=self.balancer, clock=clock)
         self.ledgers: list[dict[str, Any]] = []
+        self.totals: Totals = Counter()
+        self.store_calls = 0
         self._seed = seed
 
     async def run(self) -> None:
@@ -47,7 +58,10 @@
             self.balancer.add(entry.entry)
         plan = make_load(self.site, duration_ms=LOAD_MS, seed=self._seed)
         await asyncio.gather(self.caller.run(plan), self.faults.run())
+        await self.faults.finish()
         self.ledgers = await self.fleet.read_ledgers()
+        self.totals = await self.fleet.read_metrics()
+        self.store_calls = sum((await self.fleet.platform.read_calls()).values())
 
     async def stop(self) -> None:
         """End the processes."""
@@ -88,7 +102,26 @@
     for run in runs:
         print_table(run.site.name, run.caller.records)
     records = [record for run in runs for record in run.caller.records]
-    verdict = judge(records, [ledger for run in runs for ledger in run.ledgers])
-    print()
+    print_refusals(records)
+    verdict = judge(
+        records,
+        [ledger for run in runs for ledger in run.ledgers],
+        costs=sum_costs(runs),
+        worked_after_drain=sum(run.faults.worked_after_drain for run in runs),
+    )
+    orders = {run.faults.order_state for run in runs}
+    statuses = {run.faults.exit_status for run in runs}
+    print(f"\norders: {orders}; exit statuses of replaced entry hosts: {statuses}")
     print(closing_line(verdict))
-    return verdict.kept
+    return verdict.kept and orders == {"accepted"} and statuses == {0}
+
+
+def sum_costs(runs: list[SiteRun]) -> Costs:
+    """
+    Sum what both sites spent.
+
+    :param runs: both sites
+    :return: the costs
+    """
+    totals = sum((run.totals for run in runs), Counter())
+    return costs_of(totals, store_calls=sum(run.store_calls for run in runs))
--- a/src/standins/caller/__init__.py
+++ b/src/standins/caller/__init__.py
@@ -4,13 +4,14 @@
 from standins.caller.caller import Caller
 from standins.caller.plan import PlannedRequest, RequestKind, make_plan
 from standins.caller.record import Attempt, AttemptResult, Record
-from standins.caller.verdict import Verdict, judge
+from standins.caller.verdict import Costs, Verdict, judge
 
 __all__ = [
     "Attempt",
     "AttemptResult",
     "Balancer",
     "Caller",
+    "Costs",
     "PlannedRequest",
     "Record",
     "RequestKind",
--- a/src/standins/caller/verdict.py
+++ b/src/standins/caller/verdict.py
@@ -6,7 +6,18 @@
 
 from standins.caller.record import Attempt, AttemptResult, Record
 
-__all__ = ["Verdict", "judge", "percentile"]
+__all__ = ["Costs", "Verdict", "judge", "percentile"]
+
+CRASH_LIMIT = 3
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Costs:
+    """What a run spent on measuring, coordination and the platform."""
+
+    measuring_calls: float = 0.0
+    measuring_bytes: float = 0.0
+    store_calls: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -19,12 +30,16 @@
     mixed: int
     false_not_run: int
     truncated: int
+    worked_after_drain: int
+    crashes_per_request: int
     unknown: int
     not_run: int
     resends: int
     p50_ms: float
     p99_ms: float
     measuring_calls_per_request: float
+    measuring_bytes_per_request: float
+    store_calls_per_request: float
 
     @property
     def kept(self) -> bool:
@@ -35,8 +50,10 @@
             self.mixed,
             self.false_not_run,
             self.truncated,
+            self.worked_after_drain,
         )
-        return self.requests > 0 and not any(broken)
+        contained = self.crashes_per_request <= CRASH_LIMIT
+        return self.requests > 0 and not any(broken) and contained
 
 
 def percentile(values: Sequence[float], share: float) -> float:
@@ -63,7 +80,8 @@
     """
     silent = any(item.result is AttemptResult.SILENT for item in record.attempts)
     unanswered = record.result is not AttemptResult.DONE
-    return silent or (record.request.kind.idempotent and unanswered)
+    answerable = not record.request.crashes_upstream
+    return silent or (record.request.kind.idempotent and unanswered and answerable)
 
 
 def told_falsely(attempt: Attempt, runs: Sequence[str]) -> bool:
@@ -81,12 +99,17 @@
 def judge(
     records: Sequence[Record],
     ledgers: Sequence[Mapping],
+    *,
+    costs: Costs = Costs(),
+    worked_after_drain: int = 0,
 ) -> Verdict:
     """
     Compare what callers saw with the runs that upstreams counted.
 
     :param records: all requests of the run
     :param ledgers: answers of the upstreams' ``/runs``
+    :param costs: what entry hosts spent on measuring and on the platform
+    :param worked_after_drain: runs on upstreams that should have had no new work
     :return: the verdict
     """
     runs = collect_runs(ledgers)
@@ -109,7 +132,14 @@
         for record in records
         if record.result is AttemptResult.DONE and not record.request.download_bytes
     ]
+    crashes = [
+        len(runs.get(record.request.request_id, ()))
+        for record in records
+        if record.request.crashes_upstream
+    ]
     calls = sum(ledger["measuring_calls"] for ledger in ledgers)
+    size = sum(ledger["measuring_bytes"] for ledger in ledgers)
+    count = max(1, len(records))
     return Verdict(
         requests=len(records),
         lost=sum(map(is_lost, records)),
@@ -117,12 +147,16 @@
         mixed=results[AttemptResult.MIXED],
         false_not_run=len(false_not_run),
         truncated=results[AttemptResult.TRUNCATED],
+        worked_after_drain=worked_after_drain,
+        crashes_per_request=max(crashes, default=0),
         unknown=finals[AttemptResult.UNKNOWN] + finals[AttemptResult.BROKEN],
         not_run=finals[AttemptResult.NOT_RUN],
         resends=sum(len(record.attempts) - 1 for record in records),
         p50_ms=round(percentile(latencies, 0.5), 2),
         p99_ms=round(percentile(latencies, 0.99), 2),
-        measuring_calls_per_request=round(calls / max(1, len(records)), 4),
+        measuring_calls_per_request=round((calls + costs.measuring_calls) / count, 4),
+        measuring_bytes_per_request=round((size + costs.measuring_bytes) / count, 2),
+        store_calls_per_request=round(costs.store_calls / count, 4),
     )
 
 
--- a/src/standins/fleet.py
+++ b/src/standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -11,6 +12,7 @@
 from standins.http_json import fetch_json
 from standins.platform import Platform
 from standins.processes import LOOPBACK, Child, free_port, wait_for_port
+from standins.scrape import Totals, scrape
 from standins.sites import ServiceSize, Site
 from standins.upstream import Behaviour
 
@@ -51,6 +53,7 @@
     platform: Platform
     upstreams: list[UpstreamAddress] = field(default_factory=list)
     entries: list[EntryChild] = field(default_factory=list)
+    retired: Totals = field(default_factory=Counter)
     _children: list[Child] = field(default_factory=list)
     _numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
 
@@ -189,9 +192,39 @@
 
         :return: one ledger an upstream
         """
-        reads = (fetch_json(item.port, "/runs") for item in self.upstreams)
+        reads = (self.read_ledger(upstream) for upstream in self.upstreams)
         return list(await asyncio.gather(*reads))
 
+    async def read_ledger(self, upstream: UpstreamAddress) -> dict[str, Any]:
+        """
+        Read the counts of runs of an upstream.
+
+        :param upstream: the upstream
+        :return: its ledger
+        """
+        return await fetch_json(upstream.port, "/runs")
+
+    async def read_metrics(self) -> Totals:
+        """
+        Read the metrics of the running entry hosts, and of those retired.
+
+        :return: values by sample name, summed over hosts and labels
+        """
+        reads = (scrape(entry.admin) for entry in self.entries)
+        return sum(await asyncio.gather(*reads), self.retired)
+
+    async def retire(self, entry: EntryChild) -> int:
+        """
+        End an entry host by SIGTERM; its metrics so far still count.
+
+        :param entry: the entry host
+        :return: its exit status
+        """
+        self.retired = self.retired + await scrape(entry.admin)
+        self.entries.remove(entry)
+        entry.child.terminate()
+        return await entry.child.wait()
+
     async def stop(self) -> None:
         """End all processes that this fleet started."""
         await asyncio.gather(*(child.kill() for child in self._children))
--- a/src/standins/processes.py
+++ b/src/standins/processes.py
@@ -15,7 +15,7 @@
 LOOPBACK = "127.0.0.1"
 CONNECT_RETRY_MS = 20.0
 READY_TIMEOUT_MS = 20_000.0
-STOP_TIMEOUT_MS = 15_000.0
+STOP_TIMEOUT_MS = 30_000.0
 
 
 class ProcessError(Exception):
--- a/tests/bench/live/test_cases.py
+++ b/tests/bench/live/test_cases.py
@@ -18,7 +18,10 @@
 
 def make_totals(scale):
     return Totals(
-        measuring_calls=2 * scale, measuring_bytes=40 * scale, entry_cpu_ms=3.0 * scale
+        measuring_calls=2 * scale,
+        measuring_bytes=40 * scale,
+        store_calls=scale,
+        entry_cpu_ms=3.0 * scale,
     )
 
 
@@ -41,12 +44,13 @@
         )
         for request, result in zip(plan, results)
     ]
-    ledger = {"runs": {}, "measuring_calls": 99}
+    ledger = {"runs": {}, "measuring_calls": 99, "measuring_bytes": 99}
     before, after = make_totals(1), make_totals(3)
     figures = summarize(make_case(), records, [ledger], before, after)
     assert (figures.goodput, figures.refusals) == (0.75, 0.25)
     assert figures.measuring_calls_per_request == 1.0
     assert figures.measuring_bytes_per_request == 20.0
+    assert figures.store_calls_per_request == 0.5
     assert figures.entry_cpu_us_per_request == 1500.0
 
 
--- a/tests/standins/caller/test_verdict.py
+++ b/tests/standins/caller/test_verdict.py
@@ -5,6 +5,7 @@
 from standins.caller import (
     Attempt,
     AttemptResult,
+    Costs,
     PlannedRequest,
     Record,
     RequestKind,
@@ -42,7 +43,7 @@
 
 def make_ledger(*attempts, calls=0):
     runs = {"r1": {"method": "POST", "attempts": list(attempts)}} if attempts else {}
-    return {"runs": runs, "measuring_calls": calls}
+    return {"runs": runs, "measuring_calls": calls, "measuring_bytes": 10 * calls}
 
 
 def classify_body(body, **changes):
@@ -58,6 +59,30 @@
     assert verdict.measuring_calls_per_request == 3.0
 
 
+def test_costs_of_entry_hosts_are_added_to_those_seen_by_upstreams():
+    record = make_record(RequestKind.LOOKUP, AttemptResult.DONE)
+    costs = Costs(measuring_calls=2.0, measuring_bytes=50.0, store_calls=1.0)
+    verdict = judge([record], [make_ledger("1", calls=3)], costs=costs)
+    assert verdict.measuring_calls_per_request == 5.0
+    assert verdict.measuring_bytes_per_request == 80.0
+    assert verdict.store_calls_per_request == 1.0
+
+
+def test_work_on_a_drained_upstream_is_seen():
+    record = make_record(RequestKind.LOOKUP, AttemptResult.DONE)
+    assert not judge([record], [make_ledger("1")], worked_after_drain=1).kept
+
+
+def test_request_that_crashes_more_than_three_upstreams_is_seen():
+    results = [AttemptResult.BROKEN] * 4
+    record = make_record(RequestKind.LOOKUP, *results)
+    record.request = make_request(crashes_upstream=True)
+    contained = judge([record], [make_ledger("1"), make_ledger("2", "3")])
+    assert (contained.crashes_per_request, contained.kept) == (3, True)
+    spread = judge([record], [make_ledger("1", "2"), make_ledger("3", "4")])
+    assert (spread.crashes_per_request, spread.kept) == (4, False)
+
+
 def test_run_without_requests_keeps_nothing():
     assert not judge([], []).kept
 
