Build one file by shiv and check that it stays one process

Cause: the program had no form in which it ships. Change: make binary collects the locked packages from the checked environment, builds a zip application and runs it as an entry host from an empty folder.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 SEED ?= 1
-SOURCES := src tests bench demo
+SOURCES := src tests bench demo tooling
 
 .PHONY: all setup test lint format gen slopes demo bench binary reference history
 
@@ -50,3 +50,7 @@
 bench: setup
 	$(BIN)/python -m bench.virtual
 	$(BIN)/python -m bench.live --seed $(SEED)
+
+binary: setup
+	$(BIN)/python -m tooling.binary
+	$(BIN)/python -m tooling.binary_check
--- a/bench/live/__main__.py
+++ b/bench/live/__main__.py
@@ -1,6 +1,5 @@
 """Entry point of ``python -m bench.live``."""
 
-import os
 import sys
 from pathlib import Path
 
@@ -9,6 +8,7 @@
 from bench.live.cases import LOADS, Condition
 from bench.live.report import print_header, print_row, write_results
 from bench.live.run import CaseResult, run_condition
+from standins.loop import run
 from standins.sites import SITES
 
 RESULTS = Path("bench/results/live.json")
@@ -45,15 +45,12 @@
     :param out: file for the figures
     :return: exit status, 1 when a confirmation was doubled or an answer was mixed
     """
-    import uvloop
-
     print_header()
-    results = uvloop.run(run_all(seed, condition or list(Condition)))
+    results = run(run_all(seed, condition or list(Condition)))
     write_results(out, results)
     broken = sum(item.doubled + item.mixed + item.false_not_run for item in results)
     return 1 if broken else 0
 
 
 if __name__ == "__main__":
-    os.environ["UV_USE_IO_URING"] = "0"
     sys.exit(app())
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,11 +1,11 @@
 """Entry point of ``python -m demo``."""
 
-import os
 import sys
 
 from cyclopts import App
 
 from demo.run import run_demo
+from standins.loop import run
 
 app = App(name="demo", help="Run both deployments through failures.")
 
@@ -18,11 +18,8 @@
     :param seed: seed of load and failures
     :return: exit status, 0 when every promise was kept
     """
-    import uvloop
-
-    return 0 if uvloop.run(run_demo(seed)) else 1
+    return 0 if run(run_demo(seed)) else 1
 
 
 if __name__ == "__main__":
-    os.environ["UV_USE_IO_URING"] = "0"
     sys.exit(app())
--- a/src/standins/upstream/__main__.py
+++ b/src/standins/upstream/__main__.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import json
-import os
 
 from cyclopts import App
 
 from mangohatch.clock import SystemClock
+from standins.loop import run
 from standins.upstream.behaviour import Behaviour
 from standins.upstream.server import Upstream
 
@@ -46,12 +46,9 @@
     :param seed: seed of the slow-downs
     :param behaviour: JSON object with settings of the behaviour
     """
-    import uvloop
-
     checked = Behaviour.model_validate(json.loads(behaviour))
-    uvloop.run(serve(port, count, seed, checked))
+    run(serve(port, count, seed, checked))
 
 
 if __name__ == "__main__":
-    os.environ["UV_USE_IO_URING"] = "0"
     app()
--- /dev/null
+++ b/tooling/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for building and documenting the project."""
--- /dev/null
+++ b/tooling/binary.py
@@ -0,0 +1,110 @@
+"""Builds the one-file program from the packages of the virtual environment."""
+
+import hashlib
+import os
+import re
+import shutil
+import subprocess
+import sys
+from importlib.metadata import Distribution, distribution
+from pathlib import Path
+
+__all__ = ["BuildError", "build", "read_lock"]
+
+ROOT = Path(__file__).resolve().parent.parent
+LOCK = ROOT / "requirements" / "run.lock"
+SITE = ROOT / "build" / "site"
+OUTPUT = ROOT / "dist" / "mangohatch"
+ENTRY_POINT = "mangohatch.run:main"
+INTERPRETER = "/usr/bin/env python3"
+PIN_PATTERN = re.compile(r"^([A-Za-z0-9._-]+)==([^\s\\;]+)", re.MULTILINE)
+# 1980-01-01, the earliest time that a zip archive can hold.
+SOURCE_DATE_EPOCH = "315532800"
+
+
+class BuildError(Exception):
+    """The program can't be built from this environment."""
+
+
+def read_lock(text: str) -> dict[str, str]:
+    """
+    Read the pinned packages of a lock file.
+
+    :param text: its content
+    :return: versions by name
+    """
+    return dict(PIN_PATTERN.findall(text))
+
+
+def check_version(found: Distribution, name: str, version: str) -> None:
+    """
+    Check that an installed package is the pinned one.
+
+    :param found: the installed package
+    :param name: its name
+    :param version: the pinned version
+    :raises BuildError: when it is another version
+    """
+    if found.version != version:
+        raise BuildError(f"{name} is {found.version}, the lock says {version}")
+
+
+def copy_package(found: Distribution, target: Path) -> None:
+    """
+    Copy the files of an installed package; scripts and bytecode stay behind.
+
+    :param found: the installed package
+    :param target: folder to copy to
+    """
+    for file in found.files or ():
+        if ".." in file.parts or "__pycache__" in file.parts:
+            continue
+        destination = target / file
+        destination.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(str(found.locate_file(file)), destination)
+
+
+def collect(target: Path) -> None:
+    """
+    Put the program and the packages that it runs on into a folder.
+
+    :param target: the folder; emptied first
+    :raises BuildError: when an installed package is not the pinned one
+    """
+    shutil.rmtree(target, ignore_errors=True)
+    for name, version in read_lock(LOCK.read_text(encoding="utf-8")).items():
+        found = distribution(name)
+        check_version(found, name, version)
+        copy_package(found, target)
+    ignored = shutil.ignore_patterns("__pycache__")
+    source = ROOT / "src" / "mangohatch"
+    shutil.copytree(source, target / "mangohatch", ignore=ignored)
+
+
+def build(output: Path = OUTPUT) -> str:
+    """
+    Build the program.
+
+    :param output: the file to write
+    :return: its SHA-256 digest
+    :raises BuildError: when an installed package is not the pinned one
+    """
+    collect(SITE)
+    output.parent.mkdir(parents=True, exist_ok=True)
+    command = [
+        str(Path(sys.executable).parent / "shiv"),
+        f"--site-packages={SITE}",
+        f"--entry-point={ENTRY_POINT}",
+        f"--python={INTERPRETER}",
+        f"--output-file={output}",
+        "--reproducible",
+        "--compressed",
+    ]
+    env = dict(os.environ, SOURCE_DATE_EPOCH=SOURCE_DATE_EPOCH)
+    subprocess.run(command, check=True, env=env)
+    return hashlib.sha256(output.read_bytes()).hexdigest()
+
+
+if __name__ == "__main__":
+    digest = build()
+    print(f"{OUTPUT.relative_to(ROOT)} {OUTPUT.stat().st_size} bytes sha256 {digest}")
--- /dev/null
+++ b/tooling/binary_check.py
@@ -0,0 +1,160 @@
+"""Runs the one-file program as an entry host and shows what it takes."""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from standins.processes import (
+    LOOPBACK,
+    STOP_TIMEOUT_MS,
+    ProcessError,
+    free_port,
+    wait_for_port,
+)
+from standins.scrape import is_ready
+from tooling.binary import OUTPUT
+
+__all__ = ["BinaryFacts", "check_binary"]
+
+KIB = 1024
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class BinaryFacts:
+    """What the program takes on a host."""
+
+    file_bytes: int
+    unpacked_bytes: int
+    unpacked_files: int
+    child_processes: int
+    resident_bytes: int
+    first_start_ms: float
+    next_start_ms: float
+    exit_status: int
+
+
+def make_settings(port: int, admin_port: int) -> str:
+    """
+    Make the settings of an entry host that stands alone.
+
+    :param port: its port for callers
+    :param admin_port: its port for operators
+    :return: a JSON document
+    """
+    settings = {
+        "host_id": "binary-check",
+        "zone": "puno",
+        "region": "sur-andino",
+        "entry": {"port": port},
+        "admin": {"port": admin_port},
+        "balancer_delay_ms": 0,
+    }
+    return json.dumps(settings)
+
+
+def count_children(pid: int) -> int:
+    """
+    Count the child processes of a process.
+
+    :param pid: its id
+    :return: the number of children of all its threads
+    """
+    tasks = Path(f"/proc/{pid}/task").glob("*/children")
+    return sum(len(task.read_text(encoding="ascii").split()) for task in tasks)
+
+
+def read_resident_bytes(pid: int) -> int:
+    """
+    Read the resident memory of a process.
+
+    :param pid: its id
+    :return: bytes
+    """
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
+    return int(line.split()[1]) * KIB
+
+
+async def start(settings: Path, env: dict[str, str], port: int):
+    """
+    Start the program and wait until it accepts callers.
+
+    :param settings: its settings file
+    :param env: its environment
+    :param port: its port for callers
+    :return: the process and the milliseconds that it took
+    """
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    process = await asyncio.create_subprocess_exec(
+        str(OUTPUT), "run", str(settings), env=env, stderr=asyncio.subprocess.DEVNULL
+    )
+    await wait_for_port((LOOPBACK, port))
+    return process, (loop.time() - began) * 1000
+
+
+async def stop(process: asyncio.subprocess.Process) -> int:
+    """
+    End the program gracefully.
+
+    :param process: the process
+    :return: its exit status
+    """
+    process.terminate()
+    async with asyncio.timeout(STOP_TIMEOUT_MS / 1000):
+        return await process.wait()
+
+
+async def check_binary(folder: Path) -> BinaryFacts:
+    """
+    Run the program twice from an empty folder to unpack to.
+
+    :param folder: an empty folder, as a host's memory-backed one
+    :return: what it takes
+    :raises ProcessError: when it is not ready
+    """
+    port, admin_port = free_port(), free_port()
+    settings = folder / "host.json"
+    settings.write_text(make_settings(port, admin_port), encoding="utf-8")
+    unpacked = folder / "unpacked"
+    path = f"{Path(sys.executable).parent}{os.pathsep}{os.environ['PATH']}"
+    env = {"SHIV_ROOT": str(unpacked), "PATH": path}
+    process, first_start_ms = await start(settings, env, port)
+    await stop(process)
+    process, next_start_ms = await start(settings, env, port)
+    if not await is_ready((LOOPBACK, admin_port)):
+        raise ProcessError("the program is not ready")
+    children = count_children(process.pid)
+    resident = read_resident_bytes(process.pid)
+    status = await stop(process)
+    sizes = [item.stat().st_size for item in unpacked.rglob("*") if item.is_file()]
+    return BinaryFacts(
+        file_bytes=OUTPUT.stat().st_size,
+        unpacked_bytes=sum(sizes),
+        unpacked_files=len(sizes),
+        child_processes=children,
+        resident_bytes=resident,
+        first_start_ms=round(first_start_ms),
+        next_start_ms=round(next_start_ms),
+        exit_status=status,
+    )
+
+
+def main() -> int:
+    """
+    Check the program and print the facts as JSON.
+
+    :return: exit status, 1 when it starts processes or does not end well
+    """
+    with tempfile.TemporaryDirectory(prefix="mangohatch-binary-") as name:
+        facts = asyncio.run(check_binary(Path(name)))
+    print(json.dumps(asdict(facts)))
+    return 1 if facts.child_processes or facts.exit_status else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
