Run on uvloop 0.17, whose libuv knows no io_uring

Cause: uvloop 0.23 sets up an io_uring whatever its settings, and without uvloop an entry host spends more processor time and adds more at the tail. Change: uvloop is pinned at 0.17.0 (libuv before io_uring); mangohatch.loop runs all processes on it.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -5,7 +5,7 @@
 from cyclopts import App
 
 from demo.run import run_demo
-from standins.loop import run
+from mangohatch.loop import run_loop
 
 app = App(name="demo", help="Run both deployments through failures.")
 
@@ -18,7 +18,7 @@
     :param seed: seed of load and failures
     :return: exit status, 0 when every promise was kept
     """
-    return 0 if run(run_demo(seed)) else 1
+    return 0 if run_loop(run_demo(seed)) else 1
 
 
 if __name__ == "__main__":
--- a/src/mangohatch/host/process.py
+++ b/src/mangohatch/host/process.py
@@ -6,6 +6,7 @@
 from mangohatch.clock import SystemClock
 from mangohatch.config import HostSettings
 from mangohatch.host.entry_host import EntryHost
+from mangohatch.loop import run_loop
 
 __all__ = ["run_host"]
 
@@ -24,5 +25,4 @@
             loop.add_signal_handler(signum, leaving.set)
         await EntryHost(cfg=cfg, clock=SystemClock()).run(leaving)
 
-    # uvloop is not used: its libuv sets up an io_uring whatever its settings.
-    asyncio.run(serve())
+    run_loop(serve())
--- a/src/standins/loop.py
+++ b/src/mangohatch/loop.py
@@ -1,4 +1,4 @@
-"""The event loop of stand-ins, demo and live bench."""
+"""The event loop of all processes."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -6,14 +6,17 @@
 
 import uvloop
 
-__all__ = ["run"]
+__all__ = ["run_loop"]
 
 T = TypeVar("T")
 
 
-def run(main: Coroutine[Any, Any, T]) -> T:
+def run_loop(main: Coroutine[Any, Any, T]) -> T:
     """
-    Run a coroutine in a loop of its own.
+    Run a coroutine in an event loop of uvloop.
+
+    Releases of uvloop after 0.17 bundle a libuv that sets up an io_uring whatever
+    its settings, therefore the release is pinned.
 
     :param main: the coroutine
     :return: its result
