Generate the reference of commands, settings, errors and events

Cause: pages written by hand drift from the code. Change: a page class for each subject, make reference, and a test that compares the committed pages with those of the code.

--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,6 @@
 binary: setup
 	$(BIN)/python -m tooling.binary
 	$(BIN)/python -m tooling.binary_check
+
+reference: setup
+	$(BIN)/python -m tooling.reference
--- /dev/null
+++ b/tooling/reference/errors.py
@@ -0,0 +1,100 @@
+"""The page of the errors."""
+
+import importlib
+import pkgutil
+
+import mangohatch
+from mangohatch.commands.answer import iterate_errors
+from mangohatch.errors import ExitCode, MangohatchError, RequestError
+from tooling.reference.base import Page, make_table
+
+__all__ = ["ErrorPage", "load_package"]
+
+INTRODUCTION = """
+# Errors
+
+Every failure has a code. Callers get it in the header `X-Error-Code`, with the
+outcome in `X-Outcome`: `done`, `not_run` or `unknown`. The outcome below is the
+usual one of the error; an answer says `unknown` instead of `not_run` when an earlier
+attempt may have run.
+"""
+REQUEST_COLUMNS = ("Code", "Status", "Outcome", "Meaning")
+OTHER_COLUMNS = ("Code", "Exit status", "Meaning")
+
+
+class ErrorPage(Page):
+    """All error types by code."""
+
+    name = "errors"
+
+    def body(self) -> str:
+        load_package()
+        errors = {error.code: error for error in sorted_errors()}
+        requests = [item for item in errors.values() if issubclass(item, RequestError)]
+        others = [item for item in errors.values() if item not in requests]
+        return (
+            INTRODUCTION
+            + "\n## Answers to callers\n\n"
+            + make_table(REQUEST_COLUMNS, map(make_request_row, requests))
+            + "\n## Other failures\n\n"
+            + make_table(OTHER_COLUMNS, map(make_other_row, others))
+            + "\n## Exit statuses\n\n"
+            + make_table(
+                ("Status", "Meaning"),
+                ((code.value, code.name.lower()) for code in ExitCode),
+            )
+        )
+
+
+def load_package() -> None:
+    """Import all modules of the program, so that all error types are known."""
+    for module in pkgutil.walk_packages(mangohatch.__path__, "mangohatch."):
+        if not module.name.endswith("__main__"):
+            importlib.import_module(module.name)
+
+
+def sorted_errors() -> list[type[MangohatchError]]:
+    """
+    List the error types of the program.
+
+    :return: types in the order of their codes, bases before what derives from them
+    """
+    found = [
+        error
+        for error in iterate_errors(MangohatchError)
+        if error.__module__.startswith("mangohatch.")
+    ]
+    found.sort(key=lambda error: (error.code, -len(error.__mro__)))
+    return found
+
+
+def make_request_row(error: type[RequestError]) -> tuple[object, ...]:
+    """
+    Make the row of an answer to a caller.
+
+    :param error: its type
+    :return: cells
+    """
+    outcome = f"`{error.default_outcome}`"
+    return f"`{error.code}`", error.status, outcome, describe(error)
+
+
+def make_other_row(error: type[MangohatchError]) -> tuple[object, ...]:
+    """
+    Make the row of another failure.
+
+    :param error: its type
+    :return: cells
+    """
+    return f"`{error.code}`", error.exit_code.value, describe(error)
+
+
+def describe(error: type[MangohatchError]) -> str:
+    """
+    Describe an error type.
+
+    :param error: the type
+    :return: the first paragraph of its docstring
+    """
+    paragraph = (error.__doc__ or "").strip().split("\n\n")[0]
+    return " ".join(paragraph.split())
--- /dev/null
+++ b/tooling/reference/settings.py
@@ -0,0 +1,148 @@
+"""The page of the settings."""
+
+from collections.abc import Iterator
+from typing import Any, get_args
+
+from pydantic import BaseModel
+from pydantic.fields import FieldInfo
+
+from mangohatch.config import HostSettings, ServiceSpec
+from tooling.reference.base import Page, make_table
+
+__all__ = ["SettingsPage"]
+
+INTRODUCTION = """
+# Settings
+
+The settings of an entry host are one JSON document, checked whole before anything
+starts; unknown fields are refused. `mangohatch check FILE` names each wrong value by
+its path. Services can also be declared by order; their specification is the same.
+"""
+COLUMNS = ("Field", "Type", "Default", "Bounds", "Meaning")
+BOUNDS = {"ge": ">=", "gt": ">", "le": "<=", "lt": "<", "pattern": "matches"}
+
+
+class SettingsPage(Page):
+    """All fields of all settings models."""
+
+    name = "settings"
+
+    def body(self) -> str:
+        models = iterate_models([HostSettings, ServiceSpec])
+        return INTRODUCTION + "".join(make_section(model) for model in models)
+
+
+def iterate_models(roots: list[type[BaseModel]]) -> Iterator[type[BaseModel]]:
+    """
+    Iterate over models and those that their fields use, each once.
+
+    :param roots: models to begin with
+    :return: models in the order of first use
+    """
+    seen: set[type[BaseModel]] = set()
+    waiting = list(roots)
+    while waiting:
+        model = waiting.pop(0)
+        if model in seen:
+            continue
+        seen.add(model)
+        yield model
+        for field in model.model_fields.values():
+            waiting.extend(models_in(field.annotation))
+
+
+def models_in(annotation: Any) -> Iterator[type[BaseModel]]:
+    """
+    Find the models in an annotation.
+
+    :param annotation: a type
+    :return: models
+    """
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        yield annotation
+    for argument in get_args(annotation):
+        yield from models_in(argument)
+
+
+def make_section(model: type[BaseModel]) -> str:
+    """
+    Make the section of a model.
+
+    :param model: the model
+    :return: Markdown
+    """
+    rows = [make_field_row(name, field) for name, field in model.model_fields.items()]
+    text = (model.__doc__ or "").strip()
+    return f"\n## {model.__name__}\n\n{text}\n\n{make_table(COLUMNS, rows)}"
+
+
+def make_field_row(name: str, field: FieldInfo) -> tuple[str, ...]:
+    """
+    Make the row of a field.
+
+    :param name: its name
+    :param field: its declaration
+    :return: cells
+    """
+    return (
+        f"`{name}`",
+        describe_type(field.annotation),
+        describe_default(field),
+        describe_bounds(field),
+        field.description or "",
+    )
+
+
+def describe_type(annotation: Any) -> str:
+    """
+    Describe a type as JSON has it.
+
+    :param annotation: a type
+    :return: a word or two
+    """
+    arguments = [item for item in get_args(annotation) if item is not type(None)]
+    if type(None) in get_args(annotation):
+        return f"{describe_type(arguments[0])} or null"
+    if getattr(annotation, "__origin__", None) is tuple:
+        return f"list of {describe_type(arguments[0])}"
+    if arguments:
+        return describe_type(arguments[0])
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return f"[{annotation.__name__}](#{annotation.__name__.lower()})"
+    names = {str: "string", int: "integer", float: "number", bool: "boolean"}
+    return names.get(annotation, str(annotation))
+
+
+def describe_default(field: FieldInfo) -> str:
+    """
+    Describe the default of a field.
+
+    :param field: its declaration
+    :return: the default as JSON, or that there is none
+    """
+    if field.is_required():
+        return "required"
+    default = field.default
+    if isinstance(default, BaseModel):
+        return "all defaults"
+    if default is None:
+        return "null"
+    if isinstance(default, tuple):
+        return "[]"
+    return str(default).lower() if isinstance(default, bool) else str(default)
+
+
+def describe_bounds(field: FieldInfo) -> str:
+    """
+    Describe what values a field takes.
+
+    :param field: its declaration
+    :return: its bounds, empty without any
+    """
+    parts = []
+    for item in field.metadata:
+        for name, sign in BOUNDS.items():
+            bound = getattr(item, name, None)
+            if bound is not None:
+                parts.append(f"{sign} `{bound}`")
+    return ", ".join(parts)
