--- a/tooling/reference/commands.py
+++ b/tooling/reference/commands.py
@@ -1,5 +1,9 @@
 """The page of the command line."""
 
+import contextlib
+import sys
+from collections.abc import Iterator
+
 from mangohatch.commands import app
 from tooling.reference.base import Page
 
@@ -12,7 +16,21 @@
     name = "command-line"
 
     def body(self) -> str:
-        text = app.generate_docs(
-            output_format="markdown", heading_level=1, usage_name=app.name[0]
-        )
+        with program_name(app.name[0]):
+            text = app.generate_docs(output_format="markdown", heading_level=1)
         return "\n".join(line.rstrip() for line in text.splitlines())
+
+
+@contextlib.contextmanager
+def program_name(name: str) -> Iterator[None]:
+    """
+    Have usage lines name the program, however this process was started.
+
+    :param name: name of the program
+    """
+    saved = sys.argv
+    sys.argv = [name]
+    try:
+        yield
+    finally:
+        sys.argv = saved
