Send pieces straight to the socket and heads without a timer

Change: pieces go to the socket at once and only what it does not take goes through the stream; the head is held back only when the body is already there.

--- a/src/mangohatch/entry/connection.py
+++ b/src/mangohatch/entry/connection.py
@@ -7,7 +7,7 @@
 from mangohatch.entry.body import RequestBody
 from mangohatch.entry.head import parse_head
 from mangohatch.errors import BadRequest
-from mangohatch.wire import format_head
+from mangohatch.wire import format_head, send
 
 __all__ = ["CallerConnection"]
 
@@ -139,14 +139,16 @@
         return self._send(self._format_chunk(chunk))
 
     def _send(self, data: bytes):
-        self._pending_write = self.stream.write(data)
-        return self._pending_write
+        rest = send(self.stream, data)
+        if rest is not None:
+            self._pending_write = rest
+        return rest
 
     def finish(self) -> None:
         if not self._read_finished:
             self._disconnect_on_finish = True
         if self._chunking_output and not self.stream.closed():
-            self._pending_write = self.stream.write(LAST_CHUNK)
+            self._send(LAST_CHUNK)
         self._write_finished = True
 
     @property
--- a/src/mangohatch/entry/continuation.py
+++ b/src/mangohatch/entry/continuation.py
@@ -74,7 +74,7 @@
     def __init__(self, *, sink: CallerSink) -> None:
         self._sink = sink
 
-    def start(self, head: ResponseHead) -> None:
+    def start(self, head: ResponseHead, *, body_waits: bool) -> None:
         return None
 
     def write(self, chunk: bytes) -> Awaitable[None] | None:
--- a/src/mangohatch/entry/sink.py
+++ b/src/mangohatch/entry/sink.py
@@ -1,6 +1,5 @@
 """The caller's end of a response."""
 
-import asyncio
 import socket
 import struct
 from collections.abc import Awaitable
@@ -24,8 +23,8 @@
     """
     Writes a response to the caller as it arrives.
 
-    The head waits for the first piece of the body, so that both leave in one
-    segment, but never longer than one turn of the event loop. ``copy`` collects
+    The head leaves in one segment with the first piece of the body, if that has
+    arrived, else at once. ``copy`` collects
     the body for a later replay while it is short enough.
     """
 
@@ -33,20 +32,20 @@
         self._conn = conn
         self._request_id = request_id
         self._head: ResponseHead | None = None
-        self._flush: asyncio.Handle | None = None
         self.head: ResponseHead | None = None
         self.outcome = Outcome.DONE
         self.sent = False
         self.body_bytes = 0
         self.copy: bytearray | None = None
 
-    def start(self, head: ResponseHead) -> None:
+    def start(self, head: ResponseHead, *, body_waits: bool) -> None:
         drop_hop_by_hop(head.headers)
         self.outcome = read_outcome(head)
         head.headers[OUTCOME_HEADER] = self.outcome
         head.headers[REQUEST_ID_HEADER] = self._request_id
         self.head = self._head = head
-        self._flush = asyncio.get_running_loop().call_soon(self._flush_head)
+        if body_waits:
+            self._flush_head()
 
     def write(self, chunk: bytes) -> Awaitable[None] | None:
         self.body_bytes += len(chunk)
@@ -55,12 +54,10 @@
         if self._conn.stream.closed():
             return None
         if self._head is not None:
-            fut = self._write_head(chunk)
+            rest = self._write_head(chunk)
         else:
-            fut = self._conn.write(chunk)
-        if self._conn.stream.writing():
-            return drained(fut)
-        return None
+            rest = self._conn.write(chunk)
+        return drained(rest) if rest is not None else None
 
     def _keep(self, chunk: bytes) -> None:
         assert self.copy is not None
@@ -93,8 +90,6 @@
         """
         if self.sent:
             return False
-        if self._flush is not None:
-            self._flush.cancel()
         self.head = self._head = None
         self.body_bytes = 0
         if self.copy is not None:
@@ -105,9 +100,8 @@
         if self._head is not None and not self._conn.stream.closed():
             self._write_head(None)
 
-    def _write_head(self, chunk: bytes | None) -> Awaitable[None]:
-        assert self._head is not None and self._flush is not None
-        self._flush.cancel()
+    def _write_head(self, chunk: bytes | None) -> Awaitable[None] | None:
+        assert self._head is not None
         head = self._head
         self._head = None
         self.sent = True
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -19,7 +19,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import ResponseUnframed, UpstreamAborted, UpstreamUnreachable
-from mangohatch.wire import format_head, parse_fields
+from mangohatch.wire import format_head, parse_fields, send
 
 __all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
 
@@ -54,11 +54,12 @@
     """Receives a response as it arrives; its methods never raise."""
 
     @abstractmethod
-    def start(self, head: ResponseHead) -> None:
+    def start(self, head: ResponseHead, *, body_waits: bool) -> None:
         """
         Take the head of a response whose framing is sound.
 
         :param head: status line and header fields; the sink may change them
+        :param body_waits: whether no piece of the body has arrived yet
         """
 
     @abstractmethod
@@ -173,7 +174,7 @@
         if chunk:
             data += self._format_chunk(chunk)
         if not self.stream.closed():
-            self.stream.write(data)
+            send(self.stream, data)
 
     async def send_rest(self, body: AsyncIterator[bytes]) -> None:
         """
@@ -237,7 +238,8 @@
             if self._has_body(code):
                 check_framed(head)
                 reading = self._read_body(code, head.headers, delegate)
-            sink.start(head)
+            waits = reading is not None and not self.stream._read_buffer_size
+            sink.start(head, body_waits=waits)
             if reading is not None:
                 await reading
         except StreamClosedError as exc:
--- a/src/mangohatch/wire.py
+++ b/src/mangohatch/wire.py
@@ -1,8 +1,11 @@
-"""Reading and writing of the fields of HTTP/1.1 heads."""
+"""Reading and writing of HTTP/1.1 heads and pieces."""
+
+import asyncio
 
 from tornado.httputil import HTTPHeaders, HTTPInputError
+from tornado.iostream import IOStream
 
-__all__ = ["format_head", "parse_fields"]
+__all__ = ["format_head", "parse_fields", "send"]
 
 LINE_END = "\r\n"
 WHITESPACE = " \t"
@@ -40,3 +43,29 @@
     if text.count("\n") != len(lines) - 1 or text.count("\r") != len(lines) - 1:
         raise ValueError("a header field holds a line end")
     return f"{text}\r\n\r\n".encode("latin1")
+
+
+def send(stream: IOStream, data: bytes) -> asyncio.Future[None] | None:
+    """
+    Send a piece at once, and leave to the stream what the socket does not take.
+
+    A write through the stream costs a future and turns of the event loop, which
+    pieces that fit into the socket's buffer can do without.
+
+    :param stream: an open stream
+    :param data: the piece
+    :return: the write of the rest; None when nothing is left
+    :raises StreamClosedError: when the stream was closed before
+    """
+    if stream.closed() or stream.writing():
+        return stream.write(data)
+    try:
+        sent = stream.socket.send(data)
+    except BlockingIOError:
+        sent = 0
+    except OSError as exc:
+        stream.close(exc_info=exc)
+        return None
+    if sent == len(data):
+        return None
+    return stream.write(memoryview(data)[sent:])
