State Retry-After on every answer from 500 on

Cause: errors of claims, raised before forwarding, had none.

Change: the writer of answers adds it. The test of bodies that stop now states the exact status and outcome in place of either of two statuses.

--- a/src/mangohatch/entry/answer.py
+++ b/src/mangohatch/entry/answer.py
@@ -12,6 +12,8 @@
 
 __all__ = ["write_error"]
 
+RETRY_AFTER_MS = 1_000.0
+FIRST_SERVER_ERROR = 500
 MS_PER_SECOND = 1000.0
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
@@ -41,9 +43,11 @@
             REQUEST_ID_HEADER: request_id,
         }
     )
-    if error.retry_after_ms is not None:
-        seconds = math.ceil(error.retry_after_ms / MS_PER_SECOND)
-        headers["Retry-After"] = str(seconds)
+    retry_after_ms = error.retry_after_ms
+    if retry_after_ms is None and error.status >= FIRST_SERVER_ERROR:
+        retry_after_ms = RETRY_AFTER_MS
+    if retry_after_ms is not None:
+        headers["Retry-After"] = str(math.ceil(retry_after_ms / MS_PER_SECOND))
     reason = REASONS.get(error.status, "Error")
     line = ResponseStartLine("HTTP/1.1", error.status, reason)
     if conn.is_head_request:
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -42,8 +42,6 @@
 CONTINUATION_DEADLINE_MS = 5_000.0
 CONTINUED = (UpstreamAborted, UpstreamRefused, UpstreamUnreachable)
 SLOW_REQUEST_MS = 1_000.0
-RETRY_AFTER_MS = 1_000.0
-FIRST_SERVER_ERROR = 500
 
 
 class Forwarder:
@@ -268,8 +266,6 @@
         error = req.failure or error
         req.sink.discard()
         error.outcome = Outcome.UNKNOWN if req.may_have_run else Outcome.NOT_RUN
-        if error.retry_after_ms is None and error.status >= FIRST_SERVER_ERROR:
-            error.retry_after_ms = RETRY_AFTER_MS
         if not isinstance(error, CallerGone):
             refused = error.outcome is Outcome.NOT_RUN
             kind = EventKind.REQUEST_REFUSED if refused else EventKind.REQUEST_FAILED
--- a/tests/entry/test_slow_callers.py
+++ b/tests/entry/test_slow_callers.py
@@ -51,16 +51,18 @@
 
 
 async def test_body_that_stops_is_refused_and_frees_the_upstream():
-    for size in (10, 1_000_000):
+    for size, outcome in ((10, "not_run"), (1_000_000, "unknown")):
         async with open_entry(answer) as (entry, upstreams):
             caller = await entry.connect()
-            await caller.send(request(method="POST", Content_Length=str(size)))
+            fields = {"Content-Length": str(size), "X-Deadline-Ms": "60000"}
+            await caller.send(request(method="POST", **fields))
             await caller.send(b"x" * (size // 2))
             await received(entry, size // 2)
             entry.pass_time(9_000)
             entry.pass_time(11_000)
             response = await caller.read()
-            assert response.status in (408, 504)
+            assert response.status == 408
+            assert response.headers["x-outcome"] == outcome
             assert entry.in_flight() == 0
 
 
