Check histories of membership and measure its cost

Cause: the protocol was shown on a few scenes only, its cost by one trial. Change: a derandomized state machine (loss, partitions, pauses, deaths, leaving, replacement under the same id) with four planted faults that its checks reject; make history runs it longer with a seed. It found that a host paused before it had joined took its successor's place when it woke: a pause is now noticed before the first message is handled, and such a host gives way. bench.peers runs 3, 8 and 17 processes; heartbeats are counted.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 SOURCES := src tests bench demo tooling
 
-.PHONY: all setup test lint format gen slopes demo bench binary reference history
+.PHONY: all setup test lint format gen slopes bench-peers demo bench binary reference history
 
 all: lint test
 
@@ -24,6 +24,7 @@
 # Longer runs of the concurrent histories; SEED selects them.
 history: setup
 	$(BIN)/python -m tests.state.machine --seed $(SEED)
+	$(BIN)/python -m tests.peer.membership.machine --seed $(SEED)
 
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
@@ -34,6 +35,9 @@
 slopes: setup
 	$(BIN)/python -m bench.slopes
 
+bench-peers: setup
+	$(BIN)/python -m bench.peers
+
 format: setup
 	$(BIN)/black --quiet $(SOURCES)
 	$(BIN)/isort --quiet $(SOURCES)
--- /dev/null
+++ b/bench/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Cost of membership and links, with one process a host."""
--- /dev/null
+++ b/bench/peers/__main__.py
@@ -0,0 +1,217 @@
+"""Measures membership and links with 3, 8 and 17 processes, and larger fleets."""
+
+import asyncio
+import json
+import os
+import statistics
+import sys
+import time
+from asyncio.subprocess import PIPE, Process
+from pathlib import Path
+from typing import Any
+
+from cyclopts import App
+
+from bench.peers.fit import fit_line
+from standins.member_network import MemberNetwork
+from standins.processes import free_port
+
+SIZES = (3, 8, 17)
+VIRTUAL_SIZES = (17, 50, 100, 200)
+VIRTUAL_SETTLE_MS = 180_000.0
+VIRTUAL_MEASURE_MS = 30_000.0
+MS_PER_S = 1000.0
+HEADER_BYTES = 66
+RESULTS = Path(__file__).resolve().parent.parent / "results" / "peers.json"
+CORE_SHARE_TARGET = 0.014
+BYTES_TARGET = 12_000.0
+
+app = App(help=__doc__)
+
+
+class Node:
+    """A host in a process of its own."""
+
+    def __init__(self, *, process: Process) -> None:
+        self._process = process
+
+    @classmethod
+    async def start(cls, number: int, ports: list[int]) -> "Node":
+        """
+        Start a host.
+
+        :param number: number of the host
+        :param ports: peer ports of all hosts
+        :return: the running host
+        """
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bench.peers.node",
+            str(number),
+            ",".join(str(port) for port in ports),
+            stdin=PIPE,
+            stdout=PIPE,
+            env=dict(os.environ),
+        )
+        return cls(process=process)
+
+    async def ask(self, command: str) -> dict[str, float]:
+        """
+        Give a command and wait for the answer.
+
+        :param command: the command
+        :return: the answer
+        """
+        stdin, stdout = self._process.stdin, self._process.stdout
+        assert stdin is not None and stdout is not None
+        stdin.write(f"{command}\n".encode())
+        await stdin.drain()
+        return json.loads(await stdout.readline())
+
+    async def leave(self) -> None:
+        """Have the host leave the fleet and wait for its end."""
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        await self._process.wait()
+
+    async def kill(self) -> None:
+        """End the host without notice."""
+        self._process.kill()
+        await self._process.wait()
+
+
+async def ask_all(nodes: list[Node], command: str) -> list[dict[str, float]]:
+    """
+    Give a command to several hosts at once.
+
+    :param nodes: the hosts
+    :param command: the command
+    :return: their answers
+    """
+    return list(await asyncio.gather(*(node.ask(command) for node in nodes)))
+
+
+async def wait_for_change(nodes: list[Node], count: int, started_s: float) -> float:
+    """
+    Wait until all hosts see a number of live members.
+
+    :param nodes: the hosts
+    :param count: the number
+    :param started_s: wall-clock time of the cause
+    :return: seconds until the last host saw it
+    """
+    answers = await ask_all(nodes, f"members {count}")
+    return max(answer["at_s"] for answer in answers) - started_s
+
+
+async def run_size(size: int, duration_s: float) -> dict[str, Any]:
+    """
+    Measure a fleet.
+
+    :param size: number of hosts
+    :param duration_s: seconds at rest
+    :return: figures by name
+    """
+    ports = [free_port() for _ in range(size)]
+    started_s = time.time()
+    nodes = [await Node.start(number, ports) for number in range(size)]
+    joined_s = await wait_for_change(nodes, size, started_s)
+    await asyncio.sleep(5.0)
+    load = os.getloadavg()[0]
+    used = await ask_all(nodes, f"measure {duration_s}")
+    trips = await nodes[0].ask("trips entry-1")
+    started_s = time.time()
+    await nodes.pop().kill()
+    died_s = await wait_for_change(nodes, size - 1, started_s)
+    started_s = time.time()
+    leaver = nodes.pop()
+    _, left_s = await asyncio.gather(
+        leaver.leave(), wait_for_change(nodes, size - 2, started_s)
+    )
+    for node in nodes:
+        await node.leave()
+    frames = statistics.mean(one["frames"] for one in used)
+    payload = statistics.mean(one["bytes"] for one in used)
+    return {
+        "hosts": size,
+        "load_average": load,
+        "frame_bytes_per_s": payload,
+        "frames_per_s": frames,
+        "wire_bytes_per_s_estimate": payload + 2 * HEADER_BYTES * frames,
+        "core_share": statistics.mean(one["cpu_s"] for one in used),
+        "core_share_max": max(one["cpu_s"] for one in used),
+        "rss_mib_max": max(one["rss_mib"] for one in used),
+        "round_trip_p50_us": trips["p50_us"],
+        "round_trip_p99_us": trips["p99_us"],
+        "start_and_join_s": joined_s,
+        "death_seen_by_all_s": died_s,
+        "leave_seen_by_all_s": left_s,
+    }
+
+
+def run_virtual(size: int) -> dict[str, float]:
+    """
+    Count the messages of a larger fleet in virtual time.
+
+    :param size: number of hosts
+    :return: figures by name; bytes are sent and received, with frames' lengths
+    """
+    network = MemberNetwork(seed=1, zones=8)
+    network.start_fleet(size)
+    network.run(VIRTUAL_SETTLE_MS)
+    agreed = all(len(node.live()) == size for node in network.running())
+    messages, sent = network.messages, network.bytes
+    network.run(VIRTUAL_MEASURE_MS)
+    host_seconds = size * VIRTUAL_MEASURE_MS / MS_PER_S
+    frames = 2 * (network.messages - messages) / host_seconds
+    return {
+        "hosts": size,
+        "agreed": float(agreed),
+        "frames_per_s": frames,
+        "frame_bytes_per_s": 2 * (network.bytes - sent) / host_seconds + 4 * frames,
+    }
+
+
+def print_table(rows: list[dict[str, Any]]) -> None:
+    """
+    Print figures, one line a fleet.
+
+    :param rows: figures by name
+    """
+    for row in rows:
+        print("  ".join(f"{name}={value:.5g}" for name, value in row.items()))
+
+
+@app.default
+def main(*, duration_s: float = 20.0, out: Path = RESULTS) -> int:
+    """
+    Run the bench.
+
+    :param duration_s: seconds at rest for each fleet
+    :param out: file for the figures
+    :return: exit status, 1 when 17 hosts cost more than the target
+    """
+    rows = [asyncio.run(run_size(size, duration_s)) for size in SIZES]
+    virtual = [run_virtual(size) for size in VIRTUAL_SIZES]
+    names = ("frame_bytes_per_s", "wire_bytes_per_s_estimate", "core_share")
+    slopes = {
+        name: fit_line([(row["hosts"], row[name]) for row in rows]) for name in names
+    }
+    print_table(rows)
+    print_table(virtual)
+    for name, (slope, base) in slopes.items():
+        print(f"{name}: {slope:.4g} per host + {base:.4g}")
+    document = {"processes": rows, "virtual": virtual, "slopes": slopes}
+    out.parent.mkdir(parents=True, exist_ok=True)
+    out.write_text(json.dumps(document, indent=1) + "\n", encoding="utf-8")
+    last = rows[-1]
+    over = (
+        last["core_share_max"] > CORE_SHARE_TARGET
+        or last["wire_bytes_per_s_estimate"] > BYTES_TARGET
+    )
+    return 1 if over else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- a/src/mangohatch/peer/counters.py
+++ b/src/mangohatch/peer/counters.py
@@ -1,9 +1,14 @@
 """Counters of messages between entry hosts by kind."""
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["PeerCounters"]
+from mangohatch.metrics.sample import Sample, SampleKind
+
+__all__ = ["HEARTBEAT_KIND", "PeerCounters"]
+
+HEARTBEAT_KIND = "heartbeat"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -35,3 +40,26 @@
         """
         self.messages_received[kind] += 1
         self.bytes_received[kind] += size
+
+    def samples(self) -> Iterable[Sample]:
+        """
+        Give all counters to the exposition.
+
+        :return: one sample for each counter and kind of message
+        """
+        families = (
+            ("messages_sent", "Messages sent to peers.", self.messages_sent),
+            ("bytes_sent", "Bytes of frames sent to peers.", self.bytes_sent),
+            ("messages_received", "Messages of peers.", self.messages_received),
+            ("bytes_received", "Bytes of frames of peers.", self.bytes_received),
+            ("messages_dropped", "Messages dropped, by reason.", self.dropped),
+        )
+        for name, text, counter in families:
+            for kind, value in counter.items():
+                yield Sample(
+                    name=f"mangohatch_peer_{name}",
+                    help=text,
+                    kind=SampleKind.COUNTER,
+                    value=value,
+                    labels=(("kind", kind),),
+                )
--- a/src/mangohatch/peer/link.py
+++ b/src/mangohatch/peer/link.py
@@ -10,7 +10,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from mangohatch.clock import Clock
-from mangohatch.peer.counters import PeerCounters
+from mangohatch.peer.counters import HEARTBEAT_KIND, PeerCounters
 from mangohatch.peer.frames import HEARTBEAT
 from mangohatch.peer.membership.table import Endpoint
 
@@ -147,7 +147,8 @@
             )
             self.on_connected(stream)
             while True:
-                await stream.read_bytes(READ_BYTES, partial=True)
+                echo = await stream.read_bytes(READ_BYTES, partial=True)
+                self._counters.received(HEARTBEAT_KIND, len(echo))
                 self._awaiting = False
                 self._failures = 0
         except (StreamClosedError, TimeoutError, OSError) as exc:
@@ -192,6 +193,7 @@
         """
         self._awaiting = True
         self._heartbeat_ms = self._clock.now_ms()
+        self._counters.sent(HEARTBEAT_KIND, len(HEARTBEAT))
         self.write(stream, HEARTBEAT)
 
     def tick(self, now_ms: float, *, stalled: bool) -> bool:
--- a/src/mangohatch/peer/listener.py
+++ b/src/mangohatch/peer/listener.py
@@ -7,7 +7,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.errors import PeerProtocolError
-from mangohatch.peer.counters import PeerCounters
+from mangohatch.peer.counters import HEARTBEAT_KIND, PeerCounters
 from mangohatch.peer.frames import HEARTBEAT, FrameReader
 
 __all__ = ["PeerListener"]
@@ -68,6 +68,8 @@
             if frame:
                 self._on_frame(frame)
             else:
+                self._counters.received(HEARTBEAT_KIND, len(HEARTBEAT))
+                self._counters.sent(HEARTBEAT_KIND, len(HEARTBEAT))
                 stream.write(HEARTBEAT)
 
     def close_idle(self, now_ms: float, idle_ms: float) -> None:
--- a/src/mangohatch/peer/membership/service.py
+++ b/src/mangohatch/peer/membership/service.py
@@ -80,6 +80,7 @@
         self.health = LocalHealth()
         self.table = MemberTable()
         self.replaced = False
+        self._stalled = False
         self.own = Member(
             host_id=host_id,
             incarnation=int(clock.wall_ms()),
@@ -121,6 +122,19 @@
         """
         return self._sync.joined or self._sync.alone
 
+    @property
+    def established(self) -> bool:
+        """
+        Tell whether a newer entry of this host's id can only mean a successor.
+
+        A host that has just started may find its predecessor's entry instead, with
+        a later start where clocks disagree. One that was paused before it joined
+        may have been replaced meanwhile.
+
+        :return: False while this host has just started
+        """
+        return self._sync.joined or self._stalled
+
     def views(self) -> Sequence[MemberView]:
         """
         List the members believed alive.
@@ -157,12 +171,9 @@
     def tick(self) -> None:
         """Run all systems; call it every few tens of milliseconds."""
         now_ms = self._clock.now_ms()
-        gap_ms = now_ms - self._last_tick_ms
+        stalled = self.absorb_stall(now_ms)
         self._last_tick_ms = now_ms
-        if gap_ms > self._cfg.stall_ms:
-            self.health.degrade()
-            self._probes.postpone(gap_ms)
-            self._suspicions.postpone(gap_ms)
+        if stalled:
             return
         if self.replaced or self.own.state == MemberState.LEFT:
             return
@@ -170,6 +181,23 @@
         self._suspicions.tick(now_ms)
         self._sync.tick(now_ms)
 
+    def absorb_stall(self, now_ms: float) -> bool:
+        """
+        Extend all deadlines where this process was paused since the last tick.
+
+        :param now_ms: monotonic time
+        :return: whether it was
+        """
+        gap_ms = now_ms - self._last_tick_ms
+        if gap_ms <= self._cfg.stall_ms:
+            return False
+        self._last_tick_ms = now_ms
+        self._stalled = True
+        self.health.degrade()
+        self._probes.postpone(gap_ms)
+        self._suspicions.postpone(gap_ms)
+        return True
+
     def link_broken(self, host_id: str) -> None:
         """
         Take a hint that a member may have died.
@@ -190,6 +218,7 @@
         if self.replaced:
             return
         now_ms = self._clock.now_ms()
+        self.absorb_stall(now_ms)
         if isinstance(message, Ping | Ack | MemberSync):
             self.take_in(message.members)
         row = self.table.rows.get(sender)
@@ -283,7 +312,7 @@
         if rank <= (own.incarnation, RANKS[MemberState(own.state)]):
             return
         elsewhere = (news.address, news.peer_port) != (own.address, own.peer_port)
-        if elsewhere and self._sync.joined and news.state not in GONE:
+        if elsewhere and self.established and news.state not in GONE:
             self.replaced = True
             self.record_self(EventKind.MEMBER_DEAD, cause="replaced by a newer host")
             self._on_change()
--- a/tests/peer/membership/network.py
+++ b/src/standins/member_network.py
@@ -9,7 +9,7 @@
 from mangohatch.peer.membership import Endpoint, Membership, MemberTransport
 from mangohatch.timeline.recorder import HybridClock, Recorder
 
-__all__ = ["Network", "Node"]
+__all__ = ["MemberNetwork", "MemberNode"]
 
 TICK_MS = 50.0
 DELAY_MS = 1.0
@@ -17,7 +17,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Node:
+class MemberNode:
     """One host of the fleet."""
 
     membership: Membership
@@ -29,16 +29,22 @@
 
     @property
     def host_id(self) -> str:
+        """Id of the host."""
         return self.membership.own.host_id
 
     def live(self) -> set[str]:
+        """
+        List the members that this host believes alive.
+
+        :return: host ids, its own included
+        """
         return {view.host_id for view in self.membership.views()}
 
 
 class NodeTransport(MemberTransport):
     """Sends the messages of one node into the network."""
 
-    def __init__(self, *, network: "Network", endpoint: Endpoint) -> None:
+    def __init__(self, *, network: "MemberNetwork", endpoint: Endpoint) -> None:
         self.network = network
         self.endpoint = endpoint
 
@@ -46,24 +52,49 @@
         self.network.carry(self.endpoint, endpoint, message)
 
 
-class Network:
-    """Carries messages between nodes; may lose them or cut nodes off."""
+class MemberNetwork:
+    """
+    Carries messages between nodes; may lose them or cut nodes off.
+
+    Nodes on different sides do not reach each other; those without one are on
+    side 0.
+
+    :param seed: seed of all random numbers
+    :param zones: number of availability zones
+    :param membership_type: class of the protocol, replaced to plant a fault
+    """
 
-    def __init__(self, *, seed: int, zones: int = 3) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        zones: int = 3,
+        membership_type: type[Membership] = Membership,
+    ) -> None:
+        self._membership_type = membership_type
         self.clock = ManualClock(wall_offset_ms=WALL_OFFSET_MS)
         self.rng = random.Random(seed)
         self.zones = zones
-        self.nodes: dict[Endpoint, Node] = {}
+        self.nodes: dict[Endpoint, MemberNode] = {}
         self.loss = 0.0
         self.sides: dict[Endpoint, int] = {}
         self.queue: list[tuple[float, int, Endpoint, str, bytes]] = []
         self.count = 0
+        self.messages = 0
+        self.bytes = 0
 
-    def start(self, host_id: str, *, seeds: int = 2) -> Node:
+    def start(self, host_id: str, *, seeds: int = 2) -> MemberNode:
+        """
+        Start a host at a new address.
+
+        :param host_id: its id; may be that of an earlier host
+        :param seeds: number of running hosts it is told of
+        :return: the host
+        """
         self.count += 1
         endpoint = Endpoint("10.0.0.1", self.count)
         recorder = Recorder(host=host_id, zone="z", clock=HybridClock(clock=self.clock))
-        membership = Membership(
+        membership = self._membership_type(
             host_id=host_id,
             zone=f"zone-{self.count % self.zones}",
             endpoint=endpoint,
@@ -74,30 +105,51 @@
             transport=NodeTransport(network=self, endpoint=endpoint),
             recorder=recorder,
         )
-        node = Node(membership=membership, recorder=recorder, endpoint=endpoint)
+        node = MemberNode(membership=membership, recorder=recorder, endpoint=endpoint)
         self.nodes[endpoint] = node
         return node
 
-    def start_fleet(self, size: int) -> list[Node]:
+    def start_fleet(self, size: int) -> list[MemberNode]:
+        """
+        Start hosts ``entry-0``, ``entry-1`` and so on.
+
+        :param size: number of hosts
+        :return: the hosts
+        """
         return [self.start(f"entry-{number}") for number in range(size)]
 
     def carry(self, source: Endpoint, target: Endpoint, message: Any) -> None:
+        """
+        Put a message on its way, unless a fault prevents it.
+
+        :param source: address of the sender
+        :param target: address of the receiver
+        :param message: the message
+        """
         if self.sides.get(source, 0) != self.sides.get(target, 0):
             return
         if self.rng.random() < self.loss:
             return
         sender = self.nodes[source].host_id
+        self.messages += 1
         data = encode(message, sender=sender, incarnation=0, time_ms=0.0, count=0)
         at_ms = self.clock.now_ms() + DELAY_MS * self.rng.uniform(0.5, 2.0)
         self.count += 1
+        self.bytes += len(data)
         self.queue.append((at_ms, self.count, target, sender, data))
 
     def run(self, duration_ms: float) -> None:
+        """
+        Let virtual time pass.
+
+        :param duration_ms: milliseconds
+        """
         end_ms = self.clock.now_ms() + duration_ms
         while self.clock.now_ms() < end_ms:
             self.step()
 
     def step(self) -> None:
+        """Let one tick of all hosts pass."""
         self.clock.advance(TICK_MS)
         now_ms = self.clock.now_ms()
         for node in list(self.nodes.values()):
@@ -112,6 +164,13 @@
                 self.deliver(target, sender, decode_body(decode_envelope(data)))
 
     def deliver(self, target: Endpoint, sender: str, message: Any) -> None:
+        """
+        Hand a message to its receiver, or keep it while that is paused.
+
+        :param target: address of the receiver
+        :param sender: id of the sender
+        :param message: the message
+        """
         node = self.nodes.get(target)
         if node is None or not node.running:
             return
@@ -120,5 +179,10 @@
         else:
             node.membership.receive(sender, message)
 
-    def running(self) -> list[Node]:
+    def running(self) -> list[MemberNode]:
+        """
+        List the hosts that have not been stopped.
+
+        :return: hosts, paused ones included
+        """
         return [node for node in self.nodes.values() if node.running]
--- a/tests/orders/test_required.py
+++ b/tests/orders/test_required.py
@@ -3,8 +3,8 @@
 from mangohatch.errors import StoreUnavailable
 from mangohatch.orders.required import ListedRequirement
 from mangohatch.platform.host_list import HostList, HostListing, ListedHost, ListedState
+from standins.member_network import MemberNetwork
 from tests.functions import fixture, function_tests
-from tests.peer.membership.network import Network
 
 load_tests = function_tests(__name__)
 
@@ -32,7 +32,7 @@
 
 @fixture
 def member_network():
-    network = Network(seed=1)
+    network = MemberNetwork(seed=1)
     network.start_fleet(3)
     network.run(SETTLE_MS)
     return network
--- /dev/null
+++ b/tests/peer/membership/test_machine.py
@@ -0,0 +1,68 @@
+"""Histories of membership, and faults that the checker must catch."""
+
+from mangohatch.peer.membership import Membership
+from tests.functions import function_tests
+from tests.peer.membership.machine import MembershipMachine, run_machine
+
+load_tests = function_tests(__name__)
+
+EXAMPLES = 15
+FAULT_EXAMPLES = 60
+
+
+def catches(membership_type):
+    class Faulty(MembershipMachine):
+        pass
+
+    Faulty.membership_type = membership_type
+    try:
+        run_machine(Faulty, examples=FAULT_EXAMPLES)
+    except Exception as exc:
+        return any("AssertionError" in repr(one) for one in unfold(exc))
+    return False
+
+
+def unfold(exc):
+    yield exc
+    for one in getattr(exc, "exceptions", ()):
+        yield from unfold(one)
+
+
+def test_histories_hold():
+    run_machine(MembershipMachine, examples=EXAMPLES)
+
+
+def test_checker_catches_a_host_that_refutes_nothing():
+    class Silent(Membership):
+        def hear_of_self(self, news):
+            pass
+
+    assert catches(Silent)
+
+
+def test_checker_catches_burial_without_time_to_refute():
+    class Hasty(Membership):
+        def suspect(self, row, accusers):
+            self.bury(row)
+
+    assert catches(Hasty)
+
+
+def test_checker_catches_a_table_that_is_never_compared():
+    class Deaf(Membership):
+        def receive(self, sender, message):
+            if type(message).__name__ != "MemberSync" or not self.joined:
+                super().receive(sender, message)
+
+    assert catches(Deaf)
+
+
+def test_checker_catches_a_ghost_that_never_gives_way():
+    class Stubborn(Membership):
+        def hear_of_self(self, news):
+            if news.incarnation > self.own.incarnation:
+                self.own.incarnation = news.incarnation + 1
+            else:
+                super().hear_of_self(news)
+
+    assert catches(Stubborn)
--- a/tests/peer/membership/test_membership.py
+++ b/tests/peer/membership/test_membership.py
@@ -1,8 +1,8 @@
 """Tests of membership in virtual time."""
 
 from mangohatch.timeline.event import EventKind
+from standins.member_network import MemberNetwork
 from tests.functions import function_tests
-from tests.peer.membership.network import Network
 
 load_tests = function_tests(__name__)
 
@@ -28,7 +28,7 @@
 
 
 def test_fleet_joins_through_seeds():
-    network = Network(seed=1)
+    network = MemberNetwork(seed=1)
     nodes = network.start_fleet(17)
     network.run(SETTLE_MS)
     assert_agreed(nodes)
@@ -36,7 +36,7 @@
 
 
 def test_dead_host_is_found_and_its_successor_under_the_same_id_joins():
-    network = Network(seed=2)
+    network = MemberNetwork(seed=2)
     nodes = network.start_fleet(8)
     network.run(SETTLE_MS)
     nodes[3].running = False
@@ -49,7 +49,7 @@
 
 
 def test_successor_beats_a_predecessor_that_wakes_up():
-    network = Network(seed=3)
+    network = MemberNetwork(seed=3)
     nodes = network.start_fleet(8)
     network.run(SETTLE_MS)
     ghost = nodes[3]
@@ -65,7 +65,7 @@
 
 
 def test_host_whose_clock_lags_replaces_one_with_a_later_start():
-    network = Network(seed=4)
+    network = MemberNetwork(seed=4)
     nodes = network.start_fleet(5)
     network.run(SETTLE_MS)
     nodes[2].membership.own.incarnation += 10_000_000
@@ -79,7 +79,7 @@
 
 
 def test_departed_host_is_dropped_without_suspicion():
-    network = Network(seed=5)
+    network = MemberNetwork(seed=5)
     nodes = network.start_fleet(8)
     network.run(SETTLE_MS)
     nodes[0].membership.set_leaving()
@@ -96,7 +96,7 @@
 
 
 def test_partition_heals():
-    network = Network(seed=6)
+    network = MemberNetwork(seed=6)
     nodes = network.start_fleet(9)
     network.run(SETTLE_MS)
     network.sides = {node.endpoint: 1 for node in nodes[:3]}
@@ -109,7 +109,7 @@
 
 
 def test_paused_host_wakes_without_burying_others():
-    network = Network(seed=7)
+    network = MemberNetwork(seed=7)
     nodes = network.start_fleet(9)
     network.run(SETTLE_MS)
     nodes[4].paused_until_ms = network.clock.now_ms() + FORGET_FLEET_MS
@@ -119,7 +119,7 @@
 
 
 def test_loss_of_a_tenth_kills_nobody():
-    network = Network(seed=8)
+    network = MemberNetwork(seed=8)
     nodes = network.start_fleet(9)
     network.run(SETTLE_MS)
     network.loss = 0.1
