--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 history: setup
 	$(BIN)/python -m tests.state.machine --seed $(SEED)
 	$(BIN)/python -m tests.peer.membership.machine --seed $(SEED)
+	$(BIN)/python -m tests.orders.machine --seed $(SEED)
 
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
