Count attempts along a call's path, and requests by outcome

Cause: retries of a tenth at each of 15 layers multiply to 4.2 times the load at the bottom; metrics of requests were defined and never fed. Change: X-Attempt is read, passed on and limits retries; only first attempts earn retries; an observer of the forwarder feeds the metrics. Conclusion: a bound of 1.1 over all layers needs the backend servers' help.

--- a/src/mangohatch/entry/active.py
+++ b/src/mangohatch/entry/active.py
@@ -27,7 +27,8 @@
     State of a request that is being forwarded.
 
     ``headers`` are those sent to upstreams. ``may_have_run`` is set while an
-    upstream may have run the request and did not state otherwise.
+    upstream may have run the request and did not state otherwise. ``upstream_ms``
+    is the time that all attempts took together.
     """
 
     call: Call
@@ -51,6 +52,7 @@
     silent: bool = False
     on_reused: bool = False
     silence_limit_ms: float = 0.0
+    upstream_ms: float = 0.0
 
     def abort(self, error: RequestError, router: Router | QuarantineGate) -> None:
         """
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -8,6 +8,7 @@
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.continuation import ContinuationSink
 from mangohatch.entry.headers import (
+    ATTEMPT_HEADER,
     DEADLINE_HEADER,
     UPSTREAM_LOAD_HEADER,
     UPSTREAM_STATE_HEADER,
@@ -86,6 +87,7 @@
         )
         remaining_ms = req.call.deadline_ms - self._clock.now_ms()
         req.headers[DEADLINE_HEADER] = str(max(int(remaining_ms), 1))
+        req.headers[ATTEMPT_HEADER] = str(req.call.attempt)
         ran_before = req.may_have_run
         req.may_have_run = True
         req.silent = False
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -16,6 +16,7 @@
 from mangohatch.entry.continuation import can_continue, plan_continuation
 from mangohatch.entry.events import RequestEvents
 from mangohatch.entry.keyed import claim, is_keyed, make_answer, replay
+from mangohatch.entry.observer import NoObserver, RequestObserver
 from mangohatch.entry.retry import is_retry_safe, result_of
 from mangohatch.entry.watch import RequestWatch
 from mangohatch.errors import (
@@ -54,6 +55,7 @@
     :param budget: gives leave for retries; a local one by default
     :param registry: claims keys of non-idempotent requests; None to ignore keys
     :param recorder: receives events; None for no events
+    :param observer: hears of the end of each request
     """
 
     def __init__(
@@ -65,12 +67,14 @@
         budget: RetryBudget | None = None,
         registry: ClaimRegistry | None = None,
         recorder: Recorder | None = None,
+        observer: RequestObserver | None = None,
     ) -> None:
         self._clock = clock
         self._router = router
         self._pool = pool
         self._budget = budget or LocalRetryBudget(clock=clock)
         self._registry = registry
+        self._observer = observer or NoObserver()
         self._events = RequestEvents(clock=clock, recorder=recorder)
         self._attempts = AttemptRunner(
             clock=clock, pool=pool, may_retry=self._spend_retry
@@ -91,6 +95,14 @@
         :param req: the request
         :raises RequestError: when the caller has to be told of a failure
         """
+        try:
+            await self._forward(req)
+        except RequestError as exc:
+            self._observer.ended(req, exc)
+            raise
+        self._observer.ended(req, None)
+
+    async def _forward(self, req: ActiveRequest) -> None:
         if self._registry is None or not is_keyed(req):
             await self._run(req)
             return
@@ -114,12 +126,14 @@
         try:
             if req.body is not None:
                 await req.body.prefetch()
-            self._budget.earn(req.call)
+            if req.call.attempt == 1:
+                self._budget.earn(req.call)
             while True:
                 error = await self._try_once(req)
                 if error is None:
                     break
                 self._prepare_retry(req, error)
+                self._observer.retried(req)
             req.sink.end()
         except RequestError as exc:
             raise self._fail(req, exc) from exc
@@ -172,6 +186,7 @@
             return error
         finally:
             report.latency_ms = self._clock.now_ms() - started_ms
+            req.upstream_ms += report.latency_ms
             self._router.release(grant, report)
 
     async def _admit(self, req: ActiveRequest) -> Grant:
--- a/src/mangohatch/entry/headers.py
+++ b/src/mangohatch/entry/headers.py
@@ -3,6 +3,7 @@
 from tornado.httputil import HTTPHeaders
 
 __all__ = [
+    "ATTEMPT_HEADER",
     "CUSTOMER_HEADER",
     "DEADLINE_HEADER",
     "ERROR_HEADER",
@@ -17,6 +18,7 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 DEADLINE_HEADER = "X-Deadline-Ms"
+ATTEMPT_HEADER = "X-Attempt"
 OUTCOME_HEADER = "X-Outcome"
 ERROR_HEADER = "X-Error-Code"
 CUSTOMER_HEADER = "X-Customer"
@@ -43,6 +45,7 @@
     {
         "Content-Length",
         "Host",
+        ATTEMPT_HEADER,
         CUSTOMER_HEADER,
         DEADLINE_HEADER,
         IDEMPOTENCY_KEY_HEADER,
--- /dev/null
+++ b/src/mangohatch/entry/observer.py
@@ -0,0 +1,39 @@
+"""The interface through which the end of each request is told."""
+
+from abc import ABC, abstractmethod
+
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.errors import RequestError
+
+__all__ = ["NoObserver", "RequestObserver"]
+
+
+class RequestObserver(ABC):
+    """Hears of requests that ended and of retries; called on the request path."""
+
+    @abstractmethod
+    def ended(self, req: ActiveRequest, error: RequestError | None) -> None:
+        """
+        A request ended.
+
+        :param req: the request
+        :param error: what its caller was told, None when it got an answer
+        """
+
+    @abstractmethod
+    def retried(self, req: ActiveRequest) -> None:
+        """
+        A request is about to be sent again.
+
+        :param req: the request
+        """
+
+
+class NoObserver(RequestObserver):
+    """Ignores everything."""
+
+    def ended(self, req: ActiveRequest, error: RequestError | None) -> None:
+        return None
+
+    def retried(self, req: ActiveRequest) -> None:
+        return None
--- a/src/mangohatch/entry/request.py
+++ b/src/mangohatch/entry/request.py
@@ -12,13 +12,19 @@
 from mangohatch.entry.body import RequestBody
 from mangohatch.entry.head import decode_path
 from mangohatch.entry.headers import (
+    ATTEMPT_HEADER,
     CUSTOMER_HEADER,
     DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     REQUEST_ID_HEADER,
     drop_hop_by_hop,
 )
-from mangohatch.entry.routes import clip_deadline_ms, find_service, is_idempotent
+from mangohatch.entry.routes import (
+    clip_deadline_ms,
+    find_service,
+    is_idempotent,
+    read_attempt,
+)
 from mangohatch.errors import BadRequest
 
 __all__ = ["make_call", "prepare_headers", "read_request_id"]
@@ -78,6 +84,7 @@
         deadline_ms=now_ms + budget_ms,
         idempotent=is_idempotent(spec, line.method, path),
         customer=customer,
+        attempt=read_attempt(headers.get(ATTEMPT_HEADER)),
     )
 
 
--- a/src/mangohatch/entry/routes.py
+++ b/src/mangohatch/entry/routes.py
@@ -6,10 +6,17 @@
 from mangohatch.core.tables import ServiceRow
 from mangohatch.errors import BadRequest, NoRoute
 
-__all__ = ["clip_deadline_ms", "find_service", "is_idempotent", "matches_prefix"]
+__all__ = [
+    "clip_deadline_ms",
+    "find_service",
+    "is_idempotent",
+    "matches_prefix",
+    "read_attempt",
+]
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 MAX_DEADLINE_MS = 600_000.0
+MAX_ATTEMPT_DIGITS = 3
 MAX_DEADLINE_DIGITS = 12
 
 
@@ -62,6 +69,21 @@
     return method in IDEMPOTENT_METHODS
 
 
+def read_attempt(text: str | None) -> int:
+    """
+    Read how often a request was attempted on its way here.
+
+    :param text: value of the attempt header, None without one
+    :return: 1 for a first attempt
+    :raises BadRequest: when the value is not a positive number
+    """
+    if text is None:
+        return 1
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_ATTEMPT_DIGITS:
+        raise BadRequest("X-Attempt is not a whole number")
+    return max(int(text), 1)
+
+
 def clip_deadline_ms(text: str | None, default_ms: float) -> float:
     """
     Read the time that a caller gives its request.
--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -11,6 +11,7 @@
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.server import EntryServer
 from mangohatch.host.admin import make_admin
+from mangohatch.host.metrics import MetricsObserver
 from mangohatch.host.routing import make_routing
 from mangohatch.host.samples import (
     measuring_samples,
@@ -69,6 +70,7 @@
             pool=self.pool,
             registry=self.state.claims if self.state else None,
             recorder=self.recorder,
+            observer=MetricsObserver(clock=clock, metrics=self.metrics),
         )
         self.entry = EntryServer(
             host_id=cfg.host_id,
--- /dev/null
+++ b/src/mangohatch/host/metrics.py
@@ -0,0 +1,40 @@
+"""Metrics of the requests of one host."""
+
+from mangohatch.clock import Clock
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.observer import RequestObserver
+from mangohatch.errors import RequestError
+from mangohatch.metrics import Metrics
+
+__all__ = ["MetricsObserver"]
+
+
+class MetricsObserver(RequestObserver):
+    """
+    Records each request by outcome and code, with its times.
+
+    :param clock: source of time
+    :param metrics: receives the records
+    """
+
+    def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
+        self._clock = clock
+        self._metrics = metrics
+
+    def ended(self, req: ActiveRequest, error: RequestError | None) -> None:
+        service = self._metrics.service(req.call.service)
+        total_ms = self._clock.now_ms() - req.call.arrived_ms
+        if error is None:
+            service.record_request(
+                req.sink.outcome, total_ms=total_ms, upstream_ms=req.upstream_ms
+            )
+        else:
+            service.record_request(
+                error.outcome,
+                code=error.code,
+                total_ms=total_ms,
+                upstream_ms=req.upstream_ms,
+            )
+
+    def retried(self, req: ActiveRequest) -> None:
+        self._metrics.service(req.call.service).record_retry()
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -312,3 +312,29 @@
         assert not any(name.startswith("x-upstream") for name in response.headers)
         report = entry.router.reports[0]
         assert (report.upstream_in_flight, report.draining) == (2, True)
+
+
+async def test_attempts_are_counted_along_the_path_of_a_call():
+    async with open_entry(abort, answer) as (entry, upstreams):
+        caller = await entry.connect()
+        assert (await caller.ask()).status == 200
+        seen = [
+            item.headers["x-attempt"] for each in upstreams for item in each.requests
+        ]
+        assert seen in (["1", "2"], ["1"])
+
+
+async def test_call_that_was_retried_above_is_not_retried_again():
+    async with open_entry(abort, abort) as (entry, upstreams):
+        caller = await entry.connect()
+        response = await caller.ask(X_Attempt="3")
+        assert response.status == 502
+        assert sum(len(each.requests) for each in upstreams) == 1
+
+
+async def test_malformed_attempt_is_refused():
+    async with open_entry(answer) as (entry, upstreams):
+        caller = await entry.connect()
+        response = await caller.ask(X_Attempt="many")
+        assert response.status == 400
+        assert response.headers["x-outcome"] == "not_run"
--- a/tests/host/test_entry_host.py
+++ b/tests/host/test_entry_host.py
@@ -8,6 +8,7 @@
 from mangohatch.clock import SystemClock
 from mangohatch.config import HostSettings, Listener
 from mangohatch.host import EntryHost
+from tests.fixtures import make_service
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
@@ -84,3 +85,21 @@
         assert (good.code, bad.code) == (200, 400)
 
     await run_until_stopped(host, check)
+
+
+async def test_requests_are_counted_by_outcome():
+    spec = make_service()
+    cfg = make_settings(services=(spec,))
+    host = EntryHost(cfg=cfg, clock=SystemClock())
+
+    async def check():
+        response = await fetch(cfg.entry.port, "/tablero-misa/board")
+        assert response.code == 502
+        metrics = await fetch(cfg.admin.port, "/metrics")
+        line = (
+            'mangohatch_requests_total{code="upstream_unreachable",outcome="not_run",'
+            'service="tablero-misa"} 1.0'
+        )
+        assert line in metrics.body.decode()
+
+    await run_until_stopped(host, check)
