--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -32,6 +32,7 @@
 TICK_MS = 10.0
 MS_PER_S = 1000.0
 LEAVING = "leaving"
+REPLACED = "replaced"
 
 log = structlog.get_logger()
 
@@ -143,6 +144,8 @@
         """
         if not self.entry.ready:
             return LEAVING
+        if isinstance(self.bus, TcpPeerBus) and self.bus.replaced:
+            return REPLACED
         if self.state is not None and not self.state.service.ready():
             return str(self.state.service.readiness())
         return None
--- a/src/mangohatch/peer/tcp.py
+++ b/src/mangohatch/peer/tcp.py
@@ -115,6 +115,15 @@
         """
         return self.membership.joined
 
+    @property
+    def replaced(self) -> bool:
+        """
+        Tell whether a newer host runs under the id of this one.
+
+        :return: True when this host has to stop serving
+        """
+        return self.membership.replaced
+
     def members(self) -> Sequence[MemberView]:
         if self._views is None:
             self._views = self.membership.views()
