Spill late and keep leases longer when the measuring budget is spent

Cause: with the budget spent a host chose alone for every call of the next 50 ms; a broker came into being with its first request and then settled for 12 ms; a host without leases asked again for each call before the first answer.

--- a/bench/virtual/loop.py
+++ b/bench/virtual/loop.py
@@ -52,6 +52,8 @@
             self.now_ms = time_ms
             self.clock.set(max(time_ms, self.clock.now_ms()))
             function(*args)
+        self.now_ms = max(self.now_ms, until_ms)
+        self.clock.set(self.now_ms)
 
 
 class LoopTimers(Timers):
--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -13,7 +13,7 @@
 from mangohatch.core.slots import Broker, Holder, ShardMap, SpeedTable
 from mangohatch.core.slots.broker import SETTLE_MS
 from mangohatch.core.slots.holder import Held
-from mangohatch.core.slots.shards import split_shard
+from mangohatch.core.slots.shards import list_shards, split_shard
 from mangohatch.core.tables import ServiceRow, Tables
 from mangohatch.core.timers import Timers
 from mangohatch.peer.bus import PeerBus
@@ -24,6 +24,11 @@
 ASK_DELAY_MS = 1.5
 ANSWER_MS = 4.0
 SILENCE_MS = 50.0
+SPILL_MS = 2.0
+STARVED_MS = 1_000.0
+STARVED_LINGER_MS = 15.0
+ALONE_MIN = 4
+ALONE_SHARES = 2
 BROKER_IDLE_MS = 5_000.0
 TIMER_STEP_MS = 1.0
 
@@ -59,6 +64,9 @@
         self.holders: dict[str, Holder] = {}
         self.brokers: dict[str, Broker] = {}
         self._silent_until: dict[str, float] = {}
+        self._starved_until: dict[str, float] = {}
+        self._alone: dict[str, int] = {}
+        self._known_services = 0
         self._sequence = 0
         self._planned: set[str] = set()
         self._update_members()
@@ -74,10 +82,16 @@
             holder.use(held)
             row = service.upstreams[held.upstream]
             return self.make_grant(call, row, held.token)
-        if self._is_silent(shard) and not call.isolated:
-            return self._choose_alone(service, call)
+        if not call.isolated and self._may_go_alone(shard, call):
+            return self._choose_alone(service, shard, call)
         return None
 
+    def _may_go_alone(self, shard: str, call: Call) -> bool:
+        if self._is_silent(shard):
+            return True
+        waited_ms = self._clock.now_ms() - call.arrived_ms
+        return waited_ms >= SPILL_MS and self._is_starved(shard)
+
     def wait(self, service: ServiceRow, call: Call, waiting: int) -> bool:
         shard = self._shards.home(service)
         holder = self._holder(shard)
@@ -85,13 +99,17 @@
             self._send_request(service, shard, call, count=1)
         elif waiting > holder.pending(service.spec.max_queue_wait_ms):
             self._plan_ask(service, shard, call)
+        if self._is_starved(shard):
+            self._plan_spill(service)
         return not holder.idle and not self._is_silent(shard)
 
     def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
         shard = self._shards.home(service)
         if report.result is Result.OK:
             self._speed(shard).note(grant.upstream.name, report.latency_ms)
-        if grant.token:
+        if not grant.token:
+            self._alone[shard] = max(0, self._alone.get(shard, 0) - 1)
+        else:
             self._holder(shard).end_use(grant.token, report)
 
     def idle(self, service: ServiceRow) -> None:
@@ -99,6 +117,8 @@
 
     def tick(self) -> None:
         changed = self._update_members()
+        if changed or len(self._tables.services) != self._known_services:
+            self._take_over()
         for holder in self.holders.values():
             holder.renew(force=changed)
         for shard, broker in list(self.brokers.items()):
@@ -109,6 +129,13 @@
             broker.sync(service)
             broker.tick()
 
+    def _take_over(self) -> None:
+        self._known_services = len(self._tables.services)
+        for service in self._tables.services.values():
+            for shard in list_shards(service):
+                if self._shards.broker(shard) == self._bus.host_id:
+                    self._broker(shard)
+
     def note_request(self, service: ServiceRow) -> None:
         self._gate(service).note_request()
 
@@ -131,7 +158,9 @@
         # A lease in use may end first, and calls that arrive meanwhile share the
         # request to the broker.
         local = self._shards.broker(shard) == self._bus.host_id
-        if local or call.avoid or not self._holder(shard).leases:
+        holder = self._holder(shard)
+        unanswered = holder.asked and holder.heard_ms < holder.asked_ms
+        if local or not (holder.leases or unanswered):
             self._ask(service, shard, call)
         elif shard not in self._planned:
             self._planned.add(shard)
@@ -152,7 +181,9 @@
         holder.asked_ms = self._clock.now_ms()
         if not self._send_request(service, shard, call, count=holder.asked):
             holder.asked = 0
-            self._fall_silent(shard)
+            self._starved_until[shard] = self._clock.now_ms() + STARVED_MS
+            holder.floor_ms = STARVED_LINGER_MS
+            self._plan_spill(service)
 
     def _send_request(
         self, service: ServiceRow, shard: str, call: Call, *, count: int
@@ -192,14 +223,38 @@
         until_ms = self._silent_until.get(shard)
         return until_ms is not None and self._clock.now_ms() < until_ms
 
-    def _choose_alone(self, service: ServiceRow, call: Call) -> Grant | None:
+    def _plan_spill(self, service: ServiceRow) -> None:
+        name = service.spec.name
+        self._timers.call_later(SPILL_MS, lambda: self._available(name))
+
+    def _is_starved(self, shard: str) -> bool:
+        until_ms = self._starved_until.get(shard)
+        if until_ms is None:
+            return False
+        if self._clock.now_ms() < until_ms:
+            return True
+        del self._starved_until[shard]
+        self._holder(shard).floor_ms = 0.0
+        return False
+
+    def _choose_alone(
+        self, service: ServiceRow, shard: str, call: Call
+    ) -> Grant | None:
+        alone = self._alone.get(shard, 0)
+        if alone >= self._alone_limit(service):
+            return None
         rows = self.candidates(service, call)
         first, second = self._rng.choice(rows), self._rng.choice(rows)
         row = first if first.in_flight <= second.in_flight else second
         if row.in_flight >= row.slots:
             return None
+        self._alone[shard] = alone + 1
         return self.make_grant(call, row)
 
+    def _alone_limit(self, service: ServiceRow) -> int:
+        slots = sum(row.slots for row in service.upstreams.values())
+        return max(ALONE_MIN, ALONE_SHARES * slots // max(1, len(self._zones)))
+
     def _update_members(self) -> bool:
         members = self._bus.members()
         self._zones = {view.host_id: view.zone for view in members}
--- a/src/mangohatch/core/measuring/budget.py
+++ b/src/mangohatch/core/measuring/budget.py
@@ -8,6 +8,7 @@
 
 MS_PER_S = 1000.0
 BURST_REQUESTS = 100
+START_CALLS = 10.0
 
 
 class BudgetGate:
@@ -27,7 +28,7 @@
         self._filled_ms = clock.now_ms()
         self._calls = budget.calls_per_second
         self._bytes = budget.bytes_per_second
-        self._share = max(1.0, budget.calls_per_request)
+        self._share = START_CALLS if budget.calls_per_request else 0.0
 
     def note_request(self) -> None:
         """Count a request, which earns its share of a call."""
--- a/src/mangohatch/core/measuring/size.py
+++ b/src/mangohatch/core/measuring/size.py
@@ -4,7 +4,7 @@
 
 __all__ = ["size_of"]
 
-FRAME_BYTES = 52
+FRAME_BYTES = 56
 DOUBLE_BYTES = 9
 TOKEN_BYTES = 6
 USE_BYTES = 30
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -296,11 +296,18 @@
 
     def _press(self) -> None:
         self._pressing = False
-        demand = next(iter(self._demands.values()), None)
-        if demand is None or demand.isolated:
+        now_ms = self._clock.now_ms()
+        waiting = [
+            demand
+            for demand in self._demands.values()
+            if demand.until_ms > now_ms and not demand.isolated
+        ]
+        if not waiting:
             return
         self.linger_ms = max(LINGER_MIN_MS, self.linger_ms * LINGER_SHRINK)
-        self._recall(demand, self._clock.now_ms())
+        held = self.ledger.held
+        poorest = min(waiting, key=lambda demand: held.get(demand.holder, 0))
+        self._recall(poorest, now_ms)
         self._deliver()
 
     def _recall_idle(self, demand: Demand, now_ms: float) -> None:
--- a/src/mangohatch/core/slots/holder.py
+++ b/src/mangohatch/core/slots/holder.py
@@ -1,5 +1,6 @@
 """The leases that this host holds on the slots of one shard."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -36,7 +37,7 @@
     Leases in use and idle leases, reports not yet sent, and slots asked for.
 
     An idle lease goes back to the broker after the linger time that the broker
-    told last.
+    told last, or after ``floor_ms`` if that is longer.
     """
 
     def __init__(
@@ -53,14 +54,20 @@
         self._send = send
         self.leases: dict[int, Held] = {}
         self.idle: dict[int, Held] = {}
-        self.linger_ms = 0.0
+        self._told_ms = 0.0
+        self.floor_ms = 0.0
         self.asked = 0
         self.asked_ms = 0.0
-        self.heard_ms = clock.now_ms()
+        self.heard_ms = -math.inf
         self._uses: list[SlotUse] = []
         self._renewed_ms = clock.now_ms()
         self._timer_ms: float | None = None
 
+    @property
+    def linger_ms(self) -> float:
+        """Time for which a lease stays idle here."""
+        return max(self._told_ms, self.floor_ms)
+
     def take_grant(self, grant: SlotGrant) -> None:
         """
         Take leases, the linger time and a recall from the broker.
@@ -69,7 +76,7 @@
         """
         now_ms = self._clock.now_ms()
         self.heard_ms = now_ms
-        self.linger_ms = grant.linger_ms
+        self._told_ms = grant.linger_ms
         if not grant.isolated:
             self.asked = max(0, self.asked - len(grant.tokens))
             if grant.sequence:
--- a/src/mangohatch/core/slots/shards.py
+++ b/src/mangohatch/core/slots/shards.py
@@ -7,7 +7,7 @@
 from mangohatch.core.tables import ServiceRow, UpstreamRow
 from mangohatch.peer.bus import MemberView
 
-__all__ = ["SHARD_UPSTREAMS", "ShardMap", "rank", "shard_rows", "split_shard"]
+__all__ = ["SHARD_UPSTREAMS", "ShardMap", "list_shards", "shard_rows", "split_shard"]
 
 SHARD_UPSTREAMS = 64
 SEPARATOR = "#"
@@ -123,6 +123,20 @@
     return max(1, -(-len(service.upstreams) // SHARD_UPSTREAMS))
 
 
+def list_shards(service: ServiceRow) -> list[str]:
+    """
+    List the shards of a service.
+
+    :param service: the service
+    :return: names of its shards
+    """
+    name = service.spec.name
+    count = count_shards(service)
+    if count == 1:
+        return [name]
+    return [f"{name}{SEPARATOR}{number}" for number in range(count)]
+
+
 def shard_rows(service: ServiceRow, shard: str) -> list[UpstreamRow]:
     """
     List the upstreams of a shard.
--- /dev/null
+++ b/tests/bench/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bench in virtual time."""
--- /dev/null
+++ b/tests/core/admission/test_queue.py
@@ -0,0 +1,124 @@
+"""Tests of the queue of calls that wait."""
+
+from mangohatch.core.admission import Waiting, WaitQueue
+from mangohatch.core.admission.queue import ISOLATED_WAIT_MS
+from mangohatch.core.call import Call
+from tests.fixtures import make_service
+from tests.functions import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+SERVE_GAP_MS = 4.0
+
+
+def make_waiting(name, customer="a", deadline_ms=1000.0, isolated=False):
+    call = Call(
+        request_id=name,
+        service="tablero-misa",
+        arrived_ms=0.0,
+        deadline_ms=deadline_ms,
+        idempotent=True,
+        customer=customer,
+        isolated=isolated,
+    )
+    return Waiting(call=call, deliver=lambda decision: None)
+
+
+@fixture
+def queue():
+    return WaitQueue(spec=make_service())
+
+
+@fixture
+def slow_queue():
+    made = WaitQueue(spec=make_service())
+    now_ms = 0.0
+    for number in range(100):
+        waiting = make_waiting(f"w{number}", customer="warm-up")
+        made.offer(waiting, now_ms)
+        now_ms += SERVE_GAP_MS
+        made.serve(waiting, now_ms)
+    return made
+
+
+def names(queue):
+    return [waiting.call.request_id for waiting in queue.ordered()]
+
+
+def test_earliest_deadline_goes_first(queue):
+    for name, deadline_ms in (("late", 900.0), ("early", 100.0), ("middle", 500.0)):
+        queue.offer(make_waiting(name, deadline_ms=deadline_ms), 0.0)
+    assert names(queue) == ["early", "middle", "late"]
+
+
+def test_least_served_customer_goes_first(queue):
+    first = make_waiting("a1")
+    queue.offer(first, 0.0)
+    queue.offer(make_waiting("a2", deadline_ms=10.0), 0.0)
+    queue.offer(make_waiting("b1", customer="b"), 0.0)
+    queue.serve(first, 1.0)
+    assert names(queue) == ["b1", "a2"]
+
+
+def test_customer_that_comes_back_has_no_claim_saved_up(queue):
+    for number in range(10):
+        waiting = make_waiting(f"a{number}")
+        queue.offer(waiting, 0.0)
+        queue.serve(waiting, 0.0)
+    served = []
+    for number in range(3):
+        queue.offer(make_waiting(f"b{number}", customer="b"), 0.0)
+        queue.offer(make_waiting(f"c{number}"), 0.0)
+    while queue.ordered():
+        head = queue.ordered()[0]
+        served.append(head.call.customer)
+        queue.serve(head, 0.0)
+    assert sorted(served[:2]) == ["a", "b"]
+
+
+def test_call_is_refused_when_the_queue_is_too_long(slow_queue):
+    refused = []
+    for number in range(10):
+        waiting = make_waiting(f"a{number}")
+        if slow_queue.offer(waiting, 1000.0) is waiting:
+            refused.append(number)
+    bound_ms = slow_queue.spec.max_queue_wait_ms
+    assert len(slow_queue) * SERVE_GAP_MS <= bound_ms + SERVE_GAP_MS
+    assert refused == list(range(len(slow_queue), 10))
+
+
+def test_greedy_customer_loses_its_newest_call(slow_queue):
+    while slow_queue.offer(waiting := make_waiting("a"), 900.0) is not waiting:
+        pass
+    before = len(slow_queue)
+    victim = slow_queue.offer(make_waiting("b1", customer="b"), 900.0)
+    assert victim is not None and victim.call.customer == "a"
+    assert len(slow_queue) == before
+    assert names(slow_queue).count("b1") == 1
+
+
+def test_no_call_waits_beyond_the_bound(queue):
+    queue.offer(make_waiting("patient"), 0.0)
+    queue.offer(make_waiting("urgent", deadline_ms=5.0), 0.0)
+    late = [item.call.request_id for item in queue.expire(5.0)]
+    assert late == ["urgent"]
+    late = [item.call.request_id for item in queue.expire(15.0)]
+    assert late == ["patient"]
+
+
+def test_call_past_its_deadline_is_refused(queue):
+    waiting = make_waiting("late", deadline_ms=10.0)
+    assert queue.offer(waiting, 10.0) is waiting
+
+
+def test_isolated_call_waits_longer(queue):
+    queue.offer(make_waiting("suspect", isolated=True), 0.0)
+    assert queue.expire(ISOLATED_WAIT_MS - 1.0) == []
+    assert len(queue.expire(ISOLATED_WAIT_MS)) == 1
+
+
+def test_removed_call_is_forgotten(queue):
+    waiting = make_waiting("gone")
+    queue.offer(waiting, 0.0)
+    queue.remove(waiting.call)
+    assert len(queue) == 0 and waiting not in queue
--- /dev/null
+++ b/tests/core/slots/test_shards.py
@@ -0,0 +1,68 @@
+"""Tests of shards and their brokers."""
+
+from mangohatch.core.slots import ShardMap
+from mangohatch.core.slots.shards import SHARD_UPSTREAMS, count_shards, shard_rows
+from mangohatch.core.tables import Tables
+from mangohatch.peer.bus import MemberView
+from tests.fixtures import make_service
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+
+def make_members(count, leaving=()):
+    return tuple(
+        MemberView(
+            host_id=f"h{index}", incarnation=1, zone="puno", leaving=index in leaving
+        )
+        for index in range(count)
+    )
+
+
+def make_row(upstreams):
+    tables = Tables()
+    tables.apply(make_service(upstreams=upstreams), revision=1)
+    return tables.services["tablero-misa"]
+
+
+def test_all_hosts_name_the_same_broker():
+    members = make_members(15)
+    named = set()
+    for view in members:
+        shards = ShardMap(host_id=view.host_id)
+        shards.update(members)
+        named.add(shards.broker("tablero-misa"))
+    assert len(named) == 1
+
+
+def test_only_the_shards_of_a_lost_broker_move():
+    shards = ShardMap(host_id="h0")
+    names = [f"service-{number}" for number in range(50)]
+    shards.update(make_members(15))
+    before = {name: shards.broker(name) for name in names}
+    shards.update([view for view in make_members(15) if view.host_id != "h3"])
+    moved = {name for name in names if shards.broker(name) != before[name]}
+    assert moved == {name for name in names if before[name] == "h3"}
+
+
+def test_leaving_host_is_no_broker():
+    shards = ShardMap(host_id="h0")
+    shards.update(make_members(2, leaving={0}))
+    assert {shards.broker(f"service-{number}") for number in range(20)} == {"h1"}
+
+
+def test_large_service_is_split_whole():
+    service = make_row(SHARD_UPSTREAMS * 2 + 1)
+    count = count_shards(service)
+    names = [
+        row.name
+        for number in range(count)
+        for row in shard_rows(service, f"tablero-misa#{number}")
+    ]
+    assert count == 3
+    assert sorted(names) == sorted(service.upstreams)
+
+
+def test_small_service_is_one_shard():
+    service = make_row(SHARD_UPSTREAMS)
+    assert ShardMap(host_id="h0").home(service) == "tablero-misa"
