Test whole answers under cuts, noise and departures

Cause: single cases do not show that no order of failures mixes answers or leaks.

Change: a response is cut at every byte, requests get noise at random places, and 150 callers of six kinds of failure leave at random; no part looks whole, no answer meets another request, each POST not stated as not run is seen once, and no grant, connection or caller's connection is left.

--- a/src/mangohatch/upstream/pool.py
+++ b/src/mangohatch/upstream/pool.py
@@ -48,6 +48,16 @@
         site = self._sites.get((upstream.address, upstream.port))
         return site.open if site else 0
 
+    def idle_count(self, upstream: UpstreamRow) -> int:
+        """
+        Count the idle connections to an upstream.
+
+        :param upstream: the upstream
+        :return: connections that no request uses
+        """
+        site = self._sites.get((upstream.address, upstream.port))
+        return len(site.idle) if site else 0
+
     def take(
         self, upstream: UpstreamRow, *, fresh: bool = False, lively: bool = False
     ) -> UpstreamConnection:
--- /dev/null
+++ b/tests/entry/test_hostile.py
@@ -0,0 +1,152 @@
+"""Tests of whole answers and leaks under cuts, noise and departures."""
+
+import asyncio
+import random
+
+from tests.entry.harness import Message, fixed, open_entry, request
+from tests.functions import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+BODY = b"hymn 12, hymn 7, hymn 301"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"9\r\nhymn 12, \r\n10\r\nhymn 7, hymn 301\r\n0\r\n\r\n"
+)
+NOISE_CASES = 150
+STORM_REQUESTS = 150
+
+
+@fixture
+def noise_rng():
+    return random.Random(7)
+
+
+async def ask_or_lose(caller, *args, **fields) -> Message | None:
+    """Ask; a connection that ends before a head gives None."""
+    try:
+        return await caller.ask(*args, **fields)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+async def test_response_cut_anywhere_never_looks_whole():
+    for whole in (fixed(BODY), CHUNKED):
+        cut = 0
+
+        async def script(upstream, message, writer):
+            writer.write(whole[:cut])
+            await writer.drain()
+            writer.close()
+
+        async with open_entry(script) as (entry, upstreams):
+            for cut in range(1, len(whole)):
+                caller = await entry.connect()
+                response = await ask_or_lose(caller, method="POST", body=b"")
+                if response is not None and response.whole:
+                    assert response.status == 502, cut
+                    assert response.headers["x-outcome"] == "unknown", cut
+                caller.writer.close()
+            assert entry.in_flight() == 0
+            assert len(upstreams[0].requests) == len(whole) - 1
+
+
+async def test_noise_in_requests_gets_an_answer_or_an_end(noise_rng):
+    async def answer(upstream, message, writer):
+        writer.write(fixed())
+
+    pieces = (b"\r\n", b"\n", b"\0", b":", b" ", b"Content-Length: 5\r\n", b"\xff")
+    pieces += (b"Transfer-Encoding: chunked\r\n", b"HTTP/1.1", b"5\r\n", b"GET /a ")
+    async with open_entry(answer) as (entry, upstreams):
+        for _ in range(NOISE_CASES):
+            data = bytearray(request(method="POST", body=b"12345"))
+            for _ in range(noise_rng.randint(1, 3)):
+                place = noise_rng.randrange(len(data))
+                data[place:place] = noise_rng.choice(pieces)
+            caller = await entry.connect()
+            await caller.send(bytes(data))
+            reply = await read_until_given_up(entry, caller)
+            assert reply.startswith(b"HTTP/1.1 "), data
+            assert b"\r\nX-Outcome: " in reply, data
+        caller = await entry.connect()
+        assert (await caller.ask()).status == 200
+        assert entry.in_flight() == 0
+
+
+async def read_until_given_up(entry, caller) -> bytes:
+    """Read while time passes, until the entry server closes the connection."""
+    reading = asyncio.ensure_future(caller.read_to_end())
+    while not reading.done():
+        for _ in range(20):
+            await asyncio.sleep(0)
+        entry.pass_time(5_000)
+    return await reading
+
+
+async def moody(upstream, message, writer):
+    """Answer, cut, abort, refuse, dawdle or chat, by the target."""
+    mood = message.line.split(" ")[1].rsplit("/", 1)[1]
+    if mood == "cut":
+        writer.write(fixed(BODY)[:-5])
+        await writer.drain()
+        writer.close()
+    elif mood == "abort":
+        writer.transport.abort()
+    elif mood == "shed":
+        writer.write(fixed(b"", status=503, X_Outcome="not_run"))
+    elif mood == "dawdle":
+        for byte in fixed(message.headers["x-request-id"].encode()):
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+    elif mood == "chat":
+        writer.write(fixed(message.headers["x-request-id"].encode()) + fixed(b"late"))
+    else:
+        writer.write(fixed(message.headers["x-request-id"].encode()))
+
+
+async def one_request(entry, rng, number):
+    mood = rng.choice(("cut", "abort", "shed", "dawdle", "chat", "plain"))
+    method = rng.choice(("GET", "POST"))
+    body = b"x" * rng.choice((0, 10, 100_000)) if method == "POST" else None
+    data = request(f"/a/{mood}", method=method, body=body, X_Request_Id=f"q{number}")
+    caller = await entry.connect()
+    partial = rng.random() < 0.2
+    await caller.send(data[: len(data) // 2] if partial else data)
+    if partial or rng.random() < 0.3:
+        for _ in range(rng.randint(0, 30)):
+            await asyncio.sleep(0)
+        caller.writer.transport.abort()
+        return None
+    try:
+        response = await caller.read()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    if response.whole and response.status == 200:
+        assert response.body == f"q{number}".encode()
+    return response.status
+
+
+async def test_storm_of_failures_mixes_and_leaks_nothing(noise_rng):
+    async with open_entry(moody, moody, moody) as (entry, upstreams):
+        requests = [one_request(entry, noise_rng, n) for n in range(STORM_REQUESTS)]
+        statuses = await asyncio.gather(*requests)
+        for caller in entry.callers:
+            caller.writer.close()
+        while entry.server.links:
+            await asyncio.sleep(0)
+        assert statuses.count(200) > STORM_REQUESTS / 10
+        assert not entry.forwarder.active
+        assert entry.in_flight() == 0
+        for row in entry.tables.upstreams():
+            assert entry.pool.open_count(row) == entry.pool.idle_count(row)
+        seen = [
+            message.headers["x-request-id"]
+            for upstream in upstreams
+            for message in upstream.requests
+            if message.line.startswith("POST") and not_stated_as_not_run(message)
+        ]
+        assert len(seen) == len(set(seen))
+
+
+def not_stated_as_not_run(message: Message) -> bool:
+    return "/shed " not in message.line
