Split the histories by subject and plant three more faults

Cause: one machine for everything spent most steps on rules that a fault does not touch; leaving hosts and upstreams were not in the histories. Change: machines for configuration, for claims, and for both; rules for hosts that leave in order, the host list and an end of all faults; mutants that forget marks, never hear of newer objects, or leave without their results.

--- a/src/mangohatch/claims/store_registry.py
+++ b/src/mangohatch/claims/store_registry.py
@@ -91,6 +91,8 @@
     :param rng: source of attempt ids and jitter
     """
 
+    writer_type = ResultWriter
+
     def __init__(
         self,
         *,
@@ -110,7 +112,7 @@
         self._running: dict[str, Attempt] = {}
         self._refuse_until_ms = 0.0
         self._leaving = False
-        self.results = ResultWriter(store=store, rng=rng, limit=cfg.pending_results)
+        self.results = self.writer_type(store=store, rng=rng, limit=cfg.pending_results)
 
     async def start(self) -> None:
         """Start to write results in the background."""
--- a/src/mangohatch/state/config_table.py
+++ b/src/mangohatch/state/config_table.py
@@ -38,11 +38,13 @@
     :param recorder: the time line
     """
 
+    leaving_type = LeavingEffect
+
     def __init__(self, *, tables: Tables, recorder: Recorder) -> None:
         self.items: dict[str, ConfigItem] = {}
         self.rejected: dict[str, ConfigRejected] = {}
         self.as_of = 0
-        self.leaving = LeavingEffect(tables=tables, recorder=recorder)
+        self.leaving = self.leaving_type(tables=tables, recorder=recorder)
         self._hash: int | None = None
         self._tables = tables
         self._effects: dict[str, ItemEffect] = {
--- a/src/standins/state_hosts.py
+++ b/src/standins/state_hosts.py
@@ -21,6 +21,7 @@
 __all__ = ["StateHost", "StateHosts"]
 
 STEP_MS = 0.5
+FLUSH_MS = 5000.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -124,16 +125,21 @@
         self.loop.kill(host_id)
         self.dead.append(self.live.pop(host_id))
 
-    def stop(self, host_id: str) -> None:
+    def stop(self, host_id: str) -> int:
         """
         Stop a host in order.
 
         :param host_id: the host
+        :return: number of results of keyed requests that have not landed
         """
         host = self.live.pop(host_id)
-        task = self.loop.spawn(host_id, host.state.stop())
-        self.loop.run_until_complete(task)
+        self.dead.append(host)
+        left = self.loop.run_until_complete(
+            self.loop.spawn(host_id, host.claims.stop(FLUSH_MS))
+        )
+        self.loop.run_until_complete(self.loop.spawn(host_id, host.state.stop()))
         self.network.leave(host_id)
+        return left
 
     def holders(self) -> list[StateHost]:
         """
--- a/tests/state/mutants.py
+++ b/tests/state/mutants.py
@@ -4,12 +4,15 @@
 
 from mangohatch.claims import StoreClaimRegistry
 from mangohatch.claims.record import ClaimState, claim_kind, read_claim
+from mangohatch.claims.results import ResultWriter
 from mangohatch.claims.store_registry import StoreTicket
 from mangohatch.errors import StoreConflict, StoreError
 from mangohatch.state import ConfigTable, StateService
+from mangohatch.state.effects import LeavingEffect
 from mangohatch.state.joining import Joining
 from mangohatch.state.lease import Lease
-from tests.state.machine import StateMachine
+from tests.state.claims_machine import ClaimsMachine
+from tests.state.config_machine import ConfigMachine
 
 __all__ = ["MUTANTS"]
 
@@ -91,7 +94,7 @@
         return replace(super()._repeat(record), body=b"another")
 
 
-class BlindWinnerMachine(StateMachine):
+class BlindWinnerMachine(ConfigMachine):
     """Operators whose conflict is taken for success."""
 
     async def _write_order(self, host, base, upstreams):
@@ -102,24 +105,63 @@
         self.wins.setdefault(base.revision, set()).add(f"order-{next(self._numbers)}")
 
 
+class ForgetfulLeaving(LeavingEffect):
+    """Forgets the marks of a service whose rows were made anew."""
+
+    def enforce_again(self, service):
+        pass
+
+
+class ForgetfulMarksTable(ConfigTable):
+    """Has forgetful marks."""
+
+    leaving_type = ForgetfulLeaving
+
+
+class DeafTable(ConfigTable):
+    """Never finds out that another host has something newer."""
+
+    def digest(self):
+        return 0
+
+    def newer_than(self, revisions):
+        return []
+
+
+class CarelessWriter(ResultWriter):
+    """A leaving host that does not wait for its results."""
+
+    async def flush(self, timeout_ms):
+        return self.pending
+
+
+class CarelessRegistry(StoreClaimRegistry):
+    """Has a careless writer."""
+
+    writer_type = CarelessWriter
+
+
 def make_machine(**types):
     state = type("MutantState", (StateService,), types)
-    return type("MutantMachine", (StateMachine,), {"state_type": state})
+    return type("MutantMachine", (ConfigMachine,), {"state_type": state})
 
 
 def make_claims_machine(registry):
-    return type("MutantMachine", (StateMachine,), {"claims_type": registry})
+    return type("MutantMachine", (ClaimsMachine,), {"claims_type": registry})
 
 
 MUTANTS = (
-    ("config never reverts", make_machine(table_type=ForgetfulTable)),
-    ("fenced watcher is silent", make_machine(lease_type=UndeadLease)),
-    ("fenced watcher is silent", make_machine(lease_type=HastyLease)),
-    ("one watcher an epoch", make_machine(lease_type=SharedEpochLease)),
-    ("accepted never reverts", make_machine(joining_type=TrustingJoining)),
-    ("at most once", make_claims_machine(HopefulRegistry)),
-    ("at most once", make_claims_machine(ImpatientRegistry)),
-    ("at most once", make_claims_machine(LyingRegistry)),
-    ("the first answer is repeated", make_claims_machine(MixedUpRegistry)),
-    ("one winner a conflict", BlindWinnerMachine),
+    ("config never reverts", make_machine(table_type=ForgetfulTable), 1),
+    ("fenced watcher is silent", make_machine(lease_type=UndeadLease), 1),
+    ("fenced watcher is silent", make_machine(lease_type=HastyLease), 1),
+    ("one watcher an epoch", make_machine(lease_type=SharedEpochLease), 1),
+    ("accepted never reverts", make_machine(joining_type=TrustingJoining), 1),
+    ("at most once", make_claims_machine(HopefulRegistry), 1),
+    ("at most once", make_claims_machine(ImpatientRegistry), 7),
+    ("at most once", make_claims_machine(LyingRegistry), 3),
+    ("the first answer is repeated", make_claims_machine(MixedUpRegistry), 7),
+    ("one winner a conflict", BlindWinnerMachine, 1),
+    ("no work to a leaving upstream", make_machine(table_type=ForgetfulMarksTable), 1),
+    ("hosts converge", make_machine(table_type=DeafTable), 3),
+    ("results land", make_claims_machine(CarelessRegistry), 6),
 )
