Find the other hosts through the object API where the seeds are gone

Cause: histories of membership showed that a host whose seeds have all been replaced never joins. Conclusion: joining no longer depends on the settings alone.

--- /dev/null
+++ b/bench/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders through real entry host processes."""
--- /dev/null
+++ b/bench/orders/__main__.py
@@ -0,0 +1,254 @@
+"""Measures orders and questions with 3, 8 and 17 entry host processes."""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from cyclopts import App
+
+from mangohatch.admin.client import ask
+from mangohatch.admin.reply import Reply
+from standins.fleet import EntryChild, Fleet
+from standins.http_json import fetch_json
+from standins.platform import Platform
+from standins.sites import ServiceSize, Site
+from standins.upstream import Behaviour
+
+SIZES = (3, 8, 17)
+ORDERS = 40
+RACES = 10
+QUESTIONS = 40
+SETTLE_S = 3.0
+RETRY_S = 0.2
+RECOVERY_S = 30.0
+MS_PER_S = 1000.0
+IN_FORCE_TARGET_MS = 6000.0
+SERVICE = "booking-desk"
+RESULTS = Path(__file__).resolve().parent.parent / "results" / "orders.json"
+SITE = Site(
+    name="bench",
+    region="bagmati",
+    zones=("bagmati-a", "bagmati-b", "bagmati-c"),
+    desk=ServiceSize(name=SERVICE, upstreams=2, slots=2, connections=50),
+    archive=ServiceSize(name="media-vault", upstreams=1, slots=2, connections=50),
+)
+
+app = App(help=__doc__)
+
+
+async def say(entry: EntryChild, text: str) -> tuple[Reply, float]:
+    """
+    Send a sentence to an entry host.
+
+    :param entry: the host
+    :param text: the sentence
+    :return: the answer, and the milliseconds it took
+    """
+    started_s = time.perf_counter()
+    reply = await ask(f"{entry.admin[0]}:{entry.admin[1]}", text)
+    return reply, (time.perf_counter() - started_s) * MS_PER_S
+
+
+def read_state(reply: Reply) -> str:
+    """
+    Read what became of an order.
+
+    :param reply: the answer
+    :return: its state, or the code of the error
+    """
+    if reply.order is not None:
+        return reply.order.state
+    return reply.error.code if reply.error is not None else "no order"
+
+
+def summarize(taken_ms: list[float]) -> dict[str, float]:
+    """
+    Summarize durations.
+
+    :param taken_ms: durations
+    :return: count, median and greatest
+    """
+    ordered = sorted(taken_ms)
+    return {
+        "count": len(ordered),
+        "p50_ms": round(ordered[len(ordered) // 2], 1),
+        "max_ms": round(ordered[-1], 1),
+    }
+
+
+async def run_orders(fleet: Fleet) -> dict[str, Any]:
+    """
+    Give orders one after another, and look on all hosts after each.
+
+    :param fleet: the running fleet
+    :return: figures; ``reverted`` counts hosts without an accepted value
+    """
+    taken_ms, states, reverted = [], [], 0
+    for number in range(ORDERS):
+        value = 5000 + number
+        entry = fleet.entries[number % len(fleet.entries)]
+        reply, took_ms = await say(entry, f"set deadline_ms of {SERVICE} to {value}")
+        taken_ms.append(took_ms)
+        states.append(read_state(reply))
+        seen, _ = await say(entry, f"show config of {SERVICE}")
+        values = [row["config"]["deadline_ms"] for row in seen.rows]
+        reverted += sum(one != value for one in values)
+        reverted += len(fleet.entries) - len(values)
+    accepted = states.count("accepted")
+    return summarize(taken_ms) | {"accepted": accepted, "reverted": reverted}
+
+
+async def run_races(fleet: Fleet) -> dict[str, Any]:
+    """
+    Give two orders at once.
+
+    :param fleet: the running fleet
+    :return: number of races by how they ended
+    """
+    fair, both_accepted, both_refused = 0, 0, 0
+    for number in range(RACES):
+        pair = fleet.entries[0], fleet.entries[1 + number % (len(fleet.entries) - 1)]
+        answers = await asyncio.gather(
+            *(
+                say(
+                    entry, f"set deadline_ms of {SERVICE} to {6000 + 2 * number + side}"
+                )
+                for side, entry in enumerate(pair)
+            )
+        )
+        states = sorted(read_state(reply) for reply, _ in answers)
+        fair += states == ["accepted", "refused"]
+        revisions = {reply.order.revision for reply, _ in answers if reply.order}
+        both_accepted += states == ["accepted"] * 2 and len(revisions) == 2
+        both_refused += states == ["refused", "refused"]
+    return {
+        "count": RACES,
+        "one_won": fair,
+        "accepted_one_after_the_other": both_accepted,
+        "both_refused": both_refused,
+    }
+
+
+async def run_outage(fleet: Fleet) -> dict[str, Any]:
+    """
+    Give an order and ask a question while the store is out.
+
+    :param fleet: the running fleet
+    :return: the answers and their durations
+    """
+    port = fleet.platform.object_api[1]
+    await set_outage(port, on=True)
+    order, order_ms = await say(fleet.entries[0], f"drain upstream u of {SERVICE}")
+    question, question_ms = await say(fleet.entries[0], "show services")
+    await set_outage(port, on=False)
+    return {
+        "order": order.order.code if order.order else read_state(order),
+        "order_ms": round(order_ms, 1),
+        "question_rows": len(question.rows),
+        "question_ms": round(question_ms, 1),
+    }
+
+
+async def set_outage(port: int, *, on: bool) -> None:
+    """
+    Switch the outage of the store.
+
+    :param port: port of the object API
+    :param on: whether it is out
+    """
+    body = json.dumps({"outage": on})
+    await fetch_json(port, "/faults", method="PUT", body=body)
+
+
+async def run_death(fleet: Fleet) -> dict[str, Any]:
+    """
+    Kill a host and give orders until one is accepted again.
+
+    :param fleet: the running fleet
+    :return: answers until then, and the time it took
+    """
+    dead = fleet.entries.pop()
+    await dead.child.kill()
+    started_s = time.perf_counter()
+    states: list[str] = []
+    number = 0
+    while time.perf_counter() - started_s < RECOVERY_S:
+        number += 1
+        text = f"set deadline_ms of {SERVICE} to {9000 + number}"
+        reply, _ = await say(fleet.entries[0], text)
+        states.append(read_state(reply))
+        if states[-1] == "accepted":
+            break
+        await asyncio.sleep(RETRY_S)
+    took_s = time.perf_counter() - started_s
+    return {"answers": states, "accepted_again_s": round(took_s, 2)}
+
+
+async def run_size(size: int, folder: Path) -> dict[str, Any]:
+    """
+    Measure one fleet.
+
+    :param size: number of entry hosts
+    :param folder: for settings and logs
+    :return: figures by name
+    """
+    platform = Platform(folder=folder)
+    fleet = Fleet(site=SITE, folder=folder, seed=1, platform=platform)
+    try:
+        await platform.start()
+        await fleet.start_upstreams(Behaviour())
+        await fleet.declare_services()
+        for _ in range(size):
+            await fleet.start_entry()
+        await asyncio.sleep(SETTLE_S)
+        load = os.getloadavg()[0]
+        orders = await run_orders(fleet)
+        asked = [await say(fleet.entries[0], "show hosts") for _ in range(QUESTIONS)]
+        return {
+            "hosts": size,
+            "load_average": load,
+            "orders": orders,
+            "questions": summarize([took_ms for _, took_ms in asked]),
+            "races": await run_races(fleet),
+            "outage": await run_outage(fleet),
+            "death": await run_death(fleet),
+        }
+    finally:
+        await fleet.stop()
+        await platform.stop()
+
+
+@app.default
+def main(*, size: list[int] | None = None, out: Path = RESULTS) -> int:
+    """
+    Run the bench.
+
+    :param size: numbers of entry hosts
+    :param out: file for the figures
+    :return: exit status, 1 when an accepted order was not in force or came late
+    """
+    rows = []
+    for count in size or SIZES:
+        with tempfile.TemporaryDirectory() as folder:
+            rows.append(asyncio.run(run_size(count, Path(folder))))
+        print(json.dumps(rows[-1]))
+    out.parent.mkdir(parents=True, exist_ok=True)
+    out.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
+    failed = any(
+        row["orders"]["reverted"]
+        or row["races"]["one_won"] + row["races"]["accepted_one_after_the_other"]
+        < RACES
+        or row["orders"]["accepted"] < ORDERS
+        or row["orders"]["max_ms"] > IN_FORCE_TARGET_MS
+        for row in rows
+    )
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- a/src/mangohatch/host/state.py
+++ b/src/mangohatch/host/state.py
@@ -16,6 +16,7 @@
 from mangohatch.orders.service import OrderService
 from mangohatch.orders.view import TableView
 from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.directory import HostDirectory
 from mangohatch.peer.tcp import TcpPeerBus
 from mangohatch.platform.host_list import HttpHostList
 from mangohatch.platform.http_store import HttpObjectStore
@@ -90,6 +91,16 @@
             publish=self.service.publish,
             recorder=recorder,
         )
+        self.directory = (
+            HostDirectory(
+                store=self.config_store,
+                membership=bus.membership,
+                clock=clock,
+                rng=rng,
+            )
+            if isinstance(bus, TcpPeerBus)
+            else None
+        )
         self.sweep = ClaimSweep(
             cfg=cfg.claims,
             store=self._make_store(
@@ -141,10 +152,14 @@
         """Start to learn the configuration and to write results of claims."""
         await self.service.start()
         await self.claims.start()
+        if self.directory is not None:
+            await self.directory.start()
 
     async def stop(self) -> None:
         """Write the results that wait, and give up the watch lease."""
         await self.orders.stop()
+        if self.directory is not None:
+            await self.directory.stop()
         await self.claims.stop(FLUSH_MS)
         await self.service.stop()
 
--- /dev/null
+++ b/src/mangohatch/peer/directory.py
@@ -0,0 +1,197 @@
+"""Addresses of entry hosts in the object API, for hosts whose seeds are gone."""
+
+import asyncio
+import random
+from typing import Any
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.errors import StoreConflict, StoreError
+from mangohatch.peer.membership import Endpoint, Membership, MemberState
+from mangohatch.platform.backoff import Backoff
+from mangohatch.platform.operations import put_resolved, with_operation
+from mangohatch.platform.store import ObjectStore, StoredObject
+
+__all__ = ["HOST_KIND", "HostDirectory"]
+
+HOST_KIND = "host"
+ALONE_FIRST_MS = 1000.0
+ALONE_LIMIT_MS = 15_000.0
+REFRESH_MS = 600_000.0
+FORGET_DEAD_MS = 3_600_000.0
+FORGET_UNKNOWN_MS = 86_400_000.0
+MS_PER_S = 1000.0
+
+log = structlog.get_logger()
+
+
+class HostDirectory:
+    """
+    Writes this host's address to the store once, and reads those of others.
+
+    While this host sees no other member it reads with backoff; after that every
+    10 min, so that two halves without a common seed find each other. Objects of
+    hosts that crashed are deleted by whoever reads them after a while.
+
+    :param store: the object API
+    :param membership: is given the addresses
+    :param clock: source of time
+    :param rng: source of the jitter
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        membership: Membership,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._membership = membership
+        self._clock = clock
+        self._rng = rng
+        self._backoff = Backoff(
+            first_ms=ALONE_FIRST_MS, limit_ms=ALONE_LIMIT_MS, rng=rng
+        )
+        self._own: StoredObject | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to register and to read."""
+        self._task = asyncio.ensure_future(self.run())
+
+    async def stop(self) -> None:
+        """Stop, and delete the own address if the store answers."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._own is None:
+            return
+        try:
+            await self._store.delete(
+                HOST_KIND, self._own.name, expected_revision=self._own.revision
+            )
+        except StoreError as exc:
+            log.info("host_address_kept", code=exc.code)
+
+    async def run(self) -> None:
+        """Register and read until cancelled."""
+        while True:
+            try:
+                await self.refresh()
+            except StoreError as exc:
+                log.info("host_addresses_unread", code=exc.code)
+            await asyncio.sleep(self.choose_wait_ms() / MS_PER_S)
+
+    def choose_wait_ms(self) -> float:
+        """
+        Choose the time until the next read.
+
+        :return: milliseconds, with jitter
+        """
+        if len(self._membership.views()) == 1 or self._own is None:
+            return self._backoff.next_ms()
+        self._backoff.reset()
+        return REFRESH_MS * self._rng.uniform(0.5, 1.5)
+
+    async def refresh(self) -> None:
+        """
+        Read all addresses and write the own one where it is missing.
+
+        :raises StoreError: when the store gives no answer
+        """
+        listing = await self._store.list(HOST_KIND)
+        own = self._membership.own
+        others = [item for item in listing.items if item.name != own.host_id]
+        self._membership.add_seeds(
+            endpoint
+            for endpoint in (read_endpoint(item.value) for item in others)
+            if endpoint is not None
+        )
+        found = next((one for one in listing.items if one.name == own.host_id), None)
+        if found is None or read_endpoint(found.value) != self.endpoint:
+            await self.register(found)
+        for item in others:
+            if self.is_obsolete(item):
+                await self.delete(item)
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """
+        Tell the own address.
+
+        :return: where this host listens for peers
+        """
+        own = self._membership.own
+        return Endpoint(own.address, own.peer_port)
+
+    async def register(self, found: StoredObject | None) -> None:
+        """
+        Write the own address.
+
+        :param found: the object as read; None when there is none
+        :raises StoreError: when the store gives no answer
+        """
+        if self._membership.replaced:
+            return
+        own = self._membership.own
+        value = {
+            "address": own.address,
+            "peer_port": own.peer_port,
+            "incarnation": own.incarnation,
+        }
+        operation_id = f"{own.host_id}:{self._rng.getrandbits(64):016x}"
+        try:
+            self._own = await put_resolved(
+                self._store,
+                kind=HOST_KIND,
+                name=own.host_id,
+                value=with_operation(value, operation_id=operation_id, base=found),
+                expected_revision=found.revision if found is not None else None,
+                rng=self._rng,
+            )
+        except StoreConflict:
+            log.info("host_address_contested", host=own.host_id)
+
+    def is_obsolete(self, item: StoredObject) -> bool:
+        """
+        Tell whether an address is that of a host that is gone.
+
+        :param item: object of another host
+        :return: whether to delete it; a host that runs writes it again
+        """
+        row = self._membership.table.rows.get(item.name)
+        if row is None:
+            started_ms = item.value.get("incarnation", 0)
+            return self._clock.wall_ms() - started_ms > FORGET_UNKNOWN_MS
+        gone_ms = self._clock.now_ms() - row.since_ms
+        return row.state is MemberState.DEAD and gone_ms > FORGET_DEAD_MS
+
+    async def delete(self, item: StoredObject) -> None:
+        """
+        Delete an address unless it was written again.
+
+        :param item: object of another host
+        :raises StoreError: when the store gives no answer
+        """
+        try:
+            await self._store.delete(
+                HOST_KIND, item.name, expected_revision=item.revision
+            )
+        except StoreConflict:
+            log.info("host_address_renewed", host=item.name)
+
+
+def read_endpoint(value: dict[str, Any]) -> Endpoint | None:
+    """
+    Read the address in an object.
+
+    :param value: value of the object
+    :return: the address; None when it is malformed
+    """
+    address, port = value.get("address"), value.get("peer_port")
+    if not isinstance(address, str) or not isinstance(port, int):
+        return None
+    return Endpoint(address, port)
