Keep the demo up on request, and tell which requests a live case lost

Cause: a newcomer could not look at a running site, and a lost request of the live bench left no trace.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 SEED ?= 1
+HOLD ?= 0
 SOURCES := src tests bench demo tooling
 
 .PHONY: all setup test lint format gen slopes bench-peers demo bench binary reference history
@@ -50,7 +51,7 @@
 	cp build/thrift/mangohatch/peer/gen/*.py src/mangohatch/peer/gen/
 
 demo: setup
-	$(BIN)/python -m demo --seed $(SEED)
+	$(BIN)/python -m demo --seed $(SEED) --hold $(HOLD)
 
 bench: setup
 	$(BIN)/python -m bench.virtual
--- a/bench/live/__main__.py
+++ b/bench/live/__main__.py
@@ -16,16 +16,20 @@
 app = App(name="bench.live", help="Measure the live path on loopback.")
 
 
-async def run_all(seed: int, conditions: list[Condition]) -> list[CaseResult]:
+async def run_all(
+    seed: int, names: list[str] | None, conditions: list[Condition]
+) -> list[CaseResult]:
     """
     Run all cases of both sites.
 
     :param seed: seed of load, slow-downs and choices of callers
+    :param names: sites to run, None for all
     :param conditions: what happens to the upstreams
     :return: figures of each case
     """
     results = []
-    for site in SITES:
+    sites = [site for site in SITES if names is None or site.name in names]
+    for site in sites:
         for condition in conditions:
             for result in await run_condition(site, condition, LOADS, seed):
                 print_row(result)
@@ -35,22 +39,38 @@
 
 @app.default
 def main(
-    *, seed: int = 1, condition: list[Condition] | None = None, out: Path = RESULTS
+    *,
+    seed: int = 1,
+    site: list[str] | None = None,
+    condition: list[Condition] | None = None,
+    out: Path = RESULTS,
 ) -> int:
     """
     Run the live bench.
 
     :param seed: seed of load and slow-downs
+    :param site: run only these sites
     :param condition: run only these conditions
     :param out: file for the figures
-    :return: exit status, 1 when a confirmation was doubled or an answer was mixed
+    :return: exit status, 1 when a promise was broken
     """
     print_header()
-    results = run_loop(run_all(seed, condition or list(Condition)))
+    results = run_loop(run_all(seed, site, condition or list(Condition)))
     write_results(out, results)
-    broken = sum(item.doubled + item.mixed + item.false_not_run for item in results)
+    broken = sum(map(count_broken, results))
     return 1 if broken else 0
 
 
+def count_broken(result: CaseResult) -> int:
+    """
+    Count broken promises of a case.
+
+    :param result: its figures
+    :return: lost, doubled, mixed and falsely reported requests
+    """
+    promises = (result.lost, result.doubled, result.mixed, result.false_not_run)
+    return sum(promises)
+
+
 if __name__ == "__main__":
     sys.exit(app())
--- a/bench/live/run.py
+++ b/bench/live/run.py
@@ -18,7 +18,7 @@
 from bench.live.usage import read_usage
 from mangohatch.clock import Clock, SystemClock
 from standins.caller import AttemptResult, Balancer, Caller, Record, judge
-from standins.caller.verdict import percentile
+from standins.caller.verdict import is_lost, percentile
 from standins.costs import costs_of
 from standins.fleet import Fleet
 from standins.platform import Platform
@@ -57,6 +57,7 @@
     entry_cpu_us_per_request: float
     caller_lag_p99_ms: float
     machine_load: float
+    lost_requests: tuple[str, ...]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -191,9 +192,24 @@
         entry_cpu_us_per_request=round(cpu_ms * 1000 / count, 1),
         caller_lag_p99_ms=round(percentile([r.lag_ms for r in records], 0.99), 2),
         machine_load=round(os.getloadavg()[0], 2),
+        lost_requests=tuple(describe(item) for item in records if is_lost(item)),
     )
 
 
+def describe(record: Record) -> str:
+    """
+    Describe a request by what its attempts came to.
+
+    :param record: what its caller saw
+    :return: one line
+    """
+    attempts = ", ".join(
+        f"{item.result} {item.status} {item.code}".strip() for item in record.attempts
+    )
+    request = record.request
+    return f"{request.request_id} at {request.at_ms:.0f} ms: {attempts}"
+
+
 async def run_condition(
     site: Site, condition: Condition, loads: Sequence[float], seed: int
 ) -> list[CaseResult]:
--- /dev/null
+++ b/demo/hold.py
@@ -0,0 +1,65 @@
+"""Keeps the processes of the demo up, under light load, for a person to look at."""
+
+import asyncio
+import random
+
+from demo.load import make_load
+from mangohatch.clock import Clock
+from standins.caller import Balancer, Caller
+from standins.fleet import Fleet
+
+__all__ = ["hold_site", "print_addresses"]
+
+CHUNK_MS = 10_000.0
+SLOW_AT_MS = 2000.0
+SLOW_MS = 1500.0
+SLOW_FACTOR = 200.0
+SLOWED = 5
+
+
+def print_addresses(fleet: Fleet) -> None:
+    """
+    Print where operators reach the entry hosts.
+
+    :param fleet: processes of a site
+    """
+    print(f"\n{fleet.site.name}: service {fleet.site.desk.name}")
+    for entry in fleet.entries:
+        print(f"  {entry.host_id}  --host {entry.admin[0]}:{entry.admin[1]}")
+
+
+async def slow_down(fleet: Fleet) -> None:
+    """
+    Let a neighbour take an upstream's processor for a moment.
+
+    :param fleet: processes of a site
+    """
+    upstream = fleet.upstreams[SLOWED]
+    await asyncio.sleep(SLOW_AT_MS / 1000)
+    await fleet.control(upstream, slow_factor=SLOW_FACTOR)
+    await asyncio.sleep(SLOW_MS / 1000)
+    await fleet.control(upstream, slow_factor=1.0)
+
+
+async def hold_site(
+    fleet: Fleet, balancer: Balancer, clock: Clock, *, hold_ms: float, seed: int
+) -> None:
+    """
+    Send load to a site; every 10 s an upstream is slow for a moment.
+
+    :param fleet: processes of the site
+    :param balancer: leads to its entry hosts
+    :param clock: source of time
+    :param hold_ms: how long
+    :param seed: seed of the load
+    """
+    for chunk in range(int(hold_ms // CHUNK_MS)):
+        caller = Caller(balancer=balancer, clock=clock, rng=random.Random(seed))
+        plan = make_load(
+            fleet.site,
+            duration_ms=CHUNK_MS,
+            seed=seed + chunk,
+            name=f"hold-{chunk}",
+            crashing=False,
+        )
+        await asyncio.gather(caller.run(plan), slow_down(fleet))
--- a/demo/load.py
+++ b/demo/load.py
@@ -18,13 +18,22 @@
 DOWNLOAD_BYTES_PER_S = 128 * 1024
 
 
-def make_load(site: Site, *, duration_ms: float, seed: int) -> list[PlannedRequest]:
+def make_load(
+    site: Site,
+    *,
+    duration_ms: float,
+    seed: int,
+    name: str = "demo",
+    crashing: bool = True,
+) -> list[PlannedRequest]:
     """
     Plan the mixed load of a site.
 
     :param site: the site
     :param duration_ms: length of the plan
     :param seed: seed of the arrivals
+    :param name: part of the request ids
+    :param crashing: add a request that crashes upstreams
     :return: requests in order of time
     """
     streams = (
@@ -59,8 +68,10 @@
             rate_bytes_per_s=DOWNLOAD_BYTES_PER_S,
         ),
     )
-    plan = make_plan(streams, duration_ms=duration_ms, name=site.name, seed=seed)
-    plan.append(make_crashing_request(site))
+    prefix = f"{site.name}-{name}"
+    plan = make_plan(streams, duration_ms=duration_ms, name=prefix, seed=seed)
+    if crashing:
+        plan.append(make_crashing_request(site))
     return sorted(plan, key=lambda request: request.at_ms)
 
 
--- a/demo/run.py
+++ b/demo/run.py
@@ -1,14 +1,11 @@
 """Runs the demo."""
 
 import asyncio
-import random
 import tempfile
 from collections import Counter
 from pathlib import Path
-from typing import Any
 
-from demo.faults import Faults
-from demo.load import make_load
+from demo.hold import hold_site, print_addresses
 from demo.report import (
     closing_line,
     print_faults,
@@ -16,64 +13,40 @@
     print_refusals,
     print_table,
 )
+from demo.site_run import SiteRun
 from mangohatch.clock import Clock, SystemClock
-from standins.caller import Balancer, Caller, Costs, judge
+from standins.caller import Costs, judge
 from standins.costs import costs_of
-from standins.fleet import Fleet
-from standins.platform import Platform
-from standins.scrape import Totals
-from standins.sites import SITES, Site
-from standins.upstream import Behaviour
+from standins.sites import SITES
 
 __all__ = ["run_demo"]
 
-ENTRIES_PER_SITE = 3
-LOAD_MS = 20_000.0
-BEHAVIOUR = Behaviour(noise_factor=3.0, cold_ms=2000.0)
 
+async def hold(runs: list[SiteRun], seconds: int, seed: int, clock: Clock) -> None:
+    """
+    Keep both sites up for a person to look at.
 
-class SiteRun:
-    """One site of the demo: its processes, its load and its failures."""
-
-    def __init__(self, *, site: Site, folder: Path, seed: int, clock: Clock) -> None:
-        rng = random.Random(seed)
-        self.site = site
-        platform = Platform(folder=folder)
-        self.fleet = Fleet(site=site, folder=folder, seed=seed, platform=platform)
-        self.balancer = Balancer(rng=rng)
-        self.caller = Caller(balancer=self.balancer, clock=clock, rng=rng)
-        self.faults = Faults(fleet=self.fleet, balancer=self.balancer, clock=clock)
-        self.ledgers: list[dict[str, Any]] = []
-        self.totals: Totals = Counter()
-        self.store_calls = 0
-        self._seed = seed
-
-    async def run(self) -> None:
-        """Start the processes, send the load, cause the failures, read the counts."""
-        await self.fleet.platform.start()
-        await self.fleet.start_upstreams(BEHAVIOUR)
-        await self.fleet.declare_services()
-        for _ in range(ENTRIES_PER_SITE):
-            entry = await self.fleet.start_entry()
-            self.balancer.add(entry.entry)
-        plan = make_load(self.site, duration_ms=LOAD_MS, seed=self._seed)
-        await asyncio.gather(self.caller.run(plan), self.faults.run())
-        await self.faults.finish()
-        self.ledgers = await self.fleet.read_ledgers()
-        self.totals = await self.fleet.read_metrics()
-        self.store_calls = sum((await self.fleet.platform.read_calls()).values())
-
-    async def stop(self) -> None:
-        """End the processes."""
-        self.balancer.close()
-        await self.fleet.stop()
+    :param runs: both sites
+    :param seconds: how long
+    :param seed: seed of the load
+    :param clock: source of time
+    """
+    print(f"the failures are over; both sites stay up for {seconds} s")
+    for run in runs:
+        print_addresses(run.fleet)
+    holds = (
+        hold_site(run.fleet, run.balancer, clock, hold_ms=seconds * 1000.0, seed=seed)
+        for run in runs
+    )
+    await asyncio.gather(*holds)
 
 
-async def run_demo(seed: int) -> bool:
+async def run_demo(seed: int, hold_seconds: int = 0) -> bool:
     """
     Run both sites and print what callers saw.
 
     :param seed: seed of load, slow-downs and choices of callers
+    :param hold_seconds: keep the sites up for so long after the failures
     :return: whether every promise was kept
     """
     clock = SystemClock()
@@ -85,6 +58,8 @@
         print("two sites, three entry hosts each; 20 s of load, please wait")
         try:
             await asyncio.gather(*(run.run() for run in runs))
+            if hold_seconds:
+                await hold(runs, hold_seconds, seed, clock)
         finally:
             await asyncio.gather(*(run.stop() for run in runs))
     return print_results(runs)
