Prefer demands of the free slot's zone unless a holder is poor

Cause: at 120 % demands older than 15 ms came first from any zone, and leases held across zones idle longer between two uses. Change: zone goes before age, except for holders with less than half the mean number of leases; a lease is not recalled from a holder poorer than the asker.

--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -25,7 +25,7 @@
 LINGER_MAX_MS = 100.0
 LINGER_SHRINK = 0.9
 LINGER_GROW = 1.03
-ZONE_PATIENCE_MS = 15.0
+POOR_SHARE = 0.5
 LINGER_TICK_GROW = 1.1
 FREE_SHARE = 0.5
 RECALL_GAP = 0
@@ -45,7 +45,6 @@
     holder: str
     count: int
     avoid: list[str]
-    asked_ms: float
     until_ms: float
     isolated: bool = False
 
@@ -118,13 +117,9 @@
             holder=holder,
             count=message.count,
             avoid=message.avoid,
-            asked_ms=now_ms,
             until_ms=now_ms + message.wait_ms,
             isolated=message.isolated,
         )
-        known = self._demands.get(demand.key)
-        if known is not None:
-            demand.asked_ms = known.asked_ms
         self._demands[demand.key] = demand
         grant = self._grant(demand, now_ms)
         if demand.isolated:
@@ -182,10 +177,13 @@
         if len(demands) < 2:
             return demands
         zone = self.ledger.first_zone()
-        old_ms = now_ms - ZONE_PATIENCE_MS
+        held = self.ledger.held
+        least = POOR_SHARE * len(self.ledger.leases) / max(1, len(held))
 
         def is_remote(demand: Demand) -> bool:
-            return demand.asked_ms > old_ms and self._zone_of(demand.holder) != zone
+            if held.get(demand.holder, 0) < least:
+                return False
+            return self._zone_of(demand.holder) != zone
 
         return sorted(demands, key=is_remote)
 
@@ -325,7 +323,8 @@
     def _recall_remote(self, demand: Demand, now_ms: float) -> None:
         zone = self._zone_of(demand.holder)
         lease = self.ledger.find_remote(zone, self._zone_of)
-        if lease is not None:
+        held = self.ledger.held
+        if lease is not None and held[lease.holder] >= held.get(demand.holder, 0):
             grant = SlotGrant(shard=self.shard, recalled=[lease.token])
             self._ask_back(lease.holder, now_ms, grant)
 
--- a/tests/core/slots/test_broker.py
+++ b/tests/core/slots/test_broker.py
@@ -218,3 +218,45 @@
     ask(broker, "h2")
     assert broker.linger_ms < before_ms
     assert [name for name, grant in sent if grant.recall] == ["h1"]
+
+
+def test_free_slot_goes_to_its_own_zone_and_to_poor_holders_first(
+    clock, rng, tables, sent, health
+):
+    zones = {"near": "puno", "far": "cusco", "poor": "cusco"}
+    broker = Broker(
+        shard=SHARD,
+        host_id="h0",
+        clock=clock,
+        rng=rng,
+        health=health,
+        speeds=SpeedTable(clock=clock),
+        send=lambda holder, grant: sent.append((holder, grant)),
+        zone_of=lambda holder: zones[holder],
+        timers=NoTimers(),
+    )
+    broker.sync(tables.services[SHARD])
+    clock.advance(SETTLE_MS)
+    ask(broker, "near", count=3)
+    ask(broker, "far", count=3)
+    first = sent[0][1]
+    for holder in ("far", "near", "poor"):
+        ask(broker, holder)
+    served = []
+    for token, upstream in zip(first.tokens, first.upstreams, strict=True):
+        del sent[:]
+        use = SlotUse(upstream=upstream, token=token, freed=True)
+        broker.take_return("near", SlotReturn(shard=SHARD, uses=[use], waiting=1))
+        served += [holder for holder, grant in sent if grant.tokens]
+    assert served == ["near", "poor", "far"]
+
+
+def test_lease_is_not_recalled_from_a_poorer_holder(broker, sent):
+    broker._zone_of = lambda holder: "cusco" if holder == "far" else "puno"
+    ask(broker, "far", count=1)
+    ask(broker, "near", count=5)
+    del sent[:]
+    broker.linger_ms = 0.25
+    for holder in ("other", "third", "near"):
+        ask(broker, holder)
+    assert not [1 for holder, grant in sent if holder == "far" and grant.recalled]
