Give back grants that come after an abort

Cause: reading the code again: a grant delivered after its request was aborted would have raised and kept its slot; Connection with close beside other names was taken for keep-alive.

Change: such a grant is released as cancelled; close is found among other names. Tests of both, and of an early answer to a long upload, which passed before.

Conclusion: no slot is lost by the order of abort and grant.

--- a/src/mangohatch/entry/connection.py
+++ b/src/mangohatch/entry/connection.py
@@ -74,7 +74,9 @@
         line, headers = parse_head(data)
         self._request_start_line = line
         self._request_headers = headers
-        self._disconnect_on_finish = not self._can_keep_alive(line, headers)
+        self._disconnect_on_finish = not self._can_keep_alive(
+            line, headers
+        ) or asks_to_close(headers)
         return line, headers
 
     def make_body(self, headers: HTTPHeaders) -> RequestBody | None:
@@ -164,3 +166,17 @@
         """
         if self.stream.writing() and self._pending_write is not None:
             await self._pending_write
+
+
+def asks_to_close(headers: HTTPHeaders) -> bool:
+    """
+    Tell whether the caller wants the connection closed after the response.
+
+    :param headers: header fields of the request
+    :return: whether ``Connection`` names close, alone or beside others
+    """
+    return any(
+        token.strip().lower() == "close"
+        for value in headers.get_list("Connection")
+        for token in value.split(",")
+    )
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -194,10 +194,13 @@
 
         def deliver(answer: Decision) -> None:
             nonlocal decision
-            if req.admission is not None:
-                req.admission.set_result(answer)
-            else:
+            if req.admission is None:
                 decision = answer
+            elif not req.admission.done():
+                req.admission.set_result(answer)
+            elif isinstance(answer, Grant):
+                unused = Report(result=Result.CANCELLED, latency_ms=0.0)
+                self._router.release(answer, unused)
 
         if req.failure is not None:
             raise req.failure
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from mangohatch.core.call import Result
 from tests.entry.harness import fixed, open_entry, request
 from tests.functions import function_tests
 
@@ -338,3 +339,57 @@
         response = await caller.ask(X_Attempt="many")
         assert response.status == 400
         assert response.headers["x-outcome"] == "not_run"
+
+
+async def test_early_answer_ends_a_long_upload():
+    async def refuse_early(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(fixed(b"too large", status=413))
+        await reader.read(1)
+        await asyncio.Event().wait()
+
+    async with open_entry(answer) as (entry, upstreams):
+        server = await asyncio.start_server(refuse_early, "127.0.0.1", 0)
+        row = next(entry.tables.upstreams())
+        row.port = server.sockets[0].getsockname()[1]
+        caller = await entry.connect()
+        await caller.send(request(method="POST", Content_Length="100000000"))
+        await caller.send(b"x" * 200_000)
+        response = await caller.read()
+        assert (response.status, response.body) == (413, b"too large")
+        assert entry.in_flight() == 0
+        assert entry.pool.open_count(row) == 0
+        server.close()
+
+
+async def test_connection_is_closed_when_the_caller_asks():
+    async with open_entry(answer) as (entry, upstreams):
+        for value in ("close", "X-Other, Close"):
+            caller = await entry.connect()
+            response = await caller.ask(Connection=value)
+            assert response.headers["connection"] == "close"
+            assert await caller.read_to_end() == b""
+
+
+async def test_grant_that_comes_after_an_abort_is_given_back():
+    async with open_entry(answer) as (entry, upstreams):
+        late = []
+
+        def hold_back(call, deliver):
+            late.append((call, deliver))
+
+        request_grant = entry.router.request
+        entry.router.request = hold_back
+        caller = await entry.connect()
+        await caller.send(request())
+        while not late:
+            await asyncio.sleep(0)
+        entry.pass_time(1_000)
+        response = await caller.read()
+        assert response.headers["x-error-code"] == "deadline_exceeded"
+        assert response.headers["x-outcome"] == "not_run"
+        call, deliver = late.pop()
+        call.deadline_ms += 1_000
+        request_grant(call, deliver)
+        assert entry.reported() == [Result.CANCELLED]
+        assert entry.in_flight() == 0
