Probe a failing store with one claim and one result at a time

Cause: in an outage that cuts connections each host admitted a batch of claims every 250 ms and retried eight results at once, all of which had to be cleared up afterwards; a spent budget stopped all claims for 250 ms. Change: a breaker admits one probe, with backoff to 5 s; result writers take turns while the store fails; rate limits do not open the breaker. Figures: store calls of one host in an outage with 50 results waiting and 10 new keyed requests a second: at most 1 a second, by the new test. Conclusion: an outage costs the store a bounded number of calls.

--- /dev/null
+++ b/src/mangohatch/claims/breaker.py
@@ -0,0 +1,59 @@
+"""Circuit breaker in front of a store that does not answer."""
+
+import random
+
+from mangohatch.clock import Clock
+from mangohatch.platform.backoff import Backoff
+
+__all__ = ["StoreBreaker"]
+
+FIRST_MS = 250.0
+LIMIT_MS = 5000.0
+
+
+class StoreBreaker:
+    """
+    Admits everything until a call fails, then one call at a time as a probe.
+
+    :param clock: clock of this host
+    :param rng: source of the jitter
+    """
+
+    def __init__(self, *, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._backoff = Backoff(first_ms=FIRST_MS, limit_ms=LIMIT_MS, rng=rng)
+        self._open = False
+        self._probing = False
+        self._probe_at_ms = 0.0
+
+    def admit(self) -> bool:
+        """
+        Ask to make a call; each admitted one ends in a success, failure or nothing.
+
+        :return: whether the call may be made
+        """
+        if not self._open:
+            return True
+        if self._probing or self._clock.now_ms() < self._probe_at_ms:
+            return False
+        self._probing = True
+        return True
+
+    def success(self) -> None:
+        """Note that the store answered."""
+        self._open = False
+        self._probing = False
+        self._backoff.reset()
+
+    def failure(self) -> None:
+        """Note that the store did not answer."""
+        now_ms = self._clock.now_ms()
+        if self._open and not self._probing:
+            return
+        self._open = True
+        self._probing = False
+        self._probe_at_ms = now_ms + self._backoff.next_ms()
+
+    def nothing(self) -> None:
+        """Note that an admitted call showed neither."""
+        self._probing = False
--- a/src/mangohatch/claims/results.py
+++ b/src/mangohatch/claims/results.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import AbstractAsyncContextManager, nullcontext
 from dataclasses import dataclass, replace
 
 import structlog
@@ -22,6 +23,8 @@
 RETRY_LIMIT_MS = 5000.0
 WRITERS = 8
 USELESS_READS = 6
+WRITE_ATTEMPTS = 2
+REREAD_LIMIT_MS = 1000.0
 BODIES_BYTES = 8 * 1024 * 1024
 MS_PER_S = 1000.0
 OPEN_STATES = (ClaimState.RUNNING, ClaimState.UNKNOWN)
@@ -75,6 +78,11 @@
         self._pending: dict[str, Result] = {}
         self._bodies_bytes = 0
         self._tasks: list[asyncio.Task[None]] = []
+        self._failing = False
+        self._probe = asyncio.Lock()
+        self._backoff = Backoff(
+            first_ms=FIRST_RETRY_MS, limit_ms=RETRY_LIMIT_MS, rng=rng
+        )
 
     @property
     def full(self) -> bool:
@@ -142,16 +150,32 @@
                 self._waiting.task_done()
 
     async def _land(self, result: Result) -> None:
-        backoff = Backoff(
-            first_ms=FIRST_RETRY_MS, limit_ms=RETRY_LIMIT_MS, rng=self._rng
+        reread = Backoff(
+            first_ms=FIRST_RETRY_MS, limit_ms=REREAD_LIMIT_MS, rng=self._rng
         )
         while True:
-            try:
-                if await self._write(result):
+            async with self._turn():
+                if await self._try(result):
                     return
-            except StoreError as exc:
-                log.info("claim_result_waits", code=exc.code, name=result.name)
-            await asyncio.sleep(backoff.next_ms() / MS_PER_S)
+                if self._failing:
+                    await asyncio.sleep(self._backoff.next_ms() / MS_PER_S)
+                    continue
+            await asyncio.sleep(reread.next_ms() / MS_PER_S)
+
+    def _turn(self) -> AbstractAsyncContextManager[None]:
+        """Let one writer at a time try while the store does not answer."""
+        return self._probe if self._failing else nullcontext()
+
+    async def _try(self, result: Result) -> bool:
+        try:
+            landed = await self._write(result)
+        except StoreError as exc:
+            self._failing = True
+            log.info("claim_result_waits", code=exc.code, name=result.name)
+            return False
+        self._failing = False
+        self._backoff.reset()
+        return landed
 
     async def _write(self, result: Result) -> bool:
         base = result.base or await self._store.get(
@@ -174,6 +198,7 @@
                 value=value,
                 expected_revision=base.revision,
                 rng=self._rng,
+                attempts=WRITE_ATTEMPTS,
             )
         except StoreConflict:
             return False
--- a/src/mangohatch/claims/store_registry.py
+++ b/src/mangohatch/claims/store_registry.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass
 
+from mangohatch.claims.breaker import StoreBreaker
 from mangohatch.claims.record import (
     ClaimRecord,
     ClaimState,
@@ -21,9 +22,11 @@
     ClaimUnavailable,
     Outcome,
     OutcomeUnknown,
+    RequestError,
     RequestInProgress,
     StoreConflict,
     StoreError,
+    StoreRateLimited,
     StoreWriteUnknown,
 )
 from mangohatch.platform.operations import put_resolved, with_operation
@@ -33,7 +36,6 @@
 
 CLAIM_ATTEMPTS = 4
 REREAD_MS = 20.0
-REFUSAL_AFTER_FAILURE_MS = 250.0
 DEADLINE_GRACE_MS = 1000.0
 MS_PER_S = 1000.0
 
@@ -110,7 +112,7 @@
         self._instance = f"{host_id}:{rng.getrandbits(64):016x}"
         self._sequence = itertools.count(1)
         self._running: dict[str, Attempt] = {}
-        self._refuse_until_ms = 0.0
+        self._breaker = StoreBreaker(clock=clock, rng=rng)
         self._leaving = False
         self.results = self.writer_type(store=store, rng=rng, limit=cfg.pending_results)
 
@@ -188,7 +190,7 @@
             raise self._refused("this host is leaving")
         if self.results.full:
             raise self._refused("too many results wait for the store")
-        if self._clock.now_ms() < self._refuse_until_ms:
+        if not self._breaker.admit():
             raise self._refused("the store does not answer")
 
     def _make_attempt(
@@ -214,15 +216,25 @@
         except StoreWriteUnknown as exc:
             self._abandon(attempt)
             raise self._refused("the claim got no answer") from exc
+        except StoreRateLimited as exc:
+            self._breaker.nothing()
+            raise ClaimUnavailable(
+                "too many calls to the store", retry_after_ms=exc.retry_after_ms
+            ) from exc
         except StoreError as exc:
-            self._note_failure()
+            self._breaker.failure()
             raise self._refused("the store does not answer") from exc
         except TimeoutError as exc:
             self._abandon(attempt)
             raise self._refused("the claim took too long") from exc
+        except RequestError:
+            self._breaker.success()
+            raise
         except asyncio.CancelledError:
-            self._abandon(attempt)
+            self._breaker.nothing()
+            self.end(attempt, ClaimState.NOT_RUN, None, None)
             raise
+        self._breaker.success()
         late = self._clock.now_ms() >= attempt.deadline_ms
         if late and isinstance(result, StoreTicket):
             await result.finish(Outcome.NOT_RUN, None)
@@ -270,12 +282,9 @@
         raise OutcomeUnknown("the outcome of the first attempt is not known")
 
     def _abandon(self, attempt: Attempt) -> None:
-        self._note_failure()
+        self._breaker.failure()
         self.end(attempt, ClaimState.NOT_RUN, None, None)
 
-    def _note_failure(self) -> None:
-        self._refuse_until_ms = self._clock.now_ms() + REFUSAL_AFTER_FAILURE_MS
-
     def _bound(self, answer: Answer | None) -> Answer | None:
         if answer is None or answer.body is None:
             return answer
--- /dev/null
+++ b/tests/claims/test_breaker.py
@@ -0,0 +1,48 @@
+"""Tests of the circuit breaker in front of the store."""
+
+from mangohatch.claims.breaker import StoreBreaker
+from tests.functions import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+
+@fixture
+def breaker(clock, rng):
+    return StoreBreaker(clock=clock, rng=rng)
+
+
+def test_one_probe_at_a_time_after_a_failure(breaker, clock):
+    assert breaker.admit() and breaker.admit()
+    breaker.failure()
+    assert not breaker.admit()
+    clock.advance(250.0)
+    assert breaker.admit()
+    assert not breaker.admit()
+    breaker.success()
+    assert breaker.admit() and breaker.admit()
+
+
+def test_probes_become_rarer(breaker, clock):
+    breaker.failure()
+    probes = 0
+    for _ in range(6000):
+        clock.advance(10.0)
+        if breaker.admit():
+            probes += 1
+            breaker.failure()
+    assert 60_000 / 5000 <= probes <= 30
+
+
+def test_late_failures_of_calls_admitted_before_do_not_add_up(breaker, clock):
+    for _ in range(100):
+        breaker.failure()
+    clock.advance(250.0)
+    assert breaker.admit()
+
+
+def test_a_call_that_shows_nothing_leaves_room_for_the_next_probe(breaker, clock):
+    breaker.failure()
+    clock.advance(250.0)
+    assert breaker.admit()
+    breaker.nothing()
+    assert breaker.admit()
--- a/tests/claims/test_store_registry.py
+++ b/tests/claims/test_store_registry.py
@@ -1,6 +1,7 @@
 """Tests of the registry of keyed requests."""
 
 import random
+from collections import Counter
 
 from mangohatch.claims import Answer, StoreClaimRegistry
 from mangohatch.claims.record import claim_kind, claim_name
@@ -13,6 +14,7 @@
     RequestError,
     RequestInProgress,
 )
+from mangohatch.platform.metered import CallBudget, MeteredStore
 from standins.virtual_loop import LoopClock
 from tests.functions import fixture, function_tests
 
@@ -182,3 +184,49 @@
     name = claim_name("booking-desk", "k1")
     objects.put(claim_kind(name), name, get_claim(objects, "other").value, None)
     fails_with(ClaimKeyMismatch, loop, registry)
+
+
+def test_store_calls_in_an_outage_are_bounded(loop, objects, make_registry):
+    registry = make_registry("e1")
+    tickets = [begin(loop, registry, key=f"k{number}") for number in range(50)]
+    objects.faults.outage = True
+    for ticket in tickets:
+        finish(loop, ticket, Outcome.DONE, ANSWER)
+    loop.run_for(30_000)
+    before = sum(objects.calls.values())
+    for number in range(600):
+        fails_with(ClaimUnavailable, loop, registry, key=f"new{number}", budget_ms=400)
+        loop.run_for(100)
+    calls_per_second = (sum(objects.calls.values()) - before) / 60
+    assert calls_per_second <= 1.0
+    assert registry.results.pending < 100
+    objects.faults.outage = False
+    loop.run_for(20_000)
+    assert registry.results.pending == 0
+
+
+def test_spent_budget_refuses_without_stopping_other_claims(loop, store):
+    clock = LoopClock(loop=loop)
+    metered = MeteredStore(
+        store=store,
+        role="claims",
+        budget=CallBudget(per_second=10.0, clock=clock),
+        calls=Counter(),
+    )
+    registry = StoreClaimRegistry(
+        host_id="e1",
+        cfg=ClaimSettings(),
+        store=metered,
+        clock=clock,
+        rng=random.Random(1),
+    )
+    claimed = 0
+    for number in range(100):
+        try:
+            begin(loop, registry, key=f"k{number}")
+            claimed += 1
+        except ClaimUnavailable as exc:
+            assert exc.outcome is Outcome.NOT_RUN
+            assert exc.retry_after_ms <= 100.0
+        loop.run_for(50)
+    assert claimed >= 50
