--- /dev/null
+++ b/src/mangohatch/core/choice/alone.py
@@ -0,0 +1,76 @@
+"""When a host places calls without leases, and how many."""
+
+from mangohatch.clock import Clock
+from mangohatch.core.call import Call
+from mangohatch.core.tables import ServiceRow
+
+__all__ = ["SPILL_MS", "STARVED_LINGER_MS", "AloneGate"]
+
+SILENCE_MS = 50.0
+SPILL_MS = 2.0
+STARVED_MS = 1_000.0
+STARVED_LINGER_MS = 15.0
+LEAST = 4
+SHARES = 2
+
+
+class AloneGate:
+    """
+    Bounds the attempts that a host makes without leases on one shard.
+
+    They are allowed at once while the broker is silent, and after a short wait
+    while the measuring budget is spent.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._silent_until_ms = 0.0
+        self._starved_until_ms = 0.0
+        self._in_flight = 0
+
+    @property
+    def silent(self) -> bool:
+        """Whether the broker has left a request without answer."""
+        return self._clock.now_ms() < self._silent_until_ms
+
+    @property
+    def starved(self) -> bool:
+        """Whether the measuring budget was spent a short while ago."""
+        return self._clock.now_ms() < self._starved_until_ms
+
+    def note_silence(self) -> None:
+        """Take note that the broker does not answer."""
+        self._silent_until_ms = self._clock.now_ms() + SILENCE_MS
+
+    def note_answer(self) -> None:
+        """Take note that the broker answers."""
+        self._silent_until_ms = 0.0
+
+    def note_denial(self) -> None:
+        """Take note that the measuring budget had no room for a call."""
+        self._starved_until_ms = self._clock.now_ms() + STARVED_MS
+
+    def allows(self, service: ServiceRow, call: Call, hosts: int) -> bool:
+        """
+        Tell whether a call may be placed without a lease now.
+
+        :param service: the service of the call
+        :param call: the call
+        :param hosts: number of live entry hosts
+        :return: whether it may
+        """
+        if call.isolated:
+            return False
+        waited_ms = self._clock.now_ms() - call.arrived_ms
+        if not self.silent and not (self.starved and waited_ms >= SPILL_MS):
+            return False
+        slots = sum(row.slots for row in service.upstreams.values())
+        return self._in_flight < max(LEAST, SHARES * slots // max(1, hosts))
+
+    def start(self) -> None:
+        """Count an attempt without a lease."""
+        self._in_flight += 1
+
+    def end(self) -> None:
+        """Count the end of an attempt without a lease."""
+        self._in_flight = max(0, self._in_flight - 1)
--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -6,16 +6,18 @@
 from mangohatch.clock import Clock
 from mangohatch.core.admission import max_wait_ms
 from mangohatch.core.call import Call, Grant, Report, Result
+from mangohatch.core.choice.alone import SPILL_MS, STARVED_LINGER_MS, AloneGate
 from mangohatch.core.choice.base import Chooser
 from mangohatch.core.health import Health
-from mangohatch.core.measuring import BudgetGate, MeasuringCounter
+from mangohatch.core.measuring import BudgetGates, MeasuringCounter
 from mangohatch.core.measuring.size import size_of
 from mangohatch.core.slots import Broker, Holder, ShardMap, SpeedTable
 from mangohatch.core.slots.broker import SETTLE_MS
 from mangohatch.core.slots.holder import Held
-from mangohatch.core.slots.shards import list_shards, split_shard
-from mangohatch.core.tables import ServiceRow, Tables
+from mangohatch.core.slots.shards import split_shard
+from mangohatch.core.tables import ServiceRow, Tables, UpstreamRow
 from mangohatch.core.timers import Timers
+from mangohatch.errors import NoUpstream
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages import SlotGrant, SlotRequest, SlotReturn
 
@@ -23,13 +25,6 @@
 
 ASK_DELAY_MS = 1.5
 ANSWER_MS = 4.0
-SILENCE_MS = 50.0
-SPILL_MS = 2.0
-STARVED_MS = 1_000.0
-STARVED_LINGER_MS = 15.0
-ALONE_MIN = 4
-ALONE_SHARES = 2
-BROKER_IDLE_MS = 5_000.0
 TIMER_STEP_MS = 1.0
 
 
@@ -59,13 +54,11 @@
         self._shards = ShardMap(host_id=bus.host_id)
         self._zones: dict[str, str] = {}
         self.counters = counters if counters is not None else {}
-        self._gates: dict[str, BudgetGate] = {}
+        self._gates = BudgetGates(clock=clock, counters=self.counters)
         self._speeds: dict[str, SpeedTable] = {}
         self.holders: dict[str, Holder] = {}
         self.brokers: dict[str, Broker] = {}
-        self._silent_until: dict[str, float] = {}
-        self._starved_until: dict[str, float] = {}
-        self._alone: dict[str, int] = {}
+        self._alone: dict[str, AloneGate] = {}
         self._known_services = 0
         self._sequence = 0
         self._planned: set[str] = set()
@@ -82,15 +75,20 @@
             holder.use(held)
             row = service.upstreams[held.upstream]
             return self.make_grant(call, row, held.token)
-        if not call.isolated and self._may_go_alone(shard, call):
-            return self._choose_alone(service, shard, call)
-        return None
+        gate = self._gate_alone(shard)
+        if not gate.allows(service, call, len(self._zones)):
+            self._check_open(service, call)
+            return None
+        alone = self._choose_alone(service, call)
+        if alone is None:
+            return None
+        gate.start()
+        return self.make_grant(call, alone)
 
-    def _may_go_alone(self, shard: str, call: Call) -> bool:
-        if self._is_silent(shard):
-            return True
-        waited_ms = self._clock.now_ms() - call.arrived_ms
-        return waited_ms >= SPILL_MS and self._is_starved(shard)
+    def _check_open(self, service: ServiceRow, call: Call) -> None:
+        if not any(self.is_open(row, call) for row in service.upstreams.values()):
+            detail = f"service {call.service} has no upstream for new work"
+            raise NoUpstream(detail)
 
     def wait(self, service: ServiceRow, call: Call, waiting: int) -> bool:
         shard = self._shards.home(service)
@@ -99,16 +97,17 @@
             self._send_request(service, shard, call, count=1)
         elif waiting > holder.pending(service.spec.max_queue_wait_ms):
             self._plan_ask(service, shard, call)
-        if self._is_starved(shard):
+        gate = self._gate_alone(shard)
+        if gate.starved:
             self._plan_spill(service)
-        return not holder.idle and not self._is_silent(shard)
+        return not holder.idle and not gate.silent
 
     def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
         shard = self._shards.home(service)
         if report.result is Result.OK:
             self._speed(shard).note(grant.upstream.name, report.latency_ms)
         if not grant.token:
-            self._alone[shard] = max(0, self._alone.get(shard, 0) - 1)
+            self._gate_alone(shard).end()
         else:
             self._holder(shard).end_use(grant.token, report)
 
@@ -121,8 +120,10 @@
             self._take_over()
         for holder in self.holders.values():
             holder.renew(force=changed)
+            if not self._gate_alone(holder.shard).starved:
+                holder.floor_ms = 0.0
         for shard, broker in list(self.brokers.items()):
-            service = self._tables.services.get(split_shard(shard)[0])
+            service = self._tables.services.get(split_shard(shard).service)
             if service is None or self._shards.broker(shard) != self._bus.host_id:
                 del self.brokers[shard]
                 continue
@@ -132,12 +133,12 @@
     def _take_over(self) -> None:
         self._known_services = len(self._tables.services)
         for service in self._tables.services.values():
-            for shard in list_shards(service):
+            for shard in self._shards.shards(service):
                 if self._shards.broker(shard) == self._bus.host_id:
                     self._broker(shard)
 
     def note_request(self, service: ServiceRow) -> None:
-        self._gate(service).note_request()
+        self._gates.find(service).note_request()
 
     def _pick(self, service: ServiceRow, holder: Holder, call: Call) -> Held | None:
         best, best_ms = None, 0.0
@@ -168,7 +169,7 @@
 
     def _ask_now(self, shard: str, call: Call) -> None:
         self._planned.discard(shard)
-        service = self._tables.services.get(split_shard(shard)[0])
+        service = self._tables.services.get(split_shard(shard).service)
         if service is None:
             return
         waiting = self._count_waiting(service.spec.name)
@@ -181,7 +182,7 @@
         holder.asked_ms = self._clock.now_ms()
         if not self._send_request(service, shard, call, count=holder.asked):
             holder.asked = 0
-            self._starved_until[shard] = self._clock.now_ms() + STARVED_MS
+            self._gate_alone(shard).note_denial()
             holder.floor_ms = STARVED_LINGER_MS
             self._plan_spill(service)
 
@@ -202,7 +203,7 @@
         if broker == self._bus.host_id:
             self._broker(shard).take_request(broker, message)
             return True
-        if not self._gate(service).spend_call(size_of(message)):
+        if not self._gates.find(service).spend_call(size_of(message)):
             return False
         self._bus.send(broker, message)
         self._timers.call_later(ANSWER_MS, lambda: self._check(shard, now_ms))
@@ -213,47 +214,24 @@
         if holder.heard_ms >= asked_ms:
             return
         holder.asked = 0
-        self._fall_silent(shard)
-        self._available(split_shard(shard)[0])
-
-    def _fall_silent(self, shard: str) -> None:
-        self._silent_until[shard] = self._clock.now_ms() + SILENCE_MS
-
-    def _is_silent(self, shard: str) -> bool:
-        until_ms = self._silent_until.get(shard)
-        return until_ms is not None and self._clock.now_ms() < until_ms
+        self._gate_alone(shard).note_silence()
+        self._available(split_shard(shard).service)
 
     def _plan_spill(self, service: ServiceRow) -> None:
         name = service.spec.name
         self._timers.call_later(SPILL_MS, lambda: self._available(name))
 
-    def _is_starved(self, shard: str) -> bool:
-        until_ms = self._starved_until.get(shard)
-        if until_ms is None:
-            return False
-        if self._clock.now_ms() < until_ms:
-            return True
-        del self._starved_until[shard]
-        self._holder(shard).floor_ms = 0.0
-        return False
-
-    def _choose_alone(
-        self, service: ServiceRow, shard: str, call: Call
-    ) -> Grant | None:
-        alone = self._alone.get(shard, 0)
-        if alone >= self._alone_limit(service):
-            return None
+    def _choose_alone(self, service: ServiceRow, call: Call) -> UpstreamRow | None:
         rows = self.candidates(service, call)
         first, second = self._rng.choice(rows), self._rng.choice(rows)
         row = first if first.in_flight <= second.in_flight else second
-        if row.in_flight >= row.slots:
-            return None
-        self._alone[shard] = alone + 1
-        return self.make_grant(call, row)
+        return row if row.in_flight < row.slots else None
 
-    def _alone_limit(self, service: ServiceRow) -> int:
-        slots = sum(row.slots for row in service.upstreams.values())
-        return max(ALONE_MIN, ALONE_SHARES * slots // max(1, len(self._zones)))
+    def _gate_alone(self, shard: str) -> AloneGate:
+        gate = self._alone.get(shard)
+        if gate is None:
+            gate = self._alone[shard] = AloneGate(clock=self._clock)
+        return gate
 
     def _update_members(self) -> bool:
         members = self._bus.members()
@@ -285,7 +263,7 @@
                 zone_of=lambda host_id: self._zones.get(host_id, ""),
                 timers=self._timers,
             )
-            broker.sync(self._tables.services[split_shard(shard)[0]])
+            broker.sync(self._tables.services[split_shard(shard).service])
             self._timers.call_later(SETTLE_MS + TIMER_STEP_MS, broker.tick)
         return broker
 
@@ -295,21 +273,10 @@
             speeds = self._speeds[shard] = SpeedTable(clock=self._clock)
         return speeds
 
-    def _gate(self, service: ServiceRow) -> BudgetGate:
-        name = service.spec.name
-        gate = self._gates.get(name)
-        if gate is None:
-            gate = self._gates[name] = BudgetGate(
-                clock=self._clock,
-                budget=service.spec.measuring,
-                counter=self.counters.setdefault(name, MeasuringCounter()),
-            )
-        return gate
-
     def _charge(self, shard: str, message: Any) -> None:
-        service = self._tables.services.get(split_shard(shard)[0])
+        service = self._tables.services.get(split_shard(shard).service)
         if service is not None:
-            self._gate(service).spend_message(size_of(message))
+            self._gates.find(service).spend_message(size_of(message))
 
     def _send_grant(self, host_id: str, message: SlotGrant) -> None:
         if host_id == self._bus.host_id:
@@ -319,7 +286,7 @@
         self._bus.send(host_id, message)
 
     def _send_return(self, shard: str, message: SlotReturn) -> None:
-        message.waiting = self._count_waiting(split_shard(shard)[0])
+        message.waiting = self._count_waiting(split_shard(shard).service)
         broker = self._shards.broker(shard)
         if broker == self._bus.host_id:
             self._broker(shard).take_return(broker, message)
@@ -328,20 +295,21 @@
         self._bus.send(broker, message)
 
     def _take_request(self, sender: str, message: SlotRequest) -> None:
-        if split_shard(message.shard)[0] in self._tables.services:
+        if split_shard(message.shard).service in self._tables.services:
             self._broker(message.shard).take_request(sender, message)
 
     def _take_return(self, sender: str, message: SlotReturn) -> None:
-        if split_shard(message.shard)[0] in self._tables.services:
+        if split_shard(message.shard).service in self._tables.services:
             self._broker(message.shard).take_return(sender, message)
 
     def _take_grant(self, sender: str, message: SlotGrant) -> None:
         shard = message.shard
-        name = split_shard(shard)[0]
+        name = split_shard(shard).service
         if name not in self._tables.services:
             return
         holder = self._holder(shard)
-        self._silent_until.pop(shard, None)
+        gate = self._gate_alone(shard)
+        gate.note_answer()
         holder.take_grant(message)
         self._available(name)
         holder.settle()
--- a/src/mangohatch/core/measuring/budget.py
+++ b/src/mangohatch/core/measuring/budget.py
@@ -3,8 +3,9 @@
 from mangohatch.clock import Clock
 from mangohatch.config.service import MeasuringBudget
 from mangohatch.core.measuring.counter import MeasuringCounter
+from mangohatch.core.tables import ServiceRow
 
-__all__ = ["BudgetGate"]
+__all__ = ["BudgetGate", "BudgetGates"]
 
 MS_PER_S = 1000.0
 BURST_REQUESTS = 100
@@ -23,7 +24,7 @@
         self, *, clock: Clock, budget: MeasuringBudget, counter: MeasuringCounter
     ) -> None:
         self._clock = clock
-        self._budget = budget
+        self.budget = budget
         self._counter = counter
         self._filled_ms = clock.now_ms()
         self._calls = budget.calls_per_second
@@ -33,7 +34,7 @@
     def note_request(self) -> None:
         """Count a request, which earns its share of a call."""
         self._counter.requests += 1
-        budget = self._budget
+        budget = self.budget
         limit = max(1.0, budget.calls_per_request * BURST_REQUESTS)
         self._share = min(limit, self._share + budget.calls_per_request)
 
@@ -67,8 +68,39 @@
         now_ms = self._clock.now_ms()
         elapsed_s = (now_ms - self._filled_ms) / MS_PER_S
         self._filled_ms = now_ms
-        budget = self._budget
+        budget = self.budget
         calls = self._calls + budget.calls_per_second * elapsed_s
         self._calls = min(budget.calls_per_second, calls)
         size_bytes = self._bytes + budget.bytes_per_second * elapsed_s
         self._bytes = min(budget.bytes_per_second, size_bytes)
+
+
+class BudgetGates:
+    """
+    The gates of all services.
+
+    :param counters: counters by service, filled as services are met
+    """
+
+    def __init__(self, *, clock: Clock, counters: dict[str, MeasuringCounter]) -> None:
+        self._clock = clock
+        self._counters = counters
+        self._gates: dict[str, BudgetGate] = {}
+
+    def find(self, service: ServiceRow) -> BudgetGate:
+        """
+        Find the gate of a service; a changed budget starts a new one.
+
+        :param service: the service
+        :return: its gate
+        """
+        name = service.spec.name
+        budget = service.spec.measuring
+        gate = self._gates.get(name)
+        if gate is None or (gate.budget is not budget and gate.budget != budget):
+            gate = self._gates[name] = BudgetGate(
+                clock=self._clock,
+                budget=budget,
+                counter=self._counters.setdefault(name, MeasuringCounter()),
+            )
+        return gate
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -3,13 +3,13 @@
 import random
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Report, Result
 from mangohatch.core.health import Health
 from mangohatch.core.slots.isolation import Isolation
 from mangohatch.core.slots.ledger import Lease, Ledger, SlotRow
+from mangohatch.core.slots.recall import IDLE_LINGER_MS, Demand, Recaller
 from mangohatch.core.slots.shards import shard_rows
 from mangohatch.core.slots.speed import SpeedTable
 from mangohatch.core.tables import ServiceRow, UpstreamRow, UpstreamState
@@ -28,32 +28,11 @@
 POOR_SHARE = 0.5
 LINGER_TICK_GROW = 1.1
 FREE_SHARE = 0.5
-RECALL_GAP = 0
-RECALL_AGAIN_MS = 5.0
 PRESS_MS = 2.0
-CROWD = 3
-IDLE_LINGER_MS = 1.0
-RECALL_PAUSE_MS = 1.0
 
 Sender = Callable[[str, SlotGrant], None]
 
 
-@dataclass(slots=True, kw_only=True)
-class Demand:
-    """Slots that a holder waits for."""
-
-    holder: str
-    count: int
-    avoid: list[str]
-    until_ms: float
-    isolated: bool = False
-
-    @property
-    def key(self) -> tuple[str, bool]:
-        """Holder and kind; a holder has one demand of each kind."""
-        return self.holder, self.isolated
-
-
 class Broker:
     """
     Grants the free slots of a shard to the hosts that ask, oldest demand first.
@@ -87,11 +66,11 @@
         self._pressing = False
         self._service: ServiceRow | None = None
         self._demands: OrderedDict[tuple[str, bool], Demand] = OrderedDict()
-        self._recalled_ms: dict[str, float] = {}
         self._outbox: deque[tuple[str, SlotGrant]] = deque()
         self._delivering = False
         self.linger_ms = LINGER_START_MS
         self.ledger = Ledger(rng=rng, speeds=speeds)
+        self._recaller = Recaller(ledger=self.ledger, zone_of=zone_of, post=self._post)
         self._isolation = Isolation(ledger=self.ledger, recall=self._recall_lease)
         self.settled_ms = clock.now_ms() + SETTLE_MS
 
@@ -132,8 +111,7 @@
             del self._demands[demand.key]
             self.linger_ms = min(LINGER_MAX_MS, self.linger_ms * LINGER_GROW)
         grant.sequence = message.sequence
-        grant.linger_ms = self.linger_ms
-        self._outbox.append((holder, grant))
+        self._post(holder, grant)
         self._deliver()
 
     def take_return(self, holder: str, message: SlotReturn) -> None:
@@ -165,8 +143,7 @@
             if not demand.count:
                 del self._demands[demand.key]
             if grant.tokens:
-                grant.linger_ms = self.linger_ms
-                self._outbox.append((demand.holder, grant))
+                self._post(demand.holder, grant)
 
     def _order_demands(self, now_ms: float) -> list[Demand]:
         for key, demand in list(self._demands.items()):
@@ -243,7 +220,7 @@
             )
 
     def _grant(self, demand: Demand, now_ms: float) -> SlotGrant:
-        grant = SlotGrant(shard=self.shard, isolated=demand.isolated)
+        grant = SlotGrant(isolated=demand.isolated)
         zone = self._zone_of(demand.holder)
         while demand.count and now_ms >= self.settled_ms:
             slot = self._find(demand, zone, now_ms)
@@ -271,26 +248,21 @@
         )
 
     def _recall_lease(self, lease: Lease) -> None:
-        grant = SlotGrant(
-            shard=self.shard, linger_ms=self.linger_ms, recalled=[lease.token]
-        )
-        self._outbox.append((lease.holder, grant))
+        self._post(lease.holder, SlotGrant(recalled=[lease.token]))
 
-    def _is_open(self, row: UpstreamRow) -> bool:
-        if row.state not in (UpstreamState.ACTIVE, UpstreamState.WARMING):
-            return False
-        return self._health.eligible(row, None)
+    def _post(self, holder: str, grant: SlotGrant) -> None:
+        grant.shard = self.shard
+        grant.linger_ms = self.linger_ms
+        self._outbox.append((holder, grant))
 
     def _recall(self, demand: Demand, now_ms: float) -> None:
-        if self.linger_ms > IDLE_LINGER_MS:
-            self._recall_idle(demand, now_ms)
-            if not self._pressing:
-                self._pressing = True
-                self._timers.call_later(PRESS_MS, self._press)
-        elif len(self._demands) >= CROWD:
-            self._recall_remote(demand, now_ms)
-        else:
-            self._recall_idle(demand, now_ms)
+        lingering = self.linger_ms > IDLE_LINGER_MS
+        self._recaller.recall(
+            demand, now_ms=now_ms, lingering=lingering, waiting=len(self._demands)
+        )
+        if lingering and not self._pressing:
+            self._pressing = True
+            self._timers.call_later(PRESS_MS, self._press)
 
     def _press(self) -> None:
         self._pressing = False
@@ -308,30 +280,7 @@
         self._recall(poorest, now_ms)
         self._deliver()
 
-    def _recall_idle(self, demand: Demand, now_ms: float) -> None:
-        held = self.ledger.held
-        limit = held.get(demand.holder, 0) + RECALL_GAP
-        old_ms = now_ms - RECALL_AGAIN_MS
-        last_ms = self._recalled_ms.get
-        rich = sorted(
-            (name for name in held if held[name] > limit),
-            key=lambda name: (last_ms(name, 0.0) > old_ms, -held[name]),
-        )
-        for name in rich[: demand.count]:
-            self._ask_back(name, now_ms, SlotGrant(shard=self.shard, recall=1))
-
-    def _recall_remote(self, demand: Demand, now_ms: float) -> None:
-        zone = self._zone_of(demand.holder)
-        lease = self.ledger.find_remote(zone, self._zone_of)
-        held = self.ledger.held
-        if lease is not None and held[lease.holder] >= held.get(demand.holder, 0):
-            grant = SlotGrant(shard=self.shard, recalled=[lease.token])
-            self._ask_back(lease.holder, now_ms, grant)
-
-    def _ask_back(self, holder: str, now_ms: float, grant: SlotGrant) -> None:
-        last_ms = self._recalled_ms.get(holder, -RECALL_PAUSE_MS)
-        if now_ms - last_ms < RECALL_PAUSE_MS:
-            return
-        self._recalled_ms[holder] = now_ms
-        grant.linger_ms = self.linger_ms
-        self._outbox.append((holder, grant))
+    def _is_open(self, row: UpstreamRow) -> bool:
+        if row.state not in (UpstreamState.ACTIVE, UpstreamState.WARMING):
+            return False
+        return self._health.eligible(row, None)
--- /dev/null
+++ b/src/mangohatch/core/slots/recall.py
@@ -0,0 +1,90 @@
+"""Recall of leases from holders that can spare them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mangohatch.core.slots.ledger import Ledger
+from mangohatch.peer.messages import SlotGrant
+
+__all__ = ["IDLE_LINGER_MS", "Demand", "Recaller"]
+
+IDLE_LINGER_MS = 1.0
+CROWD = 3
+AGAIN_MS = 5.0
+PAUSE_MS = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Demand:
+    """Slots that a holder waits for."""
+
+    holder: str
+    count: int
+    avoid: list[str]
+    until_ms: float
+    isolated: bool = False
+
+    @property
+    def key(self) -> tuple[str, bool]:
+        """Holder and kind; a holder has one demand of each kind."""
+        return self.holder, self.isolated
+
+
+class Recaller:
+    """Asks holders to give leases back, each holder not more often than once a ms."""
+
+    def __init__(
+        self,
+        *,
+        ledger: Ledger,
+        zone_of: Callable[[str], str],
+        post: Callable[[str, SlotGrant], None],
+    ) -> None:
+        self._ledger = ledger
+        self._zone_of = zone_of
+        self._post = post
+        self._recalled_ms: dict[str, float] = {}
+
+    def recall(
+        self, demand: Demand, *, now_ms: float, lingering: bool, waiting: int
+    ) -> None:
+        """
+        Recall leases for a demand that cannot be met.
+
+        Leases are idle while they linger. Without idle leases, those held from
+        another zone than that of their upstream are moved.
+
+        :param demand: the demand
+        :param now_ms: monotonic time
+        :param lingering: whether holders keep idle leases for a while
+        :param waiting: number of demands that wait
+        """
+        if lingering or waiting < CROWD:
+            self._recall_idle(demand, now_ms)
+        else:
+            self._recall_remote(demand, now_ms)
+
+    def _recall_idle(self, demand: Demand, now_ms: float) -> None:
+        held = self._ledger.held
+        limit = held.get(demand.holder, 0)
+        old_ms = now_ms - AGAIN_MS
+        last_ms = self._recalled_ms.get
+        rich = sorted(
+            (name for name in held if held[name] > limit),
+            key=lambda name: (last_ms(name, 0.0) > old_ms, -held[name]),
+        )
+        for name in rich[: demand.count]:
+            self._ask_back(name, now_ms, SlotGrant(recall=1))
+
+    def _recall_remote(self, demand: Demand, now_ms: float) -> None:
+        zone = self._zone_of(demand.holder)
+        lease = self._ledger.find_remote(zone, self._zone_of)
+        held = self._ledger.held
+        if lease is not None and held[lease.holder] >= held.get(demand.holder, 0):
+            self._ask_back(lease.holder, now_ms, SlotGrant(recalled=[lease.token]))
+
+    def _ask_back(self, holder: str, now_ms: float, grant: SlotGrant) -> None:
+        last_ms = self._recalled_ms.get(holder, -PAUSE_MS)
+        if now_ms - last_ms >= PAUSE_MS:
+            self._recalled_ms[holder] = now_ms
+            self._post(holder, grant)
--- a/src/mangohatch/core/slots/shards.py
+++ b/src/mangohatch/core/slots/shards.py
@@ -1,15 +1,18 @@
 """Assignment of upstreams to shards and of shards to brokers."""
 
+import functools
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import xxhash
 
 from mangohatch.core.tables import ServiceRow, UpstreamRow
 from mangohatch.peer.bus import MemberView
 
-__all__ = ["SHARD_UPSTREAMS", "ShardMap", "list_shards", "shard_rows", "split_shard"]
+__all__ = ["SHARD_UPSTREAMS", "ShardMap", "ShardName", "shard_rows", "split_shard"]
 
 SHARD_UPSTREAMS = 64
+SHARD_HOSTS = 3
 SEPARATOR = "#"
 
 
@@ -23,15 +26,33 @@
     return xxhash.xxh3_64_intdigest("/".join(words).encode())
 
 
-def split_shard(shard: str) -> tuple[str, int]:
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ShardName:
+    """The parts of a shard's name; a service that is not split has one shard."""
+
+    service: str
+    number: int = 0
+    count: int = 1
+
+    def __str__(self) -> str:
+        if self.count == 1:
+            return self.service
+        return f"{self.service}{SEPARATOR}{self.number}{SEPARATOR}{self.count}"
+
+
+@functools.lru_cache(maxsize=10_000)
+def split_shard(shard: str) -> ShardName:
     """
     Take the name of a shard apart.
 
     :param shard: name of a shard
-    :return: name of the service and number of the shard
+    :return: its parts
     """
-    service, _, number = shard.partition(SEPARATOR)
-    return service, int(number or 0)
+    service, *numbers = shard.split(SEPARATOR)
+    if not numbers:
+        return ShardName(service=service)
+    number, count = numbers
+    return ShardName(service=service, number=int(number), count=int(count))
 
 
 class ShardMap:
@@ -39,7 +60,8 @@
     Shards of a service and the live member that brokers each.
 
     A service of up to :data:`SHARD_UPSTREAMS` upstreams is one shard. A larger
-    one is split by upstream name, so that each shard has upstreams of all zones.
+    one is split by upstream name, so that each shard has upstreams of all zones,
+    but never so far that a shard has fewer than :data:`SHARD_HOSTS` hosts.
     """
 
     def __init__(self, *, host_id: str) -> None:
@@ -55,10 +77,12 @@
         :param members: members believed alive
         :return: whether brokers may have changed
         """
+        members = tuple(members)
         if members == self._members:
             return False
-        self._members = tuple(members)
+        self._members = members
         self._brokers.clear()
+        self._homes.clear()
         return True
 
     def broker(self, shard: str) -> str:
@@ -82,59 +106,45 @@
 
     def home(self, service: ServiceRow) -> str:
         """
-        Find the shard that this host uses first.
+        Find the shard that this host uses; hosts are spread evenly.
 
         :param service: the service
         :return: name of the shard
         """
-        name = service.spec.name
-        count = len(service.upstreams)
-        if count <= SHARD_UPSTREAMS:
-            return name
-        home = self._homes.get((name, count))
+        upstreams = len(service.upstreams)
+        if upstreams <= SHARD_UPSTREAMS:
+            return service.spec.name
+        key = (service.spec.name, upstreams)
+        home = self._homes.get(key)
         if home is None:
-            number = rank(name, self._host_id) % count_shards(service)
-            home = f"{name}{SEPARATOR}{number}"
-            self._homes[name, count] = home
+            home = self._homes[key] = self._find_home(service)
         return home
 
-    def next(self, service: ServiceRow, shard: str) -> str:
+    def _find_home(self, service: ServiceRow) -> str:
+        name = service.spec.name
+        hosts = {view.host_id for view in self._members} | {self._host_id}
+        ordered = sorted(hosts, key=lambda host_id: rank(name, host_id))
+        count = self._count(service)
+        number = ordered.index(self._host_id) % count
+        return str(ShardName(service=name, number=number, count=count))
+
+    def _count(self, service: ServiceRow) -> int:
+        wanted = -(-len(service.upstreams) // SHARD_UPSTREAMS)
+        return max(1, min(wanted, len(self._members) // SHARD_HOSTS))
+
+    def shards(self, service: ServiceRow) -> list[str]:
         """
-        Find the shard to turn to when one has no slot.
+        List the shards of a service.
 
         :param service: the service
-        :param shard: name of a shard
-        :return: name of the following shard, the same when there is only one
+        :return: names of its shards
         """
-        count = count_shards(service)
-        if count == 1:
-            return shard
-        number = split_shard(shard)[1]
-        return f"{service.spec.name}{SEPARATOR}{(number + 1) % count}"
-
-
-def count_shards(service: ServiceRow) -> int:
-    """
-    Count the shards of a service.
-
-    :param service: the service
-    :return: at least 1
-    """
-    return max(1, -(-len(service.upstreams) // SHARD_UPSTREAMS))
-
-
-def list_shards(service: ServiceRow) -> list[str]:
-    """
-    List the shards of a service.
-
-    :param service: the service
-    :return: names of its shards
-    """
-    name = service.spec.name
-    count = count_shards(service)
-    if count == 1:
-        return [name]
-    return [f"{name}{SEPARATOR}{number}" for number in range(count)]
+        name = service.spec.name
+        count = self._count(service)
+        return [
+            str(ShardName(service=name, number=number, count=count))
+            for number in range(count)
+        ]
 
 
 def shard_rows(service: ServiceRow, shard: str) -> list[UpstreamRow]:
@@ -143,12 +153,11 @@
 
     :param service: the service
     :param shard: name of the shard
-    :return: rows in the order of declaration
+    :return: rows in the order of declaration when there is one shard
     """
-    count = count_shards(service)
+    parts = split_shard(shard)
     rows = list(service.upstreams.values())
-    if count == 1:
+    if parts.count == 1:
         return rows
-    number = split_shard(shard)[1]
-    ordered = sorted(rows, key=lambda row: rank(service.spec.name, row.name))
-    return ordered[number::count]
+    rows.sort(key=lambda row: rank(service.spec.name, row.name))
+    return rows[parts.number :: parts.count]
--- a/tests/core/choice/test_tokens.py
+++ b/tests/core/choice/test_tokens.py
@@ -261,3 +261,20 @@
     hosts.request(hosts.broker, "wanted")
     hosts.run(6.0)
     assert isinstance(hosts.decisions["wanted"], Grant)
+
+
+def test_call_without_an_open_upstream_is_refused_at_once(hosts):
+    names = frozenset({"u1", "u2", "u3"})
+    hosts.request(hosts.other, "nowhere", avoid=names)
+    refusal = hosts.decisions["nowhere"]
+    assert refusal.error.code == "no_upstream"
+    assert refusal.error.outcome == "not_run"
+
+
+def test_hosts_of_a_large_service_reach_all_of_its_upstreams():
+    hosts = Hosts(count=6, upstreams=130)
+    for number in range(260):
+        hosts.request(f"h{number % 6}", f"r{number}")
+    hosts.run(10.0)
+    assert len(hosts.decisions) == 260
+    assert set(hosts.busy().values()) == {2}
--- a/tests/core/slots/test_shards.py
+++ b/tests/core/slots/test_shards.py
@@ -1,7 +1,7 @@
 """Tests of shards and their brokers."""
 
 from mangohatch.core.slots import ShardMap
-from mangohatch.core.slots.shards import SHARD_UPSTREAMS, count_shards, shard_rows
+from mangohatch.core.slots.shards import SHARD_UPSTREAMS, shard_rows
 from mangohatch.core.tables import Tables
 from mangohatch.peer.bus import MemberView
 from tests.fixtures import make_service
@@ -51,16 +51,28 @@
     assert {shards.broker(f"service-{number}") for number in range(20)} == {"h1"}
 
 
-def test_large_service_is_split_whole():
+def make_map(host, members):
+    shards = ShardMap(host_id=host)
+    shards.update(members)
+    return shards
+
+
+def test_large_service_is_split_whole_and_evenly():
     service = make_row(SHARD_UPSTREAMS * 2 + 1)
-    count = count_shards(service)
-    names = [
-        row.name
-        for number in range(count)
-        for row in shard_rows(service, f"tablero-misa#{number}")
-    ]
-    assert count == 3
+    members = make_members(15)
+    shards = make_map("h0", members).shards(service)
+    names = [row.name for shard in shards for row in shard_rows(service, shard)]
+    homes = [make_map(view.host_id, members).home(service) for view in members]
+    assert len(shards) == 3
     assert sorted(names) == sorted(service.upstreams)
+    assert [homes.count(shard) for shard in shards] == [5, 5, 5]
+
+
+def test_every_shard_of_a_large_service_has_hosts():
+    service = make_row(SHARD_UPSTREAMS * 4)
+    members = make_members(4)
+    homes = {make_map(view.host_id, members).home(service) for view in members}
+    assert homes == set(make_map("h0", members).shards(service))
 
 
 def test_small_service_is_one_shard():
