Tell members directly of a host that has joined

An announcement of another host could pass for the answer to joining. Conclusion: the time in which an order can miss a newcomer is shorter, not zero.

--- a/src/mangohatch/peer/membership/service.py
+++ b/src/mangohatch/peer/membership/service.py
@@ -111,6 +111,7 @@
             table=self.table,
             transport=transport,
             own=lambda: self.own,
+            on_joined=self.announce,
         )
 
     @property
--- a/src/mangohatch/peer/membership/sync.py
+++ b/src/mangohatch/peer/membership/sync.py
@@ -27,6 +27,7 @@
         table: MemberTable,
         transport: MemberTransport,
         own: Callable[[], Member],
+        on_joined: Callable[[], None],
     ) -> None:
         self._own_endpoint = own_endpoint
         self._seeds: set[Endpoint] = set()
@@ -35,6 +36,7 @@
         self._table = table
         self._transport = transport
         self._own = own
+        self._on_joined = on_joined
         self._next_ms = 0.0
         self.joined = False
         self.add_seeds(seeds)
@@ -147,11 +149,16 @@
         """
         Answer another host's table with the own one where asked to.
 
+        A table that names this host shows that it has joined.
+
         :param endpoint: where the host listens
         :param message: its table, already taken in
         :param now_ms: monotonic time
         """
-        self.joined = True
+        own_id = self._own().host_id
+        if not self.joined and any(one.host_id == own_id for one in message.members):
+            self.joined = True
+            self._on_joined()
         if message.reply_wanted:
             reply = MemberSync(members=self.entries(now_ms), reply_wanted=False)
             self._transport.send_to(endpoint, reply)
