Rank the fleet only when the holder is missed, and wait for the members

Cause: a standby sorted all members twenty times a second; a new host could be ready by a fresh read before it knew any member, and so without the marks of leaving upstreams; a renewal longer than the lease was accepted. Change: rank after suspicion only; readiness waits for the bus to have joined, at most join_wait_ms (joined= of StateService, passed in host/state.py); a check of the settings; Attempt has a module of its own. Conclusion: a standby's cost no longer grows with the fleet.

--- a/src/mangohatch/claims/store_registry.py
+++ b/src/mangohatch/claims/store_registry.py
@@ -3,8 +3,8 @@
 import asyncio
 import itertools
 import random
-from dataclasses import dataclass
 
+from mangohatch.claims.attempt import Attempt
 from mangohatch.claims.breaker import StoreBreaker
 from mangohatch.claims.record import (
     ClaimRecord,
@@ -46,20 +46,6 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
-class Attempt:
-    """One attempt to run the request of a key, from its claim to its result."""
-
-    name: str
-    record: ClaimRecord
-    deadline_ms: float
-
-    @property
-    def operation_id(self) -> str:
-        """Id of the write that claims the key."""
-        return f"{self.record.attempt}:claim"
-
-
 class StoreTicket(ClaimTicket):
     """The right to run a request whose claim is in the store."""
 
--- a/src/mangohatch/config/state.py
+++ b/src/mangohatch/config/state.py
@@ -1,6 +1,6 @@
 """Model of the settings of lasting and agreed state."""
 
-from pydantic import Field
+from pydantic import Field, model_validator
 
 from mangohatch.config.service import StrictModel
 
@@ -45,6 +45,20 @@
     )
     store_timeout_ms: float = Field(default=1000.0, gt=0)
 
+    @model_validator(mode="after")
+    def check_times(self) -> "StateSettings":
+        """
+        Check that a holder can keep its lease and that standbys can hear it.
+
+        :return: the model itself
+        :raises ValueError: when a time is too long for the one that it serves
+        """
+        if 2 * self.renewal_ms > self.lease_ms:
+            raise ValueError("renewal_ms is more than half of lease_ms")
+        if 2 * self.heartbeat_ms > self.suspicion_ms:
+            raise ValueError("heartbeat_ms is more than half of suspicion_ms")
+        return self
+
 
 class ClaimSettings(StrictModel):
     """Bounds of the registry of keyed requests."""
--- a/src/mangohatch/host/state.py
+++ b/src/mangohatch/host/state.py
@@ -71,6 +71,7 @@
             clock=clock,
             rng=rng,
             recorder=recorder,
+            joined=lambda: not isinstance(bus, TcpPeerBus) or bus.joined,
         )
         self.claims = StoreClaimRegistry(
             host_id=cfg.host_id,
--- a/src/mangohatch/state/election.py
+++ b/src/mangohatch/state/election.py
@@ -116,13 +116,20 @@
     async def _stand_by(self) -> None:
         jitter_ms = self._rng.uniform(0.0, self._cfg.rank_delay_ms / 2)
         while True:
-            limit_ms = self._cfg.suspicion_ms + jitter_ms
-            limit_ms += self.rank() * self._cfg.rank_delay_ms
-            in_line = self.rank() < self._cfg.relay_above
-            if in_line and self._silence_ms() >= limit_ms:
+            silence_ms = self._silence_ms()
+            if silence_ms >= self._cfg.suspicion_ms and self._may_contest(
+                silence_ms - jitter_ms
+            ):
                 return
             await asyncio.sleep(STANDBY_CHECK_MS / MS_PER_S)
 
+    def _may_contest(self, silence_ms: float) -> bool:
+        rank = self.rank()
+        if rank >= self._cfg.relay_above:
+            return False
+        limit_ms = self._cfg.suspicion_ms + rank * self._cfg.rank_delay_ms
+        return silence_ms >= limit_ms
+
     def _silence_ms(self) -> float:
         heard_ms = max(
             self._distribution.holder_heard_ms, self._distribution.reader_heard_ms
--- a/src/mangohatch/state/joining.py
+++ b/src/mangohatch/state/joining.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Callable
 from enum import StrEnum
 
 from mangohatch.clock import Clock
@@ -48,6 +49,7 @@
     :param reader: reads the store into the table
     :param table: configuration of this host
     :param distribution: digests of peers
+    :param joined: whether the members of the fleet are known
     :param clock: clock of this host
     :param rng: source of the jitter
     """
@@ -61,6 +63,7 @@
         reader: ConfigReader,
         table: ConfigTable,
         distribution: Distribution,
+        joined: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -71,6 +74,7 @@
         self._reader = reader
         self._table = table
         self._distribution = distribution
+        self._joined = joined
         self._clock = clock
         self._rng = rng
         self._fresh = False
@@ -103,7 +107,7 @@
         waited = self._clock.now_ms() - started_ms >= self._cfg.join_wait_ms
         behind = [host for host in peers if not self._distribution.covers(host)]
         if self._fresh:
-            return waited or not behind
+            return waited or (self._joined() and not behind)
         if not waited:
             return False
         silent = [host for host in behind if not self._has_answered(host)]
--- a/src/mangohatch/state/service.py
+++ b/src/mangohatch/state/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from mangohatch.clock import Clock
 from mangohatch.config import StateSettings
@@ -37,6 +37,7 @@
     :param clock: clock of this host
     :param rng: source of random numbers; must differ between processes
     :param recorder: the time line
+    :param joined: whether the bus knows the members of the fleet
     """
 
     table_type = ConfigTable
@@ -53,6 +54,7 @@
         clock: Clock,
         rng: random.Random,
         recorder: Recorder,
+        joined: Callable[[], bool] = lambda: True,
     ) -> None:
         self._cfg = cfg
         self._tasks: list[asyncio.Task[None]] = []
@@ -92,6 +94,7 @@
             reader=reader,
             table=self.table,
             distribution=self.distribution,
+            joined=joined,
             clock=clock,
             rng=rng,
         )
--- a/tests/state/test_service.py
+++ b/tests/state/test_service.py
@@ -1,8 +1,11 @@
 """Tests of the state of several hosts together."""
 
+from mangohatch.config import StateSettings
 from mangohatch.peer.messages import ConfigItem, ConfigPush
-from mangohatch.state import Readiness
+from mangohatch.state import Readiness, StateService
+from mangohatch.timeline.recorder import HybridClock, Recorder
 from standins.state_hosts import StateHosts
+from standins.virtual_loop import LoopClock
 from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
 
@@ -219,3 +222,25 @@
     while not newcomer.state.ready():
         hosts.loop.run_for(10.0)
     assert len(received) == len(set(received)) == 51
+
+
+def test_new_host_waits_until_it_knows_the_members(loop, rng, tables):
+    hosts = StateHosts(loop=loop)
+    known = []
+    clock = LoopClock(loop=loop)
+    state = StateService(
+        cfg=StateSettings(),
+        store=hosts.store,
+        bus=hosts.network.join("e1"),
+        tables=tables,
+        clock=clock,
+        rng=rng,
+        recorder=Recorder(host="e1", zone="puno", clock=HybridClock(clock=clock)),
+        joined=lambda: bool(known),
+    )
+    loop.spawn("e1", state.start())
+    loop.run_for(600)
+    assert not state.ready()
+    known.append("e2")
+    loop.run_for(600)
+    assert state.ready()
