--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 bench: setup
 	$(BIN)/python -m bench.virtual
 	$(BIN)/python -m bench.live --seed $(SEED)
+	$(BIN)/python -m bench.overhead
 
 binary: setup
 	$(BIN)/python -m tooling.binary
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -222,6 +222,8 @@
     """
     Run an upstream and an entry host and call them in turn.
 
+    The exit status is 1 when the target is missed.
+
     :param pairs: calls each way
     :param profile: write a profile of the entry host to this file
     """
@@ -247,6 +249,7 @@
             stop(entry)
             stop(upstream)
     report(result)
+    sys.exit(0 if result.met else 1)
 
 
 def report(result: Overhead) -> None:
