Check the targets of the live bench against KNOWN-RED.txt

Cause: the live bench printed figures but checked only some promises. Change: a check for each promise of each case and for the tail of silent cases, at most twice the calm one; misses that KNOWN-RED.txt does not list fail it. The reading of that list is shared with the virtual bench.

--- a/bench/live/__main__.py
+++ b/bench/live/__main__.py
@@ -1,13 +1,17 @@
 """Entry point of ``python -m bench.live``."""
 
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 
 from cyclopts import App
 
+from bench.known_red import read_known_red
 from bench.live.cases import LOADS, Condition
 from bench.live.report import print_header, print_row, write_results
 from bench.live.run import CaseResult, run_condition
+from bench.live.targets import check_targets
+from bench.virtual.targets import Check
 from mangohatch.loop import run_loop
 from standins.sites import SITES
 
@@ -52,24 +56,29 @@
     :param site: run only these sites
     :param condition: run only these conditions
     :param out: file for the figures
-    :return: exit status, 1 when a promise was broken
+    :return: exit status, 1 when a target is missed that KNOWN-RED.txt does not list
     """
     print_header()
     results = run_loop(run_all(seed, site, condition or list(Condition)))
     write_results(out, results)
-    broken = sum(map(count_broken, results))
-    return 1 if broken else 0
+    return 1 if print_checks(check_targets(results)) else 0
 
 
-def count_broken(result: CaseResult) -> int:
+def print_checks(checks: Iterable[Check]) -> int:
     """
-    Count broken promises of a case.
+    Print the targets that are missed.
 
-    :param result: its figures
-    :return: lost, doubled, mixed and falsely reported requests
+    :param checks: all checks
+    :return: number of misses that KNOWN-RED.txt does not list
     """
-    promises = (result.lost, result.doubled, result.mixed, result.false_not_run)
-    return sum(promises)
+    known = read_known_red()
+    checks = list(checks)
+    missed = [check for check in checks if not check.passed]
+    fresh = [check for check in missed if check.title not in known]
+    for check in missed:
+        print(check.describe() + (" NOT LISTED" if check in fresh else ""))
+    print(f"{len(checks) - len(missed)} met, {len(missed)} missed, {len(fresh)} new")
+    return len(fresh)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/live/targets.py
@@ -0,0 +1,53 @@
+"""The stated targets of the live path, checked against the figures."""
+
+from collections.abc import Iterator, Sequence
+
+from bench.live.cases import Condition
+from bench.live.run import CaseResult
+from bench.virtual.targets import Check
+
+__all__ = ["check_targets"]
+
+SILENT_TAIL_BOUND = 2.0
+PROMISES = ("lost", "doubled", "mixed", "false_not_run")
+
+
+def check_targets(results: Sequence[CaseResult]) -> Iterator[Check]:
+    """
+    Check the figures of all cases.
+
+    :param results: figures of each case
+    :return: one check for each promise of each case, and the tails of silent ones
+    """
+    for result in results:
+        for promise in PROMISES:
+            yield Check(
+                site=result.site,
+                name=f"{name_of(result)} {promise}",
+                value=getattr(result, promise),
+                bound=0.0,
+            )
+    calm = {
+        (item.site, item.load): item
+        for item in results
+        if item.condition == Condition.CALM
+    }
+    for result in results:
+        beside = calm.get((result.site, result.load))
+        if result.condition == Condition.SILENT and beside is not None:
+            yield Check(
+                site=result.site,
+                name=f"{name_of(result)} p99 to that of calm",
+                value=result.p99_ms / max(beside.p99_ms, 1e-9),
+                bound=SILENT_TAIL_BOUND,
+            )
+
+
+def name_of(result: CaseResult) -> str:
+    """
+    Name a case within its site.
+
+    :param result: its figures
+    :return: condition and load
+    """
+    return f"{result.condition} {result.load * 100:.0f} %"
--- a/tests/bench/live/test_cases.py
+++ b/tests/bench/live/test_cases.py
@@ -1,9 +1,11 @@
 """Tests of the cases of the live bench and of their figures."""
 
 import os
+from dataclasses import replace
 
 from bench.live.cases import Case, Condition, make_case_plan, rate_per_s
 from bench.live.run import Totals, summarize
+from bench.live.targets import check_targets
 from bench.live.usage import read_usage
 from standins.caller import Attempt, AttemptResult, Record
 from standins.sites import HIMAL
@@ -54,6 +56,20 @@
     assert figures.entry_cpu_us_per_request == 1500.0
 
 
+def make_result(condition, *, p99_ms, lost=0):
+    empty = summarize(make_case(condition), [], [], make_totals(1), make_totals(1))
+    return replace(empty, p99_ms=p99_ms, lost=lost)
+
+
+def test_targets_bound_promises_and_the_tail_of_silent_connections():
+    calm = make_result(Condition.CALM, p99_ms=100.0)
+    good = make_result(Condition.SILENT, p99_ms=200.0)
+    assert all(check.passed for check in check_targets([calm, good]))
+    slow = make_result(Condition.SILENT, p99_ms=201.0, lost=1)
+    missed = [check.name for check in check_targets([calm, slow]) if not check.passed]
+    assert missed == ["silent 50 % lost", "silent 50 % p99 to that of calm"]
+
+
 def test_usage_of_a_process_is_read_and_of_an_ended_one_is_nothing():
     assert read_usage(os.getpid()).resident_bytes > 1_000_000
     assert read_usage(2**30).cpu_ms == 0.0
