--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 
 bench-peers: setup
 	$(BIN)/python -m bench.peers
+	$(BIN)/python -m bench.orders
 
 format: setup
 	$(BIN)/black --quiet $(SOURCES)
--- a/src/mangohatch/peer/membership/service.py
+++ b/src/mangohatch/peer/membership/service.py
@@ -1,6 +1,5 @@
 """The membership protocol of one host: tables and the systems run each tick."""
 
-import dataclasses
 import random
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
@@ -9,12 +8,13 @@
 from mangohatch.peer.bus import MemberView
 from mangohatch.peer.membership.health import LocalHealth
 from mangohatch.peer.membership.news import NewsQueue
+from mangohatch.peer.membership.presence import Presence
 from mangohatch.peer.membership.probe import ProbeSystem
+from mangohatch.peer.membership.recording import record_member, record_replaced
 from mangohatch.peer.membership.settings import MembershipSettings
 from mangohatch.peer.membership.suspicion import SuspicionSystem
 from mangohatch.peer.membership.sync import SyncSystem
 from mangohatch.peer.membership.table import (
-    GONE,
     RANKS,
     Change,
     Endpoint,
@@ -23,6 +23,11 @@
     MemberTable,
 )
 from mangohatch.peer.membership.transport import MemberTransport
+from mangohatch.peer.membership.views import (
+    make_own_view,
+    make_view,
+    reply_endpoint,
+)
 from mangohatch.peer.messages import (
     Ack,
     Member,
@@ -32,20 +37,10 @@
     Ping,
     PingRequest,
 )
-from mangohatch.timeline.event import EventKind
 from mangohatch.timeline.recorder import Recorder
 
 __all__ = ["Membership"]
 
-ANNOUNCE_FANOUT = 32
-
-EVENTS = {
-    MemberState.ALIVE: EventKind.MEMBER_JOINED,
-    MemberState.SUSPECT: EventKind.MEMBER_SUSPECTED,
-    MemberState.DEAD: EventKind.MEMBER_DEAD,
-    MemberState.LEFT: EventKind.MEMBER_LEFT,
-}
-
 
 class Membership:
     """
@@ -79,9 +74,8 @@
         self._last_tick_ms = clock.now_ms()
         self.health = LocalHealth()
         self.table = MemberTable()
-        self.replaced = False
         self._stalled = False
-        self.own = Member(
+        own = Member(
             host_id=host_id,
             incarnation=int(clock.wall_ms()),
             state=MemberState.ALIVE,
@@ -90,6 +84,14 @@
             peer_port=endpoint.port,
             admin_port=admin_port,
         )
+        self._presence = Presence(
+            own=own,
+            table=self.table,
+            news=self._news,
+            health=self.health,
+            transport=transport,
+            on_replaced=self.on_replaced,
+        )
         self._probes = ProbeSystem(
             zone=zone,
             cfg=self._cfg,
@@ -111,9 +113,19 @@
             table=self.table,
             transport=transport,
             own=lambda: self.own,
-            on_joined=self.announce,
+            on_joined=self._presence.announce,
         )
 
+    @property
+    def own(self) -> Member:
+        """Entry of this host."""
+        return self._presence.own
+
+    @property
+    def replaced(self) -> bool:
+        """Whether a newer host has taken the id of this one."""
+        return self._presence.replaced
+
     @property
     def joined(self) -> bool:
         """
@@ -142,23 +154,8 @@
 
         :return: members in the order of host id, this host included
         """
-        found = [
-            MemberView(
-                host_id=row.host_id,
-                incarnation=row.incarnation,
-                zone=row.zone,
-                leaving=row.leaving,
-            )
-            for row in self.table.live()
-        ]
-        found.append(
-            MemberView(
-                host_id=self.own.host_id,
-                incarnation=self.own.incarnation,
-                zone=self.own.zone,
-                leaving=self.own.state != MemberState.ALIVE,
-            )
-        )
+        found = [make_view(row) for row in self.table.live()]
+        found.append(make_own_view(self.own))
         return sorted(found, key=lambda view: view.host_id)
 
     def add_seeds(self, seeds: Iterable[Endpoint]) -> None:
@@ -236,7 +233,7 @@
         elif isinstance(message, MemberDigest):
             self._sync.on_digest(row.endpoint, message, now_ms)
         elif isinstance(message, MemberSync):
-            endpoint = self.reply_endpoint(row, message.members)
+            endpoint = reply_endpoint(row, message.members)
             self._sync.on_sync(endpoint, message, now_ms)
 
     def answer_ping(self, row: MemberRow, message: Ping) -> None:
@@ -246,7 +243,7 @@
         :param row: what is known of the prober
         :param message: the probe
         """
-        endpoint = self.reply_endpoint(row, message.members)
+        endpoint = reply_endpoint(row, message.members)
         news = self.take_news(None)
         if any(
             (one.incarnation, RANKS[MemberState(one.state)]) < row.rank
@@ -256,22 +253,6 @@
             news.append(row.to_message())
         self._transport.send_to(endpoint, Ack(sequence=message.sequence, members=news))
 
-    @staticmethod
-    def reply_endpoint(row: MemberRow, members: Iterable[Member]) -> Endpoint:
-        """
-        Find where the sender of a message listens.
-
-        A replaced host that woke up states its own address, not its successor's.
-
-        :param row: what is known of the sender
-        :param members: members named by the message, the sender among them
-        :return: the address stated, else the known one
-        """
-        for stated in members:
-            if stated.host_id == row.host_id:
-                return Endpoint(stated.address, stated.peer_port)
-        return row.endpoint
-
     def take_in(self, members: Iterable[Member]) -> None:
         """
         Take in news of members.
@@ -299,7 +280,7 @@
         if change in (Change.JOINED, Change.UPDATED):
             self._news.put(row.to_message())
             if change is Change.JOINED or row.state is not state_before:
-                self.record(row, joined=change is Change.JOINED)
+                record_member(self._recorder, row, joined=change is Change.JOINED)
                 self._on_change()
 
     def hear_of_self(self, news: Member) -> None:
@@ -308,22 +289,12 @@
 
         :param news: this host as another host knows it
         """
-        own = self.own
-        rank = (news.incarnation, RANKS[MemberState(news.state)])
-        if rank <= (own.incarnation, RANKS[MemberState(own.state)]):
-            return
-        elsewhere = (news.address, news.peer_port) != (own.address, own.peer_port)
-        if elsewhere and self.established and news.state not in GONE:
-            self.replaced = True
-            self.record_self(EventKind.MEMBER_DEAD, cause="replaced by a newer host")
-            self._on_change()
-            return
-        if own.state == MemberState.LEFT:
-            return
-        if news.incarnation == own.incarnation:
-            self.health.degrade()
-        own.incarnation = news.incarnation + 1
-        self._news.put(self.copy_own())
+        self._presence.hear(news, established=self.established)
+
+    def on_replaced(self) -> None:
+        """Note that a newer host has taken the id of this one."""
+        record_replaced(self._recorder, self.own.host_id)
+        self._on_change()
 
     def suspect(self, row: MemberRow, accusers: Iterable[str]) -> None:
         """
@@ -350,22 +321,11 @@
 
     def set_leaving(self) -> None:
         """Announce that this host takes no new work and will leave."""
-        if self.own.state == MemberState.ALIVE:
-            self.own.state = MemberState.LEAVING
-            self.announce()
+        self._presence.set_leaving()
 
     def set_left(self) -> None:
         """Announce that this host is gone; nothing is sent after this."""
-        if not self.replaced:
-            self.own.state = MemberState.LEFT
-            self.announce()
-
-    def announce(self) -> None:
-        """Send the own entry to some members at once; gossip does the rest."""
-        self._news.put(self.copy_own())
-        message = MemberSync(members=[self.copy_own()], reply_wanted=False)
-        for row in list(self.table.live())[:ANNOUNCE_FANOUT]:
-            self._transport.send_to(row.endpoint, message)
+        self._presence.set_left()
 
     def set_revision(self, revision: int) -> None:
         """
@@ -395,35 +355,3 @@
         :param row: the member
         """
         self._news.put(row.to_message())
-
-    def copy_own(self) -> Member:
-        """
-        Copy the own entry, which may change later.
-
-        :return: the copy
-        """
-        return dataclasses.replace(self.own)
-
-    def record(self, row: MemberRow, *, joined: bool) -> None:
-        """
-        Record a change of a member on the time line.
-
-        :param row: the member after the change
-        :param joined: whether it was not live before
-        """
-        kind = EventKind.MEMBER_JOINED if joined else EVENTS.get(row.state)
-        if kind is not None:
-            accusers = ",".join(sorted(row.accusers))
-            cause = f"{row.host_id} {row.state}"
-            self._recorder.record(
-                kind, cause=f"{cause}, accused by {accusers}" if accusers else cause
-            )
-
-    def record_self(self, kind: EventKind, *, cause: str) -> None:
-        """
-        Record an event about this host.
-
-        :param kind: what happened
-        :param cause: why
-        """
-        self._recorder.record(kind, cause=f"{self.own.host_id} {cause}")
