Send copies of keyed requests through real entry processes

Cause: at most once was shown over fakes only. Change: bench.keyed_live sends three copies of 300 keys through four entry hosts, kills one, and has the object API lose answers and writes; status 1 for a key that ran twice or got two answers.

--- /dev/null
+++ b/bench/keyed_live.py
@@ -0,0 +1,185 @@
+"""Copies of keyed requests through several entry processes while the store fails.
+
+Run ``python -m bench.keyed_live``; it ends with status 1 when a key ran twice or got
+two answers. The result is bench/results/keyed_live.json.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from cyclopts import App
+from tornado.httpclient import HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from standins.fleet import EntryChild, Fleet
+from standins.http_json import fetch_json
+from standins.platform import Platform
+from standins.sites import HIMAL
+from standins.upstream import Behaviour
+
+__all__ = ["measure"]
+
+RESULT = Path(__file__).resolve().parent / "results" / "keyed_live.json"
+ENTRIES = 4
+KEYS = 300
+BATCH = 10
+WORK_MS = 20
+RESEND_AFTER_S = 0.2
+SETTLE_S = 3.0
+TIMEOUT_S = 8.0
+OK = 200
+
+app = App(name="bench.keyed_live", help="Send copies of keyed requests.")
+
+
+@dataclass(slots=True, kw_only=True)
+class Copies:
+    """What the callers of all copies heard."""
+
+    heard: Counter[str] = field(default_factory=Counter)
+    bodies: dict[str, set[bytes]] = field(default_factory=dict)
+
+
+async def send_copy(
+    client: SimpleAsyncHTTPClient, entry: EntryChild, key: str, copies: Copies
+) -> None:
+    """
+    Send one copy of a keyed request.
+
+    :param client: the caller
+    :param entry: the entry host
+    :param key: the key
+    :param copies: notes the answer
+    """
+    req = HTTPRequest(
+        f"http://{entry.entry[0]}:{entry.entry[1]}/{HIMAL.desk.name}/book"
+        f"?work_ms={WORK_MS}&id={key}",
+        method="POST",
+        body=key,
+        headers={"Idempotency-Key": key},
+        request_timeout=TIMEOUT_S,
+    )
+    try:
+        answer = await client.fetch(req, raise_error=False)
+    except OSError as exc:
+        copies.heard[type(exc).__name__] += 1
+        return
+    outcome = answer.headers.get("X-Outcome", "")
+    code = answer.headers.get("X-Error-Code", "")
+    copies.heard[f"{answer.code} {outcome} {code}".strip()] += 1
+    if answer.code == OK:
+        copies.bodies.setdefault(key, set()).add(answer.body)
+
+
+async def send_key(
+    client: SimpleAsyncHTTPClient,
+    fleet: Fleet,
+    key: str,
+    rng: random.Random,
+    copies: Copies,
+) -> None:
+    """
+    Send two copies at once and a third later, each through another entry host.
+
+    :param client: the caller
+    :param fleet: running processes
+    :param key: the key
+    :param rng: chooses the hosts
+    :param copies: notes the answers
+    """
+    one, two, three = rng.sample(fleet.entries, 3)
+    await asyncio.gather(
+        send_copy(client, one, key, copies), send_copy(client, two, key, copies)
+    )
+    await asyncio.sleep(RESEND_AFTER_S)
+    await send_copy(client, three, key, copies)
+
+
+async def run_batches(fleet: Fleet, seed: int, copies: Copies) -> None:
+    """
+    Send all keys; each batch loses an answer or a write of the store, and one host
+    is killed in the middle.
+
+    :param fleet: running processes
+    :param seed: seed of the choices
+    :param copies: notes the answers
+    """
+    client = SimpleAsyncHTTPClient(force_instance=True, max_clients=3 * BATCH)
+    rng = random.Random(seed)
+    port = fleet.platform.object_api[1]
+    for first in range(0, KEYS, BATCH):
+        fault = rng.choice(("lost_answers", "refused_writes"))
+        body = json.dumps({fault: 1})
+        await fetch_json(port, "/faults", method="PUT", body=body)
+        work = [
+            send_key(client, fleet, f"key-{number}", rng, copies)
+            for number in range(first, first + BATCH)
+        ]
+        if first == KEYS // 2:
+            victim = fleet.entries.pop(0)
+            work.append(victim.child.kill())
+        await asyncio.gather(*work)
+    client.close()
+
+
+async def measure(seed: int, folder: Path) -> dict[str, object]:
+    """
+    Run the bench once.
+
+    :param seed: seed of the stand-ins and the choices
+    :param folder: for settings and logs
+    :return: the figures
+    """
+    platform = Platform(folder=folder)
+    fleet = Fleet(site=HIMAL, folder=folder, seed=seed, platform=platform)
+    copies = Copies()
+    try:
+        await platform.start()
+        await fleet.start_upstreams(Behaviour())
+        await fleet.declare_services()
+        for _ in range(ENTRIES):
+            await fleet.start_entry()
+        await asyncio.sleep(SETTLE_S)
+        await run_batches(fleet, seed, copies)
+        runs: Counter[str] = Counter()
+        for ledger in await fleet.read_ledgers():
+            for key, run in ledger["runs"].items():
+                runs[key] += len(run["attempts"])
+    finally:
+        await fleet.stop()
+    return {
+        "seed": seed,
+        "keys": KEYS,
+        "copies": sum(copies.heard.values()),
+        "keys_run": len(runs),
+        "keys_run_twice": sum(count > 1 for count in runs.values()),
+        "keys_with_two_answers": sum(len(seen) > 1 for seen in copies.bodies.values()),
+        "heard": dict(copies.heard.most_common()),
+    }
+
+
+@app.default
+def main(*, seed: int = 1, out: Path = RESULT) -> int:
+    """
+    Run the bench.
+
+    :param seed: seed of the stand-ins and the choices
+    :param out: file for the figures
+    :return: exit status, 1 when a key ran twice or got two answers
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        result = asyncio.run(measure(seed, Path(folder)))
+    text = json.dumps(result, indent=2) + "\n"
+    print(text)
+    out.write_text(text, encoding="utf-8")
+    return 1 if result["keys_run_twice"] or result["keys_with_two_answers"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
