--- a/bench/slopes/__main__.py
+++ b/bench/slopes/__main__.py
@@ -6,6 +6,7 @@
 import structlog
 
 from bench.slopes.base import Slope, measure_slope
+from bench.slopes.design import derive_rows, make_design_table
 from bench.slopes.fleet import FLEET_SLOPES
 from bench.slopes.report import make_table, replace_table, write_results
 from bench.slopes.request import REQUEST_SLOPES
@@ -28,7 +29,9 @@
     print(table)
     write_results(fits, RESULTS)
     page = PAGE.read_text(encoding="utf-8")
-    PAGE.write_text(replace_table(page, table), encoding="utf-8")
+    page = replace_table(page, "slopes", table)
+    page = replace_table(page, "design", make_design_table(derive_rows(fits)))
+    PAGE.write_text(page, encoding="utf-8")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/slopes/design.py
@@ -0,0 +1,195 @@
+"""What the design size costs a host, worked out from measured slopes."""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from bench.slopes.base import Fit
+
+__all__ = ["DESIGN", "Design", "derive_rows", "make_design_table"]
+
+US_PER_S = 1_000_000
+SECONDS_PER_DAY = 86_400
+MIB = 1024 * 1024
+EVENTS_KEPT = 20_000
+QUARANTINED = 1_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Design:
+    """
+    The size to design for, and what is assumed of a host.
+
+    ``busy`` is the share of a core that requests may take; ``slot_calls`` and
+    ``slot_bytes`` are those of a request when its service is fully coordinated,
+    as the bench of decisions counts them.
+    """
+
+    calls_per_second: int = 1_300_000
+    upstreams: int = 8_600
+    services: int = 520
+    changes_per_day: int = 4_000
+    busy: float = 0.6
+    process_mib: float = 45.0
+    connections: int = 1_000
+    slot_calls: float = 0.43
+    slot_bytes: float = 190.0
+    fanout: int = 8
+    service_bytes: int = 2_300
+
+
+DESIGN = Design()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Derived:
+    """One worked-out quantity of a host at the design size."""
+
+    quantity: str
+    value: str
+    target: str
+    how: str
+
+
+def derive_rows(fits: Sequence[Fit], design: Design = DESIGN) -> list[Derived]:
+    """
+    Work out what a host costs at the design size.
+
+    :param fits: measured slopes
+    :param design: the size
+    :return: rows in the order of the page
+    """
+    slopes = {fit.name: fit.slope for fit in fits}
+    request_us = slopes["request through an entry host"]
+    hosts = math.ceil(design.calls_per_second * request_us / US_PER_S / design.busy)
+    return [
+        Derived(
+            quantity="entry hosts",
+            value=f"{hosts:,}",
+            target="",
+            how=f"{request_us:.0f} us a request, {design.busy:.0%} of a core",
+        ),
+        *derive_load(design, hosts, slopes),
+        derive_memory(design, hosts, slopes),
+        *derive_control(design, hosts, slopes),
+    ]
+
+
+def derive_load(
+    design: Design, hosts: int, slopes: Mapping[str, float]
+) -> list[Derived]:
+    """
+    Work out requests and coordination of a host.
+
+    :param design: the size
+    :param hosts: number of entry hosts
+    :param slopes: measured slopes by name
+    :return: rows
+    """
+    calls = design.calls_per_second / hosts
+    broker_us = slopes["slot request and return at the broker"]
+    shards = design.services / hosts
+    broker_share = design.calls_per_second / design.services * shards
+    broker_share *= design.slot_calls * broker_us / US_PER_S
+    return [
+        Derived(
+            quantity="calls a second and host",
+            value=f"{calls:,.0f}",
+            target="",
+            how="calls over hosts",
+        ),
+        Derived(
+            quantity="broker work, fully coordinated",
+            value=f"{broker_share:.1%} of a core",
+            target="1.4 % for all control",
+            how=f"{shards:.2f} shards a host, {design.slot_calls} calls a request",
+        ),
+        Derived(
+            quantity="slot messages, fully coordinated",
+            value=f"{calls * design.slot_bytes / 1024:,.0f} KB/s",
+            target="12 KB/s for all control",
+            how=f"{design.slot_bytes:.0f} bytes a request",
+        ),
+    ]
+
+
+def derive_memory(design: Design, hosts: int, slopes: Mapping[str, float]) -> Derived:
+    """
+    Work out the memory of a host.
+
+    :param design: the size
+    :param hosts: number of entry hosts
+    :param slopes: measured slopes by name
+    :return: the row
+    """
+    per_upstream = slopes["memory of an upstream"] + slopes["memory of a health row"]
+    parts = {
+        "process": design.process_mib,
+        "upstreams": design.upstreams * per_upstream / MIB,
+        "services": design.services * slopes["memory of a service"] / MIB,
+        "peers": hosts * slopes["memory of a peer"] / MIB,
+        "events": EVENTS_KEPT * slopes["memory of an event"] / MIB,
+        "quarantine": QUARANTINED * slopes["memory of a quarantined request"] / MIB,
+        "callers": (
+            design.connections * slopes["memory of an idle caller's connection"] / MIB
+        ),
+    }
+    how = ", ".join(f"{name} {value:.1f}" for name, value in parts.items())
+    return Derived(
+        quantity="memory",
+        value=f"{sum(parts.values()):.0f} MiB",
+        target="128 MB",
+        how=how,
+    )
+
+
+def derive_control(
+    design: Design, hosts: int, slopes: Mapping[str, float]
+) -> list[Derived]:
+    """
+    Work out what configuration costs a host.
+
+    :param design: the size
+    :param hosts: number of entry hosts
+    :param slopes: measured slopes by name
+    :return: rows
+    """
+    changes = design.changes_per_day / SECONDS_PER_DAY
+    sent = changes * design.service_bytes * design.fanout / 1024
+    change_us = slopes["configuration change"]
+    push_us = slopes["configuration push, encoded and decoded"]
+    share = changes * (change_us + push_us * (1 + design.fanout)) / US_PER_S
+    hops = math.ceil(math.log(max(hosts, 2), design.fanout))
+    return [
+        Derived(
+            quantity="configuration, bytes",
+            value=f"{sent:.2f} KB/s",
+            target="12 KB/s for all control",
+            how=f"{changes:.3f} changes a second to {design.fanout} peers each",
+        ),
+        Derived(
+            quantity="configuration, processor time",
+            value=f"{share:.4%} of a core",
+            target="1.4 % for all control",
+            how=f"{change_us:.0f} us a change, {push_us:.0f} us a push",
+        ),
+        Derived(
+            quantity="hops of a push",
+            value=f"{hops}",
+            target="in force within 6 s",
+            how=f"fan-out of {design.fanout} over {hosts:,} hosts",
+        ),
+    ]
+
+
+def make_design_table(rows: Sequence[Derived]) -> str:
+    """
+    Render the worked-out quantities as a Markdown table.
+
+    :param rows: the quantities
+    :return: the table
+    """
+    lines = ["| Quantity of a host | Value | Target | From |", "|---|---|---|---|"]
+    for row in rows:
+        lines.append(f"| {row.quantity} | {row.value} | {row.target} | {row.how} |")
+    return "\n".join(lines)
--- a/bench/slopes/report.py
+++ b/bench/slopes/report.py
@@ -9,9 +9,6 @@
 
 __all__ = ["make_table", "replace_table", "write_results"]
 
-BEGIN = "<!-- slopes: begin -->"
-END = "<!-- slopes: end -->"
-
 
 def format_cost(value: float) -> str:
     """
@@ -43,20 +40,21 @@
     return "\n".join(lines)
 
 
-def replace_table(page: str, table: str) -> str:
+def replace_table(page: str, name: str, table: str) -> str:
     """
     Put a table between the markers of a page.
 
     :param page: text of the page
+    :param name: name of the table in its markers
     :param table: the new table
     :return: text of the new page
     :raises ValueError: when the page has no markers
     """
-    head, begin, rest = page.partition(BEGIN)
-    _, end, tail = rest.partition(END)
+    head, begin, rest = page.partition(f"<!-- {name}: begin -->")
+    _, end, tail = rest.partition(f"<!-- {name}: end -->")
     if not begin or not end:
-        raise ValueError("the page has no markers for the table of slopes")
-    return f"{head}{BEGIN}\n{table}\n{END}{tail}"
+        raise ValueError(f"the page has no markers for the table of {name}")
+    return f"{head}{begin}\n{table}\n{end}{tail}"
 
 
 def write_results(fits: Sequence[Fit], path: Path) -> None:
--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -1,11 +1,19 @@
 """Tests of the fit and the table of slopes."""
 
-from bench.slopes.base import Slope, measure_slope
-from bench.slopes.report import BEGIN, END, make_table, replace_table
+from bench.slopes.base import Fit, Slope, measure_slope
+from bench.slopes.design import derive_rows
+from bench.slopes.fleet import FLEET_SLOPES
+from bench.slopes.report import make_table, replace_table
+from bench.slopes.request import REQUEST_SLOPES
+from bench.slopes.state import STATE_SLOPES
+from bench.slopes.work import WORK_SLOPES
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
 
+SLOPES = (*STATE_SLOPES, *WORK_SLOPES, *FLEET_SLOPES, *REQUEST_SLOPES)
+SLOPE_NAMES = [slope.name for slope in SLOPES]
+
 
 class Line(Slope):
     """Costs 3 a unit and 10 besides; every second run costs double."""
@@ -33,7 +41,8 @@
 
 def test_table_replaces_the_one_between_the_markers():
     table = make_table([measure_slope(Line(), runs=1)])
-    page = replace_table(f"a {BEGIN} old {END} z", table)
+    marked = "a <!-- slopes: begin --> old <!-- slopes: end --> z"
+    page = replace_table(marked, "slopes", table)
     assert "old" not in page
     assert "| line | 3 us per unit |" in page
     assert page.startswith("a ") and page.endswith(" z")
@@ -41,7 +50,32 @@
 
 def test_page_without_markers_is_refused():
     try:
-        replace_table("no markers", "table")
+        replace_table("no markers", "slopes", "table")
     except ValueError:
         return
     raise AssertionError("a page without markers was accepted")
+
+
+def make_fit(name, slope):
+    return Fit(
+        name=name,
+        unit="",
+        per="",
+        smallest=1,
+        largest=2,
+        slope=slope,
+        low=slope,
+        high=slope,
+        fixed=0.0,
+        runs=1,
+    )
+
+
+def test_design_follows_from_the_slopes():
+    slopes = dict.fromkeys(SLOPE_NAMES, 1_000.0)
+    slopes["request through an entry host"] = 300.0
+    rows = derive_rows([make_fit(name, slope) for name, slope in slopes.items()])
+    values = {row.quantity: row.value for row in rows}
+    assert values["entry hosts"] == "650"
+    assert values["calls a second and host"] == "2,000"
+    assert values["slot messages, fully coordinated"] == "371 KB/s"
