Do not blame an upstream that can't continue a download for an abort

An upstream that had not got the rest of a cut download, or shed it, and a download that stopped were reported as aborted connections, which count against the request and the upstream like a crash.

Change: a statement of not run is read before the range is checked; a mismatch is continuation_failed and reported as cancelled; a stop is reported as timeout.

Conclusion: only broken connections count as possible crashes.

--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -111,11 +111,11 @@
                 sending.cancel()
 
     def _judge(self, req: ActiveRequest, head: ResponseHead) -> ResponseSink:
+        if states_not_run(head):
+            raise UpstreamRefused("the upstream did not run the request")
         if req.continuation is not None:
             req.continuation.check(head)
             return ContinuationSink(sink=req.sink)
-        if states_not_run(head):
-            raise UpstreamRefused("the upstream did not run the request")
         if not req.call.idempotent or not is_server_failure(head):
             return req.sink
         if self._may_retry(req):
--- a/src/mangohatch/entry/continuation.py
+++ b/src/mangohatch/entry/continuation.py
@@ -8,7 +8,7 @@
 
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.sink import CallerSink
-from mangohatch.errors import UpstreamAborted
+from mangohatch.errors import ContinuationFailed
 from mangohatch.upstream.connection import ResponseHead, ResponseSink
 
 __all__ = [
@@ -54,7 +54,7 @@
         Check that a response holds the missing bytes and nothing else.
 
         :param head: head of the response
-        :raises UpstreamAborted: when it does not
+        :raises ContinuationFailed: when it does not
         """
         headers = head.headers
         expected = f"bytes {self.first_byte}-{self.last_byte}/{self.total_bytes}"
@@ -65,7 +65,7 @@
             and headers.get("Content-Length") == str(self.length)
         )
         if not same:
-            raise UpstreamAborted("the upstream can't continue the response")
+            raise ContinuationFailed("the upstream can't continue the response")
 
 
 class ContinuationSink(ResponseSink):
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -21,6 +21,7 @@
 from mangohatch.entry.watch import RequestWatch
 from mangohatch.errors import (
     CallerGone,
+    ContinuationFailed,
     DeadlineExceeded,
     InternalFailure,
     NoUpstream,
@@ -41,7 +42,12 @@
 
 MAX_ATTEMPTS = 3
 CONTINUATION_DEADLINE_MS = 5_000.0
-CONTINUED = (UpstreamAborted, UpstreamRefused, UpstreamUnreachable)
+CONTINUED = (
+    ContinuationFailed,
+    UpstreamAborted,
+    UpstreamRefused,
+    UpstreamUnreachable,
+)
 SLOW_REQUEST_MS = 1_000.0
 
 
--- a/src/mangohatch/entry/watch.py
+++ b/src/mangohatch/entry/watch.py
@@ -12,7 +12,6 @@
     ConnectionSilent,
     DeadlineExceeded,
     ResponseLate,
-    UpstreamAborted,
     UpstreamUnreachable,
 )
 from mangohatch.timeline.event import EventKind
@@ -78,7 +77,7 @@
         quiet_since_ms = max(conn.last_read_ms, conn.sent_ms)
         quiet_ms = now_ms - quiet_since_ms
         if quiet_ms > BODY_STALL_MS:
-            req.abort_attempt(UpstreamAborted("the response stopped"))
+            req.abort_attempt(ResponseLate("the response stopped"))
         elif quiet_ms > CONTINUABLE_STALL_MS and can_continue(req):
             self._events.record(EventKind.CONNECTION_SILENT, req, "")
             self._pool.drop_silent(conn)
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -4,6 +4,7 @@
 from mangohatch.errors.attempt import (
     CallerGone,
     ConnectionSilent,
+    ContinuationFailed,
     InternalFailure,
     ResponseLate,
     ResponseUnframed,
@@ -70,6 +71,7 @@
     "ClaimKeyMismatch",
     "ClaimUnavailable",
     "ConnectionSilent",
+    "ContinuationFailed",
     "DeadlineExceeded",
     "ExitCode",
     "ExpectationFailed",
--- a/src/mangohatch/errors/attempt.py
+++ b/src/mangohatch/errors/attempt.py
@@ -5,6 +5,7 @@
 __all__ = [
     "CallerGone",
     "ConnectionSilent",
+    "ContinuationFailed",
     "InternalFailure",
     "ResponseLate",
     "ResponseUnframed",
@@ -12,6 +13,14 @@
 ]
 
 
+class ContinuationFailed(RequestError):
+    """The upstream has not got the missing part of a response that was cut."""
+
+    code = "continuation_failed"
+    status = 502
+    default_outcome = Outcome.UNKNOWN
+
+
 class ConnectionSilent(UpstreamAborted):
     """The connection gave no sign of life although the upstream may be well."""
 
--- a/tests/entry/test_continuation.py
+++ b/tests/entry/test_continuation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from mangohatch.core.call import Result
 from mangohatch.timeline.event import EventKind
 from tests.entry.harness import fixed, open_entry, request
 from tests.functions import function_tests
@@ -80,6 +81,20 @@
         assert len(upstreams[1].requests) == 1
 
 
+async def test_upstream_that_can_not_continue_is_not_blamed_for_an_abort():
+    async def shed(upstream, message, writer):
+        writer.write(fixed(b"", status=503, X_Outcome="not_run"))
+
+    cases = ((ranges(etag='"v2"'), Result.CANCELLED), (shed, Result.REFUSED))
+    for other, result in cases:
+        async with open_entry(cut_at(300_000), other) as (entry, upstreams):
+            second = list(entry.tables.upstreams())[1]
+            second.in_flight = 1
+            caller = await entry.connect()
+            assert not (await caller.ask()).whole
+            assert entry.reported() == [Result.ABORTED, result]
+
+
 async def test_response_without_strong_etag_is_broken_off():
     for headers in ({"etag": 'W/"v1"'}, {"etag": "v1"}):
         response, upstreams = await download(cut_at(300_000, **headers), ranges())
