--- a/bench/virtual/run.py
+++ b/bench/virtual/run.py
@@ -2,12 +2,12 @@
 
 import math
 import random
-from dataclasses import asdict, dataclass
 
 from bench.virtual.bus import Fleet
 from bench.virtual.host import Outcomes, VirtualHost
 from bench.virtual.loop import EventLoop, LoopTimers
 from bench.virtual.policies import POLICIES, PolicyContext
+from bench.virtual.result import WARM_UP_MS, Plan, RunResult, Summary
 from bench.virtual.sites import CASES, SITES, Case, Site
 from bench.virtual.speed import SpeedLine
 from bench.virtual.upstream import FakeUpstream, Request
@@ -23,63 +23,16 @@
 from mangohatch.core.tables import Tables, UpstreamState
 from mangohatch.timeline import HybridClock, Recorder
 
-__all__ = ["Plan", "RunResult", "run_plan"]
+__all__ = ["Plan", "Run", "RunResult", "run_plan"]
 
 MEAN_WORK_MS = 10.0
 WORK_SIGMA = 0.4
 IDEMPOTENT_SHARE = 0.8
-WARM_UP_MS = 500.0
 DRAIN_OUT_MS = 1000.0
 TICK_MS = 10.0
 BURST_FACTOR = 2.0
 BURST_MS = 200.0
-AFTER_FAULT_MS = 1000.0
 CUSTOMERS = 4
-NS_PER_US = 1000.0
-MS_PER_S = 1000.0
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Plan:
-    """What to run; ``load`` is a share of capacity."""
-
-    site: str
-    case: str
-    load: float
-    policy: str
-    seed: int
-    duration_ms: float
-
-
-@dataclass(slots=True, kw_only=True)
-class RunResult:
-    """Figures of one run; shares are of 1, costs are per request."""
-
-    plan: Plan
-    p50_ms: float
-    p99_ms: float
-    p999_ms: float
-    goodput: float
-    refused: float
-    failed: float
-    refusal_max_ms: float
-    doubled: int
-    amplification: float
-    calls: float
-    messages: float
-    bytes: float
-    decision_us: float
-    failer_share: float
-    killed: int
-
-    def as_dict(self) -> dict:
-        """
-        Flatten the result.
-
-        :return: figures and plan by name
-        """
-        flat = asdict(self)
-        return flat.pop("plan") | flat
 
 
 class Run:
@@ -115,13 +68,18 @@
         plan = self.plan
         return random.Random(f"{plan.seed}/{plan.site}/{words}")
 
-    def _affected(self) -> list[str]:
+    def affected(self) -> list[str]:
+        """
+        Name the upstreams that a fault affects; single faults affect the first.
+
+        :return: a fifth of the upstreams
+        """
         names = [spec.name for spec in self._specs()]
         return names[: max(1, len(names) // 5)]
 
     def _upstream(self, spec) -> FakeUpstream:
         case = self.case
-        cold = case.cold_start_ms is not None and spec.name in self._affected()
+        cold = case.cold_start_ms is not None and spec.name in self.affected()
         line = SpeedLine(
             rng=self._rng("speed", spec.name),
             shifting=case.shifting,
@@ -140,7 +98,7 @@
         tables.apply(self.spec, revision=1)
         if self.case.cold_start_ms is not None:
             rows = tables.services[self.spec.name].upstreams
-            for name in self._affected():
+            for name in self.affected():
                 rows[name].state = UpstreamState.DRAINING
                 loop.at(self.case.cold_start_ms, self._activate, rows[name])
         health = OutlierHealth(clock=loop.clock, rng=rng)
@@ -223,7 +181,7 @@
         for index, host in enumerate(self.hosts):
             self.loop.at(TICK_MS * index / len(self.hosts), self._tick, host)
         self.loop.run(self.end_ms + DRAIN_OUT_MS)
-        return self._result()
+        return Summary(run=self).result()
 
     def _tick(self, host: VirtualHost) -> None:
         host.router.tick()
@@ -269,7 +227,7 @@
 
     def _add_faults(self) -> None:
         case, loop = self.case, self.loop
-        victim = self.upstreams[self._affected()[0]]
+        victim = self.upstreams[self.affected()[0]]
         if case.fast_failer_ms is not None:
             loop.at(case.fast_failer_ms, setattr, victim, "fails_fast", True)
         if case.slow_failer_ms is not None:
@@ -277,7 +235,7 @@
         if case.crash_loop_ms is not None:
             loop.at(case.crash_loop_ms, victim.crash_in_loop)
         if case.drain_ms is not None:
-            for name in self._affected():
+            for name in self.affected():
                 upstream = self.upstreams[name]
                 loop.at(case.drain_ms, setattr, upstream, "draining", True)
         if case.killer_ms is not None:
@@ -293,77 +251,6 @@
             )
             loop.at(case.killer_ms, self._arrive, request)
 
-    def _result(self) -> RunResult:
-        out = self.outcomes
-        done = sorted(self._durations(out.done))
-        refused = self._durations(out.refused)
-        failed = self._durations(out.failed)
-        total = max(1, len(done) + len(refused) + len(failed))
-        expected = self.capacity_per_ms() * (self.end_ms - WARM_UP_MS)
-        requests = max(1, out.requests)
-        calls = sum(counter.calls for counter in self.counters)
-        messages = sum(counter.messages for counter in self.counters)
-        size = sum(
-            counter.call_bytes + counter.message_bytes for counter in self.counters
-        )
-        return RunResult(
-            plan=self.plan,
-            p50_ms=quantile(done, 0.5),
-            p99_ms=quantile(done, 0.99),
-            p999_ms=quantile(done, 0.999),
-            goodput=self._ended_inside() / expected,
-            refused=len(refused) / total,
-            failed=len(failed) / total,
-            refusal_max_ms=max(refused, default=0.0),
-            doubled=sum(
-                request.starts > 1
-                for request in self.requests
-                if not request.idempotent
-            ),
-            amplification=out.attempts / requests,
-            calls=calls / requests,
-            messages=messages / requests,
-            bytes=size / requests,
-            decision_us=out.decision_ns / NS_PER_US / requests,
-            failer_share=self._failer_share(),
-            killed=sum(upstream.crashes for upstream in self.upstreams.values()),
-        )
-
-    def _durations(self, entries: list[tuple[float, float]]) -> list[float]:
-        return [
-            duration_ms
-            for arrived_ms, duration_ms in entries
-            if WARM_UP_MS <= arrived_ms < self.end_ms
-        ]
-
-    def _ended_inside(self) -> int:
-        return sum(
-            WARM_UP_MS <= time_ms < self.end_ms for time_ms in self.outcomes.ended_ms
-        )
-
-    def _failer_share(self) -> float:
-        start_ms = self.case.fast_failer_ms or self.case.slow_failer_ms
-        if start_ms is None:
-            return 0.0
-        from_ms = start_ms + AFTER_FAULT_MS
-        victim = self.upstreams[self._affected()[0]]
-        touched = sum(from_ms <= time_ms < self.end_ms for time_ms in victim.touched_ms)
-        asked = sum(request.arrival_ms >= from_ms for request in self.requests)
-        return touched / max(1, asked)
-
-
-def quantile(values: list[float], share: float) -> float:
-    """
-    Find a quantile.
-
-    :param values: sorted values
-    :param share: 0 to 1
-    :return: the value, 0 when there is none
-    """
-    if not values:
-        return 0.0
-    return values[min(len(values) - 1, int(share * len(values)))]
-
 
 def run_plan(plan: Plan) -> RunResult:
     """
--- a/bench/virtual/summary.py
+++ b/bench/virtual/summary.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from statistics import fmean
 
-from bench.virtual.run import RunResult
+from bench.virtual.result import RunResult
 
 __all__ = ["Row", "make_rows", "print_table"]
 
