--- a/bench/virtual/__main__.py
+++ b/bench/virtual/__main__.py
@@ -84,6 +84,20 @@
     return fresh
 
 
+def render_sections(sections: dict[str, list[dict]]) -> str:
+    """
+    Render lists of entries as JSON with one entry a line.
+
+    :param sections: entries by the name of their list
+    :return: the document
+    """
+    parts = []
+    for name, entries in sections.items():
+        lines = ",\n".join(json.dumps(entry) for entry in entries)
+        parts.append(f"{json.dumps(name)}: [\n{lines}\n]")
+    return "{\n" + ",\n".join(parts) + "\n}\n"
+
+
 def write_results(
     rows: list[Row], costs: list[DecisionCost], checks: list[Check]
 ) -> None:
@@ -94,14 +108,14 @@
     :param costs: costs by size
     :param checks: all checks
     """
-    document = {
+    sections = {
         "rows": [asdict(row) for row in rows],
         "costs": [asdict(cost) for cost in costs],
         "targets": [asdict(check) | {"passed": check.passed} for check in checks],
     }
     RESULTS.mkdir(exist_ok=True)
-    text = json.dumps(document, indent=1)
-    (RESULTS / "virtual.json").write_text(text + "\n", encoding="utf-8")
+    text = render_sections(sections)
+    (RESULTS / "virtual.json").write_text(text, encoding="utf-8")
     plot_tail(rows, RESULTS / "virtual.png")
 
 
--- a/src/mangohatch/core/health/outlier.py
+++ b/src/mangohatch/core/health/outlier.py
@@ -12,6 +12,7 @@
 FAILURES = frozenset({Result.ERROR, Result.UNREACHABLE, Result.ABORTED, Result.TIMEOUT})
 NO_EVIDENCE = frozenset({Result.CANCELLED, Result.REFUSED})
 MIN_PEERS = 3
+TYPICAL_AGE_MS = 50.0
 
 
 class OutlierDetector:
@@ -20,6 +21,7 @@
     def __init__(self, *, cfg: HealthSettings, table: HealthTable) -> None:
         self._cfg = cfg
         self._table = table
+        self._typical: dict[str, tuple[float, float | None]] = {}
 
     def update(self, row: HealthRow, report: Report, *, now_ms: float) -> None:
         """
@@ -71,7 +73,7 @@
         return ""
 
     def _is_slow(self, row: HealthRow, now_ms: float) -> bool:
-        typical_ms = self.typical_latency_ms(row)
+        typical_ms = self._recent_typical_ms(row, now_ms)
         cfg = self._cfg
         if typical_ms is None:
             row.slow_since_ms = None
@@ -85,6 +87,14 @@
             return False
         return now_ms - row.slow_since_ms >= cfg.slow_for_ms
 
+    def _recent_typical_ms(self, row: HealthRow, now_ms: float) -> float | None:
+        known = self._typical.get(row.service)
+        if known is not None and now_ms - known[0] < TYPICAL_AGE_MS:
+            return known[1]
+        typical_ms = self.typical_latency_ms(row)
+        self._typical[row.service] = (now_ms, typical_ms)
+        return typical_ms
+
     def typical_latency_ms(self, row: HealthRow) -> float | None:
         """
         Compute the median of the mean latencies of the other healthy upstreams.
