Tick less often while no request is in flight

Cause: an idle host took 2.6 to 2.9 % of a core, against a target of 1.4 % for all control. Change: the host ticks every 100 ms without requests in flight, every 10 ms with; links and membership tick every 100 ms instead of 50.

--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -29,7 +29,8 @@
 
 __all__ = ["EntryHost"]
 
-TICK_MS = 10.0
+BUSY_TICK_MS = 10.0
+IDLE_TICK_MS = 100.0
 MS_PER_S = 1000.0
 LEAVING = "leaving"
 REPLACED = "replaced"
@@ -192,6 +193,10 @@
             self.recorder.record(EventKind.HOST_READY)
             log.info("host_ready", host=self.cfg.host_id)
 
+    def _tick_interval_ms(self) -> float:
+        """Without requests in flight there are no deadlines to enforce."""
+        return BUSY_TICK_MS if self.entry.forwarder.active else IDLE_TICK_MS
+
     async def run(self, leaving: asyncio.Event) -> None:
         """
         Serve until told to leave, then until no caller is left.
@@ -205,5 +210,5 @@
                 announced = True
                 await self.leave()
             self.tick()
-            await asyncio.sleep(TICK_MS / MS_PER_S)
+            await asyncio.sleep(self._tick_interval_ms() / MS_PER_S)
         await self.stop()
--- a/src/mangohatch/peer/tcp.py
+++ b/src/mangohatch/peer/tcp.py
@@ -37,7 +37,7 @@
 __all__ = ["TcpPeerBus"]
 
 MEMBERSHIP_MESSAGES = (Ack, MemberDigest, MemberSync, Nack, Ping, PingRequest)
-TICK_S = 0.05
+TICK_S = 0.1
 STALL_MS = 400.0
 LISTENER_IDLE_FACTOR = 2
 FAREWELL_S = 0.1
