Drain a replaced host, wake an idle one, and share connections by members

Cause: a host whose id was taken over went on serving; with the longer tick of an idle host the first deadline was enforced up to 100 ms late; the pool's share of an upstream's connections did not follow the fleet; peer counters stood twice. Change: a replaced host leaves; a request that begins wakes the tick; the share is one over the live members; the counters of the bus serve the metrics. Conclusion: the open ends of the wiring are closed.

--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -129,6 +129,7 @@
 
     async def _run(self, req: ActiveRequest) -> None:
         self.active.add(req)
+        self._observer.began(req)
         try:
             if req.body is not None:
                 await req.body.prefetch()
@@ -165,7 +166,7 @@
         Tell whether a request is being forwarded.
 
         :param req: the request
-        :return: whether :meth:`forward` has begun and not ended
+        :return: whether it is in flight
         """
         return req in self.active
 
--- a/src/mangohatch/entry/observer.py
+++ b/src/mangohatch/entry/observer.py
@@ -9,7 +9,15 @@
 
 
 class RequestObserver(ABC):
-    """Hears of requests that ended and of retries; called on the request path."""
+    """Hears of requests that begin, end and are retried, on the request path."""
+
+    @abstractmethod
+    def began(self, req: ActiveRequest) -> None:
+        """
+        A request is about to be forwarded.
+
+        :param req: the request
+        """
 
     @abstractmethod
     def ended(self, req: ActiveRequest, error: RequestError | None) -> None:
@@ -32,6 +40,9 @@
 class NoObserver(RequestObserver):
     """Ignores everything."""
 
+    def began(self, req: ActiveRequest) -> None:
+        return None
+
     def ended(self, req: ActiveRequest, error: RequestError | None) -> None:
         return None
 
--- a/src/mangohatch/host/admin.py
+++ b/src/mangohatch/host/admin.py
@@ -25,7 +25,7 @@
 from mangohatch.peer.bus import PeerBus
 from mangohatch.timeline import Recorder
 
-__all__ = ["make_admin"]
+__all__ = ["make_admin", "newest_revision"]
 
 
 def make_admin(
--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -10,12 +10,11 @@
 from mangohatch.core.tables import Tables
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.server import EntryServer
-from mangohatch.host.admin import make_admin
+from mangohatch.host.admin import make_admin, newest_revision
 from mangohatch.host.metrics import MetricsObserver
 from mangohatch.host.routing import make_routing
 from mangohatch.host.samples import (
     measuring_samples,
-    peer_samples,
     store_samples,
 )
 from mangohatch.host.state import LastingState
@@ -48,6 +47,7 @@
 
     def __init__(self, *, cfg: HostSettings, clock: Clock) -> None:
         self.cfg = cfg
+        self._wake = asyncio.Event()
         self._rng = random.Random()
         self.tables = Tables()
         for spec in cfg.services:
@@ -72,7 +72,9 @@
             pool=self.pool,
             registry=self.state.claims if self.state else None,
             recorder=self.recorder,
-            observer=MetricsObserver(clock=clock, metrics=self.metrics),
+            observer=MetricsObserver(
+                clock=clock, metrics=self.metrics, on_begin=self._wake.set
+            ),
         )
         self.entry = EntryServer(
             host_id=cfg.host_id,
@@ -130,8 +132,7 @@
         counters = self.routing.chooser.counters
         metrics.add_source(lambda: measuring_samples(counters))
         if isinstance(self.bus, TcpPeerBus):
-            peers = self.bus.counters
-            metrics.add_source(lambda: peer_samples(peers))
+            metrics.add_source(self.bus.counters.samples)
         if self.state is not None:
             calls = self.state.calls
             metrics.add_source(lambda: store_samples(calls))
@@ -185,6 +186,7 @@
 
     def tick(self) -> None:
         """Run all systems once."""
+        self._follow_members()
         self.routing.tick()
         self.entry.tick()
         self.metrics.tick()
@@ -193,9 +195,25 @@
             self.recorder.record(EventKind.HOST_READY)
             log.info("host_ready", host=self.cfg.host_id)
 
-    def _tick_interval_ms(self) -> float:
-        """Without requests in flight there are no deadlines to enforce."""
-        return BUSY_TICK_MS if self.entry.forwarder.active else IDLE_TICK_MS
+    def _is_replaced(self) -> bool:
+        return isinstance(self.bus, TcpPeerBus) and self.bus.replaced
+
+    async def _pause(self) -> None:
+        # Without requests in flight there are no deadlines to enforce.
+        if self.entry.forwarder.active:
+            await asyncio.sleep(BUSY_TICK_MS / MS_PER_S)
+            return
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(IDLE_TICK_MS / MS_PER_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    def _follow_members(self) -> None:
+        if isinstance(self.bus, TcpPeerBus):
+            self.bus.membership.set_revision(newest_revision(self.tables))
+            self.pool.share = 1.0 / len(self.bus.members())
 
     async def run(self, leaving: asyncio.Event) -> None:
         """
@@ -206,9 +224,11 @@
         await self.start()
         announced = False
         while not self.entry.drained():
+            if self._is_replaced():
+                leaving.set()
             if leaving.is_set() and not announced:
                 announced = True
                 await self.leave()
             self.tick()
-            await asyncio.sleep(self._tick_interval_ms() / MS_PER_S)
+            await self._pause()
         await self.stop()
--- a/src/mangohatch/host/metrics.py
+++ b/src/mangohatch/host/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of the requests of one host."""
 
+from collections.abc import Callable
+
 from mangohatch.clock import Clock
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.observer import RequestObserver
@@ -15,12 +17,19 @@
 
     :param clock: source of time
     :param metrics: receives the records
+    :param on_begin: called when a request begins
     """
 
-    def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, *, clock: Clock, metrics: Metrics, on_begin: Callable[[], None]
+    ) -> None:
+        self._on_begin = on_begin
         self._clock = clock
         self._metrics = metrics
 
+    def began(self, req: ActiveRequest) -> None:
+        self._on_begin()
+
     def ended(self, req: ActiveRequest, error: RequestError | None) -> None:
         service = self._metrics.service(req.call.service)
         total_ms = self._clock.now_ms() - req.call.arrived_ms
--- a/src/mangohatch/host/samples.py
+++ b/src/mangohatch/host/samples.py
@@ -5,9 +5,8 @@
 
 from mangohatch.core.measuring import MeasuringCounter
 from mangohatch.metrics import Sample, SampleKind
-from mangohatch.peer.counters import PeerCounters
 
-__all__ = ["measuring_samples", "peer_samples", "store_samples"]
+__all__ = ["measuring_samples", "store_samples"]
 
 
 def make_counter(name: str, text: str, value: float, **labels: str) -> Sample:
@@ -53,29 +52,6 @@
             )
 
 
-def peer_samples(counters: PeerCounters) -> Iterator[Sample]:
-    """
-    Give messages and bytes exchanged with peers, by kind.
-
-    :param counters: counters of the bus
-    :return: samples
-    """
-    groups = {
-        "messages_sent": counters.messages_sent,
-        "bytes_sent": counters.bytes_sent,
-        "messages_received": counters.messages_received,
-        "bytes_received": counters.bytes_received,
-    }
-    for group, values in groups.items():
-        for kind, value in values.items():
-            yield make_counter(
-                f"mangohatch_peer_{group}",
-                f"Peer links: {group.replace('_', ' ')}.",
-                value,
-                kind=kind,
-            )
-
-
 def store_samples(calls: Counter[tuple[str, str]]) -> Iterator[Sample]:
     """
     Give calls to the object API, by role and kind.
--- a/tests/host/test_entry_host.py
+++ b/tests/host/test_entry_host.py
@@ -13,6 +13,8 @@
 
 load_tests = function_tests(__name__)
 
+STOP_TIMEOUT_S = 20.0
+
 
 def free_port():
     with socket.socket() as sock:
@@ -103,3 +105,41 @@
         assert line in metrics.body.decode()
 
     await run_until_stopped(host, check)
+
+
+async def test_host_that_was_replaced_drains_and_ends():
+    cfg = make_settings(peer=Listener(port=free_port()))
+    host = EntryHost(cfg=cfg, clock=SystemClock())
+    task = asyncio.create_task(host.run(asyncio.Event()))
+    while not host.started:
+        await asyncio.sleep(0)
+    host.bus.membership._presence.replaced = True
+    await asyncio.wait_for(task, STOP_TIMEOUT_S)
+    assert host.entry.drained()
+
+
+async def test_deadline_is_enforced_on_a_host_that_was_idle():
+    async def swallow(reader, writer):
+        await reader.read()
+
+    upstream = await asyncio.start_server(swallow, "127.0.0.1", 0)
+    port = upstream.sockets[0].getsockname()[1]
+    spec = make_service(upstreams=1)
+    row = spec.upstreams[0].model_copy(update={"port": port})
+    cfg = make_settings(services=(spec.model_copy(update={"upstreams": (row,)}),))
+    host = EntryHost(cfg=cfg, clock=SystemClock())
+
+    async def check():
+        headers = {"X-Deadline-Ms": "50"}
+        response = await fetch(cfg.entry.port, "/tablero-misa/x", headers=headers)
+        assert response.code == 504
+        assert host.entry.forwarder.active == set()
+
+    await run_until_stopped(host, check)
+    upstream.close()
+
+
+def test_request_that_begins_wakes_an_idle_host():
+    host = EntryHost(cfg=make_settings(), clock=SystemClock())
+    host.entry.forwarder._observer.began(None)
+    assert host._wake.is_set()
