Ask for an isolated slot although the measuring budget is spent

Cause: a host whose budget was spent never asked its broker for the isolated run of a suspected request; the request waited 250 ms and was refused, each time its caller sent it again. Change: the call is made and charged, and later calls make up for it. Figures: the new test, no budget at all: refused before, granted after. Conclusion: trials are rare and bounded by crashes; the budget still holds over time.

--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -203,7 +203,10 @@
         if broker == self._bus.host_id:
             self._broker(shard).take_request(broker, message)
             return True
-        if not self._gates.find(service).spend_call(size_of(message)):
+        gate = self._gates.find(service)
+        if call.isolated:
+            gate.owe_call(size_of(message))
+        elif not gate.spend_call(size_of(message)):
             return False
         self._bus.send(broker, message)
         self._timers.call_later(ANSWER_MS, lambda: self._check(shard, now_ms))
--- a/src/mangohatch/core/measuring/budget.py
+++ b/src/mangohatch/core/measuring/budget.py
@@ -55,6 +55,18 @@
         self._counter.count_call(size_bytes)
         return True
 
+    def owe_call(self, size_bytes: int) -> None:
+        """
+        Charge a call that must be made, which later calls make up for.
+
+        :param size_bytes: size of the call on the wire
+        """
+        self._fill()
+        self._calls -= 1
+        self._share -= 1
+        self._bytes -= size_bytes
+        self._counter.count_call(size_bytes)
+
     def spend_message(self, size_bytes: int) -> None:
         """
         Charge a one-way message, which later calls make up for.
--- a/tests/core/choice/test_tokens.py
+++ b/tests/core/choice/test_tokens.py
@@ -278,3 +278,16 @@
     hosts.run(10.0)
     assert len(hosts.decisions) == 260
     assert set(hosts.busy().values()) == {2}
+
+
+def test_isolated_call_is_asked_for_when_the_budget_is_spent():
+    budget = MeasuringBudget(
+        calls_per_second=0.0, bytes_per_second=0.0, calls_per_request=0.0
+    )
+    hosts = Hosts(measuring=budget)
+    hosts.request(hosts.other, "suspect", isolated=True)
+    hosts.run(300.0)
+    grant = hosts.decisions["suspect"]
+    assert isinstance(grant, Grant) and grant.token
+    counter = hosts.choosers[hosts.other].counters[SERVICE]
+    assert counter.calls == 1
