--- a/bench/slopes/fleet.py
+++ b/bench/slopes/fleet.py
@@ -5,6 +5,8 @@
 import random
 import socket
 import tracemalloc
+from abc import abstractmethod
+from typing import Any
 
 from bench.slopes.base import Slope
 from bench.slopes.cost import cpu_us, memory_bytes
@@ -36,17 +38,22 @@
 SETTLED_MS = 1_000.0
 
 
-class MessageTime(Slope):
-    """Slot returns, encoded and decoded."""
+class CodecTime(Slope):
+    """One message, encoded and decoded again and again."""
 
-    name = "small peer message, encoded and decoded"
     unit = "us"
-    per = "message"
     sizes = SIZES
 
+    @abstractmethod
+    def make_message(self) -> Any:
+        """
+        Make the message.
+
+        :return: an instance of a class of :mod:`mangohatch.peer.messages`
+        """
+
     def measure(self, size: int) -> float:
-        use = SlotUse(upstream="u1", token=1, result="ok", latency_ms=9.5)
-        message = SlotReturn(shard="tablero-misa#0", uses=[use])
+        message = self.make_message()
 
         def work() -> None:
             for number in range(size):
@@ -58,27 +65,27 @@
         return cpu_us(work)
 
 
-class PushTime(Slope):
-    """Pushes of a service of 17 upstreams, encoded and decoded."""
+class MessageTime(CodecTime):
+    """Returns of one slot."""
+
+    name = "small peer message, encoded and decoded"
+    per = "message"
+
+    def make_message(self) -> SlotReturn:
+        use = SlotUse(upstream="u1", token=1, result="ok", latency_ms=9.5)
+        return SlotReturn(shard="tablero-misa#0", uses=[use])
+
+
+class PushTime(CodecTime):
+    """Pushes of a service of 17 upstreams."""
 
     name = "configuration push, encoded and decoded"
-    unit = "us"
     per = "push"
-    sizes = SIZES
 
-    def measure(self, size: int) -> float:
+    def make_message(self) -> ConfigPush:
         text = make_spec("service", 17).model_dump_json()
         item = ConfigItem(kind="service", name="service", revision=1, json=text)
-        message = ConfigPush(items=[item], revision=1, watcher="entry-1", epoch=1)
-
-        def work() -> None:
-            for number in range(size):
-                frame = encode(
-                    message, sender="entry-1", incarnation=1, time_ms=1.0, count=number
-                )
-                decode_body(decode_envelope(frame))
-
-        return cpu_us(work)
+        return ConfigPush(items=[item], revision=1, watcher="entry-1", epoch=1)
 
 
 class BrokerTime(Slope):
