Bound the clock offsets of hosts in answers with events

Cause: the time line could render offset bounds, and nothing measured them. Change: a host's answer to a question for events carries its wall clock; the asking host bounds the offset by the round trip and keeps the bounds between questions. Conclusion: a reader can judge the order of events that no message connects.

--- a/src/mangohatch/admin/events.py
+++ b/src/mangohatch/admin/events.py
@@ -1,7 +1,7 @@
 """Reads of the time line of all hosts."""
 
 import uuid
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from pydantic import TypeAdapter, ValidationError
@@ -10,7 +10,13 @@
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.exchange import Exchange
 from mangohatch.peer.messages import EventBatch, EventQuery
-from mangohatch.timeline import Event, EventSelection, Recorder, merge_events
+from mangohatch.timeline import (
+    Event,
+    EventSelection,
+    OffsetTable,
+    Recorder,
+    merge_events,
+)
 from mangohatch.timeline.codec import decode_event, encode_event
 
 __all__ = ["EventReader", "FleetEvents"]
@@ -25,10 +31,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class FleetEvents:
-    """Events of all hosts that answered, in causal order."""
+    """
+    Events of all hosts that answered, in causal order.
+
+    ``offsets_ms`` bounds by host its clock minus the clock of this host.
+    """
 
     events: Sequence[Event]
     silent_hosts: Sequence[str]
+    offsets_ms: dict[str, tuple[float, float]]
 
 
 class EventReader:
@@ -45,6 +56,8 @@
         self._clock = clock
         self._recorder = recorder
         self._open: dict[str, Exchange[Sequence[Event]]] = {}
+        self._asked_ms: dict[str, float] = {}
+        self._offsets = OffsetTable(clock=clock)
         bus.subscribe(EventQuery, self.on_query)
         bus.subscribe(EventBatch, self.on_batch)
 
@@ -66,6 +79,7 @@
             bus=self._bus, clock=self._clock, message=query
         )
         self._open[query.query_id] = exchange
+        self._asked_ms[query.query_id] = self._clock.wall_ms()
         exchange.take(self._bus.host_id, self.select(selection, limit))
         members = frozenset(view.host_id for view in self._bus.members())
         try:
@@ -77,8 +91,17 @@
             )
         finally:
             del self._open[query.query_id]
+            del self._asked_ms[query.query_id]
         events = merge_events(exchange.answers.values(), limit=limit)
-        return FleetEvents(events=events, silent_hosts=sorted(silent))
+        return FleetEvents(
+            events=events,
+            silent_hosts=sorted(silent),
+            offsets_ms=self._find_offsets(members - {self._bus.host_id}),
+        )
+
+    def _find_offsets(self, hosts: Iterable[str]) -> dict[str, tuple[float, float]]:
+        bounds = {host: self._offsets.bounds(host) for host in sorted(hosts)}
+        return {host: found for host, found in bounds.items() if found is not None}
 
     def select(self, selection: EventSelection, limit: int) -> Sequence[Event]:
         """
@@ -103,7 +126,12 @@
             return
         limit = max(1, min(query.limit, MAX_LIMIT))
         events = [encode_event(event) for event in self.select(selection, limit)]
-        batch = EventBatch(query_id=query.query_id, events=events, last=True)
+        batch = EventBatch(
+            query_id=query.query_id,
+            events=events,
+            last=True,
+            wall_ms=self._clock.wall_ms(),
+        )
         self._bus.send(sender, batch)
 
     def on_batch(self, sender: str, batch: EventBatch) -> None:
@@ -120,4 +148,10 @@
             events = [decode_event(text) for text in batch.events]
         except (TypeError, ValueError):
             return
+        self._offsets.observe(
+            sender,
+            sent_ms=self._asked_ms[batch.query_id],
+            remote_ms=batch.wall_ms,
+            received_ms=self._clock.wall_ms(),
+        )
         exchange.take(sender, events)
--- a/src/mangohatch/admin/interpreter.py
+++ b/src/mangohatch/admin/interpreter.py
@@ -145,7 +145,8 @@
             since_ms=since_ms,
         )
         answer = await self._events.ask(selection, limit=question.limit)
-        return make_event_reply(text, answer.events, (), answer.silent_hosts)
+        reply = make_event_reply(text, answer.events, (), answer.silent_hosts)
+        return reply.model_copy(update={"offsets_ms": answer.offsets_ms})
 
     async def explain(self, text: str, question: ExplainRequest) -> Reply:
         """
--- a/src/mangohatch/admin/render.py
+++ b/src/mangohatch/admin/render.py
@@ -30,6 +30,10 @@
         lines.append("")
     lines += render_table(reply.columns, reply.rows)
     lines += [f"# no answer from {host}" for host in reply.silent_hosts]
+    lines += [
+        f"# clock of {host}: {low_ms:+.3f} to {high_ms:+.3f} ms"
+        for host, (low_ms, high_ms) in sorted(reply.offsets_ms.items())
+    ]
     lines += [f"# rows left out by {host}" for host in reply.truncated_hosts]
     return "\n".join(lines) + "\n"
 
--- a/src/mangohatch/admin/reply.py
+++ b/src/mangohatch/admin/reply.py
@@ -50,6 +50,7 @@
 
     Each row names its host, age and source. ``silent_hosts`` did not answer in
     time, so that rows of theirs may be missing; ``truncated_hosts`` sent part.
+    ``offsets_ms`` bounds by host its clock minus that of the host that answered.
     """
 
     sentence: str
@@ -59,5 +60,6 @@
     notes: tuple[str, ...] = ()
     silent_hosts: tuple[str, ...] = ()
     truncated_hosts: tuple[str, ...] = ()
+    offsets_ms: dict[str, tuple[float, float]] = {}
     order: OrderAnswer | None = None
     error: ErrorAnswer | None = None
--- a/src/mangohatch/commands/events.py
+++ b/src/mangohatch/commands/events.py
@@ -105,4 +105,6 @@
         known = {name: row[name] for name in Event.__slots__ if name in row}
         known["kind"] = EventKind(known["kind"])
         found.append(Event(**(defaults | known)))
-    return Timeline(events=found, silent_hosts=reply.silent_hosts)
+    return Timeline(
+        events=found, offsets_ms=reply.offsets_ms, silent_hosts=reply.silent_hosts
+    )
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -2567,6 +2567,7 @@
      - query_id
      - events
      - last
+     - wall_ms
 
     """
 
@@ -2574,13 +2575,15 @@
         'query_id',
         'events',
         'last',
+        'wall_ms',
     )
 
 
-    def __init__(self, query_id=None, events=None, last=None,):
+    def __init__(self, query_id=None, events=None, last=None, wall_ms=None,):
         self.query_id = query_id
         self.events = events
         self.last = last
+        self.wall_ms = wall_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2611,6 +2614,11 @@
                     self.last = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.wall_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2636,6 +2644,10 @@
             oprot.writeFieldBegin('last', TType.BOOL, 3)
             oprot.writeBool(self.last)
             oprot.writeFieldEnd()
+        if self.wall_ms is not None:
+            oprot.writeFieldBegin('wall_ms', TType.DOUBLE, 4)
+            oprot.writeDouble(self.wall_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3055,6 +3067,7 @@
     (1, TType.STRING, 'query_id', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'events', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.BOOL, 'last', None, None, ),  # 3
+    (4, TType.DOUBLE, 'wall_ms', None, None, ),  # 4
 )
 all_structs.append(StatusQuery)
 StatusQuery.thrift_spec = (
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -270,11 +270,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class EventBatch:
-    """Events as JSON, oldest first."""
+    """Events as JSON, oldest first, and the sender's wall clock."""
 
     query_id: str = ""
     events: list[str] = field(default_factory=list)
     last: bool = False
+    wall_ms: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -179,6 +179,7 @@
   1: string query_id,
   2: list<string> events,
   3: bool last,
+  4: double wall_ms,
 }
 
 /** Operators' queries of other hosts. */
--- a/tests/admin/test_interpreter.py
+++ b/tests/admin/test_interpreter.py
@@ -191,3 +191,14 @@
     )
     reply = ask(loop, admin_hosts[0], f"release request {FINGERPRINT} of s")
     assert (reply.order.state, reply.order.waiting_for) == ("pending", ("entry-2",))
+
+
+def test_clock_offsets_are_bounded_around_the_true_ones(loop, admin_hosts):
+    true_ms = {"entry-2": 250.0, "entry-3": -40.0}
+    for host in admin_hosts[1:]:
+        host.clock._wall_offset_ms += true_ms[host.bus.host_id]
+    reply = ask(loop, admin_hosts[0], "show events since 10s")
+    assert set(reply.offsets_ms) == set(true_ms)
+    for name, (low_ms, high_ms) in reply.offsets_ms.items():
+        assert low_ms <= true_ms[name] <= high_ms
+        assert high_ms - low_ms < 10.0
