--- a/src/mangohatch/entry/events.py
+++ b/src/mangohatch/entry/events.py
@@ -7,6 +7,7 @@
 
 __all__ = ["RequestEvents"]
 
+SLOW_REQUEST_MS = 1_000.0
 WINDOW_MS = 1_000.0
 MAX_EVENTS_PER_WINDOW = 50
 
@@ -48,6 +49,15 @@
             duration_ms=now_ms - req.call.arrived_ms,
         )
 
+    def record_slow(self, req: ActiveRequest) -> None:
+        """
+        Record a request that took long.
+
+        :param req: the request, at its end
+        """
+        if self._clock.now_ms() - req.call.arrived_ms > SLOW_REQUEST_MS:
+            self.record(EventKind.REQUEST_SLOW, req, "")
+
     def _has_room(self, kind: EventKind, now_ms: float) -> bool:
         if now_ms - self._window_ms >= WINDOW_MS:
             self._window_ms = now_ms
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -48,7 +48,6 @@
     UpstreamRefused,
     UpstreamUnreachable,
 )
-SLOW_REQUEST_MS = 1_000.0
 
 
 class Forwarder:
@@ -150,7 +149,7 @@
             raise self._fail(req, failure) from exc
         finally:
             self.active.discard(req)
-            self._record_slow(req)
+            self._events.record_slow(req)
 
     def abort(self, req: ActiveRequest, error: RequestError) -> None:
         """
@@ -296,7 +295,3 @@
             kind = EventKind.REQUEST_REFUSED if refused else EventKind.REQUEST_FAILED
             self._events.record(kind, req, error.code)
         return error
-
-    def _record_slow(self, req: ActiveRequest) -> None:
-        if self._clock.now_ms() - req.call.arrived_ms > SLOW_REQUEST_MS:
-            self._events.record(EventKind.REQUEST_SLOW, req, "")
--- a/src/mangohatch/peer/tcp.py
+++ b/src/mangohatch/peer/tcp.py
@@ -10,11 +10,11 @@
 from tornado.netutil import bind_sockets
 
 from mangohatch.clock import Clock
-from mangohatch.errors import PeerProtocolError
 from mangohatch.peer.bus import Handler, MemberView, PeerBus
-from mangohatch.peer.codec import Envelope, decode_body, decode_envelope, encode
+from mangohatch.peer.codec import encode
 from mangohatch.peer.counters import PeerCounters
 from mangohatch.peer.frames import make_frame
+from mangohatch.peer.inbox import Inbox
 from mangohatch.peer.link import Link, LinkSettings
 from mangohatch.peer.listener import PeerListener
 from mangohatch.peer.membership import (
@@ -80,14 +80,10 @@
         self._link_cfg = links or LinkSettings()
         self._sockets = sockets
         self._links: dict[Endpoint, Link] = {}
-        self._handlers: dict[type, list[Handler]] = {}
         self._views: Sequence[MemberView] | None = None
         self._task: asyncio.Task[None] | None = None
         self._last_tick_ms = clock.now_ms()
         self.counters = PeerCounters()
-        self._listener = PeerListener(
-            clock=clock, counters=self.counters, on_frame=self.on_frame
-        )
         self.membership = Membership(
             host_id=host_id,
             zone=zone,
@@ -101,6 +97,14 @@
             cfg=membership,
             on_change=self.on_change,
         )
+        self._inbox = Inbox(
+            membership=self.membership, clock=recorder.clock, counters=self.counters
+        )
+        for message_type in MEMBERSHIP_MESSAGES:
+            self._inbox.subscribe(message_type, self.membership.receive)
+        self._listener = PeerListener(
+            clock=clock, counters=self.counters, on_frame=self._inbox.take
+        )
 
     @property
     def host_id(self) -> str:
@@ -131,7 +135,7 @@
 
     def send(self, host_id: str, message: Any) -> bool:
         if host_id == self._host_id:
-            asyncio.get_running_loop().call_soon(self.dispatch, host_id, message)
+            asyncio.get_running_loop().call_soon(self._inbox.dispatch, host_id, message)
             return True
         row = self.membership.table.rows.get(host_id)
         if row is None or not row.live or self.membership.replaced:
@@ -147,7 +151,7 @@
             self.send_frame(row.endpoint, type(message).__name__, frame)
 
     def subscribe(self, message_type: type, handler: Handler) -> None:
-        self._handlers.setdefault(message_type, []).append(handler)
+        self._inbox.subscribe(message_type, handler)
 
     def send_to(self, endpoint: Endpoint, message: Any) -> None:
         self.send_frame(endpoint, type(message).__name__, self.make_frame(message))
@@ -275,52 +279,3 @@
     def on_change(self) -> None:
         """Forget the list of members made from the table."""
         self._views = None
-
-    def on_frame(self, frame: bytes) -> None:
-        """
-        Decode a message and hand it to its handlers.
-
-        :param frame: the message without its length
-        """
-        try:
-            envelope = decode_envelope(frame)
-            if self.is_outdated(envelope):
-                self.counters.dropped["outdated"] += 1
-                return
-            message = decode_body(envelope)
-        except PeerProtocolError as exc:
-            self.counters.dropped["malformed"] += 1
-            log.warning("peer_message_malformed", cause=str(exc))
-            return
-        time_ms = envelope.sent_wall_us / 1000
-        self._recorder.clock.merge(time_ms, envelope.sent_count)
-        self.counters.received(envelope.kind, len(frame))
-        self.dispatch(envelope.sender, message)
-
-    def is_outdated(self, envelope: Envelope) -> bool:
-        """
-        Tell whether a message comes from a host that another one has replaced.
-
-        :param envelope: envelope of the message
-        :return: whether to drop it; probes pass so that the sender learns of it
-        """
-        row = self.membership.table.rows.get(envelope.sender)
-        if row is None or envelope.incarnation >= row.incarnation:
-            return False
-        return envelope.kind not in {"Ping", "MemberSync"}
-
-    def dispatch(self, sender: str, message: Any) -> None:
-        """
-        Call the handlers of a message; a failure of one does not reach the others.
-
-        :param sender: the host that sent it
-        :param message: the message
-        """
-        handlers: Iterable[Handler] = self._handlers.get(type(message), ())
-        if isinstance(message, MEMBERSHIP_MESSAGES):
-            handlers = (self.membership.receive, *handlers)
-        for handler in handlers:
-            try:
-                handler(sender, message)
-            except Exception:
-                log.exception("peer_handler_failed", kind=type(message).__name__)
