Name membership and unleased placement by the field's terms

Cause: bury, hurry and alone gate need explaining. Change: declare_dead, prioritize, UnleasedGate, charge_call; no behaviour changes. Conclusion: names only.

--- a/src/mangohatch/core/choice/alone.py
+++ b/src/mangohatch/core/choice/alone.py
@@ -4,7 +4,7 @@
 from mangohatch.core.call import Call
 from mangohatch.core.tables import ServiceRow
 
-__all__ = ["SPILL_MS", "STARVED_LINGER_MS", "AloneGate"]
+__all__ = ["SPILL_MS", "STARVED_LINGER_MS", "UnleasedGate"]
 
 SILENCE_MS = 50.0
 SPILL_MS = 2.0
@@ -14,7 +14,7 @@
 SHARES = 2
 
 
-class AloneGate:
+class UnleasedGate:
     """
     Bounds the attempts that a host makes without leases on one shard.
 
--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -6,7 +6,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.admission import max_wait_ms
 from mangohatch.core.call import Call, Grant, Report, Result
-from mangohatch.core.choice.alone import SPILL_MS, STARVED_LINGER_MS, AloneGate
+from mangohatch.core.choice.alone import SPILL_MS, STARVED_LINGER_MS, UnleasedGate
 from mangohatch.core.choice.base import Chooser
 from mangohatch.core.health import Health
 from mangohatch.core.measuring import BudgetGates, MeasuringCounter
@@ -58,7 +58,7 @@
         self._speeds: dict[str, SpeedTable] = {}
         self.holders: dict[str, Holder] = {}
         self.brokers: dict[str, Broker] = {}
-        self._alone: dict[str, AloneGate] = {}
+        self._alone: dict[str, UnleasedGate] = {}
         self._known_services = 0
         self._sequence = 0
         self._planned: set[str] = set()
@@ -75,7 +75,7 @@
             holder.use(held)
             row = service.upstreams[held.upstream]
             return self.make_grant(call, row, held.token)
-        gate = self._gate_alone(shard)
+        gate = self._unleased_gate(shard)
         if not gate.allows(service, call, len(self._zones)):
             self._check_open(service, call)
             return None
@@ -97,7 +97,7 @@
             self._send_request(service, shard, call, count=1)
         elif waiting > holder.pending(service.spec.max_queue_wait_ms):
             self._plan_ask(service, shard, call)
-        gate = self._gate_alone(shard)
+        gate = self._unleased_gate(shard)
         if gate.starved:
             self._plan_spill(service)
         return not holder.idle and not gate.silent
@@ -107,7 +107,7 @@
         if report.result is Result.OK:
             self._speed(shard).note(grant.upstream.name, report.latency_ms)
         if not grant.token:
-            self._gate_alone(shard).end()
+            self._unleased_gate(shard).end()
         else:
             self._holder(shard).end_use(grant.token, report)
 
@@ -120,7 +120,7 @@
             self._take_over()
         for holder in self.holders.values():
             holder.renew(force=changed)
-            if not self._gate_alone(holder.shard).starved:
+            if not self._unleased_gate(holder.shard).starved:
                 holder.floor_ms = 0.0
         for shard, broker in list(self.brokers.items()):
             service = self._tables.services.get(split_shard(shard).service)
@@ -182,7 +182,7 @@
         holder.asked_ms = self._clock.now_ms()
         if not self._send_request(service, shard, call, count=holder.asked):
             holder.asked = 0
-            self._gate_alone(shard).note_denial()
+            self._unleased_gate(shard).note_denial()
             holder.floor_ms = STARVED_LINGER_MS
             self._plan_spill(service)
 
@@ -205,7 +205,7 @@
             return True
         gate = self._gates.find(service)
         if call.isolated:
-            gate.owe_call(size_of(message))
+            gate.charge_call(size_of(message))
         elif not gate.spend_call(size_of(message)):
             return False
         self._bus.send(broker, message)
@@ -217,7 +217,7 @@
         if holder.heard_ms >= asked_ms:
             return
         holder.asked = 0
-        self._gate_alone(shard).note_silence()
+        self._unleased_gate(shard).note_silence()
         self._available(split_shard(shard).service)
 
     def _plan_spill(self, service: ServiceRow) -> None:
@@ -230,10 +230,10 @@
         row = first if first.in_flight <= second.in_flight else second
         return row if row.in_flight < row.slots else None
 
-    def _gate_alone(self, shard: str) -> AloneGate:
+    def _unleased_gate(self, shard: str) -> UnleasedGate:
         gate = self._alone.get(shard)
         if gate is None:
-            gate = self._alone[shard] = AloneGate(clock=self._clock)
+            gate = self._alone[shard] = UnleasedGate(clock=self._clock)
         return gate
 
     def _update_members(self) -> bool:
@@ -311,7 +311,7 @@
         if name not in self._tables.services:
             return
         holder = self._holder(shard)
-        gate = self._gate_alone(shard)
+        gate = self._unleased_gate(shard)
         gate.note_answer()
         holder.take_grant(message)
         self._available(name)
--- a/src/mangohatch/core/measuring/budget.py
+++ b/src/mangohatch/core/measuring/budget.py
@@ -55,7 +55,7 @@
         self._counter.count_call(size_bytes)
         return True
 
-    def owe_call(self, size_bytes: int) -> None:
+    def charge_call(self, size_bytes: int) -> None:
         """
         Charge a call that must be made, which later calls make up for.
 
--- a/src/mangohatch/peer/membership/probe.py
+++ b/src/mangohatch/peer/membership/probe.py
@@ -102,7 +102,7 @@
         for relay in self._relays.values():
             relay.until_ms += delta_ms
 
-    def hurry(self, host_id: str) -> None:
+    def prioritize(self, host_id: str) -> None:
         """
         Probe a member next, out of turn.
 
--- a/src/mangohatch/peer/membership/service.py
+++ b/src/mangohatch/peer/membership/service.py
@@ -103,7 +103,10 @@
             suspect=self.suspect,
         )
         self._suspicions = SuspicionSystem(
-            cfg=self._cfg, table=self.table, health=self.health, bury=self.bury
+            cfg=self._cfg,
+            table=self.table,
+            health=self.health,
+            declare_dead=self.declare_dead,
         )
         self._sync = SyncSystem(
             own_endpoint=endpoint,
@@ -204,7 +207,7 @@
         """
         row = self.table.rows.get(host_id)
         if row is not None and row.live and row.state is not MemberState.SUSPECT:
-            self._probes.hurry(host_id)
+            self._probes.prioritize(host_id)
 
     def receive(self, sender: str, message: Any) -> None:
         """
@@ -308,7 +311,7 @@
         news.accusers = sorted({self.own.host_id, *row.accusers, *accusers})
         self.hear(news)
 
-    def bury(self, row: MemberRow) -> None:
+    def declare_dead(self, row: MemberRow) -> None:
         """
         Declare a suspect dead.
 
--- a/src/mangohatch/peer/membership/suspicion.py
+++ b/src/mangohatch/peer/membership/suspicion.py
@@ -21,12 +21,12 @@
         cfg: MembershipSettings,
         table: MemberTable,
         health: LocalHealth,
-        bury: Callable[[MemberRow], None],
+        declare_dead: Callable[[MemberRow], None],
     ) -> None:
         self._cfg = cfg
         self._table = table
         self._health = health
-        self._bury = bury
+        self._declare_dead = declare_dead
 
     def tick(self, now_ms: float) -> None:
         """
@@ -38,7 +38,7 @@
             if row.state is not MemberState.SUSPECT:
                 continue
             if now_ms - row.since_ms >= self.timeout_ms(row):
-                self._bury(row)
+                self._declare_dead(row)
 
     def timeout_ms(self, row: MemberRow) -> float:
         """
--- a/src/mangohatch/peer/tcp.py
+++ b/src/mangohatch/peer/tcp.py
@@ -40,7 +40,7 @@
 TICK_S = 0.1
 STALL_MS = 400.0
 LISTENER_IDLE_FACTOR = 2
-FAREWELL_S = 0.1
+LEAVE_DELAY_S = 0.1
 
 log = structlog.get_logger()
 
@@ -186,7 +186,7 @@
         if self._task is not None:
             self._task.cancel()
             self.membership.set_left()
-            await asyncio.sleep(FAREWELL_S)
+            await asyncio.sleep(LEAVE_DELAY_S)
         for link in self._links.values():
             link.close()
         self._links.clear()
--- a/tests/peer/membership/test_machine.py
+++ b/tests/peer/membership/test_machine.py
@@ -64,10 +64,10 @@
     assert catches(Silent)
 
 
-def test_checker_catches_burial_without_time_to_refute():
+def test_checker_catches_death_without_time_to_refute():
     class Hasty(Membership):
         def suspect(self, row, accusers):
-            self.bury(row)
+            self.declare_dead(row)
 
     assert catches(Hasty)
 
