--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -28,7 +28,7 @@
 POOR_SHARE = 0.5
 LINGER_TICK_GROW = 1.1
 FREE_SHARE = 0.5
-PRESS_MS = 2.0
+RECALL_INTERVAL_MS = 2.0
 
 Sender = Callable[[str, SlotGrant], None]
 
@@ -63,7 +63,7 @@
         self._send = send
         self._zone_of = zone_of
         self._timers = timers
-        self._pressing = False
+        self._recall_planned = False
         self._service: ServiceRow | None = None
         self._demands: OrderedDict[tuple[str, bool], Demand] = OrderedDict()
         self._outbox: deque[tuple[str, SlotGrant]] = deque()
@@ -260,12 +260,12 @@
         self._recaller.recall(
             demand, now_ms=now_ms, lingering=lingering, waiting=len(self._demands)
         )
-        if lingering and not self._pressing:
-            self._pressing = True
-            self._timers.call_later(PRESS_MS, self._press)
+        if lingering and not self._recall_planned:
+            self._recall_planned = True
+            self._timers.call_later(RECALL_INTERVAL_MS, self._recall_again)
 
-    def _press(self) -> None:
-        self._pressing = False
+    def _recall_again(self) -> None:
+        self._recall_planned = False
         now_ms = self._clock.now_ms()
         waiting = [
             demand
@@ -276,8 +276,8 @@
             return
         self.linger_ms = max(LINGER_MIN_MS, self.linger_ms * LINGER_SHRINK)
         held = self.ledger.held
-        poorest = min(waiting, key=lambda demand: held.get(demand.holder, 0))
-        self._recall(poorest, now_ms)
+        neediest = min(waiting, key=lambda demand: held.get(demand.holder, 0))
+        self._recall(neediest, now_ms)
         self._deliver()
 
     def _is_open(self, row: UpstreamRow) -> bool:
--- a/src/mangohatch/core/slots/recall.py
+++ b/src/mangohatch/core/slots/recall.py
@@ -9,8 +9,8 @@
 __all__ = ["IDLE_LINGER_MS", "Demand", "Recaller"]
 
 IDLE_LINGER_MS = 1.0
-CROWD = 3
-AGAIN_MS = 5.0
+MANY_DEMANDS = 3
+RECALL_INTERVAL_MS = 5.0
 PAUSE_MS = 1.0
 
 
@@ -59,7 +59,7 @@
         :param lingering: whether holders keep idle leases for a while
         :param waiting: number of demands that wait
         """
-        if lingering or waiting < CROWD:
+        if lingering or waiting < MANY_DEMANDS:
             self._recall_idle(demand, now_ms)
         else:
             self._recall_remote(demand, now_ms)
@@ -67,13 +67,13 @@
     def _recall_idle(self, demand: Demand, now_ms: float) -> None:
         held = self._ledger.held
         limit = held.get(demand.holder, 0)
-        old_ms = now_ms - AGAIN_MS
+        old_ms = now_ms - RECALL_INTERVAL_MS
         last_ms = self._recalled_ms.get
-        rich = sorted(
+        holders = sorted(
             (name for name in held if held[name] > limit),
             key=lambda name: (last_ms(name, 0.0) > old_ms, -held[name]),
         )
-        for name in rich[: demand.count]:
+        for name in holders[: demand.count]:
             self._ask_back(name, now_ms, SlotGrant(recall=1))
 
     def _recall_remote(self, demand: Demand, now_ms: float) -> None:
