--- a/bench/slopes/fleet.py
+++ b/bench/slopes/fleet.py
@@ -73,7 +73,7 @@
 
     def make_message(self) -> SlotReturn:
         use = SlotUse(upstream="u1", token=1, result="ok", latency_ms=9.5)
-        return SlotReturn(shard="tablero-misa#0", uses=[use])
+        return SlotReturn(shard="tablero-misa", uses=[use])
 
 
 class PushTime(CodecTime):
@@ -101,7 +101,7 @@
         grants: list[SlotGrant] = []
         broker = make_broker(clock, UPSTREAMS, grants)
         clock.advance(SETTLED_MS)
-        ask = SlotRequest(shard="service#0", count=1, wait_ms=15.0)
+        ask = SlotRequest(shard="service", count=1, wait_ms=15.0)
 
         def work() -> None:
             for _ in range(size):
@@ -114,7 +114,7 @@
                     latency_ms=9.5,
                     freed=True,
                 )
-                broker.take_return("entry-2", SlotReturn(shard="service#0", uses=[use]))
+                broker.take_return("entry-2", SlotReturn(shard="service", uses=[use]))
 
         return cpu_us(work)
 
@@ -222,7 +222,7 @@
     tables = Tables()
     tables.apply(make_spec("service", upstreams), revision=1)
     broker = Broker(
-        shard="service#0",
+        shard="service",
         host_id="entry-1",
         clock=clock,
         rng=random.Random(1),
--- a/tests/bench/test_slopes.py
+++ b/tests/bench/test_slopes.py
@@ -79,3 +79,8 @@
     assert values["entry hosts"] == "650"
     assert values["calls a second and host"] == "2,000"
     assert values["slot messages, fully coordinated"] == "371 KB/s"
+
+
+def test_each_slope_can_be_measured():
+    for slope in (*STATE_SLOPES, *WORK_SLOPES, *FLEET_SLOPES):
+        assert slope.measure(2) >= 0, slope.name
