--- a/src/mangohatch/core/choice/tokens.py
+++ b/src/mangohatch/core/choice/tokens.py
@@ -15,6 +15,7 @@
 from mangohatch.core.slots.broker import SETTLE_MS
 from mangohatch.core.slots.holder import Held
 from mangohatch.core.slots.shards import split_shard
+from mangohatch.core.slots.table import ShardTable
 from mangohatch.core.tables import ServiceRow, Tables, UpstreamRow
 from mangohatch.core.timers import Timers
 from mangohatch.errors import NoUpstream
@@ -55,10 +56,10 @@
         self._zones: dict[str, str] = {}
         self.counters = counters if counters is not None else {}
         self._gates = BudgetGates(clock=clock, counters=self.counters)
-        self._speeds: dict[str, SpeedTable] = {}
-        self.holders: dict[str, Holder] = {}
+        self._speeds = ShardTable(make=lambda shard: SpeedTable(clock=clock))
+        self._unleased = ShardTable(make=lambda shard: UnleasedGate(clock=clock))
+        self.holders = ShardTable(make=self._make_holder)
         self.brokers: dict[str, Broker] = {}
-        self._alone: dict[str, UnleasedGate] = {}
         self._known_services = 0
         self._sequence = 0
         self._planned: set[str] = set()
@@ -69,13 +70,13 @@
 
     def choose(self, service: ServiceRow, call: Call) -> Grant | None:
         shard = self._shards.home(service)
-        holder = self._holder(shard)
+        holder = self.holders[shard]
         held = self._pick(service, holder, call)
         if held is not None:
             holder.use(held)
             row = service.upstreams[held.upstream]
             return self.make_grant(call, row, held.token)
-        gate = self._unleased_gate(shard)
+        gate = self._unleased[shard]
         if not gate.allows(service, call, len(self._zones)):
             self._check_open(service, call)
             return None
@@ -92,12 +93,12 @@
 
     def wait(self, service: ServiceRow, call: Call, waiting: int) -> bool:
         shard = self._shards.home(service)
-        holder = self._holder(shard)
+        holder = self.holders[shard]
         if call.isolated:
             self._send_request(service, shard, call, count=1)
         elif waiting > holder.pending(service.spec.max_queue_wait_ms):
             self._plan_ask(service, shard, call)
-        gate = self._unleased_gate(shard)
+        gate = self._unleased[shard]
         if gate.starved:
             self._plan_spill(service)
         return not holder.idle and not gate.silent
@@ -105,22 +106,22 @@
     def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
         shard = self._shards.home(service)
         if report.result is Result.OK:
-            self._speed(shard).note(grant.upstream.name, report.latency_ms)
+            self._speeds[shard].note(grant.upstream.name, report.latency_ms)
         if not grant.token:
-            self._unleased_gate(shard).end()
+            self._unleased[shard].end()
         else:
-            self._holder(shard).end_use(grant.token, report)
+            self.holders[shard].end_use(grant.token, report)
 
     def idle(self, service: ServiceRow) -> None:
-        self._holder(self._shards.home(service)).settle()
+        self.holders[self._shards.home(service)].settle()
 
     def tick(self) -> None:
         changed = self._update_members()
         if changed or len(self._tables.services) != self._known_services:
             self._take_over()
-        for holder in self.holders.values():
+        for holder in list(self.holders.values()):
             holder.renew(force=changed)
-            if not self._unleased_gate(holder.shard).starved:
+            if not self._unleased[holder.shard].starved:
                 holder.floor_ms = 0.0
         for shard, broker in list(self.brokers.items()):
             service = self._tables.services.get(split_shard(shard).service)
@@ -143,7 +144,7 @@
     def _pick(self, service: ServiceRow, holder: Holder, call: Call) -> Held | None:
         best, best_ms = None, 0.0
         now_ms = self._clock.now_ms()
-        speeds = self._speed(holder.shard)
+        speeds = self._speeds[holder.shard]
         for held in holder.idle.values():
             row = service.upstreams.get(held.upstream)
             if held.isolated is not call.isolated:
@@ -159,7 +160,7 @@
         # A lease in use may end first, and calls that arrive meanwhile share the
         # request to the broker.
         local = self._shards.broker(shard) == self._bus.host_id
-        holder = self._holder(shard)
+        holder = self.holders[shard]
         unanswered = holder.asked and holder.heard_ms < holder.asked_ms
         if local or not (holder.leases or unanswered):
             self._ask(service, shard, call)
@@ -173,16 +174,16 @@
         if service is None:
             return
         waiting = self._count_waiting(service.spec.name)
-        if waiting > self._holder(shard).pending(service.spec.max_queue_wait_ms):
+        if waiting > self.holders[shard].pending(service.spec.max_queue_wait_ms):
             self._ask(service, shard, call)
 
     def _ask(self, service: ServiceRow, shard: str, call: Call) -> None:
-        holder = self._holder(shard)
+        holder = self.holders[shard]
         holder.asked = self._count_waiting(service.spec.name)
         holder.asked_ms = self._clock.now_ms()
         if not self._send_request(service, shard, call, count=holder.asked):
             holder.asked = 0
-            self._unleased_gate(shard).note_denial()
+            self._unleased[shard].note_denial()
             holder.floor_ms = STARVED_LINGER_MS
             self._plan_spill(service)
 
@@ -213,11 +214,11 @@
         return True
 
     def _check(self, shard: str, asked_ms: float) -> None:
-        holder = self._holder(shard)
+        holder = self.holders[shard]
         if holder.heard_ms >= asked_ms:
             return
         holder.asked = 0
-        self._unleased_gate(shard).note_silence()
+        self._unleased[shard].note_silence()
         self._available(split_shard(shard).service)
 
     def _plan_spill(self, service: ServiceRow) -> None:
@@ -230,27 +231,18 @@
         row = first if first.in_flight <= second.in_flight else second
         return row if row.in_flight < row.slots else None
 
-    def _unleased_gate(self, shard: str) -> UnleasedGate:
-        gate = self._alone.get(shard)
-        if gate is None:
-            gate = self._alone[shard] = UnleasedGate(clock=self._clock)
-        return gate
-
     def _update_members(self) -> bool:
         members = self._bus.members()
         self._zones = {view.host_id: view.zone for view in members}
         return self._shards.update(members)
 
-    def _holder(self, shard: str) -> Holder:
-        holder = self.holders.get(shard)
-        if holder is None:
-            holder = self.holders[shard] = Holder(
-                shard=shard,
-                clock=self._clock,
-                timers=self._timers,
-                send=self._send_return,
-            )
-        return holder
+    def _make_holder(self, shard: str) -> Holder:
+        return Holder(
+            shard=shard,
+            clock=self._clock,
+            timers=self._timers,
+            send=self._send_return,
+        )
 
     def _broker(self, shard: str) -> Broker:
         broker = self.brokers.get(shard)
@@ -261,7 +253,7 @@
                 clock=self._clock,
                 rng=self._rng,
                 health=self._health,
-                speeds=self._speed(shard),
+                speeds=self._speeds[shard],
                 send=self._send_grant,
                 zone_of=lambda host_id: self._zones.get(host_id, ""),
                 timers=self._timers,
@@ -270,12 +262,6 @@
             self._timers.call_later(SETTLE_MS + TIMER_STEP_MS, broker.tick)
         return broker
 
-    def _speed(self, shard: str) -> SpeedTable:
-        speeds = self._speeds.get(shard)
-        if speeds is None:
-            speeds = self._speeds[shard] = SpeedTable(clock=self._clock)
-        return speeds
-
     def _charge(self, shard: str, message: Any) -> None:
         service = self._tables.services.get(split_shard(shard).service)
         if service is not None:
@@ -310,8 +296,8 @@
         name = split_shard(shard).service
         if name not in self._tables.services:
             return
-        holder = self._holder(shard)
-        gate = self._unleased_gate(shard)
+        holder = self.holders[shard]
+        gate = self._unleased[shard]
         gate.note_answer()
         holder.take_grant(message)
         self._available(name)
