Record when an upstream has drained

Cause: operators drain an upstream and want to see it end; two kinds of event were never recorded. Change: a host records the end of its last request on a draining upstream; the kind for a stopped host goes, since its events end with it. Figures: the new test. Conclusion: `show events of upstream` shows begin and end of a drain.

--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -8,6 +8,7 @@
 from mangohatch.core.quarantine.notices import QuarantineNotices
 from mangohatch.core.quarantine.table import Key, QuarantineRow, QuarantineTable
 from mangohatch.core.router import Router
+from mangohatch.core.tables import UpstreamRow, UpstreamState
 from mangohatch.errors import DeadlineExceeded, Outcome, RequestQuarantined
 from mangohatch.timeline import EventKind, Recorder
 
@@ -99,6 +100,7 @@
         :param report: how the attempt went
         """
         self._router.release(grant, report)
+        self._record_drained(grant.upstream)
         call = grant.call
         if not call.fingerprint:
             return
@@ -181,6 +183,15 @@
             cause=f"fingerprint {call.fingerprint}",
         )
 
+    def _record_drained(self, upstream: UpstreamRow) -> None:
+        if upstream.state is UpstreamState.DRAINING and upstream.in_flight == 0:
+            self._recorder.record(
+                EventKind.UPSTREAM_DRAINED,
+                service=upstream.service,
+                upstream=upstream.name,
+                cause="its last request from this host has ended",
+            )
+
     def _refuse(self, row: QuarantineRow, call: Call, deliver: Deliver) -> None:
         left_ms = row.expires_ms - self._clock.now_ms()
         error = RequestQuarantined(
--- a/src/mangohatch/timeline/event.py
+++ b/src/mangohatch/timeline/event.py
@@ -12,7 +12,6 @@
     HOST_STARTED = "host_started"
     HOST_READY = "host_ready"
     HOST_LEAVING = "host_leaving"
-    HOST_STOPPED = "host_stopped"
     MEMBER_JOINED = "member_joined"
     MEMBER_SUSPECTED = "member_suspected"
     MEMBER_DEAD = "member_dead"
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -10,8 +10,8 @@
     QuarantineTable,
 )
 from mangohatch.core.router import Router
-from mangohatch.core.tables import Tables
-from mangohatch.timeline import HybridClock, Recorder
+from mangohatch.core.tables import DrainCause, Tables
+from mangohatch.timeline import EventKind, HybridClock, Recorder
 from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
 from tests.network import Bus
@@ -203,3 +203,15 @@
     for number in range(2_000):
         table.strike(SERVICE, str(number), "u1")
     assert len(list(table.rows())) == 1_000
+
+
+def test_end_of_a_drain_is_recorded_once(gates, clock):
+    gate = gates[0]
+    first, second = (ask(gate, make_call(clock, ""))[0] for _ in range(2))
+    for grant in (first, second):
+        grant.upstream.start_drain(DrainCause.ORDER)
+    gate.release(first, OK)
+    kinds = [event.kind for event in gate._recorder.events()]
+    assert kinds == [EventKind.UPSTREAM_DRAINED]
+    assert gate._recorder.events()[0].upstream == first.upstream.name
+    assert second.upstream.in_flight == 1
