Keep an upstream's row over a change of configuration

Cause: a change made new rows, and a request in flight was counted off the old one: after the change the upstream kept one request in flight for ever. Seen by hand: u1 with in_flight 1 on entry-1 seconds after its only request had ended. A drain by order was not an event. Change: the row of an upstream at the same address is brought up to date in place; a drain that a change begins is recorded. Figures: the new test of a request over a change fails before, passes after. Conclusion: counts of requests in flight hold over changes.

--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -103,16 +103,12 @@
         known = current.upstreams if current else {}
         row = ServiceRow(spec=spec, revision=revision)
         for upstream in spec.upstreams:
-            fresh = make_row(spec.name, upstream)
             old = known.get(upstream.name)
-            if old is not None and (old.address, old.port) == (
-                fresh.address,
-                fresh.port,
-            ):
-                fresh.in_flight = old.in_flight
-                for cause in old.drain_causes - {DrainCause.ORDER}:
-                    fresh.start_drain(cause)
-            row.upstreams[upstream.name] = fresh
+            # Grants in flight refer to the row, so it must stay the same object.
+            if old is not None and is_same_process(old, upstream):
+                row.upstreams[upstream.name] = update_row(old, upstream)
+            else:
+                row.upstreams[upstream.name] = make_row(spec.name, upstream)
         self.services[spec.name] = row
         return True
 
@@ -160,3 +156,32 @@
     if spec.draining:
         row.start_drain(DrainCause.ORDER)
     return row
+
+
+def is_same_process(row: UpstreamRow, spec: UpstreamSpec) -> bool:
+    """
+    Tell whether a specification means the upstream of a row.
+
+    :param row: the row
+    :param spec: the checked specification of the same name
+    :return: whether the address is the same
+    """
+    return (row.address, row.port) == (spec.address, spec.port)
+
+
+def update_row(row: UpstreamRow, spec: UpstreamSpec) -> UpstreamRow:
+    """
+    Bring the row of a known upstream up to date, its state kept.
+
+    :param row: the row
+    :param spec: the checked specification
+    :return: the same row
+    """
+    row.zone = spec.zone
+    row.slots = spec.slots
+    row.connections = spec.connections
+    if spec.draining:
+        row.start_drain(DrainCause.ORDER)
+    else:
+        row.end_drain(DrainCause.ORDER)
+    return row
--- a/src/mangohatch/state/effects.py
+++ b/src/mangohatch/state/effects.py
@@ -121,13 +121,31 @@
             applied = self._tables.remove(item.name, revision=item.revision)
         else:
             spec = read_service(item)
+            before = self._find_draining(item.name)
             applied = self._tables.apply(spec, revision=item.revision)
             self._leaving.enforce_again(item.name)
+            self._record_drains(item, self._find_draining(item.name) - before)
         if applied:
             self._recorder.record(
                 EventKind.CONFIG_APPLIED, service=item.name, revision=item.revision
             )
 
+    def _find_draining(self, service: str) -> set[str]:
+        row = self._tables.services.get(service)
+        if row is None:
+            return set()
+        return {name for name, each in row.upstreams.items() if each.drain_causes}
+
+    def _record_drains(self, item: ConfigItem, names: set[str]) -> None:
+        for name in sorted(names):
+            self._recorder.record(
+                EventKind.UPSTREAM_DRAINING,
+                service=item.name,
+                upstream=name,
+                revision=item.revision,
+                cause="an order",
+            )
+
 
 def read_cause(item: ConfigItem) -> str:
     """
--- a/tests/core/test_router.py
+++ b/tests/core/test_router.py
@@ -4,6 +4,7 @@
 from mangohatch.core.health import NoHealth
 from mangohatch.core.router import Router
 from mangohatch.core.tables import UpstreamState
+from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
 
 load_tests = function_tests(__name__)
@@ -66,3 +67,16 @@
     assert isinstance(decisions[0], Grant)
     router.release(decisions[0], Report(result=Result.OK, latency_ms=1.0))
     assert decisions[0].upstream.in_flight == 0
+
+
+def test_request_in_flight_over_a_change_of_configuration_is_counted_off(
+    router, tables
+):
+    decisions = []
+    router.request(make_call(), decisions.append)
+    name = decisions[0].upstream.name
+    tables.apply(make_service(slots=4), revision=2)
+    row = tables.services["tablero-misa"].upstreams[name]
+    assert (row.in_flight, row.slots) == (1, 4)
+    router.release(decisions[0], Report(result=Result.OK, latency_ms=1.0))
+    assert row.in_flight == 0
--- a/tests/state/test_config_table.py
+++ b/tests/state/test_config_table.py
@@ -5,7 +5,7 @@
 from mangohatch.platform.store import Listing
 from mangohatch.state import ConfigTable, service_value
 from mangohatch.state.items import item_of
-from mangohatch.timeline.recorder import HybridClock, Recorder
+from mangohatch.timeline import EventKind, HybridClock, Recorder
 from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
 
@@ -69,3 +69,22 @@
     empty = config.digest()
     config.apply(item_of(put_service(objects, 1)))
     assert config.digest() != empty
+
+
+def test_an_ordered_drain_is_recorded_once(core_tables, clock, objects):
+    recorder = Recorder(host="e1", zone="puno", clock=HybridClock(clock=clock))
+    config = ConfigTable(tables=core_tables, recorder=recorder)
+    config.apply(item_of(put_service(objects, 2)))
+    spec = make_service("a", upstreams=2)
+    leaving = spec.upstreams[0].model_copy(update={"draining": True})
+    for _ in range(2):
+        changed = spec.model_copy(update={"upstreams": (leaving, spec.upstreams[1])})
+        known = objects.get("service", "a")
+        stored = objects.put("service", "a", service_value(changed), known.revision)
+        config.apply(item_of(stored))
+    drains = [
+        event.upstream
+        for event in recorder.events()
+        if event.kind is EventKind.UPSTREAM_DRAINING
+    ]
+    assert drains == ["u1"]
