--- a/tests/host/test_entry_host.py
+++ b/tests/host/test_entry_host.py
@@ -1,13 +1,13 @@
 """Tests of an entry host put together, over real sockets on loopback."""
 
 import asyncio
-import socket
 
 from tornado.httpclient import AsyncHTTPClient
 
 from mangohatch.clock import SystemClock
 from mangohatch.config import HostSettings, Listener
 from mangohatch.host import EntryHost
+from standins.processes import free_port
 from tests.fixtures import make_service
 from tests.functions import function_tests
 
@@ -16,12 +16,6 @@
 STOP_TIMEOUT_S = 20.0
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def make_settings(**fields):
     return HostSettings(
         host_id="entry-1",
--- a/tests/host/test_process.py
+++ b/tests/host/test_process.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from mangohatch.config import HostSettings, Listener
+from standins.processes import free_port
 from tests.functions import fixture, function_tests
 
 load_tests = function_tests(__name__)
@@ -17,11 +18,6 @@
 LOOPBACK = "127.0.0.1"
 
 
-def free_port() -> int:
-    with socket.create_server((LOOPBACK, 0)) as sock:
-        return sock.getsockname()[1]
-
-
 def wait_for_port(port: int, process: subprocess.Popen) -> None:
     ends = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < ends:
