Rename the package of the object API to store

The package named platform held the product's own client of its object API and host list. The name is now needed for the adapter to the users' platform, whose store client becomes another kind of the same base class. No behaviour changes; lint and the tests of the package pass under the new name.

--- a/src/mangohatch/claims/breaker.py
+++ b/src/mangohatch/claims/breaker.py
@@ -3,7 +3,7 @@
 import random
 
 from mangohatch.clock import Clock
-from mangohatch.platform.backoff import Backoff
+from mangohatch.store.backoff import Backoff
 
 __all__ = ["StoreBreaker"]
 
--- a/src/mangohatch/claims/record.py
+++ b/src/mangohatch/claims/record.py
@@ -10,7 +10,7 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from mangohatch.claims.registry import Answer
-from mangohatch.platform.operations import OPERATION_FIELDS
+from mangohatch.store.operations import OPERATION_FIELDS
 
 __all__ = [
     "SHARDS",
--- a/src/mangohatch/claims/results.py
+++ b/src/mangohatch/claims/results.py
@@ -9,13 +9,13 @@
 
 from mangohatch.claims.record import ClaimRecord, ClaimState, claim_kind, read_claim
 from mangohatch.errors import StoreConflict, StoreError
-from mangohatch.platform.backoff import Backoff
-from mangohatch.platform.operations import (
+from mangohatch.store.backoff import Backoff
+from mangohatch.store.base import ObjectStore, StoredObject
+from mangohatch.store.operations import (
     holds_operation,
     put_resolved,
     with_operation,
 )
-from mangohatch.platform.store import ObjectStore, StoredObject
 
 __all__ = ["Result", "ResultWriter"]
 
--- a/src/mangohatch/claims/store_registry.py
+++ b/src/mangohatch/claims/store_registry.py
@@ -29,8 +29,8 @@
     StoreRateLimited,
     StoreWriteUnknown,
 )
-from mangohatch.platform.operations import put_resolved, with_operation
-from mangohatch.platform.store import ObjectStore, StoredObject
+from mangohatch.store.base import ObjectStore, StoredObject
+from mangohatch.store.operations import put_resolved, with_operation
 
 __all__ = ["StoreClaimRegistry", "StoreTicket"]
 
--- a/src/mangohatch/claims/sweep.py
+++ b/src/mangohatch/claims/sweep.py
@@ -15,8 +15,8 @@
 from mangohatch.clock import Clock
 from mangohatch.config import ClaimSettings
 from mangohatch.errors import StoreConflict, StoreError
-from mangohatch.platform.store import ObjectStore, StoredObject
 from mangohatch.state.duty import Duty
+from mangohatch.store.base import ObjectStore, StoredObject
 
 __all__ = ["ClaimSweep"]
 
--- a/src/mangohatch/host/state.py
+++ b/src/mangohatch/host/state.py
@@ -18,11 +18,11 @@
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.directory import HostDirectory
 from mangohatch.peer.tcp import TcpPeerBus
-from mangohatch.platform.host_list import HttpHostList
-from mangohatch.platform.http_store import HttpObjectStore
-from mangohatch.platform.metered import CallBudget, MeteredStore
 from mangohatch.state.host_watch import HostWatch
 from mangohatch.state.service import StateService
+from mangohatch.store.host_list import HttpHostList
+from mangohatch.store.http_store import HttpObjectStore
+from mangohatch.store.metered import CallBudget, MeteredStore
 from mangohatch.timeline import Recorder
 
 __all__ = ["LastingState"]
--- a/src/mangohatch/orders/required.py
+++ b/src/mangohatch/orders/required.py
@@ -6,7 +6,7 @@
 from mangohatch.errors import StoreError
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.membership import MemberRow, Membership, MemberState
-from mangohatch.platform.host_list import HostList, ListedHost
+from mangohatch.store.host_list import HostList, ListedHost
 
 __all__ = ["BusRequirement", "ListedRequirement", "RequiredHosts"]
 
--- a/src/mangohatch/orders/service.py
+++ b/src/mangohatch/orders/service.py
@@ -22,7 +22,6 @@
 from mangohatch.orders.writer import OrderWriter, WriteTask
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages import ConfigItem, OrderPrepare
-from mangohatch.platform.store import ObjectStore, StoredObject
 from mangohatch.state.items import (
     SERVICE_KIND,
     ConfigRejected,
@@ -30,6 +29,7 @@
     read_service,
     service_value,
 )
+from mangohatch.store.base import ObjectStore, StoredObject
 from mangohatch.timeline import EventKind, Recorder
 
 __all__ = ["OrderService"]
--- a/src/mangohatch/orders/view.py
+++ b/src/mangohatch/orders/view.py
@@ -6,10 +6,10 @@
 
 from mangohatch.config import ServiceSpec
 from mangohatch.core.tables import Tables
-from mangohatch.platform.operations import OPERATION_ID
-from mangohatch.platform.store import StoredObject
 from mangohatch.state import ConfigTable
 from mangohatch.state.items import SERVICE_KIND
+from mangohatch.store.base import StoredObject
+from mangohatch.store.operations import OPERATION_ID
 
 __all__ = ["ConfigView", "TableView"]
 
--- a/src/mangohatch/orders/writer.py
+++ b/src/mangohatch/orders/writer.py
@@ -12,15 +12,15 @@
     StoreWriteUnknown,
 )
 from mangohatch.orders.view import ConfigView
-from mangohatch.platform.backoff import Backoff
-from mangohatch.platform.operations import (
+from mangohatch.state.items import SERVICE_KIND
+from mangohatch.store.backoff import Backoff
+from mangohatch.store.base import ObjectStore, StoredObject
+from mangohatch.store.operations import (
     OPERATION_ID,
     holds_operation,
     put_resolved,
     with_operation,
 )
-from mangohatch.platform.store import ObjectStore, StoredObject
-from mangohatch.state.items import SERVICE_KIND
 
 __all__ = ["OrderWriter", "WriteTask"]
 
--- a/src/mangohatch/peer/directory.py
+++ b/src/mangohatch/peer/directory.py
@@ -9,9 +9,9 @@
 from mangohatch.clock import Clock
 from mangohatch.errors import StoreConflict, StoreError
 from mangohatch.peer.membership import Endpoint, Membership, MemberState
-from mangohatch.platform.backoff import Backoff
-from mangohatch.platform.operations import put_resolved, with_operation
-from mangohatch.platform.store import ObjectStore, StoredObject
+from mangohatch.store.backoff import Backoff
+from mangohatch.store.base import ObjectStore, StoredObject
+from mangohatch.store.operations import put_resolved, with_operation
 
 __all__ = ["HOST_KIND", "HostDirectory"]
 
--- a/src/mangohatch/state/config_table.py
+++ b/src/mangohatch/state/config_table.py
@@ -7,7 +7,6 @@
 
 from mangohatch.core.tables import Tables
 from mangohatch.peer.messages import ConfigItem
-from mangohatch.platform.store import Listing
 from mangohatch.state.effects import (
     LEAVING_KIND,
     ItemEffect,
@@ -15,6 +14,7 @@
     ServiceEffect,
 )
 from mangohatch.state.items import SERVICE_KIND, ConfigRejected, item_key, item_of
+from mangohatch.store.base import Listing
 from mangohatch.timeline.recorder import Recorder
 
 __all__ = ["ConfigTable"]
--- a/src/mangohatch/state/election.py
+++ b/src/mangohatch/state/election.py
@@ -9,13 +9,13 @@
 from mangohatch.clock import Clock
 from mangohatch.config import StateSettings
 from mangohatch.errors import StoreError
-from mangohatch.platform.backoff import Backoff
-from mangohatch.platform.store import StoredObject
 from mangohatch.state.distribution import Distribution
 from mangohatch.state.duty import Duty
 from mangohatch.state.lease import Lease, read_lease
 from mangohatch.state.ranking import rank_hosts
 from mangohatch.state.reader import ConfigReader
+from mangohatch.store.backoff import Backoff
+from mangohatch.store.base import StoredObject
 from mangohatch.timeline.event import EventKind
 from mangohatch.timeline.recorder import Recorder
 
--- a/src/mangohatch/state/host_watch.py
+++ b/src/mangohatch/state/host_watch.py
@@ -8,12 +8,12 @@
 from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.errors import StoreError
 from mangohatch.peer.messages import ConfigItem
-from mangohatch.platform.host_list import HostList, HostListing, ListedState
 from mangohatch.state.config_table import ConfigTable
 from mangohatch.state.distribution import Distribution
 from mangohatch.state.duty import Duty
 from mangohatch.state.effects import LEAVING_KIND, leaving_name
 from mangohatch.state.items import item_key
+from mangohatch.store.host_list import HostList, HostListing, ListedState
 
 __all__ = ["HostWatch"]
 
--- a/src/mangohatch/state/items.py
+++ b/src/mangohatch/state/items.py
@@ -8,8 +8,8 @@
 from mangohatch.config import ServiceSpec
 from mangohatch.errors import MangohatchError
 from mangohatch.peer.messages import ConfigItem
-from mangohatch.platform.operations import OPERATION_FIELDS
-from mangohatch.platform.store import StoredObject
+from mangohatch.store.base import StoredObject
+from mangohatch.store.operations import OPERATION_FIELDS
 
 __all__ = [
     "SERVICE_KIND",
--- a/src/mangohatch/state/joining.py
+++ b/src/mangohatch/state/joining.py
@@ -9,12 +9,12 @@
 from mangohatch.clock import Clock
 from mangohatch.config import StateSettings
 from mangohatch.errors import StoreConflict, StoreError
-from mangohatch.platform.backoff import Backoff
-from mangohatch.platform.operations import put_resolved, with_operation
-from mangohatch.platform.store import ObjectStore
 from mangohatch.state.config_table import ConfigTable
 from mangohatch.state.distribution import Distribution
 from mangohatch.state.reader import ConfigReader
+from mangohatch.store.backoff import Backoff
+from mangohatch.store.base import ObjectStore
+from mangohatch.store.operations import put_resolved, with_operation
 
 __all__ = ["Joining", "Readiness"]
 
--- a/src/mangohatch/state/lease.py
+++ b/src/mangohatch/state/lease.py
@@ -8,13 +8,13 @@
 
 from mangohatch.clock import Clock
 from mangohatch.errors import StoreConflict
-from mangohatch.platform.operations import (
+from mangohatch.store.base import ObjectStore, StoredObject
+from mangohatch.store.operations import (
     OPERATION_FIELDS,
     OPERATION_ID,
     put_resolved,
     with_operation,
 )
-from mangohatch.platform.store import ObjectStore, StoredObject
 
 __all__ = ["LEASE_KIND", "Lease", "LeaseRecord", "read_lease"]
 
--- a/src/mangohatch/state/reader.py
+++ b/src/mangohatch/state/reader.py
@@ -5,9 +5,9 @@
 
 from mangohatch.errors import StoreUnavailable
 from mangohatch.peer.messages import ConfigItem
-from mangohatch.platform.store import ObjectStore, WatchEvent
 from mangohatch.state.config_table import ConfigTable
 from mangohatch.state.items import SERVICE_KIND, item_of
+from mangohatch.store.base import ObjectStore, WatchEvent
 
 __all__ = ["ConfigReader", "WatchSilent"]
 
--- a/src/mangohatch/state/service.py
+++ b/src/mangohatch/state/service.py
@@ -8,7 +8,6 @@
 from mangohatch.config import StateSettings
 from mangohatch.core.tables import Tables
 from mangohatch.peer.bus import PeerBus
-from mangohatch.platform.store import ObjectStore, StoredObject
 from mangohatch.state.config_table import ConfigTable
 from mangohatch.state.distribution import Distribution
 from mangohatch.state.duty import Duty
@@ -18,6 +17,7 @@
 from mangohatch.state.lease import Lease
 from mangohatch.state.reader import ConfigReader
 from mangohatch.state.watcher import Heartbeat, Watcher
+from mangohatch.store.base import ObjectStore, StoredObject
 from mangohatch.timeline.recorder import Recorder
 
 __all__ = ["StateService"]
--- a/src/mangohatch/state/watcher.py
+++ b/src/mangohatch/state/watcher.py
@@ -8,11 +8,11 @@
 from mangohatch.clock import Clock
 from mangohatch.config import StateSettings
 from mangohatch.errors import StoreError
-from mangohatch.platform.backoff import Backoff
 from mangohatch.state.distribution import Distribution
 from mangohatch.state.duty import Duty
 from mangohatch.state.lease import Lease
 from mangohatch.state.reader import ConfigReader
+from mangohatch.store.backoff import Backoff
 
 __all__ = ["Heartbeat", "Watcher"]
 
--- a/src/mangohatch/platform/host_list.py
+++ b/src/mangohatch/store/host_list.py
@@ -5,7 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from mangohatch.platform.http_call import CallUnanswered, HttpCaller
+from mangohatch.store.http_call import CallUnanswered, HttpCaller
 
 __all__ = ["HostList", "HostListing", "HttpHostList", "ListedHost", "ListedState"]
 
--- a/src/mangohatch/platform/http_store.py
+++ b/src/mangohatch/store/http_store.py
@@ -8,9 +8,9 @@
 from tornado.httputil import HTTPHeaders
 
 from mangohatch.errors import StoreConflict, StoreError, StoreWriteUnknown
-from mangohatch.platform.http_call import CallUnanswered, HttpCaller, HttpReply
-from mangohatch.platform.http_watch import watch_lines
-from mangohatch.platform.store import Listing, ObjectStore, StoredObject, WatchEvent
+from mangohatch.store.base import Listing, ObjectStore, StoredObject, WatchEvent
+from mangohatch.store.http_call import CallUnanswered, HttpCaller, HttpReply
+from mangohatch.store.http_watch import watch_lines
 
 __all__ = ["HttpObjectStore", "StoreRejected"]
 
--- a/src/mangohatch/platform/metered.py
+++ b/src/mangohatch/store/metered.py
@@ -6,7 +6,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.errors import StoreBudgetExhausted
-from mangohatch.platform.store import Listing, ObjectStore, StoredObject, WatchEvent
+from mangohatch.store.base import Listing, ObjectStore, StoredObject, WatchEvent
 
 __all__ = ["CallBudget", "MeteredStore"]
 
--- a/src/mangohatch/platform/operations.py
+++ b/src/mangohatch/store/operations.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from mangohatch.errors import StoreConflict, StoreError, StoreWriteUnknown
-from mangohatch.platform.backoff import Backoff
-from mangohatch.platform.store import ObjectStore, StoredObject
+from mangohatch.store.backoff import Backoff
+from mangohatch.store.base import ObjectStore, StoredObject
 
 __all__ = [
     "EARLIER_OPERATIONS",
--- a/src/standins/host_list.py
+++ b/src/standins/host_list.py
@@ -10,7 +10,7 @@
 
 from mangohatch.clock import Clock, SystemClock
 from mangohatch.errors import StoreUnavailable
-from mangohatch.platform.host_list import HostList, HostListing, ListedHost
+from mangohatch.store.host_list import HostList, HostListing, ListedHost
 
 __all__ = ["HostBook", "MemoryHostList", "make_host_list"]
 
--- a/src/standins/memory_store.py
+++ b/src/standins/memory_store.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from mangohatch.errors import StoreUnavailable, StoreWriteUnknown
-from mangohatch.platform.store import Listing, ObjectStore, StoredObject, WatchEvent
+from mangohatch.store.base import Listing, ObjectStore, StoredObject, WatchEvent
 from standins.objects import ObjectTable
 
 __all__ = ["MemoryStore"]
--- a/src/standins/object_api.py
+++ b/src/standins/object_api.py
@@ -11,7 +11,7 @@
 
 from mangohatch.clock import Clock, SystemClock
 from mangohatch.errors import RevisionCompacted, StoreConflict
-from mangohatch.platform.store import StoredObject, WatchEvent
+from mangohatch.store.base import StoredObject, WatchEvent
 from standins.objects import ObjectTable, StoreFaults
 
 __all__ = ["make_object_api"]
--- a/src/standins/objects.py
+++ b/src/standins/objects.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from mangohatch.errors import RevisionCompacted, StoreConflict
-from mangohatch.platform.store import Listing, StoredObject, WatchEvent
+from mangohatch.store.base import Listing, StoredObject, WatchEvent
 
 __all__ = ["ObjectTable", "StoreFaults"]
 
--- a/src/standins/state_hosts.py
+++ b/src/standins/state_hosts.py
@@ -7,10 +7,10 @@
 from mangohatch.claims.sweep import ClaimSweep
 from mangohatch.config import ClaimSettings, ServiceSpec, StateSettings
 from mangohatch.core.tables import Tables
-from mangohatch.platform.operations import with_operation
-from mangohatch.platform.store import StoredObject
 from mangohatch.state import StateService, service_value
 from mangohatch.state.host_watch import HostWatch
+from mangohatch.store.base import StoredObject
+from mangohatch.store.operations import with_operation
 from mangohatch.timeline.recorder import HybridClock, Recorder
 from standins.host_list import HostBook, MemoryHostList
 from standins.memory_bus import MemoryNetwork
--- a/tests/claims/test_store_registry.py
+++ b/tests/claims/test_store_registry.py
@@ -14,7 +14,7 @@
     RequestError,
     RequestInProgress,
 )
-from mangohatch.platform.metered import CallBudget, MeteredStore
+from mangohatch.store.metered import CallBudget, MeteredStore
 from standins.virtual_loop import LoopClock
 from tests.functions import fixture, function_tests
 
--- a/tests/orders/machine.py
+++ b/tests/orders/machine.py
@@ -14,7 +14,7 @@
 
 from mangohatch.orders.record import OrderState
 from mangohatch.orders.service import OrderService
-from mangohatch.platform.operations import EARLIER_OPERATIONS, OPERATION_ID
+from mangohatch.store.operations import EARLIER_OPERATIONS, OPERATION_ID
 from standins.virtual_loop import VirtualLoop
 from tests.orders.fleet import SERVICE, OrderHosts
 from tests.peer.membership.machine import run_machine
--- a/tests/orders/test_required.py
+++ b/tests/orders/test_required.py
@@ -2,7 +2,7 @@
 
 from mangohatch.errors import StoreUnavailable
 from mangohatch.orders.required import ListedRequirement
-from mangohatch.platform.host_list import HostList, HostListing, ListedHost, ListedState
+from mangohatch.store.host_list import HostList, HostListing, ListedHost, ListedState
 from standins.member_network import MemberNetwork
 from tests.functions import fixture, function_tests
 
--- a/tests/state/config_machine.py
+++ b/tests/state/config_machine.py
@@ -5,9 +5,9 @@
 
 from mangohatch.core.tables import UpstreamState
 from mangohatch.errors import StoreError
-from mangohatch.platform.host_list import ListedHost, ListedState
-from mangohatch.platform.operations import put_resolved, with_operation
 from mangohatch.state import service_value
+from mangohatch.store.host_list import ListedHost, ListedState
+from mangohatch.store.operations import put_resolved, with_operation
 from tests.fixtures import make_service
 from tests.state.faults import HOSTS_MOST, SERVICE, FaultMachine, hosts_drawn
 from tests.state.history import HistoryViolation
--- a/tests/state/test_config_table.py
+++ b/tests/state/test_config_table.py
@@ -2,9 +2,9 @@
 
 from mangohatch.core.tables import Tables
 from mangohatch.peer.messages import ConfigItem
-from mangohatch.platform.store import Listing
 from mangohatch.state import ConfigTable, service_value
 from mangohatch.state.items import item_of
+from mangohatch.store.base import Listing
 from mangohatch.timeline import EventKind, HybridClock, Recorder
 from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
--- a/tests/state/test_leaving.py
+++ b/tests/state/test_leaving.py
@@ -1,7 +1,7 @@
 """Tests of upstreams that the host list names as leaving."""
 
 from mangohatch.core.tables import DrainCause, UpstreamState
-from mangohatch.platform.host_list import ListedHost, ListedState
+from mangohatch.store.host_list import ListedHost, ListedState
 from standins.state_hosts import StateHosts
 from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
--- a/tests/platform/test_host_list.py
+++ b/tests/store/test_host_list.py
@@ -4,7 +4,7 @@
 from tornado.testing import bind_unused_port
 
 from mangohatch.errors import StoreUnavailable
-from mangohatch.platform.host_list import HttpHostList, ListedHost, ListedState
+from mangohatch.store.host_list import HttpHostList, ListedHost, ListedState
 from standins.host_list import HostBook, make_host_list
 from tests.functions import function_tests
 
--- a/tests/platform/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -15,10 +15,10 @@
     StoreUnavailable,
     StoreWriteUnknown,
 )
-from mangohatch.platform.http_store import HttpObjectStore, StoreRejected
-from mangohatch.platform.operations import put_resolved, with_operation
 from mangohatch.state import ConfigTable
 from mangohatch.state.reader import ConfigReader, WatchSilent
+from mangohatch.store.http_store import HttpObjectStore, StoreRejected
+from mangohatch.store.operations import put_resolved, with_operation
 from mangohatch.timeline.recorder import HybridClock, Recorder
 from standins.object_api import make_object_api
 from tests.functions import function_tests
--- a/tests/platform/test_metered.py
+++ b/tests/store/test_metered.py
@@ -3,8 +3,8 @@
 from collections import Counter
 
 from mangohatch.errors import StoreBudgetExhausted
-from mangohatch.platform.backoff import Backoff
-from mangohatch.platform.metered import CallBudget, MeteredStore
+from mangohatch.store.backoff import Backoff
+from mangohatch.store.metered import CallBudget, MeteredStore
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/platform/test_operations.py
+++ b/tests/store/test_operations.py
@@ -1,7 +1,7 @@
 """Tests of writes whose answers are lost."""
 
 from mangohatch.errors import StoreConflict, StoreUnavailable, StoreWriteUnknown
-from mangohatch.platform.operations import put_resolved, with_operation
+from mangohatch.store.operations import put_resolved, with_operation
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
