--- a/src/mangohatch/config/service.py
+++ b/src/mangohatch/config/service.py
@@ -27,6 +27,16 @@
     connections: int = Field(default=200, ge=1, description="accepted connections")
     draining: bool = Field(default=False, description="takes no new work")
 
+    @property
+    def born_ms(self) -> float:
+        """Start of the upstream, which its declaration does not tell."""
+        return 0.0
+
+    @property
+    def warm_at_ms(self) -> float:
+        """When the upstream is warm, which its declaration does not tell."""
+        return 0.0
+
 
 class MeasuringBudget(StrictModel):
     """Upper bounds of what one entry host spends on measuring a service."""
--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Any
 
-from mangohatch.config.service import ServiceSpec
 from mangohatch.core.call import Call, Deliver
 
 __all__ = ["WaitQueue", "Waiting", "max_wait_ms"]
@@ -37,13 +37,13 @@
 
 class WaitQueue:
     """
-    Calls that wait, least-served customer first, then earliest deadline.
+    Calls that wait, by priority, then least-served customer, then earliest deadline.
 
     When a call would wait too long, the customer with the most calls waiting
     loses its newest one.
     """
 
-    def __init__(self, *, spec: ServiceSpec) -> None:
+    def __init__(self, *, spec: Any) -> None:
         self.spec = spec
         self._calls: dict[int, Waiting] = {}
         self._customers: dict[str, CustomerRow] = {}
@@ -155,9 +155,9 @@
             self.take(waiting)
         return late
 
-    def _rank(self, waiting: Waiting) -> tuple[int, float]:
+    def _rank(self, waiting: Waiting) -> tuple[int, int, float]:
         call = waiting.call
-        return self._customers[call.customer].served, call.deadline_ms
+        return call.priority, self._customers[call.customer].served, call.deadline_ms
 
     def _join(self, customer: str) -> None:
         row = self._customers.get(customer)
@@ -187,7 +187,7 @@
         return self._customers[customer].waiting
 
 
-def max_wait_ms(spec: ServiceSpec, call: Call, now_ms: float) -> float:
+def max_wait_ms(spec: Any, call: Call, now_ms: float) -> float:
     """
     Bound the wait of a call.
 
--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -1,13 +1,25 @@
 """Typed values that pass between the decision core and the shell around it."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
+from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import RequestError
 
-__all__ = ["Call", "Decision", "Deliver", "Grant", "Refusal", "Report", "Result"]
+__all__ = [
+    "Call",
+    "Decision",
+    "Deliver",
+    "Grant",
+    "Refusal",
+    "Report",
+    "Result",
+]
+
+MAX_ATTEMPTS = 3  # of one request, where its route sets no other bound
 
 
 @dataclass(slots=True, kw_only=True)
@@ -18,7 +30,9 @@
     ``deadline_ms`` is on the monotonic clock of this host. ``avoid`` names
     upstreams that earlier attempts of this request used. ``fingerprint``
     identifies resends of the same request; empty when it has none. An isolated
-    call runs on an upstream with no other request in flight.
+    call runs on an upstream with no other request in flight. Lower ``priority``
+    goes first; an answer after ``objective_ms`` is late. ``response_bytes`` is the
+    size that answers of its route usually have.
     """
 
     request_id: str
@@ -31,6 +45,11 @@
     avoid: frozenset[str] = frozenset()
     attempt: int = 1
     isolated: bool = False
+    route: str = ""
+    priority: int = 0
+    max_attempts: int = MAX_ATTEMPTS
+    objective_ms: float = math.inf
+    response_bytes: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -78,7 +97,8 @@
     What an attempt showed.
 
     ``latency_ms`` runs from sending to the end of the response.
-    ``upstream_in_flight`` is the load that the answer carried, None without one.
+    ``upstream_in_flight`` and ``load`` are what the answer carried of the upstream's
+    load, None without any.
     ``draining`` is set when the answer said that the upstream is leaving.
     """
 
@@ -86,4 +106,6 @@
     latency_ms: float
     first_byte_ms: float | None = None
     upstream_in_flight: int | None = None
+    load: UpstreamLoad | None = None
+    response_bytes: int = 0
     draining: bool = False
--- a/src/mangohatch/core/leaving/system.py
+++ b/src/mangohatch/core/leaving/system.py
@@ -4,10 +4,10 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.leaving.probe import ReachabilityProbe
-from mangohatch.core.slots.shards import rank
 from mangohatch.core.tables import DrainCause, Tables, UpstreamRow
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages import UpstreamNotice
+from mangohatch.ranking import rank
 from mangohatch.timeline import EventKind, Recorder
 
 __all__ = ["LeavingSystem"]
--- /dev/null
+++ b/src/mangohatch/core/load.py
@@ -0,0 +1,93 @@
+"""Load of upstreams: what they report, and what this host knows beside it."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ["LoadView", "UpstreamLoad"]
+
+ENDED_KEPT_MS = 1_000.0  # reports older than this are not corrected any more
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class UpstreamLoad:
+    """
+    What an upstream says of its load.
+
+    ``slowdown`` is the time that work takes now as a multiple of the usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+    healthy: bool = True
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadView:
+    """
+    The latest report of an upstream and this host's requests around it.
+
+    ``begun`` holds the times at which this host's requests in flight were sent, and
+    ``ended`` begin and end of those that ended a short while ago. Together they tell
+    which requests a report counts that have ended, and which it can't know of yet.
+    """
+
+    load: UpstreamLoad | None = None
+    measured_ms: float = 0.0
+    changed_ms: float = 0.0
+    begun: list[float] = field(default_factory=list)
+    ended: deque[tuple[float, float]] = field(default_factory=deque)
+
+    def observe(self, load: UpstreamLoad, *, measured_ms: float) -> bool:
+        """
+        Take a report.
+
+        :param load: the report
+        :param measured_ms: when the upstream made it
+        :return: False when a newer one is known
+        """
+        if self.load is not None and measured_ms <= self.measured_ms:
+            return False
+        if self.load is None or load.slowdown != self.load.slowdown:
+            self.changed_ms = measured_ms
+        self.load = load
+        self.measured_ms = measured_ms
+        return True
+
+    def begin(self, now_ms: float) -> None:
+        """
+        Count a request sent.
+
+        :param now_ms: monotonic time
+        """
+        self.begun.append(now_ms)
+
+    def end(self, begun_ms: float, now_ms: float) -> None:
+        """
+        Count the end of a request.
+
+        :param begun_ms: when it was sent
+        :param now_ms: monotonic time
+        """
+        if begun_ms in self.begun:
+            self.begun.remove(begun_ms)
+        self.ended.append((begun_ms, now_ms))
+        while self.ended and now_ms - self.ended[0][1] > ENDED_KEPT_MS:
+            self.ended.popleft()
+
+    def occupancy(self) -> int:
+        """
+        Estimate the requests at the upstream, running and waiting.
+
+        :return: the report, plus own requests sent since, less those ended since; at
+            least the own requests in flight
+        """
+        own = len(self.begun)
+        if self.load is None:
+            return own
+        since = self.measured_ms
+        unseen = sum(begun > since for begun in self.begun)
+        gone = sum(begun <= since < ended for begun, ended in self.ended)
+        reported = self.load.running + self.load.waiting
+        return max(own, reported + unseen - gone)
--- a/src/mangohatch/core/measuring/budget.py
+++ b/src/mangohatch/core/measuring/budget.py
@@ -1,10 +1,14 @@
 """Token buckets that bound the measuring of a service."""
 
+from typing import TYPE_CHECKING
+
 from mangohatch.clock import Clock
-from mangohatch.config.service import MeasuringBudget
 from mangohatch.core.measuring.counter import MeasuringCounter
 from mangohatch.core.tables import ServiceRow
 
+if TYPE_CHECKING:
+    from mangohatch.config.service import MeasuringBudget
+
 __all__ = ["BudgetGate", "BudgetGates"]
 
 MS_PER_S = 1000.0
@@ -21,7 +25,7 @@
     """
 
     def __init__(
-        self, *, clock: Clock, budget: MeasuringBudget, counter: MeasuringCounter
+        self, *, clock: Clock, budget: "MeasuringBudget", counter: MeasuringCounter
     ) -> None:
         self._clock = clock
         self.budget = budget
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -92,6 +92,8 @@
         service = self._tables.services.get(grant.call.service)
         if service is None:
             return
+        if grant.call.route and report.response_bytes:
+            self._tables.note_response(grant.call.route, report.response_bytes)
         if report.draining:
             grant.upstream.state = UpstreamState.DRAINING
         self._chooser.release(service, grant, report)
@@ -105,7 +107,9 @@
 
         :param name: name of the service
         """
-        service = self._tables.services[name]
+        service = self._tables.services.get(name)
+        if service is None:
+            return
         for isolated in (False, True):
             queue = self._queues.get((name, isolated))
             if queue:
--- /dev/null
+++ b/src/mangohatch/core/routes.py
@@ -0,0 +1,94 @@
+"""Routes: which service runs a request, and on which terms."""
+
+import random
+from dataclasses import dataclass
+
+__all__ = ["Route", "RouteTable", "Target"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Target:
+    """A service and the share of a route's requests that it gets."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Route:
+    """
+    Requests of one host name under one path prefix.
+
+    ``prefix`` begins and ends with a slash. ``timeout_ms`` bounds the time of a
+    request at this host; an answer later than ``objective_ms`` is late.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    targets: tuple[Target, ...]
+    idempotent: bool
+    timeout_ms: float
+    objective_ms: float
+    priority: int
+    max_attempts: int
+
+    def choose(self, rng: random.Random) -> str:
+        """
+        Choose a service in proportion to the weights.
+
+        :param rng: source of random numbers
+        :return: name of the service
+        """
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        weights = [target.weight for target in self.targets]
+        return rng.choices(self.targets, weights)[0].service
+
+
+class RouteTable:
+    """
+    Routes by host name and prefix.
+
+    ``revision`` is that of the configuration in force, 0 before the first one.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._by_host: dict[str, dict[str, Route]] = {}
+
+    def apply(self, routes: tuple[Route, ...], *, revision: int) -> bool:
+        """
+        Put routes in force in place of all others.
+
+        :param routes: all routes
+        :param revision: revision of the configuration; one not newer is ignored
+        :return: whether they were put in force
+        """
+        if revision <= self.revision:
+            return False
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+        self._by_host = by_host
+        self.revision = revision
+        return True
+
+    def find(self, host: str, path: str) -> Route | None:
+        """
+        Find the route with the longest prefix of a path.
+
+        :param host: host name without port
+        :param path: path without query
+        :return: the route, None when no route matches
+        """
+        prefixes = self._by_host.get(host.lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
--- a/src/mangohatch/core/slots/shards.py
+++ b/src/mangohatch/core/slots/shards.py
@@ -4,10 +4,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-import xxhash
-
 from mangohatch.core.tables import ServiceRow, UpstreamRow
 from mangohatch.peer.bus import MemberView
+from mangohatch.ranking import rank
 
 __all__ = ["SHARD_UPSTREAMS", "ShardMap", "ShardName", "shard_rows", "split_shard"]
 
@@ -16,16 +15,6 @@
 SEPARATOR = "#"
 
 
-def rank(*words: str) -> int:
-    """
-    Hash words for rendezvous hashing.
-
-    :param words: parts of the key
-    :return: 64 bits
-    """
-    return xxhash.xxh3_64_intdigest("/".join(words).encode())
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ShardName:
     """The parts of a shard's name; a service that is not split has one shard."""
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -3,12 +3,18 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Any
 
-from mangohatch.config.service import ServiceSpec, UpstreamSpec
+from mangohatch.core.load import LoadView
+from mangohatch.core.routes import RouteTable
+from mangohatch.core.spec import UpstreamSpec
 
 __all__ = ["DrainCause", "ServiceRow", "Tables", "UpstreamRow", "UpstreamState"]
 
 
+RESPONSE_GAIN = 0.1  # about the last ten responses count
+
+
 class UpstreamState(StrEnum):
     """Whether an upstream takes new work."""
 
@@ -32,7 +38,8 @@
     What this host knows of one upstream.
 
     ``in_flight`` counts this host's own requests; ``slots`` is the number of
-    requests that the upstream runs at once.
+    requests that the upstream runs at once. ``born_ms`` tells starts of an upstream
+    under one name apart; until ``warm_at_ms`` a new one is slow.
     """
 
     service: str
@@ -43,7 +50,10 @@
     slots: int
     connections: int
     state: UpstreamState = UpstreamState.ACTIVE
+    born_ms: float = 0.0
+    warm_at_ms: float = 0.0
     in_flight: int = 0
+    load: LoadView = field(default_factory=LoadView)
     drain_causes: set[DrainCause] = field(default_factory=set)
 
     def start_drain(self, cause: DrainCause) -> bool:
@@ -76,9 +86,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class ServiceRow:
-    """A service with its upstreams by name; ``revision`` orders its configuration."""
+    """
+    A service with its upstreams by name; ``revision`` orders its configuration.
+
+    ``spec`` is a :class:`mangohatch.config.ServiceSpec`, or a
+    :class:`mangohatch.core.spec.DiscoveredService` where upstreams register
+    themselves; what reads more than their common fields belongs to one of the two.
+    """
 
-    spec: ServiceSpec
+    spec: Any
     revision: int = 0
     upstreams: dict[str, UpstreamRow] = field(default_factory=dict)
 
@@ -88,8 +104,10 @@
 
     def __init__(self) -> None:
         self.services: dict[str, ServiceRow] = {}
+        self.routes = RouteTable()
+        self.response_bytes: dict[str, float] = {}
 
-    def apply(self, spec: ServiceSpec, *, revision: int) -> bool:
+    def apply(self, spec: Any, *, revision: int) -> bool:
         """
         Put a service's configuration in force, keeping state of known upstreams.
 
@@ -112,6 +130,16 @@
         self.services[spec.name] = row
         return True
 
+    def note_response(self, route: str, size: int) -> None:
+        """
+        Learn how large the responses of a route are.
+
+        :param route: name of the route
+        :param size: bytes of one response
+        """
+        known = self.response_bytes.get(route, float(size))
+        self.response_bytes[route] = known + RESPONSE_GAIN * (size - known)
+
     def remove(self, name: str, *, revision: int) -> bool:
         """
         Take a service out of force; requests in flight go on.
@@ -152,6 +180,8 @@
         zone=spec.zone,
         slots=spec.slots,
         connections=spec.connections,
+        born_ms=spec.born_ms,
+        warm_at_ms=spec.warm_at_ms,
     )
     if spec.draining:
         row.start_drain(DrainCause.ORDER)
@@ -164,9 +194,10 @@
 
     :param row: the row
     :param spec: the checked specification of the same name
-    :return: whether the address is the same
+    :return: whether address and start are the same
     """
-    return (row.address, row.port) == (spec.address, spec.port)
+    known = (row.address, row.port, row.born_ms)
+    return known == (spec.address, spec.port, spec.born_ms)
 
 
 def update_row(row: UpstreamRow, spec: UpstreamSpec) -> UpstreamRow:
--- /dev/null
+++ b/src/mangohatch/directory/__init__.py
@@ -0,0 +1,14 @@
+"""Configuration and upstreams as the store has them, read by few hosts for all."""
+
+from mangohatch.directory.follower import DirectoryFollower, FollowSettings
+from mangohatch.directory.part import DirectoryPart, PartItem
+from mangohatch.directory.source import DirectorySource, PartReading
+
+__all__ = [
+    "DirectoryFollower",
+    "DirectoryPart",
+    "DirectorySource",
+    "FollowSettings",
+    "PartItem",
+    "PartReading",
+]
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -7,14 +7,9 @@
 from mangohatch.core.call import Grant, Report
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.continuation import ContinuationSink
-from mangohatch.entry.headers import (
-    ATTEMPT_HEADER,
-    DEADLINE_HEADER,
-    UPSTREAM_LOAD_HEADER,
-    UPSTREAM_STATE_HEADER,
-)
-from mangohatch.entry.retry import is_server_failure, result_of_status, states_not_run
-from mangohatch.errors import UpstreamFailed, UpstreamRefused
+from mangohatch.entry.dialect import Dialect
+from mangohatch.entry.retry import is_server_failure, result_of_status
+from mangohatch.errors import UpstreamAborted, UpstreamFailed, UpstreamRefused
 from mangohatch.upstream.connection import (
     ResponseHead,
     ResponseSink,
@@ -25,8 +20,7 @@
 
 __all__ = ["AttemptRunner"]
 
-DRAINING = "draining"
-MAX_LOAD_DIGITS = 6
+MAX_FOREIGN_RESPONSES = 4  # late or doubled responses skipped before the right one
 
 
 class AttemptRunner:
@@ -35,6 +29,7 @@
 
     :param clock: source of time
     :param pool: connections to upstreams
+    :param dialect: header fields of callers and upstreams
     :param may_retry: spends leave for another attempt of a request, if there is any
     """
 
@@ -43,10 +38,12 @@
         *,
         clock: Clock,
         pool: ConnectionPool,
+        dialect: Dialect,
         may_retry: Callable[[ActiveRequest], bool],
     ) -> None:
         self._clock = clock
         self._pool = pool
+        self._dialect = dialect
         self._may_retry = may_retry
         self._silence = SilenceDetector()
 
@@ -86,23 +83,28 @@
             conn.upstream, reused=req.on_reused
         )
         remaining_ms = req.call.deadline_ms - self._clock.now_ms()
-        req.headers[DEADLINE_HEADER] = str(max(int(remaining_ms), 1))
-        req.headers[ATTEMPT_HEADER] = str(req.call.attempt)
+        self._dialect.stamp_attempt(req, conn.upstream, max(remaining_ms, 1.0))
         ran_before = req.may_have_run
         req.may_have_run = True
         req.silent = False
         req.awaits_head = True
         sending = send_request(req, conn)
         try:
-            head = await conn.read_head()
+            head, skipped = await self._read_own_head(req, conn)
             req.awaits_head = False
             report.first_byte_ms = conn.last_read_ms - conn.sent_ms
             self._silence.observe(conn.upstream, report.first_byte_ms)
             report.result = result_of_status(head.line.code)
-            read_upstream_state(head, report)
+            self._dialect.read_upstream_state(head, report)
             sink = self._judge(req, head)
-            reusable = await conn.read_body(head, sink)
-            return reusable and (sending is None or sending.done())
+            # What is still to be sent of a request that was answered early would
+            # be taken for the start of the next one.
+            sent = not conn.stream.writing() and (sending is None or sending.done())
+            reusable = await conn.read_body(
+                head, sink, until_close=self._dialect.allows_unframed
+            )
+            report.response_bytes = req.sink.body_bytes
+            return reusable and sent and not skipped
         except UpstreamRefused:
             req.may_have_run = ran_before
             raise
@@ -110,9 +112,20 @@
             if sending is not None:
                 sending.cancel()
 
+    async def _read_own_head(
+        self, req: ActiveRequest, conn: UpstreamConnection
+    ) -> tuple[ResponseHead, int]:
+        for skipped in range(MAX_FOREIGN_RESPONSES):
+            head = await conn.read_head()
+            if self._dialect.belongs(head, req.call.request_id):
+                return head, skipped
+            await conn.skip_body(head)
+        raise UpstreamAborted("the connection carries responses to other requests")
+
     def _judge(self, req: ActiveRequest, head: ResponseHead) -> ResponseSink:
-        if states_not_run(head):
+        if self._dialect.states_not_run(head):
             raise UpstreamRefused("the upstream did not run the request")
+        self._dialect.check_response(head)
         if req.continuation is not None:
             req.continuation.check(head)
             return ContinuationSink(sink=req.sink)
@@ -124,20 +137,6 @@
         return req.sink
 
 
-def read_upstream_state(head: ResponseHead, report: Report) -> None:
-    """
-    Take what a response says of its upstream out of its header fields.
-
-    :param head: head of the response
-    :param report: filled with load and drain state
-    """
-    load = head.headers.pop(UPSTREAM_LOAD_HEADER, None)
-    if load is not None and load.isascii() and load.isdigit():
-        report.upstream_in_flight = int(load[:MAX_LOAD_DIGITS])
-    state = head.headers.pop(UPSTREAM_STATE_HEADER, None)
-    report.draining = state == DRAINING
-
-
 def send_request(
     req: ActiveRequest, conn: UpstreamConnection
 ) -> asyncio.Task[None] | None:
--- a/src/mangohatch/entry/connection.py
+++ b/src/mangohatch/entry/connection.py
@@ -6,7 +6,8 @@
 
 from mangohatch.entry.body import RequestBody
 from mangohatch.entry.head import parse_head
-from mangohatch.errors import BadRequest
+from mangohatch.entry.limits import CallerLimits
+from mangohatch.errors import BadRequest, BodyTooLarge
 from mangohatch.wire import format_head, send
 
 __all__ = ["CallerConnection"]
@@ -15,12 +16,10 @@
 # Longer heads are read up to here so that they can be refused with an answer.
 MAX_READ_HEAD_BYTES = 262_144
 CHUNK_BYTES = 65_536
-MAX_BODY_BYTES = 1 << 40
 
 PARAMS = HTTP1ConnectionParameters(
     chunk_size=CHUNK_BYTES,
     max_header_size=MAX_READ_HEAD_BYTES,
-    max_body_size=MAX_BODY_BYTES,
 )
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_CONTENT = 204
@@ -32,8 +31,10 @@
 class CallerConnection(HTTP1Connection):
     """One request of a caller and the writing of its response."""
 
-    def __init__(self, *, stream: IOStream) -> None:
+    def __init__(self, *, stream: IOStream, limits: CallerLimits | None = None) -> None:
         super().__init__(stream, False, PARAMS)
+        self._limits = limits or CallerLimits()
+        self._max_body_size = self._limits.body_bytes
         # Answers to heads that can't be parsed are written as to a GET.
         self._request_start_line = UNKNOWN_LINE
         self._request_headers = HTTPHeaders()
@@ -71,7 +72,7 @@
         while not data:
             data = await self.stream.read_until_regex(HEAD_END, MAX_READ_HEAD_BYTES)
             data = data.lstrip(b"\r\n")
-        line, headers = parse_head(data)
+        line, headers = parse_head(data, max_bytes=self._limits.head_bytes)
         self._request_start_line = line
         self._request_headers = headers
         self._disconnect_on_finish = not self._can_keep_alive(
@@ -85,8 +86,11 @@
 
         :param headers: header fields of the request
         :return: the body; None when the request has none
+        :raises BodyTooLarge: when its stated length is over the limit
         """
         if "Content-Length" in headers or "Transfer-Encoding" in headers:
+            if int(headers.get("Content-Length", 0)) > self._limits.body_bytes:
+                raise self._too_large()
             return RequestBody()
         self._read_finished = True
         return None
@@ -97,6 +101,7 @@
 
         :param body: receives the pieces
         :param headers: header fields of the request
+        :raises BodyTooLarge: when the body is over the limit
         :raises BadRequest: when the framing is malformed
         :raises StreamClosedError: when the caller has left
         """
@@ -107,10 +112,21 @@
             if reading is not None:
                 await reading
         except HTTPInputError as exc:
+            if self._is_over_limit(body, exc):
+                raise self._too_large() from exc
             raise BadRequest(f"the request body is malformed: {exc}") from exc
         self._read_finished = True
         body.end()
 
+    def _too_large(self) -> BodyTooLarge:
+        limit = self._limits.body_bytes
+        return BodyTooLarge(f"the request body has more than {limit} bytes")
+
+    @staticmethod
+    def _is_over_limit(body: RequestBody, exc: HTTPInputError) -> bool:
+        # Tornado has one exception type for all malformed bodies.
+        return "too large" in str(exc)
+
     def write_headers(self, start_line, headers, chunk=None):
         request = self._request_start_line or UNKNOWN_LINE
         code = start_line.code
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -14,8 +14,10 @@
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.attempt import AttemptRunner
 from mangohatch.entry.continuation import can_continue, plan_continuation
+from mangohatch.entry.dialect import Dialect
 from mangohatch.entry.events import RequestEvents
 from mangohatch.entry.keyed import claim, is_keyed, make_answer, replay
+from mangohatch.entry.native import NativeDialect
 from mangohatch.entry.observer import NoObserver, RequestObserver
 from mangohatch.entry.retry import is_retry_safe, result_of
 from mangohatch.entry.watch import RequestWatch
@@ -40,7 +42,6 @@
 
 log = structlog.get_logger()
 
-MAX_ATTEMPTS = 3
 CONTINUATION_DEADLINE_MS = 5_000.0
 CONTINUED = (
     ContinuationFailed,
@@ -59,6 +60,7 @@
     :param pool: connections to upstreams
     :param budget: gives leave for retries; a local one by default
     :param registry: claims keys of non-idempotent requests; None to ignore keys
+    :param dialect: header fields of callers and upstreams; the native ones by default
     :param recorder: receives events; None for no events
     :param observer: hears of the end of each request
     """
@@ -71,9 +73,11 @@
         pool: ConnectionPool,
         budget: RetryBudget | None = None,
         registry: ClaimRegistry | None = None,
+        dialect: Dialect | None = None,
         recorder: Recorder | None = None,
         observer: RequestObserver | None = None,
     ) -> None:
+        self.dialect = dialect or NativeDialect()
         self._clock = clock
         self._router = router
         self._pool = pool
@@ -82,7 +86,7 @@
         self._observer = observer or NoObserver()
         self._events = RequestEvents(clock=clock, recorder=recorder)
         self._attempts = AttemptRunner(
-            clock=clock, pool=pool, may_retry=self._spend_retry
+            clock=clock, pool=pool, dialect=self.dialect, may_retry=self._spend_retry
         )
         self._watch = RequestWatch(
             clock=clock,
@@ -235,7 +239,7 @@
 
     def _may_retry(self, req: ActiveRequest) -> bool:
         return (
-            req.call.attempt < MAX_ATTEMPTS
+            req.call.attempt < req.call.max_attempts
             and not req.sink.sent
             and (req.body is None or req.body.replayable)
             and self._clock.now_ms() < req.call.deadline_ms
--- a/src/mangohatch/entry/head.py
+++ b/src/mangohatch/entry/head.py
@@ -35,16 +35,19 @@
 DIGITS = re.compile(r"[0-9]+")
 
 
-def parse_head(data: bytes) -> tuple[RequestStartLine, HTTPHeaders]:
+def parse_head(
+    data: bytes, *, max_bytes: int = MAX_HEAD_BYTES
+) -> tuple[RequestStartLine, HTTPHeaders]:
     """
     Parse a request head and refuse whatever two parsers could read differently.
 
     :param data: the head up to and including the empty line
+    :param max_bytes: largest size that is accepted
     :return: request line and header fields
     :raises BadRequest: with the reason
     """
-    if len(data) > MAX_HEAD_BYTES:
-        raise HeaderTooLarge(f"the request head has more than {MAX_HEAD_BYTES} bytes")
+    if len(data) > max_bytes:
+        raise HeaderTooLarge(f"the request head has more than {max_bytes} bytes")
     if data.count(b"\n") != data.count(b"\r\n"):
         raise BadRequest("a line of the request head ends without carriage return")
     first, *fields = data.decode("latin1").rstrip("\r\n").split("\r\n")
--- a/src/mangohatch/entry/link.py
+++ b/src/mangohatch/entry/link.py
@@ -13,7 +13,6 @@
 from mangohatch.entry.answer import write_error
 from mangohatch.entry.body import REPLAY_BYTES, RequestBody
 from mangohatch.entry.connection import CallerConnection
-from mangohatch.entry.request import make_call, prepare_headers, read_request_id
 from mangohatch.entry.sink import CallerSink, break_connection
 from mangohatch.errors import BadRequest, CallerGone, RequestError, RequestTimeout
 
@@ -22,8 +21,6 @@
 
 __all__ = ["CallerLink", "Phase"]
 
-HEAD_TIMEOUT_MS = 10_000.0
-IDLE_TIMEOUT_MS = 75_000.0
 BODY_TIMEOUT_MS = 10_000.0
 WRITE_TIMEOUT_MS = 60_000.0
 LINGER_MS = 1_000.0
@@ -41,11 +38,13 @@
 class CallerLink:
     """Serves the requests on a caller's connection one after another."""
 
-    def __init__(self, *, stream: IOStream, server: "EntryServer") -> None:
+    def __init__(self, *, stream: IOStream, server: "EntryServer", caller: str) -> None:
+        self._caller = caller
         self.phase = Phase.HEAD
         self.stream = stream
         self._server = server
-        self._conn = CallerConnection(stream=stream)
+        self._dialect = server.forwarder.dialect
+        self._conn = self._make_connection()
         self._req: ActiveRequest | None = None
         self._sink: CallerSink | None = None
         self._reader: asyncio.Task[None] | None = None
@@ -69,13 +68,16 @@
         try:
             while await self._serve_one():
                 self._enter(Phase.HEAD)
-                self._conn = CallerConnection(stream=self.stream)
+                self._conn = self._make_connection()
             await self._end()
         except StreamClosedError:
             pass
         finally:
             self.stream.close()
 
+    def _make_connection(self) -> CallerConnection:
+        return CallerConnection(stream=self.stream, limits=self._server.limits)
+
     def check(self, now_ms: float) -> None:
         """
         Give up on a caller that makes no progress.
@@ -84,7 +86,8 @@
         """
         waited_ms = now_ms - self._since_ms
         if self.phase is Phase.HEAD:
-            limit_ms = IDLE_TIMEOUT_MS if self.idle else HEAD_TIMEOUT_MS
+            limits = self._server.limits
+            limit_ms = limits.idle_timeout_ms if self.idle else limits.head_timeout_ms
             if waited_ms > limit_ms:
                 self._refuse_slow_head()
         elif self.phase is Phase.BODY:
@@ -136,7 +139,8 @@
             self._enter(Phase.RESPONSE)
             if self._server.closing:
                 conn.close_after_response()
-            request_id = read_request_id(headers) or self._server.next_request_id()
+            request_id = self._dialect.read_request_id(headers)
+            request_id = request_id or self._server.next_request_id()
             await self._forward(line, headers, request_id)
         except RequestError as exc:
             self._answer(exc, request_id or self._server.next_request_id())
@@ -150,14 +154,15 @@
     ) -> None:
         conn = self._conn
         body = conn.make_body(headers)
-        call = make_call(
+        call = self._dialect.make_call(
             line=line,
             headers=headers,
             request_id=request_id,
-            services=self._server.services,
+            caller=self._caller,
+            tables=self._server.tables,
             now_ms=self._server.clock.now_ms(),
         )
-        sink = CallerSink(conn=conn, request_id=request_id)
+        sink = CallerSink(conn=conn, request_id=request_id, dialect=self._dialect)
         req = ActiveRequest(call=call, line=line, headers=headers, body=body, sink=sink)
         self._req = req
         self._sink = sink
@@ -165,7 +170,7 @@
         try:
             if body is not None:
                 await self._read_body(body, headers)
-            prepare_headers(req)
+            self._dialect.prepare_headers(req)
             await self._server.forwarder.forward(req)
         finally:
             self._req = None
@@ -207,7 +212,7 @@
         if self._sink is not None and self._sink.sent:
             break_connection(self._conn)
             return
-        write_error(self._conn, error, request_id)
+        write_error(self._conn, self._dialect.make_error(error, request_id))
 
     async def _end(self) -> None:
         if self.stream.closed() or self._conn.read_finished:
--- /dev/null
+++ b/src/mangohatch/entry/native.py
@@ -0,0 +1,131 @@
+"""Mangohatch's own header fields."""
+
+import json
+import math
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from mangohatch.core.call import Call, Report
+from mangohatch.core.tables import Tables, UpstreamRow
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.dialect import Dialect, ErrorAnswer
+from mangohatch.entry.headers import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    ERROR_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    UPSTREAM_LOAD_HEADER,
+    UPSTREAM_STATE_HEADER,
+    drop_hop_by_hop,
+)
+from mangohatch.entry.request import make_call, prepare_headers, read_request_id
+from mangohatch.errors import Outcome, RequestError
+from mangohatch.upstream.connection import ResponseHead
+
+__all__ = ["NativeDialect"]
+
+SERVICE_UNAVAILABLE = 503
+FIRST_SERVER_ERROR = 500
+DRAINING = "draining"
+MAX_LOAD_DIGITS = 6
+RETRY_AFTER_MS = 1_000.0
+MS_PER_SECOND = 1000.0
+OUTCOMES = frozenset(Outcome)
+
+
+class NativeDialect(Dialect):
+    """The header fields that :mod:`mangohatch.entry.headers` names."""
+
+    def read_request_id(self, headers: HTTPHeaders) -> str:
+        return read_request_id(headers)
+
+    def make_call(
+        self,
+        *,
+        line: RequestStartLine,
+        headers: HTTPHeaders,
+        request_id: str,
+        caller: str,
+        tables: Tables,
+        now_ms: float,
+    ) -> Call:
+        return make_call(
+            line=line,
+            headers=headers,
+            request_id=request_id,
+            services=tables.services,
+            now_ms=now_ms,
+        )
+
+    def prepare_headers(self, req: ActiveRequest) -> None:
+        prepare_headers(req)
+
+    def stamp_attempt(
+        self, req: ActiveRequest, upstream: UpstreamRow, remaining_ms: float
+    ) -> None:
+        req.headers[DEADLINE_HEADER] = str(int(remaining_ms))
+        req.headers[ATTEMPT_HEADER] = str(req.call.attempt)
+
+    def belongs(self, head: ResponseHead, request_id: str) -> bool:
+        return True
+
+    def states_not_run(self, head: ResponseHead) -> bool:
+        stated = head.headers.get(OUTCOME_HEADER)
+        return head.line.code == SERVICE_UNAVAILABLE and stated == Outcome.NOT_RUN
+
+    def check_response(self, head: ResponseHead) -> None:
+        return None
+
+    def read_upstream_state(self, head: ResponseHead, report: Report) -> None:
+        load = head.headers.pop(UPSTREAM_LOAD_HEADER, None)
+        if load is not None and load.isascii() and load.isdigit():
+            report.upstream_in_flight = int(load[:MAX_LOAD_DIGITS])
+        state = head.headers.pop(UPSTREAM_STATE_HEADER, None)
+        report.draining = state == DRAINING
+
+    def dress_response(self, head: ResponseHead, request_id: str) -> Outcome:
+        drop_hop_by_hop(head.headers)
+        outcome = read_outcome(head)
+        head.headers[OUTCOME_HEADER] = outcome
+        head.headers[REQUEST_ID_HEADER] = request_id
+        return outcome
+
+    def make_error(self, error: RequestError, request_id: str) -> ErrorAnswer:
+        content = {
+            "code": error.code,
+            "outcome": error.outcome,
+            "detail": error.detail,
+            "request_id": request_id,
+        }
+        body = json.dumps(content).encode()
+        headers = HTTPHeaders(
+            {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(body)),
+                OUTCOME_HEADER: error.outcome,
+                ERROR_HEADER: error.code,
+                REQUEST_ID_HEADER: request_id,
+            }
+        )
+        retry_after_ms = error.retry_after_ms
+        if retry_after_ms is None and error.status >= FIRST_SERVER_ERROR:
+            retry_after_ms = RETRY_AFTER_MS
+        if retry_after_ms is not None:
+            headers["Retry-After"] = str(math.ceil(retry_after_ms / MS_PER_SECOND))
+        return ErrorAnswer(status=error.status, headers=headers, body=body)
+
+
+def read_outcome(head: ResponseHead) -> Outcome:
+    """
+    Tell what a response says of the execution of its request.
+
+    :param head: head of the response
+    :return: what the upstream stated, else done below 500 and unknown from 500 on
+    """
+    stated = head.headers.get(OUTCOME_HEADER)
+    if stated in OUTCOMES:
+        return Outcome(stated)
+    if head.line.code < FIRST_SERVER_ERROR:
+        return Outcome.DONE
+    return Outcome.UNKNOWN
--- a/src/mangohatch/entry/retry.py
+++ b/src/mangohatch/entry/retry.py
@@ -1,12 +1,10 @@
 """Which failed attempts may be repeated, and what they say of the upstream."""
 
 from mangohatch.core.call import Call, Result
-from mangohatch.entry.headers import OUTCOME_HEADER
 from mangohatch.errors import (
     CallerGone,
     ConnectionSilent,
     DeadlineExceeded,
-    Outcome,
     RequestError,
     ResponseLate,
     ResponseUnframed,
@@ -22,10 +20,8 @@
     "is_server_failure",
     "result_of",
     "result_of_status",
-    "states_not_run",
 ]
 
-SERVICE_UNAVAILABLE = 503
 FIRST_SERVER_ERROR = 500
 # Server errors that another upstream may not have.
 RETRIED_CODES = frozenset({500, 502, 503, 504})
@@ -59,17 +55,6 @@
     return call.idempotent and isinstance(error, MAY_HAVE_RUN)
 
 
-def states_not_run(head: ResponseHead) -> bool:
-    """
-    Tell whether an upstream states that it did not run the request.
-
-    :param head: head of its response
-    :return: whether it does
-    """
-    stated = head.headers.get(OUTCOME_HEADER)
-    return head.line.code == SERVICE_UNAVAILABLE and stated == Outcome.NOT_RUN
-
-
 def is_server_failure(head: ResponseHead) -> bool:
     """
     Tell whether another upstream may give a better response.
--- a/src/mangohatch/entry/routes.py
+++ b/src/mangohatch/entry/routes.py
@@ -1,11 +1,14 @@
 """From a request to its service, idempotency and deadline."""
 
 from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
-from mangohatch.config import ServiceSpec
 from mangohatch.core.tables import ServiceRow
 from mangohatch.errors import BadRequest, NoRoute
 
+if TYPE_CHECKING:
+    from mangohatch.config import ServiceSpec
+
 __all__ = [
     "clip_deadline_ms",
     "find_service",
@@ -54,7 +57,7 @@
     return found
 
 
-def is_idempotent(spec: ServiceSpec, method: str, path: str) -> bool:
+def is_idempotent(spec: "ServiceSpec", method: str, path: str) -> bool:
     """
     Tell whether a request may run twice.
 
--- a/src/mangohatch/entry/server.py
+++ b/src/mangohatch/entry/server.py
@@ -1,14 +1,14 @@
 """The HTTP server that callers connect to."""
 
 import itertools
-from collections.abc import Mapping
 
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
 from mangohatch.clock import Clock
-from mangohatch.core.tables import ServiceRow, Tables
+from mangohatch.core.tables import Tables
 from mangohatch.entry.forwarder import Forwarder
+from mangohatch.entry.limits import CallerLimits
 from mangohatch.entry.link import CallerLink
 
 __all__ = ["EntryServer"]
@@ -26,7 +26,7 @@
         self._entry = entry
 
     async def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        await self._entry.serve(stream)
+        await self._entry.serve(stream, address[0])
 
 
 class EntryServer:
@@ -38,6 +38,7 @@
     :param tables: services that can be called
     :param forwarder: carries the requests
     :param balancer_delay_ms: time the balancer needs to notice a leaving host
+    :param limits: bounds of callers' connections
     """
 
     def __init__(
@@ -48,12 +49,14 @@
         tables: Tables,
         forwarder: Forwarder,
         balancer_delay_ms: float = DEFAULT_BALANCER_DELAY_MS,
+        limits: CallerLimits | None = None,
     ) -> None:
+        self.limits = limits or CallerLimits()
         self.clock = clock
         self.forwarder = forwarder
         self.closing = False
         self._host_id = host_id
-        self._tables = tables
+        self.tables = tables
         self._balancer_delay_ms = balancer_delay_ms
         self._sequence = itertools.count(1)
         self._listener = CallerListener(entry=self)
@@ -61,11 +64,6 @@
         self._drain_began_ms: float | None = None
         self._checked_ms = clock.now_ms()
 
-    @property
-    def services(self) -> Mapping[str, ServiceRow]:
-        """Services that can be called, by name."""
-        return self._tables.services
-
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
@@ -86,14 +84,15 @@
         """
         self._listener.listen(port, address)
 
-    async def serve(self, stream: IOStream) -> None:
+    async def serve(self, stream: IOStream, caller: str) -> None:
         """
         Serve a caller's connection until it ends.
 
         :param stream: the accepted connection
+        :param caller: IP address of the caller
         """
         stream.set_nodelay(True)
-        link = CallerLink(stream=stream, server=self)
+        link = CallerLink(stream=stream, server=self, caller=caller)
         self.links.add(link)
         try:
             await link.run()
--- a/src/mangohatch/entry/sink.py
+++ b/src/mangohatch/entry/sink.py
@@ -7,16 +7,14 @@
 from tornado.iostream import StreamClosedError
 
 from mangohatch.entry.connection import CallerConnection
-from mangohatch.entry.headers import OUTCOME_HEADER, REQUEST_ID_HEADER, drop_hop_by_hop
+from mangohatch.entry.dialect import Dialect
 from mangohatch.errors import Outcome, UpstreamAborted
 from mangohatch.upstream.connection import ResponseHead, ResponseSink
 
 __all__ = ["CallerSink", "break_connection"]
 
 NO_LINGER = struct.pack("ii", 1, 0)
-FIRST_SERVER_ERROR = 500
 MAX_COPY_BYTES = 65_536
-OUTCOMES = frozenset(Outcome)
 
 
 class CallerSink(ResponseSink):
@@ -24,12 +22,17 @@
     Writes a response to the caller as it arrives.
 
     The head leaves in one segment with the first piece of the body, if that has
-    arrived, else at once. ``copy`` collects
-    the body for a later replay while it is short enough.
+    arrived, else at once. Up to ``held_bytes`` of the dialect are kept until the
+    response is whole. ``copy`` collects the body for a later replay while it is
+    short enough.
     """
 
-    def __init__(self, *, conn: CallerConnection, request_id: str) -> None:
+    def __init__(
+        self, *, conn: CallerConnection, request_id: str, dialect: Dialect
+    ) -> None:
         self._conn = conn
+        self._dialect = dialect
+        self._held: bytearray | None = None
         self._request_id = request_id
         self._head: ResponseHead | None = None
         self.head: ResponseHead | None = None
@@ -39,12 +42,10 @@
         self.copy: bytearray | None = None
 
     def start(self, head: ResponseHead, *, body_waits: bool) -> None:
-        drop_hop_by_hop(head.headers)
-        self.outcome = read_outcome(head)
-        head.headers[OUTCOME_HEADER] = self.outcome
-        head.headers[REQUEST_ID_HEADER] = self._request_id
+        self.outcome = self._dialect.dress_response(head, self._request_id)
         self.head = self._head = head
-        if body_waits:
+        self._held = bytearray() if self._dialect.held_bytes else None
+        if body_waits and self._held is None:
             self._flush_head()
 
     def write(self, chunk: bytes) -> Awaitable[None] | None:
@@ -53,12 +54,23 @@
             self._keep(chunk)
         if self._conn.stream.closed():
             return None
+        if self._held is not None:
+            self._held += chunk
+            if len(self._held) <= self._dialect.held_bytes:
+                return None
+            chunk = self._release_held()
         if self._head is not None:
             rest = self._write_head(chunk)
         else:
             rest = self._conn.write(chunk)
         return drained(rest) if rest is not None else None
 
+    def _release_held(self) -> bytes:
+        assert self._held is not None
+        held = bytes(self._held)
+        self._held = None
+        return held
+
     def _keep(self, chunk: bytes) -> None:
         assert self.copy is not None
         if len(self.copy) + len(chunk) <= MAX_COPY_BYTES:
@@ -77,6 +89,12 @@
 
         :raises UpstreamAborted: when the body is shorter than announced
         """
+        if self._held:
+            length = self._head.headers.get("Content-Length") if self._head else None
+            if length is not None and int(length) != len(self._held):
+                raise UpstreamAborted("the response is shorter than announced")
+            if not self._conn.stream.closed():
+                self._write_head(self._release_held())
         self._flush_head()
         if self._conn.is_short:
             raise UpstreamAborted("the response is shorter than announced")
@@ -91,6 +109,7 @@
         if self.sent:
             return False
         self.head = self._head = None
+        self._held = None
         self.body_bytes = 0
         if self.copy is not None:
             self.copy = bytearray()
@@ -108,21 +127,6 @@
         return self._conn.write_headers(head.line, head.headers, chunk)
 
 
-def read_outcome(head: ResponseHead) -> Outcome:
-    """
-    Tell what a response says of the execution of its request.
-
-    :param head: head of the response
-    :return: what the upstream stated, else done below 500 and unknown from 500 on
-    """
-    stated = head.headers.get(OUTCOME_HEADER)
-    if stated in OUTCOMES:
-        return Outcome(stated)
-    if head.line.code < FIRST_SERVER_ERROR:
-        return Outcome.DONE
-    return Outcome.UNKNOWN
-
-
 async def drained(fut: Awaitable[None]) -> None:
     """
     Wait until a piece was written; a caller that left is noticed elsewhere.
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -19,6 +19,7 @@
     RequestInProgress,
 )
 from mangohatch.errors.framing import (
+    BodyTooLarge,
     ExpectationFailed,
     HeaderTooLarge,
     MethodRefused,
@@ -42,6 +43,7 @@
 from mangohatch.errors.request import (
     BadRequest,
     DeadlineExceeded,
+    NoConfiguration,
     NoRoute,
     NoUpstream,
     Outcome,
@@ -60,6 +62,7 @@
     StoreConflict,
     StoreError,
     StoreRateLimited,
+    StoreRejected,
     StoreUnavailable,
     StoreWriteUnknown,
 )
@@ -67,6 +70,7 @@
 __all__ = [
     "AnswerNotKept",
     "BadRequest",
+    "BodyTooLarge",
     "CallerGone",
     "ClaimKeyMismatch",
     "ClaimUnavailable",
@@ -80,6 +84,7 @@
     "InternalFailure",
     "MangohatchError",
     "MethodRefused",
+    "NoConfiguration",
     "NoRoute",
     "NoUpstream",
     "OrderConflict",
@@ -108,6 +113,7 @@
     "StoreConflict",
     "StoreError",
     "StoreRateLimited",
+    "StoreRejected",
     "StoreUnavailable",
     "StoreWriteUnknown",
     "TargetTooLong",
--- a/src/mangohatch/errors/framing.py
+++ b/src/mangohatch/errors/framing.py
@@ -3,6 +3,7 @@
 from mangohatch.errors.request import BadRequest, RequestError
 
 __all__ = [
+    "BodyTooLarge",
     "ExpectationFailed",
     "HeaderTooLarge",
     "MethodRefused",
@@ -60,3 +61,10 @@
 
     code = "request_timeout"
     status = 408
+
+
+class BodyTooLarge(BadRequest):
+    """The request body has more bytes than are accepted."""
+
+    code = "body_too_large"
+    status = 413
--- a/src/mangohatch/errors/request.py
+++ b/src/mangohatch/errors/request.py
@@ -8,6 +8,7 @@
 __all__ = [
     "BadRequest",
     "DeadlineExceeded",
+    "NoConfiguration",
     "NoRoute",
     "NoUpstream",
     "Outcome",
@@ -69,6 +70,13 @@
     status = 404
 
 
+class NoConfiguration(RequestError):
+    """This host has not learnt yet which routes there are."""
+
+    code = "no_configuration"
+    status = 503
+
+
 class NoUpstream(RequestError):
     """The service has no upstream that takes new work."""
 
--- a/src/mangohatch/errors/store.py
+++ b/src/mangohatch/errors/store.py
@@ -10,6 +10,7 @@
     "StoreConflict",
     "StoreError",
     "StoreRateLimited",
+    "StoreRejected",
     "StoreUnavailable",
     "StoreWriteUnknown",
 ]
@@ -66,3 +67,9 @@
     """The changes since the wanted revision are no longer kept; list again."""
 
     code = "store_revision_compacted"
+
+
+class StoreRejected(StoreError):
+    """The store refused a call as malformed or too large; nothing was written."""
+
+    code = "store_rejected"
--- /dev/null
+++ b/src/mangohatch/fleet/host.py
@@ -0,0 +1,294 @@
+"""One host of a fleet whose directory lies in a store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.core.choice.base import Chooser
+from mangohatch.core.choice.expected import ExpectedTimeChooser
+from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
+from mangohatch.core.health import OutlierHealth
+from mangohatch.core.health.ejection import Health
+from mangohatch.core.quarantine import (
+    QuarantineGate,
+    QuarantineNotices,
+    QuarantineTable,
+)
+from mangohatch.core.retry import FleetRetryBudget
+from mangohatch.core.router import Router
+from mangohatch.core.tables import Tables
+from mangohatch.directory import DirectoryFollower, DirectoryPart, DirectorySource
+from mangohatch.directory.tables import DirectoryTables
+from mangohatch.entry.dialect import Dialect
+from mangohatch.entry.forwarder import Forwarder
+from mangohatch.entry.limits import CallerLimits
+from mangohatch.entry.server import EntryServer
+from mangohatch.fleet.placement import Placement
+from mangohatch.fleet.settings import FleetSettings
+from mangohatch.fleet.text_server import TextAnswer, TextServer
+from mangohatch.loop_timers import LoopTimers
+from mangohatch.peer.datagram import DatagramPeerBus
+from mangohatch.probing import LoadReports, ProbingSystem
+from mangohatch.timeline import HybridClock, Recorder
+from mangohatch.upstream.load_probe import HttpLoadProbe, ReadProbe
+from mangohatch.upstream.pool import ConnectionPool
+
+__all__ = ["FleetHost", "FleetParts"]
+
+BUSY_TICK_MS = 10.0
+IDLE_TICK_MS = 25.0  # probes and readings are due to about this
+BALANCER_DELAY_MS = 3_000.0  # two missed questions at one a second, and one to spare
+DRAIN_RESERVE_MS = 500.0  # of the grace, for the last answers to leave
+MS_PER_S = 1000.0
+READY = 200
+NOT_READY = 503
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FleetParts:
+    """
+    What an adapter contributes to a host.
+
+    ``apply_part`` puts a part of the directory in force; ``read_probe`` reads the
+    answer to a health check.
+    """
+
+    dialect: Dialect
+    source: DirectorySource
+    apply_part: Callable[[DirectoryPart, DirectoryTables], None]
+    read_probe: ReadProbe
+    readiness_path: str
+    metrics_path: str
+
+
+class FleetHost:
+    """
+    All parts of one host.
+
+    :param cfg: checked settings
+    :param clock: source of time
+    :param rng: source of random numbers
+    :param parts: what the adapter contributes
+    :param placement: how upstreams are chosen
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: FleetSettings,
+        clock: Clock,
+        rng: random.Random,
+        parts: FleetParts,
+        placement: Placement,
+    ) -> None:
+        self.cfg = cfg
+        self._clock = clock
+        self._rng = rng
+        self._parts = parts
+        self._measures = placement is Placement.EXPECTED_TIME
+        self.tables = Tables()
+        hybrid = HybridClock(clock=clock)
+        self.recorder = Recorder(host=cfg.host_id, zone=cfg.zone, clock=hybrid)
+        self.bus = DatagramPeerBus(
+            host_id=cfg.host_id,
+            zone=cfg.zone,
+            address=cfg.peers,
+            seeds=cfg.seeds,
+            clock=clock,
+            hybrid=hybrid,
+            rng=rng,
+        )
+        limits = CallerLimits()
+        self._directory = DirectoryTables(
+            clock=clock, tables=self.tables, limits=limits
+        )
+        self.follower = DirectoryFollower(
+            clock=clock,
+            rng=rng,
+            source=parts.source,
+            bus=self.bus,
+            on_change=self._apply,
+            announce=self.bus.announce,
+        )
+        self.bus.marks = self.follower.marks
+        self.router = self._make_router(placement)
+        self.probe = HttpLoadProbe(clock=clock, read=parts.read_probe)
+        self.reports = LoadReports(
+            clock=clock, tables=self.tables, bus=self.bus, on_load=self.router.serve
+        )
+        self.probing = ProbingSystem(
+            clock=clock,
+            tables=self.tables,
+            bus=self.bus,
+            probe=self.probe,
+            reports=self.reports,
+            on_load=self.router.serve,
+        )
+        self.gate = self._make_gate()
+        self.pool = ConnectionPool(clock=clock)
+        self.forwarder = Forwarder(
+            clock=clock,
+            router=self.gate,
+            pool=self.pool,
+            budget=self._make_budget(),
+            dialect=parts.dialect,
+            recorder=self.recorder,
+        )
+        self.entry = EntryServer(
+            host_id=cfg.host_id,
+            clock=clock,
+            tables=self.tables,
+            forwarder=self.forwarder,
+            balancer_delay_ms=BALANCER_DELAY_MS,
+            limits=limits,
+        )
+        self._readiness = TextServer(pages={parts.readiness_path: self._say_ready})
+        self._metrics = TextServer(pages={parts.metrics_path: self._render_metrics})
+        self._was_ready = False
+        self._leave_by_ms: float | None = None
+
+    def _make_router(self, placement: Placement) -> Router:
+        health: Health = OutlierHealth(clock=self._clock, rng=self._rng)
+        timers = LoopTimers()
+        chooser: Chooser
+        if placement is Placement.POWER_OF_TWO:
+            chooser = PowerOfTwoChooser(clock=self._clock, rng=self._rng, health=health)
+        else:
+            chooser = ExpectedTimeChooser(
+                clock=self._clock,
+                rng=self._rng,
+                health=health,
+                timers=timers,
+                zone=self.cfg.zone,
+            )
+        return Router(
+            clock=self._clock,
+            rng=self._rng,
+            tables=self.tables,
+            health=health,
+            host_id=self.cfg.host_id,
+            chooser=chooser,
+            timers=timers,
+        )
+
+    def _make_gate(self) -> QuarantineGate:
+        table = QuarantineTable(clock=self._clock)
+        notices = QuarantineNotices(
+            clock=self._clock, rng=self._rng, bus=self.bus, table=table
+        )
+        return QuarantineGate(
+            clock=self._clock,
+            router=self.router,
+            table=table,
+            notices=notices,
+            recorder=self.recorder,
+        )
+
+    def _make_budget(self) -> FleetRetryBudget:
+        bounds = self.cfg.bounds
+        return FleetRetryBudget(
+            clock=self._clock,
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+            window_ms=bounds.retry_window_ms,
+            count_hosts=lambda: len(self.bus.members()),
+        )
+
+    def _apply(self, part: DirectoryPart) -> None:
+        self._parts.apply_part(part, self._directory)
+
+    def _say_ready(self) -> TextAnswer:
+        reason = self.not_ready()
+        return (READY, "ready\n") if reason is None else (NOT_READY, f"{reason}\n")
+
+    def _render_metrics(self) -> TextAnswer:
+        lines = [
+            f"mangohatch_store_calls_total {self.follower.calls}",
+            f"mangohatch_store_calls_failed_total {self.follower.failed_calls}",
+            f"mangohatch_load_questions_total {self.probing.questions}",
+            f"mangohatch_peers {len(self.bus.members()) - 1}",
+            f"mangohatch_requests_in_flight {len(self.forwarder.active)}",
+        ]
+        return READY, "\n".join(lines) + "\n"
+
+    def not_ready(self) -> str | None:
+        """
+        Tell why the balancer should send no callers here.
+
+        :return: the reason, None when the host is ready
+        """
+        if not self.entry.ready:
+            return "leaving"
+        if not self.follower.known or not self.tables.routes.revision:
+            return "directory unknown"
+        return None
+
+    async def start(self) -> None:
+        """Listen for peers and callers."""
+        cfg = self.cfg
+        await self.bus.start()
+        self._readiness.listen(*cfg.readiness)
+        self._metrics.listen(*cfg.metrics)
+        self.entry.listen(*cfg.entry)
+        log.info("host_started", host=cfg.host_id, zone=cfg.zone)
+
+    async def stop(self) -> None:
+        """Close everything; requests in flight have ended when the drain has."""
+        await self.follower.stop()
+        await self.entry.close()
+        self.probe.close()
+        self._readiness.stop()
+        self._metrics.stop()
+        self.bus.stop()
+        self.pool.close()
+        log.info("host_stopped", host=self.cfg.host_id)
+
+    def leave(self) -> None:
+        """Report not ready; stop taking work once the balancer has noticed."""
+        if self._leave_by_ms is not None:
+            return
+        self._leave_by_ms = (
+            self._clock.now_ms() + self.cfg.bounds.grace_ms - DRAIN_RESERVE_MS
+        )
+        log.info("host_leaving", host=self.cfg.host_id)
+        self.bus.leaving = True
+        self.bus.announce()
+        self.entry.begin_drain()
+
+    def tick(self) -> None:
+        """Run all systems once."""
+        self.bus.tick()
+        self.follower.tick()
+        if self._measures:
+            self.probing.tick()
+        self.gate.tick()
+        self.entry.tick()
+        if not self._was_ready and self.not_ready() is None:
+            self._was_ready = True
+            log.info("host_ready", host=self.cfg.host_id)
+
+    def _must_end(self) -> bool:
+        if self._leave_by_ms is None:
+            return False
+        return self.entry.drained() or self._clock.now_ms() >= self._leave_by_ms
+
+    async def run(self, leaving: asyncio.Event) -> None:
+        """
+        Serve until told to leave, then until no caller is left.
+
+        :param leaving: set when the host has to leave
+        """
+        await self.start()
+        while not self._must_end():
+            if leaving.is_set():
+                self.leave()
+            self.tick()
+            busy = self.forwarder.active
+            await asyncio.sleep((BUSY_TICK_MS if busy else IDLE_TICK_MS) / MS_PER_S)
+        await self.stop()
--- a/src/mangohatch/host/routing.py
+++ b/src/mangohatch/host/routing.py
@@ -16,7 +16,7 @@
 from mangohatch.core.tables import Tables
 from mangohatch.host.health import HealthNews, subscribe_advice
 from mangohatch.host.reach import TcpReachability
-from mangohatch.host.timers import LoopTimers
+from mangohatch.loop_timers import LoopTimers
 from mangohatch.peer.bus import PeerBus
 from mangohatch.timeline import Recorder
 
--- /dev/null
+++ b/src/mangohatch/peer/datagram.py
@@ -0,0 +1,293 @@
+"""The peer bus of hosts that know each other by datagrams."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.errors import PeerProtocolError
+from mangohatch.peer.bus import Handler, MemberView, PeerBus
+from mangohatch.peer.codec import Envelope, decode_body, decode_envelope, encode
+from mangohatch.peer.messages import Beacon, DirectoryMark
+from mangohatch.timeline.recorder import HybridClock
+
+__all__ = ["DatagramPeerBus", "PeerAddress"]
+
+BEACON_MS = 500.0  # twice within ALIVE_MS, and one may be lost
+ALIVE_MS = 1_600.0
+FORGET_MS = 60_000.0  # addresses of silent peers are tried again for so long
+SEED_MS = 250.0  # between beacons to seeds while no peer is known
+GOSSIP_PEERS = 3  # addresses told in each beacon
+US_PER_MS = 1000.0
+MAX_DATAGRAM_BYTES = 60_000
+
+PeerAddress = tuple[str, int]
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerRow:
+    """Another host; ``heard_ms`` is when its last datagram arrived."""
+
+    host_id: str
+    incarnation: int
+    address: PeerAddress
+    heard_ms: float
+    zone: str = ""
+    leaving: bool = False
+    alive: bool = True
+
+
+class DatagramPeerBus(PeerBus):
+    """
+    Sends each message as one datagram; a host lives while it is heard.
+
+    There is no agreement on who is a member: each host goes by what it hears, and
+    what it does on its own view of the members must be harmless when two views
+    differ.
+
+    :param host_id: id of this host
+    :param zone: its availability zone
+    :param address: where it listens
+    :param seeds: addresses to ask while no peer is known
+    :param clock: source of time
+    :param hybrid: stamps messages for the time line
+    :param rng: chooses the addresses that beacons tell
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        zone: str,
+        address: PeerAddress,
+        seeds: Iterable[PeerAddress],
+        clock: Clock,
+        hybrid: HybridClock,
+        rng: random.Random,
+    ) -> None:
+        self.leaving = False
+        self.marks: Callable[[], list[DirectoryMark]] = list
+        self._host_id = host_id
+        self._zone = zone
+        self._address = address
+        self._seeds = [seed for seed in seeds if seed != address]
+        self._clock = clock
+        self._hybrid = hybrid
+        self._rng = rng
+        self._incarnation = int(clock.wall_ms())
+        self._rows: dict[str, PeerRow] = {}
+        self._handlers: dict[type, list[Handler]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._beacon_at_ms = 0.0
+        self._seeds_at_ms = 0.0
+        self._members: tuple[MemberView, ...] = ()
+        self._list_members()
+        self.subscribe(Beacon, self._take_beacon)
+
+    @property
+    def host_id(self) -> str:
+        return self._host_id
+
+    def members(self) -> Sequence[MemberView]:
+        return self._members
+
+    async def start(self) -> None:
+        """Bind the socket and tell the seeds of this host."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: DatagramReceiver(bus=self), local_addr=self._address
+        )
+
+    def attach(self, transport: asyncio.DatagramTransport) -> None:
+        """
+        Use a transport for sending.
+
+        :param transport: sends datagrams
+        """
+        self._transport = transport
+
+    def stop(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def send(self, host_id: str, message: Any) -> bool:
+        row = self._rows.get(host_id)
+        if row is None or not row.alive:
+            return False
+        self._send_to([row.address], message)
+        return True
+
+    def broadcast(self, message: Any) -> None:
+        self._send_to([row.address for row in self._alive()], message)
+
+    def subscribe(self, message_type: type, handler: Handler) -> None:
+        self._handlers.setdefault(message_type, []).append(handler)
+
+    def announce(self) -> None:
+        """Send a beacon now instead of when it is due."""
+        self._beacon_at_ms = self._clock.now_ms() + BEACON_MS
+        self._send_to([row.address for row in self._rows.values()], self._beacon())
+
+    def tick(self) -> None:
+        """Send beacons that are due and forget peers that fell silent."""
+        now_ms = self._clock.now_ms()
+        self._expire(now_ms)
+        if now_ms >= self._beacon_at_ms:
+            self.announce()
+        if now_ms >= self._seeds_at_ms:
+            lonely = len(self._members) == 1
+            self._seeds_at_ms = now_ms + (SEED_MS if lonely else ALIVE_MS)
+            known = {row.address for row in self._rows.values()}
+            self._send_to(
+                [seed for seed in self._seeds if seed not in known], self._beacon()
+            )
+
+    def take(self, data: bytes, address: PeerAddress) -> None:
+        """
+        Take a datagram.
+
+        :param data: its bytes
+        :param address: where it came from
+        """
+        try:
+            envelope = decode_envelope(data)
+            message = decode_body(envelope)
+        except PeerProtocolError as exc:
+            log.warning("peer_message_malformed", peer=address[0], cause=str(exc))
+            return
+        if envelope.sender == self._host_id or not self._note(envelope, address):
+            return
+        self._hybrid.merge(envelope.sent_wall_us / US_PER_MS, envelope.sent_count)
+        for handler in self._handlers.get(type(message), ()):
+            try:
+                handler(envelope.sender, message)
+            except Exception:
+                log.exception("peer_handler_failed", kind=type(message).__name__)
+
+    def _note(self, envelope: Envelope, address: PeerAddress) -> bool:
+        row = self._rows.get(envelope.sender)
+        now_ms = self._clock.now_ms()
+        if row is not None and row.alive and row.incarnation > envelope.incarnation:
+            return False
+        if row is None or row.incarnation != envelope.incarnation:
+            row = self._rows[envelope.sender] = PeerRow(
+                host_id=envelope.sender,
+                incarnation=envelope.incarnation,
+                address=address,
+                heard_ms=now_ms,
+            )
+            log.info("peer_found", peer=envelope.sender, address=address[0])
+            self._send_to([address], self._beacon(peers=self._known_addresses()))
+        row.heard_ms = now_ms
+        if not row.alive:
+            row.alive = True
+            log.info("peer_returned", peer=row.host_id)
+        self._list_members()
+        return True
+
+    def _take_beacon(self, sender: str, beacon: Beacon) -> None:
+        row = self._rows[sender]
+        changed = (row.zone, row.leaving) != (beacon.zone, beacon.leaving)
+        row.zone = beacon.zone
+        row.leaving = beacon.leaving
+        if changed:
+            self._list_members()
+        known = {item.address for item in self._rows.values()} | {self._address}
+        unknown = [parse_address(text) for text in beacon.peers]
+        self._send_to([item for item in unknown if item not in known], self._beacon())
+
+    def _beacon(self, peers: list[str] | None = None) -> Beacon:
+        if peers is None:
+            known = self._known_addresses()
+            peers = self._rng.sample(known, min(GOSSIP_PEERS, len(known)))
+        return Beacon(
+            zone=self._zone, leaving=self.leaving, peers=peers, marks=self.marks()
+        )
+
+    def _known_addresses(self) -> list[str]:
+        return [f"{row.address[0]}:{row.address[1]}" for row in self._alive()]
+
+    def _alive(self) -> list[PeerRow]:
+        return [row for row in self._rows.values() if row.alive]
+
+    def _expire(self, now_ms: float) -> None:
+        for row in list(self._rows.values()):
+            silent_ms = now_ms - row.heard_ms
+            if row.alive and silent_ms > ALIVE_MS:
+                row.alive = False
+                log.info("peer_silent", peer=row.host_id, silent_ms=int(silent_ms))
+                self._list_members()
+            if silent_ms > FORGET_MS:
+                del self._rows[row.host_id]
+
+    def _list_members(self) -> None:
+        views = [
+            MemberView(
+                host_id=row.host_id,
+                incarnation=row.incarnation,
+                zone=row.zone,
+                leaving=row.leaving,
+            )
+            for row in self._alive()
+        ]
+        views.append(
+            MemberView(
+                host_id=self._host_id,
+                incarnation=self._incarnation,
+                zone=self._zone,
+                leaving=self.leaving,
+            )
+        )
+        self._members = tuple(sorted(views, key=lambda view: view.host_id))
+
+    def _send_to(self, addresses: Sequence[PeerAddress], message: Any) -> None:
+        if self._transport is None or not addresses:
+            return
+        time_ms, count = self._hybrid.tick()
+        data = encode(
+            message,
+            sender=self._host_id,
+            incarnation=self._incarnation,
+            time_ms=time_ms,
+            count=count,
+        )
+        if len(data) > MAX_DATAGRAM_BYTES:
+            raise PeerProtocolError(f"message of {len(data)} bytes is too large")
+        for address in addresses:
+            self._transport.sendto(data, address)
+
+
+class DatagramReceiver(asyncio.DatagramProtocol):
+    """Hands datagrams to a bus."""
+
+    def __init__(self, *, bus: DatagramPeerBus) -> None:
+        self._bus = bus
+
+    def connection_made(self, transport: Any) -> None:
+        self._bus.attach(transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        self._bus.take(data, (addr[0], addr[1]))
+
+    def error_received(self, exc: Exception) -> None:
+        # A port without listener: the peer is restarting.
+        log.debug("peer_unreachable", cause=str(exc))
+
+
+def parse_address(text: str) -> PeerAddress:
+    """
+    Read an address as beacons write it.
+
+    :param text: IP address, colon and port
+    :return: both parts
+    """
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -2877,6 +2877,646 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class DirectoryMark(object):
+    """
+    Fleets whose hosts know each other by datagrams: signs of life and what is known.
+
+    Attributes:
+     - part
+     - revision
+     - digest
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'part',
+        'revision',
+        'digest',
+        'age_ms',
+    )
+
+
+    def __init__(self, part=None, revision=None, digest=None, age_ms=None,):
+        self.part = part
+        self.revision = revision
+        self.digest = digest
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DirectoryMark')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 3)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Beacon(object):
+    """
+    Attributes:
+     - zone
+     - leaving
+     - peers
+     - marks
+
+    """
+
+    __slots__ = (
+        'zone',
+        'leaving',
+        'peers',
+        'marks',
+    )
+
+
+    def __init__(self, zone=None, leaving=None, peers=None, marks=None,):
+        self.zone = zone
+        self.leaving = leaving
+        self.peers = peers
+        self.marks = marks
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem126)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.marks = []
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = DirectoryMark()
+                        _elem132.read(iprot)
+                        self.marks.append(_elem132)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Beacon')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 2)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.peers))
+            for iter133 in self.peers:
+                oprot.writeString(iter133.encode('utf-8') if sys.version_info[0] == 2 else iter133)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.marks is not None:
+            oprot.writeFieldBegin('marks', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.marks))
+            for iter134 in self.marks:
+                iter134.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DirectoryPull(object):
+    """
+    Attributes:
+     - part
+
+    """
+
+    __slots__ = (
+        'part',
+    )
+
+
+    def __init__(self, part=None,):
+        self.part = part
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DirectoryPull')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DirectoryPiece(object):
+    """
+    Attributes:
+     - mark
+     - number
+     - count
+     - items
+
+    """
+
+    __slots__ = (
+        'mark',
+        'number',
+        'count',
+        'items',
+    )
+
+
+    def __init__(self, mark=None, number=None, count=None, items=None,):
+        self.mark = mark
+        self.number = number
+        self.count = count
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.mark = DirectoryMark()
+                    self.mark.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = ConfigItem()
+                        _elem140.read(iprot)
+                        self.items.append(_elem140)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DirectoryPiece')
+        if self.mark is not None:
+            oprot.writeFieldBegin('mark', TType.STRUCT, 1)
+            self.mark.write(oprot)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 2)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter141 in self.items:
+                iter141.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadSample(object):
+    """
+    Load of upstreams, measured once and told to all.
+
+    Attributes:
+     - upstream
+     - running
+     - waiting
+     - slots
+     - slowdown_percent
+     - age_ms
+     - healthy
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'running',
+        'waiting',
+        'slots',
+        'slowdown_percent',
+        'age_ms',
+        'healthy',
+    )
+
+
+    def __init__(self, upstream=None, running=None, waiting=None, slots=None, slowdown_percent=None, age_ms=None, healthy=None,):
+        self.upstream = upstream
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.slowdown_percent = slowdown_percent
+        self.age_ms = age_ms
+        self.healthy = healthy
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slowdown_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.healthy = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadSample')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 2)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 3)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 4)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.slowdown_percent is not None:
+            oprot.writeFieldBegin('slowdown_percent', TType.I32, 5)
+            oprot.writeI32(self.slowdown_percent)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.healthy is not None:
+            oprot.writeFieldBegin('healthy', TType.BOOL, 7)
+            oprot.writeBool(self.healthy)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadReport(object):
+    """
+    Attributes:
+     - service_name
+     - samples
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'samples',
+    )
+
+
+    def __init__(self, service_name=None, samples=None,):
+        self.service_name = service_name
+        self.samples = samples
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.samples = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = LoadSample()
+                        _elem147.read(iprot)
+                        self.samples.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadReport')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.samples is not None:
+            oprot.writeFieldBegin('samples', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.samples))
+            for iter148 in self.samples:
+                iter148.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -3084,5 +3724,51 @@
     (3, TType.I64, 'age_ms', None, None, ),  # 3
     (4, TType.BOOL, 'truncated', None, None, ),  # 4
 )
+all_structs.append(DirectoryMark)
+DirectoryMark.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I64, 'digest', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(Beacon)
+Beacon.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'leaving', None, None, ),  # 2
+    (3, TType.LIST, 'peers', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'marks', (TType.STRUCT, [DirectoryMark, None], False), None, ),  # 4
+)
+all_structs.append(DirectoryPull)
+DirectoryPull.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+)
+all_structs.append(DirectoryPiece)
+DirectoryPiece.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'mark', [DirectoryMark, None], None, ),  # 1
+    (2, TType.I32, 'number', None, None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+    (4, TType.LIST, 'items', (TType.STRUCT, [ConfigItem, None], False), None, ),  # 4
+)
+all_structs.append(LoadSample)
+LoadSample.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'running', None, None, ),  # 2
+    (3, TType.I32, 'waiting', None, None, ),  # 3
+    (4, TType.I32, 'slots', None, None, ),  # 4
+    (5, TType.I32, 'slowdown_percent', None, None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'healthy', None, None, ),  # 7
+)
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'samples', (TType.STRUCT, [LoadSample, None], False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/mangohatch/peer/messages.py
+++ b/src/mangohatch/peer/messages.py
@@ -4,12 +4,18 @@
 
 __all__ = [
     "Ack",
+    "Beacon",
     "ConfigDigest",
     "ConfigItem",
     "ConfigPull",
     "ConfigPush",
+    "DirectoryMark",
+    "DirectoryPiece",
+    "DirectoryPull",
     "EventBatch",
     "EventQuery",
+    "LoadReport",
+    "LoadSample",
     "Member",
     "MemberDigest",
     "MemberSync",
@@ -295,3 +301,70 @@
     rows: list[str] = field(default_factory=list)
     age_ms: int = 0
     truncated: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class DirectoryMark:
+    """
+    A part of the directory as a host knows it.
+
+    ``revision`` is the store's at the reading, ``digest`` stands for the content, and
+    ``age_ms`` is the time since the reading was true.
+    """
+
+    part: str = ""
+    revision: int = 0
+    digest: int = 0
+    age_ms: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Beacon:
+    """A host is alive; ``peers`` are addresses of some others."""
+
+    zone: str = ""
+    leaving: bool = False
+    peers: list[str] = field(default_factory=list)
+    marks: list[DirectoryMark] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class DirectoryPull:
+    """A request for a part of the directory, all of it."""
+
+    part: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class DirectoryPiece:
+    """One of ``count`` pieces of a part of the directory, numbered from 0."""
+
+    mark: DirectoryMark = field(default_factory=DirectoryMark)
+    number: int = 0
+    count: int = 1
+    items: list[ConfigItem] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadSample:
+    """
+    What one upstream said of its load ``age_ms`` before the message was sent.
+
+    ``slowdown_percent`` is 100 where work takes as long as usual.
+    """
+
+    upstream: str = ""
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    slowdown_percent: int = 100
+    age_ms: int = 0
+    healthy: bool = True
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadReport:
+    """Loads of upstreams of one service."""
+
+    service_name: str = ""
+    samples: list[LoadSample] = field(default_factory=list)
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -195,3 +195,45 @@
   3: i64 age_ms,
   4: bool truncated,
 }
+
+/** Fleets whose hosts know each other by datagrams: signs of life and what is known. */
+struct DirectoryMark {
+  1: string part,
+  2: i64 revision,
+  3: i64 digest,
+  4: i32 age_ms,
+}
+
+struct Beacon {
+  1: string zone,
+  2: bool leaving,
+  3: list<string> peers,
+  4: list<DirectoryMark> marks,
+}
+
+struct DirectoryPull {
+  1: string part,
+}
+
+struct DirectoryPiece {
+  1: DirectoryMark mark,
+  2: i32 number,
+  3: i32 count,
+  4: list<ConfigItem> items,
+}
+
+/** Load of upstreams, measured once and told to all. */
+struct LoadSample {
+  1: string upstream,
+  2: i32 running,
+  3: i32 waiting,
+  4: i32 slots,
+  5: i32 slowdown_percent,
+  6: i32 age_ms,
+  7: bool healthy,
+}
+
+struct LoadReport {
+  1: string service_name,
+  2: list<LoadSample> samples,
+}
--- /dev/null
+++ b/src/mangohatch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its settings, store, headers and documents."""
--- /dev/null
+++ b/src/mangohatch/platform/dialect.py
@@ -0,0 +1,229 @@
+"""The platform's header fields and statuses."""
+
+import re
+
+import xxhash
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from mangohatch.core.call import Call, Report
+from mangohatch.core.load import UpstreamLoad
+from mangohatch.core.tables import Tables, UpstreamRow
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.dialect import Dialect, ErrorAnswer
+from mangohatch.entry.headers import drop_hop_by_hop
+from mangohatch.entry.request import frame_body
+from mangohatch.errors import (
+    BadRequest,
+    DeadlineExceeded,
+    NoConfiguration,
+    NoRoute,
+    Outcome,
+    RequestError,
+    UpstreamFailed,
+)
+from mangohatch.upstream.connection import ResponseHead
+
+__all__ = ["PlatformDialect", "read_load", "read_probe"]
+
+REQUEST_ID = "Request-Id"
+DEADLINE = "Deadline-Ms"
+EXPECTED_INSTANCE = "Expected-Instance"
+SIGNATURE = "Upstream-Signature"
+NOT_EXECUTED = "Not-Executed"
+LOAD = "Upstream-Load"
+INSTANCE = "Upstream-Instance"
+RETRY_AFTER = "Retry-After"
+
+OK = 200
+MULTIPLE_CHOICES = 300
+MISDIRECTED = 421
+SERVICE_UNAVAILABLE = 503
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+
+DEADLINE_DIGITS = re.compile(r"[0-9]{1,9}(\.[0-9]+)?")
+LOAD_FIELDS = 3
+PERCENT = 100.0
+MS_PER_SECOND = 1000.0
+HELD_BYTES = 1_048_576  # larger than nearly all responses; one at a time a connection
+RETRY_AFTER_MS = 200.0  # where nothing tells when a place becomes free
+
+
+class PlatformDialect(Dialect):
+    """Requests and responses as callers and upstreams of the platform write them."""
+
+    allows_unframed = True
+    held_bytes = HELD_BYTES
+
+    def __init__(self, *, rng) -> None:
+        self._rng = rng
+
+    def read_request_id(self, headers: HTTPHeaders) -> str:
+        return headers.get(REQUEST_ID, "")
+
+    def make_call(
+        self,
+        *,
+        line: RequestStartLine,
+        headers: HTTPHeaders,
+        request_id: str,
+        caller: str,
+        tables: Tables,
+        now_ms: float,
+    ) -> Call:
+        if not tables.routes.revision:
+            raise NoConfiguration("this host has not learnt the routes yet")
+        host = headers.get("Host", "").partition(":")[0]
+        path = line.path.partition("?")[0]
+        route = tables.routes.find(host, path)
+        if route is None:
+            raise NoRoute(f"no route of host {host!r} begins the path")
+        budget_ms = min(read_deadline_ms(headers, route.timeout_ms), route.timeout_ms)
+        return Call(
+            request_id=request_id,
+            service=route.choose(self._rng),
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + budget_ms,
+            idempotent=route.idempotent,
+            customer=caller,
+            route=route.name,
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            objective_ms=now_ms + route.objective_ms,
+            response_bytes=tables.response_bytes.get(route.name, 0.0),
+        )
+
+    def prepare_headers(self, req: ActiveRequest) -> None:
+        headers = req.headers
+        drop_hop_by_hop(headers)
+        headers.pop("Expect", None)
+        frame_body(req.line.method, headers, req.body)
+        # A request that crashes upstreams comes again with the same caller, path and
+        # body, under another id.
+        call = req.call
+        named = (call.route, call.customer, req.line.method, req.line.path)
+        digest = xxhash.xxh64("\n".join(named).encode())
+        if req.body is not None:
+            digest.update(bytes(req.body.kept))
+        call.fingerprint = digest.hexdigest()
+
+    def stamp_attempt(
+        self, req: ActiveRequest, upstream: UpstreamRow, remaining_ms: float
+    ) -> None:
+        req.headers[DEADLINE] = str(int(remaining_ms))
+        req.headers[EXPECTED_INSTANCE] = upstream.name
+
+    def belongs(self, head: ResponseHead, request_id: str) -> bool:
+        return head.headers.get(REQUEST_ID, request_id) == request_id
+
+    def states_not_run(self, head: ResponseHead) -> bool:
+        return head.line.code == MISDIRECTED or NOT_EXECUTED in head.headers
+
+    def check_response(self, head: ResponseHead) -> None:
+        if not OK <= head.line.code < MULTIPLE_CHOICES:
+            return
+        if SIGNATURE not in head.headers or REQUEST_ID not in head.headers:
+            raise UpstreamFailed("the response lacks the upstream's signature")
+        if "Content-Encoding" in head.headers:
+            raise UpstreamFailed("the body is encoded, which nobody asked for")
+
+    def read_upstream_state(self, head: ResponseHead, report: Report) -> None:
+        report.load = read_load(head)
+        # Another upstream has the address now.
+        report.draining = head.line.code == MISDIRECTED
+
+    def dress_response(self, head: ResponseHead, request_id: str) -> Outcome:
+        drop_hop_by_hop(head.headers)
+        return Outcome.DONE
+
+    def make_error(self, error: RequestError, request_id: str) -> ErrorAnswer:
+        body = f"{error.code}: {error.detail}\n".encode()
+        headers = HTTPHeaders(
+            {
+                "Content-Type": "text/plain",
+                "Content-Length": str(len(body)),
+                REQUEST_ID: request_id,
+            }
+        )
+        status = status_of(error)
+        if status == SERVICE_UNAVAILABLE:
+            retry_after_ms = error.retry_after_ms or RETRY_AFTER_MS
+            headers[RETRY_AFTER] = f"{retry_after_ms / MS_PER_SECOND:.3f}"
+        return ErrorAnswer(status=status, headers=headers, body=body)
+
+
+def status_of(error: RequestError) -> int:
+    """
+    Choose a status that promises only what is true.
+
+    :param error: the failure, its outcome settled
+    :return: 503 for a request that has not run and will not; 502 or 504 where it may
+        have run; the error's own status below 500
+    """
+    if isinstance(error, (BadRequest, NoRoute)) and error.outcome is Outcome.NOT_RUN:
+        return error.status
+    if error.outcome is Outcome.NOT_RUN:
+        return SERVICE_UNAVAILABLE
+    if isinstance(error, DeadlineExceeded):
+        return GATEWAY_TIMEOUT
+    return BAD_GATEWAY
+
+
+def read_deadline_ms(headers: HTTPHeaders, default_ms: float) -> float:
+    """
+    Read how long the caller will wait.
+
+    :param headers: header fields of a request
+    :param default_ms: used without the field
+    :return: milliseconds
+    :raises BadRequest: when the value is not a number
+    """
+    text = headers.get(DEADLINE)
+    if text is None:
+        return default_ms
+    if DEADLINE_DIGITS.fullmatch(text) is None:
+        raise BadRequest(f"{DEADLINE} is not a number of milliseconds")
+    return float(text)
+
+
+def read_load(head: ResponseHead) -> UpstreamLoad | None:
+    """
+    Read the load that a response states.
+
+    :param head: head of the response
+    :return: the load, None without a readable one
+    """
+    text = head.headers.get(LOAD)
+    if text is None:
+        return None
+    try:
+        numbers = [int(part) for part in text.split(",")]
+    except ValueError:
+        return None
+    if len(numbers) < LOAD_FIELDS:
+        return None
+    running, waiting, slots, *rest = numbers
+    # The fourth figure is the time that work takes now, 100 as usual.
+    slowdown = rest[0] / PERCENT if rest else 1.0
+    return UpstreamLoad(
+        running=running, waiting=waiting, slots=slots, slowdown=slowdown
+    )
+
+
+def read_probe(head: ResponseHead) -> tuple[UpstreamLoad | None, str]:
+    """
+    Read the answer to a health check.
+
+    :param head: head of the answer
+    :return: the load, None without a readable one, and the id of the upstream
+    """
+    load = read_load(head)
+    if load is not None and head.line.code != OK:
+        load = UpstreamLoad(
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            slowdown=load.slowdown,
+            healthy=False,
+        )
+    return load, head.headers.get(INSTANCE, "")
--- /dev/null
+++ b/src/mangohatch/platform/host.py
@@ -0,0 +1,71 @@
+"""A host on the platform: the product's fleet host with this adapter's parts."""
+
+import random
+
+import structlog
+
+from mangohatch.clock import SystemClock
+from mangohatch.directory import DirectoryPart
+from mangohatch.directory.tables import DirectoryTables
+from mangohatch.fleet.host import FleetHost, FleetParts
+from mangohatch.fleet.placement import Placement
+from mangohatch.fleet.settings import FleetSettings
+from mangohatch.platform.dialect import PlatformDialect, read_probe
+from mangohatch.platform.documents import read_configuration, read_upstream
+from mangohatch.platform.source import CONFIGURATION, PlatformSource
+from mangohatch.platform.store import PlatformStore
+from mangohatch.platform.values import DocumentError
+
+__all__ = ["make_host"]
+
+READINESS_PATH = "/mangohatch/readyz"
+METRICS_PATH = "/metrics"
+STORE_TIMEOUT_MS = 1_000.0  # a slow store answers in about 250 ms
+
+log = structlog.get_logger()
+
+
+def make_host(*, cfg: FleetSettings, placement: Placement) -> FleetHost:
+    """
+    Put a host together.
+
+    :param cfg: checked settings
+    :param placement: how upstreams are chosen
+    :return: the host, not yet started
+    """
+    clock = SystemClock()
+    rng = random.Random()
+    store = PlatformStore(address=cfg.store, timeout_ms=STORE_TIMEOUT_MS)
+    parts = FleetParts(
+        dialect=PlatformDialect(rng=rng),
+        source=PlatformSource(store=store, clock=clock),
+        apply_part=apply_part,
+        read_probe=read_probe,
+        readiness_path=READINESS_PATH,
+        metrics_path=METRICS_PATH,
+    )
+    return FleetHost(cfg=cfg, clock=clock, rng=rng, parts=parts, placement=placement)
+
+
+def apply_part(part: DirectoryPart, tables: DirectoryTables) -> None:
+    """
+    Put a part of the directory in force.
+
+    :param part: the part that changed
+    :param tables: takes what it says
+    """
+    if part.name != CONFIGURATION:
+        tables.register(
+            [read_upstream(item.name, item.json) for item in part.items.values()]
+        )
+        return
+    for item in part.items.values():
+        try:
+            config = read_configuration(item.json)
+        except DocumentError as exc:
+            # What is in force stays; the operator's next version may be readable.
+            log.error(
+                "configuration_unreadable", revision=item.revision, cause=str(exc)
+            )
+            return
+        tables.configure(config, revision=item.revision)
--- /dev/null
+++ b/src/mangohatch/platform/run.py
@@ -0,0 +1,47 @@
+"""The program of a host on the platform."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from mangohatch.errors import MangohatchError, SettingsError
+from mangohatch.fleet.placement import Placement
+from mangohatch.log import configure_logging
+from mangohatch.loop import run_loop
+from mangohatch.platform.host import make_host
+from mangohatch.platform.settings import SETTINGS_VARIABLE, load_fleet_settings
+
+__all__ = ["main"]
+
+
+def main(arguments: Sequence[str]) -> int:
+    """
+    Run a host until SIGTERM.
+
+    :param arguments: the placement; the default one without
+    :return: exit status
+    """
+    configure_logging()
+    try:
+        placement = Placement(arguments[0] if arguments else Placement.EXPECTED_TIME)
+        path = os.environ.get(SETTINGS_VARIABLE, "")
+        cfg = load_fleet_settings(Path(path))
+    except ValueError as exc:
+        print(f"mangohatch: {exc}", file=sys.stderr)
+        return SettingsError.exit_code
+    except MangohatchError as exc:
+        print(f"mangohatch: {exc}", file=sys.stderr)
+        return exc.exit_code
+
+    async def serve() -> None:
+        leaving = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, leaving.set)
+        await make_host(cfg=cfg, placement=placement).run(leaving)
+
+    run_loop(serve())
+    return 0
--- /dev/null
+++ b/src/mangohatch/platform/settings.py
@@ -0,0 +1,67 @@
+"""The settings file of the platform."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from mangohatch.errors import SettingsError
+from mangohatch.fleet.settings import FleetBounds, FleetSettings
+from mangohatch.platform.values import (
+    DocumentError,
+    field_of,
+    read_address,
+    read_time_ms,
+)
+
+__all__ = ["SETTINGS_VARIABLE", "load_fleet_settings"]
+
+SETTINGS_VARIABLE = "MANGOHATCH_SETTINGS"
+METRICS_PORT = 9464  # as in deploy/system.toml; the file has no field for it
+
+
+def load_fleet_settings(path: Path) -> FleetSettings:
+    """
+    Read and check the settings of this host.
+
+    :param path: a TOML file
+    :return: the checked settings
+    :raises SettingsError: with the file and the reason
+    """
+    try:
+        return read_settings(tomllib.loads(path.read_text(encoding="utf-8")))
+    except (OSError, ValueError, DocumentError) as exc:
+        raise SettingsError(file=str(path), problems=[str(exc)]) from exc
+
+
+def read_settings(fields: dict[str, Any]) -> FleetSettings:
+    """
+    Read decoded settings.
+
+    :param fields: the decoded file; fields that are not known are ignored
+    :return: the settings
+    :raises DocumentError: when a field is missing or of another type
+    """
+    listen = field_of(fields, "listen", dict)
+    bounds = field_of(fields, "bounds", dict)
+    ports = field_of(fields, "internal_ports", list)
+    address = field_of(fields, "ip", str)
+    first_port = ports[0]
+    return FleetSettings(
+        host_id=field_of(fields, "node_name", str),
+        zone=field_of(fields, "zone", str),
+        entry=read_address(listen.get("front")),
+        readiness=read_address(listen.get("ready")),
+        peers=(address, first_port),
+        metrics=(address, METRICS_PORT),
+        # Seeds name another port of the same hosts; ports are the same on all hosts.
+        seeds=tuple(
+            (read_address(seed)[0], first_port) for seed in fields.get("seeds") or ()
+        ),
+        store=read_address(field_of(fields, "platform", dict).get("address")),
+        bounds=FleetBounds(
+            grace_ms=read_time_ms(bounds.get("grace")),
+            retry_ratio=field_of(bounds, "retry_budget_ratio", (int, float)),
+            retry_slack=field_of(bounds, "budget_slack", (int, float)),
+            retry_window_ms=read_time_ms(bounds.get("budget_window")),
+        ),
+    )
--- /dev/null
+++ b/src/mangohatch/platform/source.py
@@ -0,0 +1,81 @@
+"""The directory as the platform's store holds it."""
+
+import json
+from collections.abc import Mapping, Sequence
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.directory import DirectorySource, PartItem, PartReading
+from mangohatch.platform.documents import shorten_upstream
+from mangohatch.platform.values import DocumentError
+from mangohatch.store import ObjectReader, StoredObject
+
+__all__ = ["CONFIGURATION", "UPSTREAMS", "PlatformSource"]
+
+CONFIGURATION = "config"
+CONFIGURATION_NAME = "main"
+UPSTREAMS = "servers"
+
+log = structlog.get_logger()
+
+
+class PlatformSource(DirectorySource):
+    """
+    Reads the operators' configuration and the entries of upstreams.
+
+    :param store: the platform's store
+    :param clock: time of day
+    """
+
+    parts: Sequence[str] = (CONFIGURATION, UPSTREAMS)
+
+    def __init__(self, *, store: ObjectReader, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._unreadable: dict[str, int] = {}
+
+    async def read(self, part: str, known: Mapping[str, PartItem]) -> PartReading:
+        listing = await self._store.list(part)
+        if part == CONFIGURATION:
+            items = [
+                PartItem(
+                    name=item.name,
+                    revision=item.revision,
+                    json=json.dumps(item.value, separators=(",", ":")),
+                )
+                for item in listing.items
+                if item.name == CONFIGURATION_NAME
+            ]
+        else:
+            shortened = (self._shorten(item, known) for item in listing.items)
+            items = [item for item in shortened if item is not None]
+        return PartReading(items=items, revision=listing.revision)
+
+    def _shorten(
+        self, item: StoredObject, known: Mapping[str, PartItem]
+    ) -> PartItem | None:
+        before = known.get(item.name)
+        try:
+            text = shorten_upstream(
+                item.value,
+                wall_ms=self._clock.wall_ms(),
+                known=before.json if before else None,
+            )
+        except DocumentError as exc:
+            self._log_unreadable(item, exc)
+            return None
+        if before is not None and before.json == text:
+            return before
+        return PartItem(name=item.name, revision=item.revision, json=text)
+
+    def _log_unreadable(self, item: StoredObject, exc: DocumentError) -> None:
+        if self._unreadable.get(item.name) == item.revision:
+            return
+        self._unreadable[item.name] = item.revision
+        log.warning(
+            "upstream_entry_unreadable",
+            upstream=item.name,
+            revision=item.revision,
+            cause=str(exc),
+        )
--- /dev/null
+++ b/src/mangohatch/probing/__init__.py
@@ -0,0 +1,13 @@
+"""Measuring of upstreams: each by one host, told to all."""
+
+from mangohatch.probing.probe import LoadProbe, ProbeResult
+from mangohatch.probing.reports import LoadReports
+from mangohatch.probing.system import ProbeSettings, ProbingSystem
+
+__all__ = [
+    "LoadProbe",
+    "LoadReports",
+    "ProbeResult",
+    "ProbeSettings",
+    "ProbingSystem",
+]
--- /dev/null
+++ b/src/mangohatch/probing/reports.py
@@ -0,0 +1,81 @@
+"""Reports of load between hosts."""
+
+from mangohatch.clock import Clock
+from mangohatch.core.load import UpstreamLoad
+from mangohatch.core.tables import Tables, UpstreamRow
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.messages import LoadReport, LoadSample
+
+__all__ = ["LoadReports"]
+
+PERCENT = 100.0
+MAX_SAMPLES = 200  # of one message; about 4 KB
+
+
+class LoadReports:
+    """
+    Tells peers what was measured here, and takes what they tell.
+
+    :param clock: source of time
+    :param tables: services and upstreams
+    :param bus: messages to other hosts
+    :param on_load: called with each service of which a report arrived
+    """
+
+    def __init__(self, *, clock: Clock, tables: Tables, bus: PeerBus, on_load) -> None:
+        self._clock = clock
+        self._tables = tables
+        self._bus = bus
+        self._on_load = on_load
+        self._unsent: dict[str, dict[str, UpstreamRow]] = {}
+        bus.subscribe(LoadReport, self._receive)
+
+    def add(self, row: UpstreamRow) -> None:
+        """
+        Tell peers of an upstream's load with the next report.
+
+        :param row: the upstream, its load just observed
+        """
+        self._unsent.setdefault(row.service, {})[row.name] = row
+
+    def flush(self) -> None:
+        """Send what was added."""
+        unsent, self._unsent = self._unsent, {}
+        for service, rows in unsent.items():
+            samples = [sample for row in rows.values() if (sample := self._make(row))]
+            for first in range(0, len(samples), MAX_SAMPLES):
+                part = samples[first : first + MAX_SAMPLES]
+                self._bus.broadcast(LoadReport(service_name=service, samples=part))
+
+    def _make(self, row: UpstreamRow) -> LoadSample | None:
+        load = row.load.load
+        if load is None:
+            return None
+        return LoadSample(
+            upstream=row.name,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            slowdown_percent=round(load.slowdown * PERCENT),
+            age_ms=int(self._clock.now_ms() - row.load.measured_ms),
+            healthy=load.healthy,
+        )
+
+    def _receive(self, sender: str, report: LoadReport) -> None:
+        service = self._tables.services.get(report.service_name)
+        if service is None:
+            return
+        now_ms = self._clock.now_ms()
+        for sample in report.samples:
+            row = service.upstreams.get(sample.upstream)
+            if row is None:
+                continue
+            load = UpstreamLoad(
+                running=sample.running,
+                waiting=sample.waiting,
+                slots=sample.slots,
+                slowdown=sample.slowdown_percent / PERCENT,
+                healthy=sample.healthy,
+            )
+            row.load.observe(load, measured_ms=now_ms - sample.age_ms)
+        self._on_load(report.service_name)
--- /dev/null
+++ b/src/mangohatch/probing/system.py
@@ -0,0 +1,125 @@
+"""The system that measures upstreams, each by the host that owns it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mangohatch.clock import Clock
+from mangohatch.core.tables import Tables, UpstreamRow
+from mangohatch.peer.bus import PeerBus
+from mangohatch.probing.probe import LoadProbe, ProbeResult
+from mangohatch.probing.reports import LoadReports
+from mangohatch.ranking import rank
+
+__all__ = ["ProbeSettings", "ProbingSystem"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ProbeSettings:
+    """
+    Times of measuring, in milliseconds.
+
+    An upstream is asked every ``interval_ms``, whoever does it.
+    """
+
+    interval_ms: float = 200.0  # 5 questions an upstream and second
+
+
+@dataclass(slots=True, kw_only=True)
+class ProbeRow:
+    """An upstream that this host measures."""
+
+    row: UpstreamRow
+    due_ms: float
+    asking: bool = False
+
+
+class ProbingSystem:
+    """
+    Asks the upstreams that this host owns for their load.
+
+    Owners follow from rendezvous hashing over the members that a host hears. While
+    two views of the members differ, an upstream is measured twice or by nobody for
+    a moment, which costs a few questions or makes its report older.
+
+    :param clock: source of time
+    :param tables: services and upstreams
+    :param bus: knows the members
+    :param probe: asks
+    :param reports: tells peers
+    :param on_load: called with the service of each upstream that was measured
+    :param cfg: times
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        tables: Tables,
+        bus: PeerBus,
+        probe: LoadProbe,
+        reports: LoadReports,
+        on_load: Callable[[str], None],
+        cfg: ProbeSettings | None = None,
+    ) -> None:
+        self._clock = clock
+        self._tables = tables
+        self._bus = bus
+        self._probe = probe
+        self._reports = reports
+        self._on_load = on_load
+        self._cfg = cfg or ProbeSettings()
+        self._owned: dict[int, ProbeRow] = {}
+        self._members: object = None
+        self._services: list[object] = []
+        self.questions = 0
+
+    def tick(self) -> None:
+        """Ask the upstreams that are due, and tell peers of the answers."""
+        self._follow()
+        now_ms = self._clock.now_ms()
+        for owned in self._owned.values():
+            if not owned.asking and now_ms >= owned.due_ms:
+                self._ask(owned, now_ms)
+        self._reports.flush()
+
+    def _follow(self) -> None:
+        members = self._bus.members()
+        services = list(self._tables.services.values())
+        if members is self._members and services == self._services:
+            return
+        self._members = members
+        self._services = list(services)
+        hosts = [item.host_id for item in members if not item.leaving]
+        owned = {}
+        now_ms = self._clock.now_ms()
+        for row in self._tables.upstreams():
+            if self._owner(row, hosts) == self._bus.host_id:
+                known = self._owned.get(id(row))
+                owned[id(row)] = known or ProbeRow(row=row, due_ms=now_ms)
+        self._owned = owned
+        self._probe.keep_only([item.row for item in owned.values()])
+
+    @staticmethod
+    def _owner(row: UpstreamRow, hosts: list[str]) -> str:
+        if not hosts:
+            return ""
+        return min(hosts, key=lambda host: rank(row.name, host))
+
+    def _ask(self, owned: ProbeRow, now_ms: float) -> None:
+        service = self._tables.services[owned.row.service]
+        owned.asking = True
+        owned.due_ms = now_ms + self._cfg.interval_ms
+        self.questions += 1
+
+        def done(result: ProbeResult) -> None:
+            owned.asking = False
+            self._take(owned.row, result)
+
+        self._probe.ask(owned.row, service.spec.health_path, done)
+
+    def _take(self, row: UpstreamRow, result: ProbeResult) -> None:
+        if result.load is None or result.instance not in ("", row.name):
+            return
+        if row.load.observe(result.load, measured_ms=result.measured_ms):
+            self._reports.add(row)
+            self._on_load(row.service)
--- a/src/mangohatch/store/base.py
+++ b/src/mangohatch/store/base.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-__all__ = ["Listing", "ObjectStore", "StoredObject", "WatchEvent"]
+__all__ = ["Listing", "ObjectReader", "ObjectStore", "StoredObject", "WatchEvent"]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -35,8 +35,8 @@
     revision: int
 
 
-class ObjectStore(ABC):
-    """Objects with versions, conditional updates and watches."""
+class ObjectReader(ABC):
+    """Reads objects."""
 
     @abstractmethod
     async def get(self, kind: str, name: str) -> StoredObject | None:
@@ -59,6 +59,10 @@
         :raises StoreError: when the store gives no answer
         """
 
+
+class ObjectStore(ObjectReader):
+    """Objects with versions, conditional updates and watches."""
+
     @abstractmethod
     async def put(
         self,
--- a/src/mangohatch/store/http_call.py
+++ b/src/mangohatch/store/http_call.py
@@ -39,15 +39,15 @@
 
     :param address: IP address
     :param port: TCP port
-    :param role: caller role under which the platform counts the calls
+    :param role: caller role under which the platform counts the calls, empty for none
     :param timeout_ms: time for a whole call
     """
 
     def __init__(
-        self, *, address: str, port: int, role: str, timeout_ms: float
+        self, *, address: str, port: int, role: str = "", timeout_ms: float
     ) -> None:
         self.base = f"http://{address}:{port}"
-        self.headers = HTTPHeaders({ROLE_HEADER: role})
+        self.headers = HTTPHeaders({ROLE_HEADER: role} if role else {})
         self._timeout_s = timeout_ms / MS_PER_S
         self._client = AsyncHTTPClient(
             force_instance=True,
--- a/src/mangohatch/store/http_store.py
+++ b/src/mangohatch/store/http_store.py
@@ -7,12 +7,12 @@
 
 from tornado.httputil import HTTPHeaders
 
-from mangohatch.errors import StoreConflict, StoreError, StoreWriteUnknown
+from mangohatch.errors import StoreConflict, StoreRejected, StoreWriteUnknown
 from mangohatch.store.base import Listing, ObjectStore, StoredObject, WatchEvent
 from mangohatch.store.http_call import CallUnanswered, HttpCaller, HttpReply
 from mangohatch.store.http_watch import watch_lines
 
-__all__ = ["HttpObjectStore", "StoreRejected"]
+__all__ = ["HttpObjectStore"]
 
 OK = 200
 NO_CONTENT = 204
@@ -20,12 +20,6 @@
 CONFLICT = 409
 
 
-class StoreRejected(StoreError):
-    """The store refused a call as malformed or too large; nothing was written."""
-
-    code = "store_rejected"
-
-
 class HttpObjectStore(ObjectStore):
     """
     A client of the object API; one instance per caller role.
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -72,6 +72,16 @@
         """
 
 
+class DroppingSink(ResponseSink):
+    """Takes a response that nobody waits for."""
+
+    def start(self, head: ResponseHead, *, body_waits: bool) -> None:
+        return None
+
+    def write(self, chunk: bytes) -> Awaitable[None] | None:
+        return None
+
+
 class SinkDelegate(HTTPMessageDelegate):
     """Adapts a sink to the delegate interface of tornado."""
 
@@ -221,12 +231,25 @@
         )
         return ResponseHead(line=line, headers=headers)
 
-    async def read_body(self, head: ResponseHead, sink: ResponseSink) -> bool:
+    async def skip_body(self, head: ResponseHead) -> None:
+        """
+        Read a response to its end and drop it.
+
+        :param head: head of a response to another request
+        :raises UpstreamAborted: when the connection breaks before the end
+        """
+        await self.read_body(head, DroppingSink())
+
+    async def read_body(
+        self, head: ResponseHead, sink: ResponseSink, *, until_close: bool = False
+    ) -> bool:
         """
         Stream a response into a sink.
 
         :param head: head of the response as read
         :param sink: receives head and body
+        :param until_close: take a response without length to the orderly end of the
+            connection
         :return: whether the connection can carry another request
         :raises UpstreamAborted: when the connection breaks before the end
         :raises ResponseUnframed: when the end can't be told from a cut
@@ -235,13 +258,19 @@
         delegate = SinkDelegate(conn=self, sink=sink)
         try:
             reading = None
+            framed = True
             if self._has_body(code):
-                check_framed(head)
+                framed = is_framed(head)
+                if not framed and not until_close:
+                    raise ResponseUnframed("the response has neither length nor chunks")
+                self._must_close = self._must_close or not framed
                 reading = self._read_body(code, head.headers, delegate)
             waits = reading is not None and not self.stream._read_buffer_size
             sink.start(head, body_waits=waits)
             if reading is not None:
                 await reading
+            if not framed and self.stream.error is not None:
+                raise UpstreamAborted("connection was reset within the response")
         except StreamClosedError as exc:
             raise UpstreamAborted("connection broke within the response") from exc
         except HTTPInputError as exc:
@@ -253,13 +282,12 @@
         return self._request_start_line.method != "HEAD" and code != NOT_MODIFIED
 
 
-def check_framed(head: ResponseHead) -> None:
+def is_framed(head: ResponseHead) -> bool:
     """
-    Refuse a response whose end would be the end of the connection.
+    Tell whether the end of a response can be told from a cut.
 
     :param head: head of a response with a body
-    :raises ResponseUnframed: when it has neither length nor chunks
+    :return: False when its end is the end of the connection
     """
     framed = "Content-Length" in head.headers or "Transfer-Encoding" in head.headers
-    if not framed and head.line.code != NO_CONTENT:
-        raise ResponseUnframed("the response has neither length nor chunks")
+    return framed or head.line.code == NO_CONTENT
--- a/src/standins/state_hosts.py
+++ b/src/standins/state_hosts.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from mangohatch.claims import StoreClaimRegistry
+from mangohatch.claims.store_registry import StoreClaimRegistry
 from mangohatch.claims.sweep import ClaimSweep
 from mangohatch.config import ClaimSettings, ServiceSpec, StateSettings
 from mangohatch.core.tables import Tables
--- a/tests/claims/test_store_registry.py
+++ b/tests/claims/test_store_registry.py
@@ -3,8 +3,9 @@
 import random
 from collections import Counter
 
-from mangohatch.claims import Answer, StoreClaimRegistry
+from mangohatch.claims import Answer
 from mangohatch.claims.record import claim_kind, claim_name
+from mangohatch.claims.store_registry import StoreClaimRegistry
 from mangohatch.config import ClaimSettings
 from mangohatch.errors import (
     ClaimKeyMismatch,
--- a/tests/claims/test_sweep.py
+++ b/tests/claims/test_sweep.py
@@ -2,8 +2,9 @@
 
 import random
 
-from mangohatch.claims import Answer, StoreClaimRegistry
+from mangohatch.claims import Answer
 from mangohatch.claims.record import SHARDS, claim_kind, claim_name
+from mangohatch.claims.store_registry import StoreClaimRegistry
 from mangohatch.claims.sweep import ClaimSweep
 from mangohatch.config import ClaimSettings
 from mangohatch.errors import Outcome
--- a/tests/state/faults.py
+++ b/tests/state/faults.py
@@ -11,7 +11,7 @@
     rule,
 )
 
-from mangohatch.claims import StoreClaimRegistry
+from mangohatch.claims.store_registry import StoreClaimRegistry
 from mangohatch.state import StateService
 from standins.objects import StoreFaults
 from standins.state_hosts import StateHosts
--- a/tests/state/mutants.py
+++ b/tests/state/mutants.py
@@ -2,10 +2,9 @@
 
 from dataclasses import replace
 
-from mangohatch.claims import StoreClaimRegistry
 from mangohatch.claims.record import ClaimState, claim_kind, read_claim
 from mangohatch.claims.results import ResultWriter
-from mangohatch.claims.store_registry import StoreTicket
+from mangohatch.claims.store_registry import StoreClaimRegistry, StoreTicket
 from mangohatch.errors import StoreConflict, StoreError
 from mangohatch.state import ConfigTable, StateService
 from mangohatch.state.effects import LeavingEffect
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -12,12 +12,13 @@
     RevisionCompacted,
     StoreConflict,
     StoreRateLimited,
+    StoreRejected,
     StoreUnavailable,
     StoreWriteUnknown,
 )
 from mangohatch.state import ConfigTable
 from mangohatch.state.reader import ConfigReader, WatchSilent
-from mangohatch.store.http_store import HttpObjectStore, StoreRejected
+from mangohatch.store.http_store import HttpObjectStore
 from mangohatch.store.operations import put_resolved, with_operation
 from mangohatch.timeline.recorder import HybridClock, Recorder
 from standins.object_api import make_object_api
