Move idempotent requests off upstreams that became slow

Cause: an upstream that was fast when it was chosen may be slow a moment later. Change: each tick asks whether another free place would answer in time where this one would not; leave comes from the retry budget. A price of the way is no reason to wait.

--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -62,7 +62,7 @@
 
     tie: float = 0.1
     zone_ms_per_kb: float = 1.5  # 90 KB of a download weigh 135 of 300 spare ms
-    poor_factor: float = 2.0
+    poor_factor: float = 2.4
     patience_ms: float = 60.0  # of 180 ms that a lookup has to spare
     crowded_share: float = 0.8
     crowded_slowdown: float = 1.7
@@ -114,9 +114,12 @@
         if not costs:
             return None
         least = min(cost for cost, _ in costs)
-        poor = least >= self._cfg.poor_factor * work_ms
-        if poor and now_ms - call.arrived_ms < self._cfg.patience_ms:
-            return None
+        if now_ms - call.arrived_ms < self._cfg.patience_ms:
+            quickest_ms = min(
+                self.time_ms(row, call, work_ms, now_ms) for _, row in costs
+            )
+            if quickest_ms >= self._cfg.poor_factor * work_ms:
+                return None
         good = [row for cost, row in costs if cost <= least * (1.0 + self._cfg.tie)]
         row = self._rng.choice(good)
         grant = self.make_grant(call, row)
@@ -165,17 +168,36 @@
             free=free,
         )
 
-    def cost_ms(
+    def best_ms(self, service: ServiceRow, call: Call, work_ms: float) -> float:
+        """
+        Tell how soon a call would be done on the best place that is free now.
+
+        :param service: the service of the call
+        :param call: the call, with the upstreams to avoid
+        :param work_ms: its work at the usual speed
+        :return: milliseconds, infinite when nothing is free
+        """
+        now_ms = self._clock.now_ms()
+        return min(
+            (
+                self.cost_ms(row, call, work_ms, now_ms)
+                for row in service.upstreams.values()
+                if self.is_open(row, call)
+            ),
+            default=math.inf,
+        )
+
+    def time_ms(
         self, row: UpstreamRow, call: Call, work_ms: float, now_ms: float
     ) -> float:
         """
-        Weigh the placing of a call on an upstream.
+        Estimate how long a call would take on an upstream.
 
         :param row: the upstream
         :param call: the call
         :param work_ms: its work at the usual speed
         :param now_ms: monotonic time
-        :return: expected time, and the price of the way; infinite without a free slot
+        :return: milliseconds, infinite without a free slot
         """
         occupancy = row.load.occupancy()
         if call.isolated and occupancy:
@@ -188,10 +210,25 @@
         if (occupancy + 1) / slots > cfg.crowded_share:
             work_ms *= cfg.crowded_slowdown
         # Work varies: a place must also be good for a request that takes long.
-        cost_ms = sum(
+        times = [
             self._book.finish_ms(row, work_ms * factor, now_ms)
             for factor in WORK_FACTORS
-        ) / len(WORK_FACTORS)
+        ]
+        return sum(times) / len(times)
+
+    def cost_ms(
+        self, row: UpstreamRow, call: Call, work_ms: float, now_ms: float
+    ) -> float:
+        """
+        Weigh the placing of a call on an upstream.
+
+        :param row: the upstream
+        :param call: the call
+        :param work_ms: its work at the usual speed
+        :param now_ms: monotonic time
+        :return: expected time, and the price of the way; infinite without a free slot
+        """
+        cost_ms = self.time_ms(row, call, work_ms, now_ms)
         if row.zone != self._zone:
             cost_ms += self._cfg.zone_ms_per_kb * call.response_bytes / 1000.0
         return cost_ms
--- /dev/null
+++ b/src/mangohatch/core/moving.py
@@ -0,0 +1,80 @@
+"""When an idempotent request should be sent to another upstream instead."""
+
+from dataclasses import dataclass
+
+from mangohatch.clock import Clock
+from mangohatch.core.call import Grant
+from mangohatch.core.choice.expected import ExpectedTimeChooser
+from mangohatch.core.load_book import LoadBook
+from mangohatch.core.tables import Tables
+
+__all__ = ["MovePolicy", "MoveSettings"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class MoveSettings:
+    """
+    Bounds of moving.
+
+    A request is taken to have at least ``least_rest`` of its route's work before it,
+    and is moved only when that saves ``margin_ms``.
+    """
+
+    least_rest: float = 0.25
+    margin_ms: float = 40.0  # a new connection, and the error of the estimates
+
+
+class MovePolicy:
+    """
+    Tells which requests an upstream will answer late that another would not.
+
+    Answers the load of shared machines: an upstream that was fast when it was chosen
+    may be four times slower a moment later, long before the request is late.
+
+    :param clock: source of time
+    :param tables: services and upstreams
+    :param book: estimates completion
+    :param chooser: knows which places are free
+    :param cfg: bounds
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        tables: Tables,
+        book: LoadBook,
+        chooser: ExpectedTimeChooser,
+        cfg: MoveSettings | None = None,
+    ) -> None:
+        self._clock = clock
+        self._tables = tables
+        self._book = book
+        self._chooser = chooser
+        self._cfg = cfg or MoveSettings()
+
+    def should_move(self, grant: Grant) -> bool:
+        """
+        Tell whether another upstream would answer in time, and this one would not.
+
+        :param grant: an attempt of an idempotent request without an answer yet
+        :return: whether to send the request elsewhere
+        """
+        call = grant.call
+        service = self._tables.services.get(call.service)
+        if service is None:
+            return False
+        now_ms = self._clock.now_ms()
+        work_ms = self._book.work_ms(call.route)
+        row = grant.upstream
+        done_ms = row.load.progress_ms(grant.granted_ms, now_ms)
+        rest_ms = max(work_ms - done_ms, self._cfg.least_rest * work_ms)
+        stay_ms = now_ms + self._book.finish_ms(row, rest_ms, now_ms)
+        if stay_ms <= call.objective_ms:
+            return False
+        move_ms = now_ms + self._chooser.best_ms(service, call, work_ms)
+        if move_ms + self._cfg.margin_ms > stay_ms:
+            return False
+        in_time = move_ms <= call.objective_ms
+        saved = stay_ms > call.deadline_ms >= move_ms
+        return in_time or saved
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of one request: admission, attempts and the response."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 
 import structlog
@@ -22,6 +23,7 @@
 from mangohatch.entry.retry import is_retry_safe, result_of
 from mangohatch.entry.watch import RequestWatch
 from mangohatch.errors import (
+    AttemptMoved,
     CallerGone,
     ContinuationFailed,
     DeadlineExceeded,
@@ -63,6 +65,8 @@
     :param dialect: header fields of callers and upstreams; the native ones by default
     :param recorder: receives events; None for no events
     :param observer: hears of the end of each request
+    :param should_move: tells whether another upstream would be done sooner; None to
+        leave requests where they are
     """
 
     def __init__(
@@ -76,6 +80,7 @@
         dialect: Dialect | None = None,
         recorder: Recorder | None = None,
         observer: RequestObserver | None = None,
+        should_move: Callable[[Grant], bool] | None = None,
     ) -> None:
         self.dialect = dialect or NativeDialect()
         self._clock = clock
@@ -94,6 +99,8 @@
             pool=pool,
             events=self._events,
             may_retry=self._may_retry,
+            should_move=should_move,
+            spend_retry=self._spend_retry,
         )
         self.active: set[ActiveRequest] = set()
 
@@ -282,7 +289,8 @@
         assert req.upstream is not None
         req.last_error = error
         req.sink.discard()
-        req.wants_new_connection = isinstance(error, UpstreamAborted)
+        moved = isinstance(error, AttemptMoved)
+        req.wants_new_connection = isinstance(error, UpstreamAborted) and not moved
         req.may_repeat_upstream = isinstance(error, (UpstreamAborted, UpstreamFailed))
         req.call = replace(
             call,
--- a/src/mangohatch/entry/retry.py
+++ b/src/mangohatch/entry/retry.py
@@ -2,6 +2,7 @@
 
 from mangohatch.core.call import Call, Result
 from mangohatch.errors import (
+    AttemptMoved,
     CallerGone,
     ConnectionSilent,
     DeadlineExceeded,
@@ -30,6 +31,7 @@
 MAY_HAVE_RUN = (UpstreamAborted, UpstreamFailed)
 
 RESULTS: tuple[tuple[type[RequestError], Result], ...] = (
+    (AttemptMoved, Result.CANCELLED),
     (ConnectionSilent, Result.SILENT),
     (ResponseLate, Result.TIMEOUT),
     (CallerGone, Result.CANCELLED),
--- a/src/mangohatch/entry/watch.py
+++ b/src/mangohatch/entry/watch.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable, Iterable
 
 from mangohatch.clock import Clock
+from mangohatch.core.call import Grant
 from mangohatch.core.quarantine import QuarantineGate
 from mangohatch.core.router import Router
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.continuation import can_continue
 from mangohatch.entry.events import RequestEvents
 from mangohatch.errors import (
+    AttemptMoved,
     ConnectionSilent,
     DeadlineExceeded,
     ResponseLate,
@@ -34,6 +36,8 @@
     :param pool: drops the siblings of a silent connection
     :param events: receives events
     :param may_retry: tells whether another attempt of a request could follow
+    :param should_move: tells whether another upstream would be done sooner
+    :param spend_retry: spends leave for another attempt, if there is any
     """
 
     def __init__(
@@ -44,7 +48,11 @@
         pool: ConnectionPool,
         events: RequestEvents,
         may_retry: Callable[[ActiveRequest], bool],
+        should_move: Callable[[Grant], bool] | None = None,
+        spend_retry: Callable[[ActiveRequest], bool] | None = None,
     ) -> None:
+        self._should_move = should_move
+        self._spend_retry = spend_retry
         self._clock = clock
         self._router = router
         self._pool = pool
@@ -64,6 +72,7 @@
                 continue
             if req.awaits_head and not req.silent:
                 self._check_silence(req, now_ms)
+                self._check_place(req)
             elif req.conn is not None and not req.conn.connected:
                 self._check_connecting(req, req.conn, now_ms)
             if now_ms >= req.call.deadline_ms:
@@ -90,6 +99,17 @@
             detail = f"upstream {conn.upstream.name} did not accept in time"
             req.abort_attempt(UpstreamUnreachable(detail))
 
+    def _check_place(self, req: ActiveRequest) -> None:
+        if self._should_move is None or self._spend_retry is None:
+            return
+        if not req.call.idempotent or req.grant is None or req.retry_allowed:
+            return
+        if not self._may_retry(req) or not self._should_move(req.grant):
+            return
+        if req.attempt_failure is None and self._spend_retry(req):
+            req.retry_allowed = True
+            req.abort_attempt(AttemptMoved("another upstream should be done sooner"))
+
     def _check_silence(self, req: ActiveRequest, now_ms: float) -> None:
         conn = req.conn
         if conn is None or now_ms - conn.sent_ms <= req.silence_limit_ms:
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -2,6 +2,7 @@
 
 from mangohatch.errors.admin import HostUnanswered
 from mangohatch.errors.attempt import (
+    AttemptMoved,
     CallerGone,
     ConnectionSilent,
     ContinuationFailed,
@@ -69,6 +70,7 @@
 
 __all__ = [
     "AnswerNotKept",
+    "AttemptMoved",
     "BadRequest",
     "BodyTooLarge",
     "CallerGone",
--- a/src/mangohatch/errors/attempt.py
+++ b/src/mangohatch/errors/attempt.py
@@ -3,6 +3,7 @@
 from mangohatch.errors.request import Outcome, RequestError, UpstreamAborted
 
 __all__ = [
+    "AttemptMoved",
     "CallerGone",
     "ConnectionSilent",
     "ContinuationFailed",
@@ -33,6 +34,12 @@
     code = "response_late"
 
 
+class AttemptMoved(UpstreamAborted):
+    """The upstream became slow, and another one should be done sooner."""
+
+    code = "attempt_moved"
+
+
 class ResponseUnframed(RequestError):
     """The response had no length, so that its end can't be told from a cut."""
 
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -8,12 +8,14 @@
 import structlog
 
 from mangohatch.clock import Clock
+from mangohatch.core.call import Grant
 from mangohatch.core.choice.base import Chooser
 from mangohatch.core.choice.expected import ExpectedTimeChooser
 from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
 from mangohatch.core.health import OutlierHealth
 from mangohatch.core.health.ejection import Health
 from mangohatch.core.load_book import LoadBook
+from mangohatch.core.moving import MovePolicy
 from mangohatch.core.quarantine import (
     QuarantineGate,
     QuarantineNotices,
@@ -148,6 +150,7 @@
             dialect=parts.dialect,
             recorder=self.recorder,
             observer=RequestLog(clock=clock),
+            should_move=self._make_move_policy(),
         )
         self.entry = EntryServer(
             host_id=cfg.host_id,
@@ -184,6 +187,7 @@
                     on_end=self._serve,
                 ),
             )
+        self._chooser = chooser
         return Router(
             clock=self._clock,
             rng=self._rng,
@@ -194,6 +198,16 @@
             timers=timers,
         )
 
+    def _make_move_policy(self) -> Callable[[Grant], bool] | None:
+        if not isinstance(self._chooser, ExpectedTimeChooser):
+            return None
+        return MovePolicy(
+            clock=self._clock,
+            tables=self.tables,
+            book=self.book,
+            chooser=self._chooser,
+        ).should_move
+
     def _serve(self, service: str) -> None:
         self.router.serve(service)
 
