--- a/src/mangohatch/config/service.py
+++ b/src/mangohatch/config/service.py
@@ -63,8 +63,9 @@
     max_queue_wait_ms: float = Field(
         default=15.0,
         gt=0,
-        le=20.0,
-        description="longest wait for an upstream before the request is refused",
+        le=60_000.0,
+        description="longest wait for an upstream before the request is refused; "
+        "for requests that run for seconds, about as long as one of them",
     )
     rules: tuple[IdempotencyRule, ...] = ()
     measuring: MeasuringBudget = MeasuringBudget()
--- a/src/mangohatch/core/retry.py
+++ b/src/mangohatch/core/retry.py
@@ -97,13 +97,12 @@
         count_hosts: Callable[[], int],
     ) -> None:
         self._clock = clock
-        self._ratio = ratio * BUDGET_SHARE
-        self._slack = slack * BUDGET_SHARE
         self._window_ms = window_ms
         self._count_hosts = count_hosts
         self._hosts = FEWEST_HOSTS
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
+        self.set_bounds(ratio=ratio, slack=slack)
 
     def earn(self, call: Call) -> None:
         self._count(self._requests, call.service).append(self._clock.now_ms())
@@ -119,6 +118,16 @@
         repeats.append(self._clock.now_ms())
         return True
 
+    def set_bounds(self, *, ratio: float, slack: float) -> None:
+        """
+        Change the bounds that all hosts keep together.
+
+        :param ratio: share of requests that may be repeated
+        :param slack: repeats in a window beyond that share
+        """
+        self._ratio = ratio * BUDGET_SHARE
+        self._slack = slack * BUDGET_SHARE
+
     def _count(self, table: dict[str, deque[float]], service: str) -> deque[float]:
         times = table.setdefault(service, deque())
         oldest_ms = self._clock.now_ms() - self._window_ms
--- a/src/mangohatch/entry/connection.py
+++ b/src/mangohatch/entry/connection.py
@@ -1,7 +1,14 @@
 """One request of a caller, read strictly, and the writing of its response."""
 
+import re
+
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import HTTPHeaders, HTTPInputError, RequestStartLine
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+)
 from tornado.iostream import IOStream
 
 from mangohatch.entry.body import RequestBody
@@ -25,6 +32,9 @@
 NO_CONTENT = 204
 BODYLESS_CODES = frozenset({204, 304})
 LAST_CHUNK = b"0\r\n\r\n"
+LINE_END = b"\r\n"
+CHUNK_LENGTH = re.compile(rb"[0-9A-Fa-f]{1,15}")
+MAX_CHUNK_LINE_BYTES = 64  # as tornado allows
 UNKNOWN_LINE = RequestStartLine("GET", "/", "HTTP/1.1")
 
 
@@ -118,6 +128,36 @@
         self._read_finished = True
         body.end()
 
+    async def _read_chunked_body(self, delegate: HTTPMessageDelegate) -> None:
+        # Tornado waits for a line end with carriage return for as long as it takes.
+        total = 0
+        while length := await self._read_chunk_length():
+            total += length
+            if total > self._limits.body_bytes:
+                raise HTTPInputError("chunked body too large")
+            while length:
+                piece = await self.stream.read_bytes(
+                    min(CHUNK_BYTES, length), partial=True
+                )
+                length -= len(piece)
+                await self._deliver_body(delegate, piece)
+            if await self.stream.read_bytes(len(LINE_END)) != LINE_END:
+                raise HTTPInputError("a chunk does not end with its length")
+        if await self._read_chunk_line():
+            raise HTTPInputError("trailers are not supported")
+
+    async def _read_chunk_length(self) -> int:
+        digits = (await self._read_chunk_line()).partition(b";")[0].strip()
+        if CHUNK_LENGTH.fullmatch(digits) is None:
+            raise HTTPInputError("a chunk has no length")
+        return int(digits, 16)
+
+    async def _read_chunk_line(self) -> bytes:
+        line = await self.stream.read_until(b"\n", max_bytes=MAX_CHUNK_LINE_BYTES)
+        if not line.endswith(LINE_END):
+            raise HTTPInputError("a chunk line ends without carriage return")
+        return line[: -len(LINE_END)]
+
     def _too_large(self) -> BodyTooLarge:
         limit = self._limits.body_bytes
         return BodyTooLarge(f"the request body has more than {limit} bytes")
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 
@@ -33,6 +33,7 @@
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.request_log import RequestLog
 from mangohatch.fleet.settings import FleetSettings
+from mangohatch.fleet.settings_file import SettingsFile
 from mangohatch.fleet.text_server import TextAnswer, TextServer
 from mangohatch.loop_timers import LoopTimers
 from mangohatch.peer.datagram import DatagramPeerBus
@@ -142,11 +143,12 @@
         )
         self.gate = self._make_gate()
         self.pool = ConnectionPool(clock=clock)
+        self.budget = self._make_budget()
         self.forwarder = Forwarder(
             clock=clock,
             router=self.gate,
             pool=self.pool,
-            budget=self._make_budget(),
+            budget=self.budget,
             dialect=parts.dialect,
             recorder=self.recorder,
             observer=RequestLog(clock=clock),
@@ -312,16 +314,30 @@
             return False
         return self.entry.drained() or self._clock.now_ms() >= self._leave_by_ms
 
-    async def run(self, leaving: asyncio.Event) -> None:
+    def _reload(self, settings: SettingsFile) -> None:
+        cfg = settings.changed()
+        if cfg is None:
+            return
+        # Addresses and identity hold for the life of a process.
+        self.bus.set_seeds(cfg.seeds)
+        self.budget.set_bounds(
+            ratio=cfg.bounds.retry_ratio, slack=cfg.bounds.retry_slack
+        )
+        self.cfg = replace(self.cfg, seeds=cfg.seeds, bounds=cfg.bounds)
+        log.info("settings_in_force", seeds=len(cfg.seeds))
+
+    async def run(self, leaving: asyncio.Event, settings: SettingsFile) -> None:
         """
         Serve until told to leave, then until no caller is left.
 
         :param leaving: set when the host has to leave
+        :param settings: the file, which may change
         """
         await self.start()
         while not self._must_end():
             if leaving.is_set():
                 self.leave()
+            self._reload(settings)
             self.tick()
             busy = self.forwarder.active
             await asyncio.sleep((BUSY_TICK_MS if busy else IDLE_TICK_MS) / MS_PER_S)
--- a/src/mangohatch/peer/datagram.py
+++ b/src/mangohatch/peer/datagram.py
@@ -76,7 +76,7 @@
         self._host_id = host_id
         self._zone = zone
         self._address = address
-        self._seeds = [seed for seed in seeds if seed != address]
+        self._seeds: list[PeerAddress] = []
         self._clock = clock
         self._hybrid = hybrid
         self._rng = rng
@@ -87,6 +87,7 @@
         self._beacon_at_ms = 0.0
         self._seeds_at_ms = 0.0
         self._members: tuple[MemberView, ...] = ()
+        self.set_seeds(seeds)
         self._list_members()
         self.subscribe(Beacon, self._take_beacon)
 
@@ -97,6 +98,14 @@
     def members(self) -> Sequence[MemberView]:
         return self._members
 
+    def set_seeds(self, seeds: Iterable[PeerAddress]) -> None:
+        """
+        Change the addresses to ask while no peer is known.
+
+        :param seeds: addresses of hosts, this one may be among them
+        """
+        self._seeds = [seed for seed in seeds if seed != self._address]
+
     async def start(self) -> None:
         """Bind the socket and tell the seeds of this host."""
         loop = asyncio.get_running_loop()
--- a/src/mangohatch/platform/run.py
+++ b/src/mangohatch/platform/run.py
@@ -9,6 +9,7 @@
 
 from mangohatch.errors import MangohatchError, SettingsError
 from mangohatch.fleet.placement import Placement
+from mangohatch.fleet.settings_file import SettingsFile
 from mangohatch.log import configure_logging
 from mangohatch.loop import run_loop
 from mangohatch.platform.host import make_host
@@ -27,8 +28,8 @@
     configure_logging()
     try:
         placement = Placement(arguments[0] if arguments else Placement.EXPECTED_TIME)
-        path = os.environ.get(SETTINGS_VARIABLE, "")
-        cfg = load_fleet_settings(Path(path))
+        path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+        cfg = load_fleet_settings(path)
     except ValueError as exc:
         print(f"mangohatch: {exc}", file=sys.stderr)
         return SettingsError.exit_code
@@ -41,7 +42,10 @@
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, leaving.set)
-        await make_host(cfg=cfg, placement=placement).run(leaving)
+        host = make_host(cfg=cfg, placement=placement)
+        settings = SettingsFile(path=path, read=load_fleet_settings)
+        loop.add_signal_handler(signal.SIGHUP, settings.ask)
+        await host.run(leaving, settings)
 
     run_loop(serve())
     return 0
--- a/src/standins/fleet.py
+++ b/src/standins/fleet.py
@@ -147,6 +147,7 @@
         return {
             "name": size.name,
             "path_prefix": f"/{size.name}",
+            "max_queue_wait_ms": size.max_queue_wait_ms,
             "upstreams": [
                 {
                     "name": upstream.name,
--- /dev/null
+++ b/src/standins/platform_site.py
@@ -0,0 +1,192 @@
+"""A small stand-in for the users' platform: its store and upstreams behind it."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import urlsplit
+
+__all__ = ["PlatformSite", "SiteUpstream"]
+
+LOOPBACK = "127.0.0.1"
+PAGE = 50
+
+Headers = dict[str, str]
+Answer = tuple[int, Headers, bytes]
+Handler = Callable[[str, str, Headers, bytes], Awaitable[Answer]]
+
+
+class HttpEnd:
+    """Accepts connections and hands each request to a handler."""
+
+    def __init__(self, *, handler: Handler) -> None:
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on any free port of the loopback."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Stop accepting connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+                line, *lines = head.strip().split("\r\n")
+                method, target, _ = line.split(" ")
+                headers = {
+                    name.lower(): value
+                    for name, value in (item.split(": ", 1) for item in lines)
+                }
+                size = int(headers.get("content-length", 0))
+                body = await reader.readexactly(size)
+                status, fields, content = await self._handler(
+                    method, target, headers, body
+                )
+                fields = fields | {"Content-Length": str(len(content))}
+                text = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+                writer.write(f"HTTP/1.1 {status} X\r\n{text}\r\n".encode() + content)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+@dataclass(slots=True, kw_only=True)
+class SiteUpstream:
+    """An upstream that answers each request with its path."""
+
+    name: str
+    service: str
+    work_s: float = 0.0
+    requests: list[Headers] = field(default_factory=list)
+    end: HttpEnd | None = None
+
+    async def start(self) -> None:
+        """Start to accept requests."""
+        self.end = HttpEnd(handler=self.answer)
+        await self.end.start()
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        """
+        Make the entry under which the upstream registers itself.
+
+        :param state: whether it takes new work
+        :return: content of the entry
+        """
+        assert self.end is not None
+        return {
+            "address": f"{LOOPBACK}:{self.end.port}",
+            "born": 1,
+            "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 2},
+            "status": {"state": state, "sequence": 1, "cold_remaining": "0ms"},
+        }
+
+    async def answer(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> Answer:
+        """
+        Answer a request.
+
+        :param method: its method
+        :param target: its path
+        :param headers: its header fields
+        :param body: its body
+        :return: status, header fields and body
+        """
+        load = {"Upstream-Load": "0,0,2,100"}
+        if target == "/healthz":
+            return 200, load | {"Upstream-Instance": self.name}, b""
+        if headers.get("expected-instance") != self.name:
+            return 421, {"Upstream-Instance": self.name}, b""
+        self.requests.append(headers)
+        await asyncio.sleep(self.work_s)
+        fields = {
+            "Request-Id": headers["request-id"],
+            "Upstream-Signature": f"{self.name}.signed",
+        }
+        return 200, load | fields, target.encode()
+
+
+class PlatformSite:
+    """The store with one configuration, and its upstreams."""
+
+    def __init__(self, *, upstreams: list[SiteUpstream]) -> None:
+        self.upstreams = upstreams
+        self.revision = 1
+        self.objects: dict[str, dict[str, tuple[int, Any]]] = {}
+        self.store = HttpEnd(handler=self.answer)
+
+    async def start(self) -> None:
+        """Start store and upstreams, and register the upstreams."""
+        await self.store.start()
+        for upstream in self.upstreams:
+            await upstream.start()
+            self.put("servers", upstream.name, upstream.entry())
+
+    def stop(self) -> None:
+        """Stop accepting connections."""
+        self.store.stop()
+        for upstream in self.upstreams:
+            if upstream.end is not None:
+                upstream.end.stop()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """
+        Write an object.
+
+        :param kind: kind of object
+        :param name: its name
+        :param spec: its content
+        """
+        self.revision += 1
+        self.objects.setdefault(kind, {})[name] = (self.revision, spec)
+
+    def delete(self, kind: str, name: str) -> None:
+        """
+        Delete an object.
+
+        :param kind: kind of object
+        :param name: its name
+        """
+        self.revision += 1
+        del self.objects[kind][name]
+
+    async def answer(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> Answer:
+        """
+        Answer a call to the store.
+
+        :param method: its method
+        :param target: its path and query
+        :param headers: its header fields
+        :param body: its body
+        :return: status, header fields and body
+        """
+        parts = urlsplit(target)
+        kind = parts.path.rpartition("/")[2]
+        after = parts.query.removeprefix("after=")
+        names = sorted(name for name in self.objects.get(kind, {}) if name > after)
+        items = [self._object(kind, name) for name in names[:PAGE]]
+        content = {
+            "items": items,
+            "has_more": len(names) > PAGE,
+            "store_revision": self.revision,
+        }
+        return 200, {}, json.dumps(content).encode()
+
+    def _object(self, kind: str, name: str) -> dict[str, Any]:
+        revision, spec = self.objects[kind][name]
+        metadata = {"name": name, "revision": revision}
+        return {"metadata": metadata, "spec": spec, "status": None}
--- a/src/standins/sites.py
+++ b/src/standins/sites.py
@@ -4,6 +4,8 @@
 
 __all__ = ["HIMAL", "HIMNARIO", "SITES", "ServiceSize", "Site"]
 
+DOWNLOAD_QUEUE_WAIT_MS = 4_000.0  # about as long as a download takes
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ServiceSize:
@@ -13,6 +15,7 @@
     upstreams: int
     slots: int
     connections: int
+    max_queue_wait_ms: float = 15.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -36,13 +39,25 @@
     region="bagmati",
     zones=("bagmati-a", "bagmati-b", "bagmati-c"),
     desk=ServiceSize(name="booking-desk", upstreams=20, slots=2, connections=200),
-    archive=ServiceSize(name="media-vault", upstreams=5, slots=2, connections=200),
+    archive=ServiceSize(
+        name="media-vault",
+        upstreams=5,
+        slots=2,
+        connections=200,
+        max_queue_wait_ms=DOWNLOAD_QUEUE_WAIT_MS,
+    ),
 )
 HIMNARIO = Site(
     name="himnario",
     region="sur-andino",
     zones=("arequipa", "puno", "cusco"),
     desk=ServiceSize(name="tablero-misa", upstreams=30, slots=2, connections=250),
-    archive=ServiceSize(name="archivo-himnos", upstreams=5, slots=2, connections=250),
+    archive=ServiceSize(
+        name="archivo-himnos",
+        upstreams=5,
+        slots=2,
+        connections=250,
+        max_queue_wait_ms=DOWNLOAD_QUEUE_WAIT_MS,
+    ),
 )
 SITES = (HIMAL, HIMNARIO)
--- /dev/null
+++ b/tests/core/choice/test_expected.py
@@ -0,0 +1,188 @@
+"""Tests of placement by the expected time of completion."""
+
+from collections import Counter
+
+from mangohatch.core.call import Call, Grant, Refusal, Report, Result
+from mangohatch.core.choice.expected import ExpectedTimeChooser, PlacementListener
+from mangohatch.core.health import NoHealth
+from mangohatch.core.load import UpstreamLoad
+from mangohatch.core.load_book import LoadBook
+from mangohatch.core.router import Router
+from mangohatch.core.tables import Tables
+from mangohatch.core.timers import NoTimers
+from tests.fixtures import make_service
+from tests.functions import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+SERVICE = "tablero-misa"
+
+
+class Notes(PlacementListener):
+    def __init__(self):
+        self.begun = []
+        self.done = []
+
+    def began(self, grant):
+        self.begun.append((grant.upstream.name, grant.token))
+
+    def ended(self, grant):
+        self.done.append((grant.upstream.name, grant.token))
+
+
+class Bench:
+    """A router with one service of four upstreams."""
+
+    def __init__(self, clock, rng):
+        self.clock = clock
+        self.tables = Tables()
+        spec = make_service(upstreams=4).model_copy(update={"max_queue_wait_ms": 500.0})
+        self.tables.apply(spec, revision=1)
+        self.rows = self.tables.services[SERVICE].upstreams
+        self.book = LoadBook(clock=clock)
+        self.notes = Notes()
+        self.chooser = ExpectedTimeChooser(
+            clock=clock,
+            rng=rng,
+            health=NoHealth(),
+            timers=NoTimers(),
+            book=self.book,
+            zone="puno",
+            listener=self.notes,
+        )
+        self.router = Router(
+            clock=clock, rng=rng, tables=self.tables, chooser=self.chooser
+        )
+        self.decisions = []
+
+    def report(self, name, *, running=0, slowdown=1.0):
+        load = UpstreamLoad(running=running, waiting=0, slots=2, slowdown=slowdown)
+        now_ms = self.clock.now_ms()
+        self.book.observe(self.rows[name], load, measured_ms=now_ms, seen_ms=now_ms)
+
+    def ask(self, **fields):
+        now_ms = self.clock.now_ms()
+        values = {
+            "request_id": f"r{len(self.decisions)}",
+            "service": SERVICE,
+            "arrived_ms": now_ms,
+            "deadline_ms": now_ms + 1000.0,
+            "idempotent": True,
+        }
+        call = Call(**(values | fields))
+        self.router.request(call, self.decisions.append)
+        return call
+
+    def chosen(self):
+        return Counter(
+            item.upstream.name for item in self.decisions if isinstance(item, Grant)
+        )
+
+
+@fixture
+def bench(clock, rng):
+    clock.advance(1_000.0)
+    return Bench(clock, rng)
+
+
+def test_slow_upstreams_get_nothing_while_fast_ones_are_free(bench):
+    for name in ("u1", "u2", "u3"):
+        bench.report(name, slowdown=4.0)
+    bench.report("u4")
+    bench.ask()
+    assert bench.chosen() == {"u4": 1}
+
+
+def test_upstream_with_a_free_slot_beside_a_busy_one_comes_second(bench):
+    bench.report("u1", running=1)
+    bench.report("u2", running=1)
+    bench.report("u3", running=1)
+    bench.report("u4")
+    bench.ask()
+    assert bench.chosen() == {"u4": 1}
+
+
+def test_full_upstreams_make_calls_wait_at_the_host(bench):
+    for name in bench.rows:
+        bench.report(name, running=2)
+    bench.ask()
+    assert bench.decisions == []
+    bench.clock.advance(10.0)
+    bench.report("u3", running=0)
+    bench.router.serve(SERVICE)
+    assert bench.chosen() == {"u3": 1}
+
+
+def test_call_waits_a_little_when_all_free_places_are_poor(bench):
+    for name in bench.rows:
+        bench.report(name, slowdown=4.0)
+    bench.ask()
+    assert bench.decisions == []
+    bench.clock.advance(61.0)
+    bench.router.serve(SERVICE)
+    assert sum(bench.chosen().values()) == 1
+
+
+def test_call_that_finds_nothing_is_refused_before_its_deadline(bench):
+    for name in bench.rows:
+        bench.report(name, running=2)
+    bench.ask(deadline_ms=bench.clock.now_ms() + 200.0)
+    bench.clock.advance(200.0)
+    bench.router.tick()
+    assert isinstance(bench.decisions[0], Refusal)
+    assert bench.decisions[0].error.retry_after_ms > 0
+
+
+def test_urgent_call_goes_first(bench):
+    for name in bench.rows:
+        bench.report(name, running=2)
+    bench.ask(request_id="late", priority=2)
+    bench.ask(request_id="urgent", priority=1)
+    bench.clock.advance(1.0)
+    bench.report("u1")
+    bench.router.serve(SERVICE)
+    assert [item.call.request_id for item in bench.decisions] == ["urgent"]
+
+
+def test_isolated_call_needs_an_empty_upstream(bench):
+    for name in bench.rows:
+        bench.report(name, running=1)
+    bench.ask(isolated=True)
+    assert bench.decisions == []
+    bench.clock.advance(1.0)
+    bench.report("u2")
+    bench.router.serve(SERVICE)
+    assert bench.chosen() == {"u2": 1}
+
+
+def test_large_responses_stay_in_their_zone(bench):
+    for row in bench.rows.values():
+        row.zone = "cusco"
+    bench.rows["u2"].zone = "puno"
+    for name in bench.rows:
+        bench.report(name)
+    for _ in range(2):
+        bench.ask(response_bytes=90_000.0)
+    assert bench.chosen() == {"u2": 2}
+
+
+def test_listener_hears_of_begin_and_end(bench):
+    bench.report("u1")
+    bench.ask()
+    grant = bench.decisions[0]
+    assert bench.notes.begun == [(grant.upstream.name, grant.token)]
+    report = Report(result=Result.OK, latency_ms=5.0, first_byte_ms=5.0)
+    bench.router.release(grant, report)
+    assert bench.notes.done == bench.notes.begun
+    assert grant.upstream.load.occupancy() == 0
+
+
+def test_old_reports_are_believed_less(bench):
+    bench.report("u1", slowdown=4.0)
+    bench.report("u2", slowdown=1.0)
+    slow, fast = bench.rows["u1"], bench.rows["u2"]
+    now_ms = bench.clock.now_ms()
+    young = bench.book.finish_ms(slow, 100.0, now_ms)
+    old = bench.book.finish_ms(slow, 100.0, now_ms + 5_000.0)
+    assert young > 390.0
+    assert abs(old - bench.book.finish_ms(fast, 100.0, now_ms + 5_000.0)) < 1.0
--- /dev/null
+++ b/tests/core/test_fleet_budget.py
@@ -0,0 +1,96 @@
+"""Tests of the retry budget that hosts keep together without messages."""
+
+from mangohatch.core.call import Call
+from mangohatch.core.retry import FleetRetryBudget
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+RATIO = 0.2
+SLACK = 56.0
+WINDOW_MS = 10_000.0
+
+
+def make_call(service="desk"):
+    return Call(
+        request_id="r",
+        service=service,
+        arrived_ms=0.0,
+        deadline_ms=1000.0,
+        idempotent=True,
+    )
+
+
+def make_hosts(clock, *, count, heard):
+    return [
+        FleetRetryBudget(
+            clock=clock,
+            ratio=RATIO,
+            slack=SLACK,
+            window_ms=WINDOW_MS,
+            count_hosts=lambda: heard,
+        )
+        for _ in range(count)
+    ]
+
+
+def play(hosts, clock, *, seconds, per_second):
+    """All hosts retry whatever they may; give the times of the repeats."""
+    times = []
+    requests = []
+    for _ in range(seconds * 10):
+        clock.advance(100.0)
+        for host in hosts:
+            for _ in range(per_second // 10):
+                host.earn(make_call())
+                requests.append(clock.now_ms())
+            while host.allow(make_call()):
+                times.append(clock.now_ms())
+    return requests, times
+
+
+def worst_excess(requests, times):
+    excess = 0.0
+    for start in times:
+        end = start + WINDOW_MS
+        repeats = sum(start <= at < end for at in times)
+        first = sum(start <= at < end for at in requests)
+        before = sum(start - WINDOW_MS <= at < start for at in requests)
+        excess = max(excess, repeats - RATIO * max(first, before) - SLACK)
+    return excess
+
+
+def test_all_hosts_together_stay_within_the_budget(clock):
+    for count, heard in ((13, 13), (17, 17), (13, 1), (40, 40)):
+        hosts = make_hosts(clock, count=count, heard=heard)
+        requests, times = play(hosts, clock, seconds=25, per_second=10)
+        assert times
+        assert worst_excess(requests, times) <= 0.0
+
+
+def test_budget_holds_when_the_load_falls(clock):
+    hosts = make_hosts(clock, count=13, heard=13)
+    requests, times = play(hosts, clock, seconds=12, per_second=40)
+    later, more = play(hosts, clock, seconds=12, per_second=10)
+    assert worst_excess(requests + later, times + more) <= 0.0
+
+
+def test_services_have_budgets_of_their_own(clock):
+    (host,) = make_hosts(clock, count=1, heard=1)
+    while host.allow(make_call("desk")):
+        pass
+    assert host.allow(make_call("vault"))
+
+
+def test_hosts_that_fell_silent_still_count(clock):
+    heard = [40]
+    host = FleetRetryBudget(
+        clock=clock,
+        ratio=RATIO,
+        slack=SLACK,
+        window_ms=WINDOW_MS,
+        count_hosts=lambda: heard[0],
+    )
+    assert host.allow(make_call())
+    heard[0] = 1
+    assert not host.allow(make_call())
--- /dev/null
+++ b/tests/directory/fleet.py
@@ -0,0 +1,169 @@
+"""Followers of a directory over a bus without network, in virtual time."""
+
+import asyncio
+import random
+
+from mangohatch.directory import (
+    DirectoryFollower,
+    DirectorySource,
+    PartItem,
+    PartReading,
+)
+from mangohatch.errors import StoreUnavailable
+from mangohatch.peer.bus import MemberView, PeerBus
+from mangohatch.peer.messages import Beacon
+from standins.virtual_loop import LoopClock
+
+__all__ = ["FakeBus", "FakeSource", "Followers", "Network"]
+
+PARTS = ("config", "upstreams")
+TICK_MS = 10.0
+BEACON_MS = 500.0
+
+
+class FakeSource(DirectorySource):
+    """A store that can be taken away from some hosts."""
+
+    parts = PARTS
+
+    def __init__(self, store, host):
+        self.store = store
+        self.host = host
+
+    async def read(self, part, known):
+        self.store.calls += 1
+        if self.host in self.store.cut or self.store.down:
+            raise StoreUnavailable("the store is away")
+        items = [
+            PartItem(name=name, revision=revision, json=text)
+            for name, (revision, text) in self.store.items[part].items()
+        ]
+        return PartReading(items=items, revision=self.store.revision)
+
+
+class FakeStore:
+    def __init__(self):
+        self.revision = 1
+        self.items = {part: {} for part in PARTS}
+        self.cut = set()
+        self.down = False
+        self.calls = 0
+
+    def put(self, part, name, text):
+        self.revision += 1
+        self.items[part][name] = (self.revision, text)
+
+    def drop(self, part, name):
+        self.revision += 1
+        del self.items[part][name]
+
+
+class Network:
+    """Delivers messages at the next tick, except to and from cut hosts."""
+
+    def __init__(self):
+        self.buses = {}
+        self.cut = set()
+        self.pending = []
+        self.sent = 0
+
+    def deliver(self):
+        pending, self.pending = self.pending, []
+        for sender, receiver, message in pending:
+            if self.cut & {sender, receiver}:
+                continue
+            self.sent += 1
+            for handler in self.buses[receiver].handlers.get(type(message), ()):
+                handler(sender, message)
+
+
+class FakeBus(PeerBus):
+    def __init__(self, network, host):
+        self.network = network
+        self.host = host
+        self.handlers = {}
+        network.buses[host] = self
+
+    @property
+    def host_id(self):
+        return self.host
+
+    def members(self):
+        cut = self.network.cut
+        names = (
+            [self.host]
+            if self.host in cut
+            else sorted(name for name in self.network.buses if name not in cut)
+        )
+        return [MemberView(host_id=name, incarnation=1, zone="z") for name in names]
+
+    def send(self, host_id, message):
+        self.network.pending.append((self.host, host_id, message))
+        return True
+
+    def broadcast(self, message):
+        for name in self.network.buses:
+            if name != self.host:
+                self.send(name, message)
+
+    def subscribe(self, message_type, handler):
+        self.handlers.setdefault(message_type, []).append(handler)
+
+
+class Followers:
+    """Some hosts that follow one store."""
+
+    def __init__(self, loop, *, count=4):
+        self.loop = loop
+        self.clock = LoopClock(loop=loop)
+        self.store = FakeStore()
+        self.network = Network()
+        self.followers = {}
+        self.changes = []
+        self.beacons_ms = {}
+        for number in range(count):
+            self.add(f"h{number}")
+
+    def add(self, name):
+        bus = FakeBus(self.network, name)
+        follower = DirectoryFollower(
+            clock=self.clock,
+            rng=random.Random(name),
+            source=FakeSource(self.store, name),
+            bus=bus,
+            on_change=lambda part: self.changes.append((name, part.name)),
+            announce=lambda: self.announce(name),
+        )
+        self.followers[name] = follower
+        self.beacons_ms[name] = 0.0
+
+    def announce(self, name):
+        bus = self.network.buses[name]
+        bus.broadcast(Beacon(zone="z", marks=self.followers[name].marks()))
+
+    def remove(self, name):
+        del self.followers[name]
+        del self.network.buses[name]
+
+    def run(self, span_ms):
+        self.loop.run_until_complete(self._run(span_ms))
+
+    async def _run(self, span_ms):
+        end_ms = self.clock.now_ms() + span_ms
+        while self.clock.now_ms() < end_ms:
+            for name, follower in list(self.followers.items()):
+                follower.tick()
+                if self.clock.now_ms() >= self.beacons_ms[name] + BEACON_MS:
+                    self.beacons_ms[name] = self.clock.now_ms()
+                    self.announce(name)
+            await asyncio.sleep(TICK_MS / 1000)
+            self.network.deliver()
+
+    def names(self, part="upstreams"):
+        return {
+            host: set(follower.part(part).items)
+            for host, follower in self.followers.items()
+        }
+
+    def all_know(self, expected, part="upstreams"):
+        return all(names == expected for names in self.names(part).values())
--- /dev/null
+++ b/tests/directory/test_follower.py
@@ -0,0 +1,126 @@
+"""Tests of following the store with few calls."""
+
+from tests.directory.fleet import Followers
+from tests.functions import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+# Of the two seconds in which a change has to be in force.
+IN_FORCE_MS = 1_500.0
+
+
+@fixture
+def fleet(loop):
+    made = Followers(loop)
+    made.store.put("config", "main", "v1")
+    made.store.put("upstreams", "u1", "a")
+    made.run(1_000.0)
+    return made
+
+
+def test_all_hosts_learn_the_directory(fleet):
+    assert fleet.all_know({"u1"})
+    assert fleet.all_know({"main"}, "config")
+
+
+def test_one_host_reads_for_all(fleet):
+    before = fleet.store.calls
+    fleet.run(10_000.0)
+    calls_per_s = (fleet.store.calls - before) / 10.0
+    # Two parts twice a second by one host, and a step-in now and then.
+    assert calls_per_s <= 5.0, calls_per_s
+
+
+def test_change_is_in_force_everywhere_in_time(fleet):
+    fleet.store.put("upstreams", "u2", "b")
+    fleet.run(IN_FORCE_MS)
+    assert fleet.all_know({"u1", "u2"})
+    fleet.store.drop("upstreams", "u1")
+    fleet.run(IN_FORCE_MS)
+    assert fleet.all_know({"u2"})
+
+
+def test_change_is_in_force_although_any_one_host_dies(loop):
+    for victim in ("h0", "h1", "h2", "h3"):
+        fleet = Followers(loop)
+        fleet.store.put("upstreams", "u1", "a")
+        fleet.run(1_000.0)
+        fleet.remove(victim)
+        fleet.store.put("upstreams", "u2", "b")
+        fleet.run(IN_FORCE_MS)
+        assert fleet.all_know({"u1", "u2"}), victim
+
+
+def test_hosts_that_the_store_rejects_hear_from_the_others(fleet):
+    fleet.store.cut = {"h0", "h1", "h2"}
+    fleet.store.put("upstreams", "u2", "b")
+    fleet.run(2_500.0)
+    assert fleet.all_know({"u1", "u2"})
+
+
+def test_calls_to_a_store_that_is_away_are_bounded(fleet):
+    fleet.store.down = True
+    fleet.run(3_000.0)
+    before = fleet.store.calls
+    fleet.run(10_000.0)
+    calls_per_s = (fleet.store.calls - before) / 10.0
+    assert calls_per_s <= 10.0, calls_per_s
+
+
+def test_host_that_starts_while_the_store_is_away_learns_from_peers(fleet):
+    fleet.store.down = True
+    fleet.run(1_000.0)
+    fleet.add("h9")
+    fleet.run(1_500.0)
+    assert fleet.followers["h9"].known
+    assert fleet.all_know({"u1"})
+
+
+def test_host_that_knows_nothing_says_so(loop):
+    fleet = Followers(loop, count=1)
+    fleet.store.down = True
+    fleet.run(2_000.0)
+    assert not fleet.followers["h0"].known
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(fleet):
+    fleet.store.down = True
+    fleet.run(6_000.0)
+    fleet.store.drop("upstreams", "u1")
+    fleet.store.down = False
+    fleet.run(1_500.0)
+    assert fleet.all_know({"u1"})
+    fleet.store.put("upstreams", "u2", "b")
+    fleet.run(4_000.0)
+    assert fleet.all_know({"u2"})
+
+
+def test_no_host_goes_back_to_an_older_reading(fleet):
+    fleet.network.cut = {"h3"}
+    fleet.store.cut = {"h3"}
+    fleet.store.put("config", "main", "v2")
+    fleet.run(2_000.0)
+    newer = fleet.followers["h0"].part("config").items["main"].json
+    assert newer == "v2"
+    fleet.network.cut = set()
+    fleet.run(2_000.0)
+    for follower in fleet.followers.values():
+        assert follower.part("config").items["main"].json == "v2"
+
+
+def test_large_parts_travel_in_pieces(fleet):
+    for number in range(100):
+        fleet.store.put("upstreams", f"big{number}", "x" * 400)
+    fleet.store.cut = {"h0", "h1", "h2"}
+    fleet.run(3_000.0)
+    expected = {f"big{number}" for number in range(100)} | {"u1"}
+    assert fleet.all_know(expected)
+
+
+def test_heartbeats_cause_no_messages_with_content(fleet):
+    fleet.run(2_000.0)
+    before = len(fleet.changes)
+    for _ in range(20):
+        fleet.store.revision += 1
+        fleet.run(100.0)
+    assert len(fleet.changes) == before
--- a/tests/entry/test_hostile.py
+++ b/tests/entry/test_hostile.py
@@ -150,3 +150,48 @@
 
 def not_stated_as_not_run(message: Message) -> bool:
     return "/shed " not in message.line
+
+
+async def test_chunk_line_without_carriage_return_is_refused_at_once():
+    async def answer(upstream, message, writer):
+        writer.write(fixed())
+
+    head = b"POST /a/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    bodies = (
+        b"5\nhello\n0\n\n",
+        b"5\r\nhello\n0\r\n\r\n",
+        b"5\r\nhello\r\n0\n\n",
+        b"x\r\n",
+        b"0\r\nTrailer: x\r\n\r\n",
+    )
+    async with open_entry(answer) as (entry, upstreams):
+        for body in bodies:
+            caller = await entry.connect()
+            await caller.send(head + body)
+            assert (await caller.read()).status == 400, body
+        assert not upstreams[0].requests
+
+
+async def test_body_over_the_limit_is_refused():
+    async def answer(upstream, message, writer):
+        writer.write(fixed())
+
+    async with open_entry(answer) as (entry, upstreams):
+        entry.server.limits.body_bytes = 10
+        for head, body in (
+            (b"Content-Length: 11", b"x" * 11),
+            (b"Transfer-Encoding: chunked", b"6\r\nhellos\r\n5\r\nhello\r\n0\r\n\r\n"),
+        ):
+            caller = await entry.connect()
+            await caller.send(b"POST /a/x HTTP/1.1\r\nHost: h\r\n" + head + b"\r\n\r\n")
+            await caller.send(body)
+            assert (await caller.read()).status == 413, head
+        assert not upstreams[0].requests
+
+
+async def test_head_over_the_limit_is_refused():
+    async with open_entry() as (entry, upstreams):
+        entry.server.limits.head_bytes = 200
+        caller = await entry.connect()
+        response = await caller.ask(X_Padding="x" * 300)
+        assert response.status == 431
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of :mod:`mangohatch.fleet`."""
--- /dev/null
+++ b/tests/platform/site.py
@@ -0,0 +1,137 @@
+"""A host as a real process in front of the platform's stand-in."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from standins.platform_site import PlatformSite, SiteUpstream
+from standins.processes import free_port
+from tests.entry.harness import LOOPBACK, Message, read_message
+
+__all__ = ["HOST_NAME", "PlatformHost", "open_host", "route"]
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST_NAME = "ficu95.example"
+WAIT_S = 15.0
+
+
+def route(name, prefix, **fields):
+    spec = {
+        "host": HOST_NAME,
+        "path_prefix": prefix,
+        "kind": "safe",
+        "timeout": "1000ms",
+        "target_latency": "300ms",
+        "priority": 2,
+        "service": "desk",
+        "max_attempts": 2,
+    }
+    return {"type": "routes", "metadata": {"name": name}, "spec": spec | fields}
+
+
+def configuration(version, *routes):
+    service = {"health_check_path": "/healthz", "max_connections": 220}
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 67108864,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15000ms",
+    }
+    return {
+        "version": f"r{version}",
+        "resources": [
+            *routes,
+            {"type": "services", "metadata": {"name": "desk"}, "spec": service},
+            {"type": "limits", "metadata": {}, "spec": limits},
+        ],
+    }
+
+
+class PlatformHost:
+    """The process of a host, and what a caller and the balancer ask of it."""
+
+    def __init__(self, site):
+        self.site = site
+        self.ports = {name: free_port() for name in ("front", "ready", "peers")}
+        self.process = None
+
+    def settings(self):
+        return f"""
+node_name = "h1"
+zone = "z"
+ip = "{LOOPBACK}"
+internal_ports = [{self.ports["peers"]}, {self.ports["peers"]}]
+[listen]
+front = "{LOOPBACK}:{self.ports["front"]}"
+ready = "{LOOPBACK}:{self.ports["ready"]}"
+[bounds]
+grace = "6s"
+retry_budget_ratio = 0.2
+budget_window = "10s"
+budget_slack = 56
+[platform]
+address = "{LOOPBACK}:{self.site.store.port}"
+"""
+
+    async def start(self, path):
+        path.write_text(self.settings())
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "deploy/host.py",
+            cwd=ROOT,
+            env={"MANGOHATCH_SETTINGS": str(path)},
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+
+    async def ask(self, port, target, **headers) -> Message:
+        fields = {"Host": HOST_NAME, "Request-Id": "abc", "Deadline-Ms": "2000"}
+        fields |= {name.replace("_", "-"): text for name, text in headers.items()}
+        lines = "".join(f"{name}: {text}\r\n" for name, text in fields.items())
+        reader, writer = await asyncio.open_connection(LOOPBACK, self.ports[port])
+        try:
+            writer.write(f"GET {target} HTTP/1.1\r\n{lines}\r\n".encode())
+            return await asyncio.wait_for(read_message(reader), WAIT_S)
+        finally:
+            writer.close()
+
+    async def wait_for_status(self, port, target, status):
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                try:
+                    if (await self.ask(port, target)).status == status:
+                        return
+                except OSError:
+                    pass
+                await asyncio.sleep(0.02)
+
+    async def stop(self):
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.process.wait(), WAIT_S)
+
+
+@contextlib.asynccontextmanager
+async def open_host(*, upstreams=2, work_s=0.0) -> AsyncIterator[PlatformHost]:
+    """Start a site and a host that serves it."""
+    made = [
+        SiteUpstream(name=f"i-{number}", service="desk", work_s=work_s)
+        for number in range(upstreams)
+    ]
+    site = PlatformSite(upstreams=made)
+    await site.start()
+    site.put("config", "main", configuration(1, route("r1", "/a/")))
+    host = PlatformHost(site)
+    with tempfile.TemporaryDirectory() as folder:
+        await host.start(Path(folder) / "local.toml")
+        try:
+            await host.wait_for_status("ready", "/mangohatch/readyz", 200)
+            yield host
+        finally:
+            if host.process.returncode is None:
+                host.process.kill()
+                await host.process.wait()
+            site.stop()
--- /dev/null
+++ b/tests/platform/test_border.py
@@ -0,0 +1,63 @@
+"""Tests of the border of the adapter."""
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+ROOT = Path(__file__).resolve().parents[2]
+SOURCE = ROOT / "src" / "mangohatch"
+ADAPTER = SOURCE / "platform"
+# Names of the platform's wire, store, settings and documents.
+NAMES = re.compile(
+    r"Upstream-Signature|Expected-Instance|Not-Executed|(?<!X-)Deadline-Ms"
+    r"|Upstream-Instance|MANGOHATCH_SETTINGS|cold_remaining|traffic_split"
+    r"|/mangohatch/|health_check_path|node_name|internal_ports"
+)
+# Libraries that only the product's own interface needs.
+HEAVY = (
+    "pydantic",
+    "lark",
+    "cyclopts",
+    "prometheus_client",
+    "matplotlib",
+    "hypothesis",
+)
+
+
+def test_nothing_outside_the_adapter_knows_the_platform_s_names():
+    found = []
+    for path in SOURCE.rglob("*.py"):
+        if ADAPTER in path.parents:
+            continue
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if NAMES.search(line):
+                found.append(f"{path.relative_to(ROOT)}:{number}: {line.strip()}")
+    assert not found, found
+
+
+def test_nothing_outside_the_adapter_imports_it():
+    found = []
+    for path in SOURCE.rglob("*.py"):
+        if ADAPTER not in path.parents and "mangohatch.platform" in path.read_text():
+            found.append(str(path.relative_to(ROOT)))
+    assert not found, found
+
+
+def test_host_on_the_platform_loads_no_library_of_the_own_interface():
+    script = (
+        "import sys; import mangohatch.platform.run; "
+        f"print([name for name in {HEAVY!r} if name in sys.modules])"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", script],
+        env={"PYTHONPATH": str(ROOT / "src")},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert result.stdout.strip() == "[]", result.stdout
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,154 @@
+"""Tests of the platform's documents."""
+
+import json
+
+from mangohatch.platform.documents import (
+    read_configuration,
+    read_upstream,
+    shorten_upstream,
+)
+from mangohatch.platform.values import DocumentError, read_time_ms
+from tests.functions import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+WALL_MS = 1_700_000_000_000.0
+
+
+def route(name, **fields):
+    spec = {
+        "host": "ficu95.example",
+        "path_prefix": "/lohu930/",
+        "kind": "safe",
+        "timeout": "1000ms",
+        "target_latency": "0.3s",
+        "priority": 2,
+        "service": "huvo11a",
+        "max_attempts": 2,
+    }
+    return {"type": "routes", "metadata": {"name": name}, "spec": spec | fields}
+
+
+def document(*routes, **changes):
+    service = {
+        "type": "services",
+        "metadata": {"name": "huvo11a"},
+        "spec": {"health_check_path": "/healthz", "max_connections": 220},
+    }
+    limits = {
+        "type": "limits",
+        "metadata": {},
+        "spec": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+    }
+    whole = {"version": "r7", "resources": [*routes, service, limits]}
+    return json.dumps(whole | changes)
+
+
+@fixture
+def entry():
+    return {
+        "address": "10.128.0.9:8080",
+        "born": 1_699_999_999_000,
+        "info": {"service": "huvo11a", "version": "v1", "zone": "z", "slots": 2},
+        "status": {"state": "ready", "sequence": 4, "cold_remaining": "500ms"},
+    }
+
+
+def test_configuration_is_read_into_types():
+    split = [{"service": "huvo11a", "weight": 90}, {"service": "w", "weight": 10}]
+    plain = route("r-1")
+    divided = route("r-2", kind="unsafe", traffic_split=split)
+    del divided["spec"]["service"]
+    config = read_configuration(document(plain, divided))
+    assert config.version == 7
+    first, second = config.routes
+    assert (first.timeout_ms, first.objective_ms, first.idempotent) == (1000, 300, True)
+    assert not second.idempotent
+    assert [target.weight for target in second.targets] == [90, 10]
+    assert config.services["huvo11a"].connections == 220
+    assert config.limits.idle_timeout_ms == 15_000.0
+
+
+def test_downloads_may_run_more_than_once():
+    config = read_configuration(document(route("r", kind="download")))
+    assert config.routes[0].idempotent
+
+
+def test_unknown_kind_of_route_runs_at_most_once():
+    config = read_configuration(document(route("r", kind="other")))
+    assert not config.routes[0].idempotent
+
+
+def test_malformed_configurations_are_refused_whole():
+    cases = (
+        document(route("r", timeout="soon")),
+        document(route("r", max_attempts="2")),
+        document(route("r", host=None)),
+        document(route("r"), version="7"),
+        document(route("r"), resources={}),
+    )
+    for text in cases:
+        try:
+            read_configuration(text)
+        except DocumentError:
+            continue
+        raise AssertionError(text)
+
+
+def test_heartbeats_leave_a_shortened_entry_as_it_is(entry):
+    first = shorten_upstream(entry, wall_ms=WALL_MS, known=None)
+    entry["status"] |= {"sequence": 5, "cold_remaining": "0ms"}
+    second = shorten_upstream(entry, wall_ms=WALL_MS + 1_500.0, known=first)
+    assert first == second
+    assert read_upstream("i-1", first).warm_wall_ms == WALL_MS + 500.0
+
+
+def test_restart_under_the_same_id_shows(entry):
+    first = shorten_upstream(entry, wall_ms=WALL_MS, known=None)
+    entry["born"] += 5_000
+    second = shorten_upstream(entry, wall_ms=WALL_MS, known=first)
+    assert read_upstream("i-1", second).born_ms != read_upstream("i-1", first).born_ms
+
+
+def test_draining_shows(entry):
+    entry["status"]["state"] = "draining"
+    text = shorten_upstream(entry, wall_ms=WALL_MS, known=None)
+    assert read_upstream("i-1", text).draining
+
+
+def test_entries_of_other_writers_name_no_upstream(entry):
+    cases = (
+        None,
+        "text",
+        [],
+        entry | {"address": "nowhere"},
+        entry | {"address": 5},
+        entry | {"info": {}},
+        entry | {"info": entry["info"] | {"slots": "2"}},
+        entry | {"info": entry["info"] | {"slots": True}},
+        entry | {"status": {"state": "odd"}},
+        entry | {"status": None},
+        entry | {"status": {"state": "ready", "cold_remaining": 5}},
+    )
+    for spec in cases:
+        try:
+            shorten_upstream(spec, wall_ms=WALL_MS, known=None)
+        except DocumentError:
+            continue
+        raise AssertionError(spec)
+
+
+def test_times_have_a_number_and_a_unit():
+    assert read_time_ms("1500ms") == 1500.0
+    assert read_time_ms("2.5s") == 2500.0
+    for text in ("", "5", "5 ms", "-5ms", "5m", 5, None):
+        try:
+            read_time_ms(text)
+        except DocumentError:
+            continue
+        raise AssertionError(text)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,69 @@
+"""Tests of the platform's settings file."""
+
+import tempfile
+from pathlib import Path
+
+from mangohatch.errors import SettingsError
+from mangohatch.platform.settings import load_fleet_settings
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+TEXT = """
+node_name = "front-z-1"
+zone = "z"
+ip = "127.0.0.1"
+internal_ports = [7720, 7735]
+seeds = ["127.0.0.1:8166", "127.0.0.2:8166"]
+unknown = 5
+[listen]
+front = "127.0.0.1:8161"
+ready = "127.0.0.1:8167"
+[bounds]
+grace = "6s"
+retry_budget_ratio = 0.2
+budget_window = "10s"
+budget_slack = 56
+[platform]
+address = "127.0.0.1:8169"
+"""
+
+
+def load(text):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "local.toml"
+        path.write_text(text)
+        return load_fleet_settings(path)
+
+
+def test_settings_are_read_into_types():
+    cfg = load(TEXT)
+    assert cfg.host_id == "front-z-1"
+    assert cfg.entry == ("127.0.0.1", 8161)
+    assert cfg.peers == ("127.0.0.1", 7720)
+    assert cfg.seeds == (("127.0.0.1", 7720), ("127.0.0.2", 7720))
+    assert cfg.bounds.grace_ms == 6_000.0
+    assert cfg.bounds.retry_window_ms == 10_000.0
+
+
+def test_seeds_may_be_missing():
+    assert load(TEXT.replace("seeds =", "no_seeds =")).seeds == ()
+
+
+def test_wrong_settings_are_refused_with_file_and_reason():
+    for line in ("zone = ", "front = ", "grace = ", "address = ", "internal_ports = "):
+        text = TEXT.replace(line, f"no_{line}")
+        try:
+            load(text)
+        except SettingsError as exc:
+            assert "local.toml" in str(exc)
+            continue
+        raise AssertionError(line)
+
+
+def test_missing_file_is_an_error_of_settings():
+    try:
+        load_fleet_settings(Path("/nonexistent/local.toml"))
+    except SettingsError:
+        return
+    raise AssertionError("no error")
