Bound the phase of each upstream, and halve the bounds by questions

Cause: phases fitted to changes were up to 50 ms late, because a period that is wrong by 1 ms drifts and the later questions all fall after the change; a slow upstream passed for fast in that time. Change: each phase has bounds that grow with the error of the period; every fourth question goes to their middle. A change seen there or after it halves them. The period comes from a weighted regression. Ruled out: a question a fixed 12 ms before the change (a change seen there was too wide to count), refitting all changes each time, bounds without growth (period stuck at 301.2), growth by a fixed share of time (widths of 30 ms).

--- a/src/mangohatch/core/load_book.py
+++ b/src/mangohatch/core/load_book.py
@@ -94,6 +94,16 @@
         """
         return self.rhythm(row.service).next_change_ms(row.name, now_ms)
 
+    def next_doubt_ms(self, row: UpstreamRow, now_ms: float) -> float | None:
+        """
+        Tell when a question would show most about the rhythm of an upstream.
+
+        :param row: the upstream
+        :param now_ms: monotonic time
+        :return: that time, None while nothing is known or all is known well
+        """
+        return self.rhythm(row.service).next_doubt_ms(row.name, now_ms)
+
     def note_work(self, route: str, work_ms: float) -> None:
         """
         Learn how much work the requests of a route are.
--- a/src/mangohatch/core/rhythm.py
+++ b/src/mangohatch/core/rhythm.py
@@ -1,5 +1,7 @@
 """When the speed of an upstream changes, learnt from its reports."""
 
+import math
+import operator
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -13,6 +15,9 @@
 FEWEST_CHANGES = 20  # of a whole service, before a period is believed
 FIT = 0.9  # share of the changes that a period has to explain
 SLACK_MS = 12.0  # turns of the event loop and way of the answer
+DRIFT_MS = 0.5  # least growth of the bounds of a phase between two changes
+ERRORS = 2.0  # standard errors that the period may be wrong by
+FINE_MS = 10.0  # a turn of the event loop; no question shows more
 CHANCE = 0.5  # share that a period may explain by chance and still be told from luck
 FEWEST_MISSED = 6  # changes of one upstream without a phase, before they are doubted
 MAX_MISSES = 2  # after which an upstream speaks against the period
@@ -32,31 +37,46 @@
         """How uncertain the time of the change is."""
         return self.until_ms - self.after_ms
 
+    @property
+    def middle_ms(self) -> float:
+        """The best single estimate of its time."""
+        return (self.after_ms + self.until_ms) / 2
+
 
 @dataclass(slots=True, kw_only=True)
 class Rhythm:
     """
-    Changes of one upstream, and the phase that explains them.
+    Changes of one upstream, and the bounds that they leave for its phase.
 
-    ``phase_ms`` is the time of one change on the monotonic clock, None while it is
-    not known. ``misses`` counts how often no phase fitted.
+    One possible change lies between ``early_ms`` and ``late_ms`` on the monotonic
+    clock; both are None while the phase is not known. ``misses`` counts how often no
+    phase fitted.
     """
 
     changes: deque[Change] = field(default_factory=lambda: deque(maxlen=MAX_CHANGES))
-    phase_ms: float | None = None
+    early_ms: float | None = None
+    late_ms: float | None = None
     misses: int = 0
 
-    def fit_phase(self, period_ms: float) -> None:
+    @property
+    def known(self) -> bool:
+        """Whether the phase is known."""
+        return self.late_ms is not None
+
+    def forget_phase(self) -> None:
+        """Forget the phase, not the changes."""
+        self.early_ms = self.late_ms = None
+
+    def fit(self, period_ms: float) -> None:
         """
-        Find the phase that most changes allow.
+        Find the bounds that most changes allow.
 
         :param period_ms: time between possible changes
         """
-        self.phase_ms = None
+        self.forget_phase()
         if len(self.changes) < FEWEST_OWN:
             return
-        anchor = min(self.changes, key=lambda change: change.width_ms)
-        base_ms = anchor.after_ms
+        base_ms = self.changes[-1].after_ms
         # Each change allows an arc of phases; the best lies at the end of some arc.
         arcs = [
             ((change.after_ms - base_ms) % period_ms, change.width_ms)
@@ -69,12 +89,46 @@
         best = max(scores)
         if best < FIT * len(arcs):
             return
-        chosen = [point for point, score in zip(candidates, scores) if score == best]
-        # A change is seen late and never early, so the earliest time fits best.
-        earliest = min(
-            (point + period_ms / 2) % period_ms - period_ms / 2 for point in chosen
+        # A change is seen late and never early, so the earliest end is the bound.
+        late = min(
+            (point + period_ms / 2) % period_ms - period_ms / 2
+            for point, score in zip(candidates, scores)
+            if score == best
         )
-        self.phase_ms = base_ms + earliest
+        starts = [
+            (start - late + period_ms / 2) % period_ms - period_ms / 2
+            for start, _ in arcs
+        ]
+        early = max((start for start in starts if start <= 0.0), default=-SLACK_MS)
+        self.late_ms = base_ms + late
+        self.early_ms = self.late_ms + early - SLACK_MS
+
+    def narrow(self, change: Change, period_ms: float, error_ms: float) -> bool:
+        """
+        Take a change into account while the phase is known.
+
+        :param change: the change
+        :param period_ms: time between possible changes
+        :param error_ms: how far that may be wrong
+        :return: False when the change contradicts the bounds
+        """
+        assert self.early_ms is not None and self.late_ms is not None
+        turns = math.floor((change.until_ms + SLACK_MS - self.early_ms) / period_ms)
+        drift_ms = DRIFT_MS + turns * error_ms
+        early_ms = self.early_ms + turns * period_ms - drift_ms
+        late_ms = self.late_ms + turns * period_ms + drift_ms
+        if change.after_ms < late_ms - drift_ms - period_ms:
+            # It could also be the change before.
+            return True
+        if (
+            change.after_ms - SLACK_MS > late_ms
+            or change.until_ms + SLACK_MS < early_ms
+        ):
+            return False
+        self.late_ms = min(late_ms, max(change.until_ms, early_ms + DRIFT_MS))
+        bound_ms = min(change.after_ms - SLACK_MS / 2, self.late_ms - DRIFT_MS)
+        self.early_ms = max(early_ms, bound_ms)
+        return True
 
 
 def in_arc(point: float, arc: tuple[float, float], period_ms: float) -> bool:
@@ -104,6 +158,7 @@
         self.period_ms: float | None = None
         self._rhythms: dict[str, Rhythm] = {}
         self._tried = 0
+        self._error_ms = STEP_MS
 
     @property
     def known(self) -> bool:
@@ -120,8 +175,9 @@
         """
         rhythm = self._rhythms.setdefault(upstream, Rhythm())
         change = Change(after_ms=after_ms, until_ms=until_ms)
-        if self._contradicts(rhythm, change):
-            self._lose(rhythm)
+        if self.period_ms is not None and rhythm.known:
+            if not rhythm.narrow(change, self.period_ms, self._error_ms):
+                self._lose(rhythm)
         limit_ms = SHORTEST_MS if self.period_ms is None else self.period_ms / 2
         if change.width_ms >= limit_ms:
             # It could have happened at nearly any phase.
@@ -129,14 +185,11 @@
         rhythm.changes.append(change)
         if self.period_ms is None:
             self._search()
-        if self.period_ms is not None:
-            self._follow(rhythm)
-
-    def _contradicts(self, rhythm: Rhythm, change: Change) -> bool:
-        if rhythm.phase_ms is None or self.period_ms is None:
-            return False
-        arc = (change.after_ms, change.width_ms)
-        return not in_arc(rhythm.phase_ms, arc, self.period_ms)
+        elif not rhythm.known:
+            rhythm.fit(self.period_ms)
+            self._doubt(rhythm)
+        else:
+            self._refine()
 
     def keep_only(self, names: set[str]) -> None:
         """
@@ -155,10 +208,32 @@
         :param now_ms: monotonic time
         :return: the first such time after now, None while it is not known
         """
+        bounds = self._next_bounds(upstream, now_ms)
+        return None if bounds is None else bounds[1]
+
+    def next_doubt_ms(self, upstream: str, now_ms: float) -> float | None:
+        """
+        Tell when a question would show most about the phase of an upstream.
+
+        :param upstream: name of the upstream
+        :param now_ms: monotonic time
+        :return: a time after now, None while no phase is known or it is known well
+        """
+        bounds = self._next_bounds(upstream, now_ms)
+        if bounds is None or bounds[1] - bounds[0] <= FINE_MS:
+            return None
+        middle_ms = (bounds[0] + bounds[1]) / 2
+        return middle_ms if middle_ms > now_ms else None
+
+    def _next_bounds(self, upstream: str, now_ms: float) -> tuple[float, float] | None:
         rhythm = self._rhythms.get(upstream)
-        if rhythm is None or rhythm.phase_ms is None or self.period_ms is None:
+        if rhythm is None or self.period_ms is None:
             return None
-        return now_ms + self.period_ms - (now_ms - rhythm.phase_ms) % self.period_ms
+        if rhythm.early_ms is None or rhythm.late_ms is None:
+            return None
+        turns = math.floor((now_ms - rhythm.late_ms) / self.period_ms) + 1
+        shift_ms = turns * self.period_ms
+        return rhythm.early_ms + shift_ms, rhythm.late_ms + shift_ms
 
     def _search(self) -> None:
         pairs = self._pairs()
@@ -192,38 +267,36 @@
         assert self.period_ms is not None
         drift = spread = 0.0
         for rhythm in self._rhythms.values():
-            if rhythm.phase_ms is None or len(rhythm.changes) < FEWEST_OWN:
+            if not rhythm.known or len(rhythm.changes) < FEWEST_OWN:
                 continue
-            counts, rests = [], []
+            first_ms = rhythm.changes[0].middle_ms
+            counts, rests, weights = [], [], []
             for change in rhythm.changes:
-                middle_ms = (change.after_ms + change.until_ms) / 2
-                count = round((middle_ms - rhythm.phase_ms) / self.period_ms)
+                count = round((change.middle_ms - first_ms) / self.period_ms)
                 counts.append(count)
-                rests.append(middle_ms - rhythm.phase_ms - count * self.period_ms)
-            mean = sum(counts) / len(counts)
-            drift += sum((count - mean) * rest for count, rest in zip(counts, rests))
-            spread += sum((count - mean) ** 2 for count in counts)
+                rests.append(change.middle_ms - first_ms - count * self.period_ms)
+                weights.append((change.width_ms + SLACK_MS) ** -2)
+            total = sum(weights)
+            mean = sum(map(operator.mul, weights, counts)) / total
+            for count, rest, weight in zip(counts, rests, weights):
+                drift += weight * (count - mean) * rest
+                spread += weight * (count - mean) ** 2
         if spread:
             self.period_ms += drift / spread
+            self._error_ms = min(STEP_MS, ERRORS / math.sqrt(spread))
 
     def _fit_all(self) -> None:
         assert self.period_ms is not None
         for rhythm in self._rhythms.values():
-            rhythm.fit_phase(self.period_ms)
-
-    def _follow(self, rhythm: Rhythm) -> None:
-        assert self.period_ms is not None
-        rhythm.fit_phase(self.period_ms)
-        self._refine()
-        self._doubt(rhythm)
+            rhythm.fit(self.period_ms)
 
     def _doubt(self, rhythm: Rhythm) -> None:
-        if rhythm.phase_ms is None and len(rhythm.changes) >= FEWEST_MISSED:
+        if not rhythm.known and len(rhythm.changes) >= FEWEST_MISSED:
             self._lose(rhythm)
 
     def _lose(self, rhythm: Rhythm) -> None:
         # The upstream may have started anew, with another phase.
-        rhythm.phase_ms = None
+        rhythm.forget_phase()
         while len(rhythm.changes) >= FEWEST_OWN:
             rhythm.changes.popleft()
         rhythm.misses += 1
@@ -236,7 +309,7 @@
         self._tried = 0
         for rhythm in self._rhythms.values():
             rhythm.changes.clear()
-            rhythm.phase_ms = None
+            rhythm.forget_phase()
             rhythm.misses = 0
 
 
--- a/src/mangohatch/probing/system.py
+++ b/src/mangohatch/probing/system.py
@@ -21,15 +21,15 @@
 
     An upstream is asked every ``interval_ms``, whoever does it. Where the rhythm of
     its changes is known, it is asked ``settle_ms`` after each possible change instead,
-    and before every ``check_every``-th one as well, so that a drift shows. To learn the
+    and before every ``doubt_every``-th one as well, while its time is not known well.
+    To learn the
     rhythm, the first ``quick_questions`` follow each other after ``quick_ms``, and
     ``quick_again`` when it was lost.
     """
 
     interval_ms: float = 200.0  # 5 questions an upstream and second
     settle_ms: float = 8.0  # the way of an answer, by which a change seems later
-    check_ms: float = 12.0  # a turn of the event loop earlier than the change
-    check_every: int = 6
+    doubt_every: int = 4  # with the question itself: 4 in three changes
     quick_ms: float = 40.0  # a change is then known to a seventh of 300 ms
     quick_questions: int = 75  # 3 s, in which a speed changes about four times
     quick_again: int = 25  # after a phase was lost, while the period still holds
@@ -43,8 +43,8 @@
     due_ms: float
     quick_left: int
     phase_known: bool = False
-    checks: int = 0
-    check_due: bool = False
+    changes: int = 0
+    extra_left: int = 4
     asking: bool = False
 
 
@@ -139,20 +139,24 @@
 
     def _next_due_ms(self, owned: ProbeRow, now_ms: float) -> float:
         cfg = self._cfg
-        change_ms = self._book.next_change_ms(owned.row, now_ms + cfg.check_ms)
+        change_ms = self._book.next_change_ms(owned.row, now_ms)
         if change_ms is not None:
             owned.phase_known = True
-            if owned.check_due:
-                owned.check_due = False
-                return change_ms - cfg.check_ms
-            owned.checks += 1
-            owned.check_due = owned.checks % cfg.check_every == 0
+            owned.changes += 1
+            if owned.changes % cfg.doubt_every == 0:
+                doubt_ms = self._book.next_doubt_ms(owned.row, now_ms)
+                if doubt_ms is not None:
+                    return doubt_ms
             return change_ms + cfg.settle_ms
         if owned.phase_known:
             owned.phase_known = False
             owned.quick_left = max(owned.quick_left, cfg.quick_again)
         if owned.quick_left > 0:
             owned.quick_left -= 1
+            if not owned.quick_left and self._book.rhythm(owned.row.service).known:
+                # The others have a rhythm; this one changed too seldom so far.
+                owned.quick_left = cfg.quick_again if owned.extra_left else 0
+                owned.extra_left = max(0, owned.extra_left - 1)
             return now_ms + cfg.quick_ms
         return now_ms + cfg.interval_ms
 
