Keep the list of members while nothing changes

Cause: the list was made anew for each datagram, about 280 a host and second, and each new list made the host rank all upstreams again at its next tick. Now it is made on a change only; the test failed first.

--- a/src/mangohatch/peer/datagram.py
+++ b/src/mangohatch/peer/datagram.py
@@ -194,12 +194,13 @@
                 heard_ms=now_ms,
             )
             log.info("peer_found", peer=envelope.sender, address=address[0])
+            self._list_members()
             self._send_to([address], self._beacon(peers=self._known_addresses()))
         row.heard_ms = now_ms
         if not row.alive:
             row.alive = True
             log.info("peer_returned", peer=row.host_id)
-        self._list_members()
+            self._list_members()
         return True
 
     def _take_beacon(self, sender: str, beacon: Beacon) -> None:
--- a/tests/peer/test_datagram.py
+++ b/tests/peer/test_datagram.py
@@ -155,3 +155,10 @@
     wire.run(10_000.0)
     # Two beacons a second from each of five hosts to four others, and to a dead seed.
     assert wire.sent <= 10 * (2 * 5 * 4 + 5 * 2)
+
+
+def test_list_of_members_stays_the_same_object_while_nothing_changes(wire):
+    bus = wire.buses["10.0.0.0", PORT]
+    before = bus.members()
+    wire.run(3_000.0)
+    assert bus.members() is before
