--- a/src/mangohatch/entry/observer.py
+++ b/src/mangohatch/entry/observer.py
@@ -1,11 +1,12 @@
 """The interface through which the end of each request is told."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.errors import RequestError
 
-__all__ = ["NoObserver", "RequestObserver"]
+__all__ = ["NoObserver", "ObserverGroup", "RequestObserver"]
 
 
 class RequestObserver(ABC):
@@ -48,3 +49,26 @@
 
     def retried(self, req: ActiveRequest) -> None:
         return None
+
+
+class ObserverGroup(RequestObserver):
+    """
+    Passes on to several observers.
+
+    :param observers: each hears of every request
+    """
+
+    def __init__(self, *, observers: Sequence[RequestObserver]) -> None:
+        self._observers = observers
+
+    def began(self, req: ActiveRequest) -> None:
+        for observer in self._observers:
+            observer.began(req)
+
+    def ended(self, req: ActiveRequest, error: RequestError | None) -> None:
+        for observer in self._observers:
+            observer.ended(req, error)
+
+    def retried(self, req: ActiveRequest) -> None:
+        for observer in self._observers:
+            observer.retried(req)
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
 import structlog
@@ -30,6 +30,7 @@
 from mangohatch.entry.dialect import Dialect
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.limits import CallerLimits
+from mangohatch.entry.observer import ObserverGroup
 from mangohatch.entry.server import EntryServer
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.request_log import RequestLog
@@ -37,6 +38,8 @@
 from mangohatch.fleet.settings_file import SettingsFile
 from mangohatch.fleet.text_server import TextAnswer, TextServer
 from mangohatch.loop_timers import LoopTimers
+from mangohatch.metrics import Metrics, Sample, make_counter
+from mangohatch.metrics.observer import MetricsObserver
 from mangohatch.peer.datagram import DatagramPeerBus
 from mangohatch.probing import LoadReports, PlacementNews, ProbingSystem
 from mangohatch.timeline import HybridClock, Recorder
@@ -148,6 +151,9 @@
         self.gate = self._make_gate()
         self.pool = ConnectionPool(clock=clock)
         self.budget = self._make_budget()
+        self.request_log = RequestLog(clock=clock)
+        self.metrics = Metrics(clock=clock)
+        self.metrics.add_source(self._samples)
         self.forwarder = Forwarder(
             clock=clock,
             router=self.gate,
@@ -155,7 +161,12 @@
             budget=self.budget,
             dialect=parts.dialect,
             recorder=self.recorder,
-            observer=RequestLog(clock=clock),
+            observer=ObserverGroup(
+                observers=[
+                    self.request_log,
+                    MetricsObserver(clock=clock, metrics=self.metrics),
+                ]
+            ),
             should_move=self._make_move_policy(),
         )
         self.entry = EntryServer(
@@ -247,14 +258,32 @@
         return (READY, "ready\n") if reason is None else (NOT_READY, f"{reason}\n")
 
     def _render_metrics(self) -> TextAnswer:
-        lines = [
-            f"mangohatch_store_calls_total {self.follower.calls}",
-            f"mangohatch_store_calls_failed_total {self.follower.failed_calls}",
-            f"mangohatch_load_questions_total {self.probing.questions}",
-            f"mangohatch_peers {len(self.bus.members()) - 1}",
-            f"mangohatch_requests_in_flight {len(self.forwarder.active)}",
-        ]
-        return READY, "\n".join(lines) + "\n"
+        # Only a scrape needs the library that writes the format.
+        from mangohatch.metrics.exposition import Exposition
+
+        return READY, Exposition(metrics=self.metrics).render().decode()
+
+    def _samples(self) -> Iterator[Sample]:
+        for name, text, value in (
+            ("store_calls", "Calls to the store.", self.follower.calls),
+            (
+                "store_calls_failed",
+                "Calls to the store without a usable answer.",
+                self.follower.failed_calls,
+            ),
+            ("load_questions", "Upstreams asked for load.", self.probing.questions),
+            (
+                "load_connections",
+                "Connections opened to ask for load.",
+                self.probe.connections,
+            ),
+            (
+                "log_lines_dropped",
+                "Lines of requests left out to bound the log.",
+                self.request_log.dropped,
+            ),
+        ):
+            yield make_counter(f"mangohatch_{name}", text, value)
 
     def not_ready(self) -> str | None:
         """
@@ -308,6 +337,7 @@
             self.probing.tick()
         self.gate.tick()
         self.entry.tick()
+        self.metrics.tick()
         if not self._was_ready and self.not_ready() is None:
             self._was_ready = True
             log.info("host_ready", host=self.cfg.host_id)
--- a/src/mangohatch/host/admin.py
+++ b/src/mangohatch/host/admin.py
@@ -19,7 +19,8 @@
 from mangohatch.clock import Clock
 from mangohatch.core.tables import Tables
 from mangohatch.host.routing import Routing
-from mangohatch.metrics import CONTENT_TYPE, Exposition, Metrics
+from mangohatch.metrics import Metrics
+from mangohatch.metrics.exposition import CONTENT_TYPE, Exposition
 from mangohatch.orders.service import OrderService
 from mangohatch.orders.view import TableView
 from mangohatch.peer.bus import PeerBus
--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -11,7 +11,6 @@
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.server import EntryServer
 from mangohatch.host.admin import make_admin, newest_revision
-from mangohatch.host.metrics import MetricsObserver
 from mangohatch.host.routing import make_routing
 from mangohatch.host.samples import (
     measuring_samples,
@@ -19,6 +18,7 @@
 )
 from mangohatch.host.state import LastingState
 from mangohatch.metrics import Metrics
+from mangohatch.metrics.observer import MetricsObserver
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.membership import Endpoint
 from mangohatch.peer.solo import SoloPeerBus
--- a/src/mangohatch/host/samples.py
+++ b/src/mangohatch/host/samples.py
@@ -4,30 +4,11 @@
 from collections.abc import Iterator
 
 from mangohatch.core.measuring import MeasuringCounter
-from mangohatch.metrics import Sample, SampleKind
+from mangohatch.metrics import Sample, make_counter
 
 __all__ = ["measuring_samples", "store_samples"]
 
 
-def make_counter(name: str, text: str, value: float, **labels: str) -> Sample:
-    """
-    Make a sample of a counter.
-
-    :param name: name of the metric
-    :param text: help text
-    :param value: the count
-    :param labels: labels by name
-    :return: the sample
-    """
-    return Sample(
-        name=name,
-        help=text,
-        kind=SampleKind.COUNTER,
-        value=value,
-        labels=tuple(labels.items()),
-    )
-
-
 def measuring_samples(counters: dict[str, MeasuringCounter]) -> Iterator[Sample]:
     """
     Give what measuring and coordination cost, by service.
--- a/src/mangohatch/metrics/__init__.py
+++ b/src/mangohatch/metrics/__init__.py
@@ -1,16 +1,14 @@
-"""Counters and latency histograms of one host, and their exposition."""
+"""Counters and latency histograms of one host."""
 
-from mangohatch.metrics.exposition import CONTENT_TYPE, Exposition
 from mangohatch.metrics.latency import LatencyWindow
 from mangohatch.metrics.registry import Metrics, ServiceMetrics
-from mangohatch.metrics.sample import Sample, SampleKind
+from mangohatch.metrics.sample import Sample, SampleKind, make_counter
 
 __all__ = [
-    "CONTENT_TYPE",
-    "Exposition",
     "LatencyWindow",
     "Metrics",
     "Sample",
     "SampleKind",
     "ServiceMetrics",
+    "make_counter",
 ]
--- a/src/mangohatch/host/metrics.py
+++ b/src/mangohatch/metrics/observer.py
@@ -11,6 +11,10 @@
 __all__ = ["MetricsObserver"]
 
 
+def do_nothing() -> None:
+    """Stand in where nobody waits for requests."""
+
+
 class MetricsObserver(RequestObserver):
     """
     Records each request by outcome and code, with its times.
@@ -21,7 +25,11 @@
     """
 
     def __init__(
-        self, *, clock: Clock, metrics: Metrics, on_begin: Callable[[], None]
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        on_begin: Callable[[], None] = do_nothing,
     ) -> None:
         self._on_begin = on_begin
         self._clock = clock
--- a/src/mangohatch/metrics/sample.py
+++ b/src/mangohatch/metrics/sample.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["Sample", "SampleKind"]
+__all__ = ["Sample", "SampleKind", "make_counter"]
 
 
 class SampleKind(StrEnum):
@@ -22,3 +22,22 @@
     kind: SampleKind
     value: float
     labels: tuple[tuple[str, str], ...] = ()
+
+
+def make_counter(name: str, text: str, value: float, **labels: str) -> Sample:
+    """
+    Make a sample of a counter.
+
+    :param name: name of the metric
+    :param text: help text
+    :param value: the count
+    :param labels: labels by name
+    :return: the sample
+    """
+    return Sample(
+        name=name,
+        help=text,
+        kind=SampleKind.COUNTER,
+        value=value,
+        labels=tuple(labels.items()),
+    )
--- /dev/null
+++ b/tests/deploy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of how the platform builds and starts the program."""
--- /dev/null
+++ b/tests/deploy/test_deploy.py
@@ -0,0 +1,70 @@
+"""Tests of the build command and the start of the role, without the platform."""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+from tests.functions import fixture, function_tests
+from tests.platform.site import ROOT, open_host
+
+load_tests = function_tests(__name__)
+
+BUILD_TIMEOUT_S = 300
+NEEDED = ("deploy", "requirements", "src")
+
+
+@fixture
+def deployed():
+    """A checkout of what the program needs, built as the deploy file says."""
+    with tempfile.TemporaryDirectory() as folder:
+        root = Path(folder)
+        for name in NEEDED:
+            shutil.copytree(
+                ROOT / name,
+                root / name,
+                ignore=shutil.ignore_patterns("__pycache__"),
+            )
+        system = tomllib.loads((root / "deploy" / "system.toml").read_text())
+        python = Path(sys._base_executable).resolve()
+        (root / "bin").mkdir()
+        (root / "bin" / "python3").symlink_to(python)
+        env = os.environ | {"PATH": f"{root / 'bin'}:{os.environ['PATH']}"}
+        subprocess.run(
+            system["build"],
+            shell=True,
+            cwd=root,
+            env=env,
+            check=True,
+            timeout=BUILD_TIMEOUT_S,
+        )
+        yield root, system
+
+
+async def test_built_role_starts_and_serves(deployed):
+    root, system = deployed
+    role = system["roles"]["entry"]
+    command = role["run"].split()
+    command[0] = str(root / "bin" / command[0])
+    deps = str(root / "target" / "deps")
+    async with open_host(root=root, command=command, PYTHONPATH=deps) as host:
+        assert (await host.ask("front", "/a/x")).status == 200
+        port, _, path = role["metrics"].partition("/")
+        host.ports["metrics"] = int(port)
+        assert (await host.ask("metrics", f"/{path}")).status == 200
+
+
+def test_lock_of_the_program_agrees_with_that_of_the_tests():
+    def versions(name):
+        lines = (ROOT / "requirements" / name).read_text().splitlines()
+        pins = (line.split(" ")[0].partition("==") for line in lines if "==" in line)
+        return {package: version for package, _, version in pins}
+
+    run = versions("run.lock")
+    host = versions("host.lock")
+    assert {name: run[name] for name in host if name in run} == {
+        name: version for name, version in host.items() if name in run
+    }
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -3,13 +3,8 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from mangohatch.errors import Outcome
-from mangohatch.metrics import (
-    Exposition,
-    LatencyWindow,
-    Metrics,
-    Sample,
-    SampleKind,
-)
+from mangohatch.metrics import LatencyWindow, Metrics, Sample, SampleKind
+from mangohatch.metrics.exposition import Exposition
 from tests.functions import fixture, function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -17,6 +17,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST_NAME = "ficu95.example"
 WAIT_S = 15.0
+COMMAND = (sys.executable, "deploy/host.py")
 
 
 def route(name, prefix, **fields):
@@ -77,13 +78,12 @@
 address = "{LOOPBACK}:{self.site.store.port}"
 """
 
-    async def start(self, path):
+    async def start(self, path, *, root=ROOT, command=COMMAND, **env):
         path.write_text(self.settings())
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "deploy/host.py",
-            cwd=ROOT,
-            env={"MANGOHATCH_SETTINGS": str(path)},
+            *command,
+            cwd=root,
+            env={"MANGOHATCH_SETTINGS": str(path)} | env,
             stderr=asyncio.subprocess.DEVNULL,
         )
 
@@ -115,7 +115,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_host(*, upstreams=2, work_s=0.0) -> AsyncIterator[PlatformHost]:
+async def open_host(*, upstreams=2, work_s=0.0, **start) -> AsyncIterator[PlatformHost]:
     """Start a site and a host that serves it."""
     made = [
         SiteUpstream(name=f"i-{number}", service="desk", work_s=work_s)
@@ -126,7 +126,7 @@
     site.put("config", "main", configuration(1, route("r1", "/a/")))
     host = PlatformHost(site)
     with tempfile.TemporaryDirectory() as folder:
-        await host.start(Path(folder) / "local.toml")
+        await host.start(Path(folder) / "local.toml", **start)
         try:
             await host.wait_for_status("ready", "/mangohatch/readyz", 200)
             yield host
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from mangohatch.platform.settings import METRICS_PORT
 from tests.functions import function_tests
 from tests.platform.site import configuration, open_host, route
 
@@ -78,3 +79,13 @@
         await asyncio.sleep(0.3)
         assert host.process.returncode is None
         assert (await host.ask("front", "/a/x")).status == 200
+
+
+async def test_metrics_tell_requests_and_latencies():
+    async with open_host() as host:
+        assert (await host.ask("front", "/a/x")).status == 200
+        host.ports["metrics"] = METRICS_PORT
+        text = (await host.ask("metrics", "/metrics")).body.decode()
+        assert "mangohatch_store_calls_total" in text
+        assert 'service="desk"' in text
+        assert 'quantile="0.99"' in text
