--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -37,7 +37,11 @@
 
 class WaitQueue:
     """
-    Calls that wait, by priority, then least-served customer, then earliest deadline.
+    Calls that wait: first those that can still be in time, by priority, then
+    least-served customer, then earliest deadline.
+
+    Under overload a queue in order of arrival makes every call late. Calls that will be
+    late whatever happens wait behind those that need not be.
 
     When a call would wait too long, the customer with the most calls waiting
     loses its newest one.
@@ -98,15 +102,16 @@
         """
         return max(self.spec.max_queue_wait_ms, self.estimate_ms())
 
-    def ordered(self) -> Sequence[Waiting]:
+    def ordered(self, now_ms: float) -> Sequence[Waiting]:
         """
         List the calls in the order of service.
 
+        :param now_ms: monotonic time
         :return: calls that wait
         """
         calls = list(self._calls.values())
         if len(calls) > 1:
-            calls.sort(key=self._rank)
+            calls.sort(key=lambda waiting: self._rank(waiting, now_ms))
         return calls
 
     def serve(self, waiting: Waiting, now_ms: float) -> None:
@@ -155,9 +160,10 @@
             self.take(waiting)
         return late
 
-    def _rank(self, waiting: Waiting) -> tuple[int, int, float]:
+    def _rank(self, waiting: Waiting, now_ms: float) -> tuple[bool, int, int, float]:
         call = waiting.call
-        return call.priority, self._customers[call.customer].served, call.deadline_ms
+        served = self._customers[call.customer].served
+        return now_ms > call.start_by_ms, call.priority, served, call.deadline_ms
 
     def _join(self, customer: str) -> None:
         row = self._customers.get(customer)
--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -32,8 +32,9 @@
     upstreams that earlier attempts of this request used. ``fingerprint``
     identifies resends of the same request; empty when it has none. An isolated
     call runs on an upstream with no other request in flight. Lower ``priority``
-    goes first; an answer after ``objective_ms`` is late. ``response_bytes`` is the
-    size that answers of its route usually have.
+    goes first; an answer after ``objective_ms`` is late, and one whose attempt begins
+    after ``start_by_ms`` is likely to be. ``response_bytes`` is the size that answers
+    of its route usually have.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
     priority: int = 0
     max_attempts: int = MAX_ATTEMPTS
     objective_ms: float = math.inf
+    start_by_ms: float = math.inf
     response_bytes: float = 0.0
 
 
--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -39,6 +39,15 @@
         self._available = available
         self._count_waiting = count_waiting
 
+    def usual_ms(self, call: Call) -> float:
+        """
+        Tell how long a call usually takes at an upstream.
+
+        :param call: the call
+        :return: milliseconds, 0 when nothing is known
+        """
+        return 0.0
+
     def note_request(self, service: ServiceRow) -> None:
         """
         Take note that a call arrived.
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -130,6 +130,9 @@
         self._listener.began(grant)
         return grant
 
+    def usual_ms(self, call: Call) -> float:
+        return self._book.work_ms(call.route)
+
     def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
         now_ms = self._clock.now_ms()
         row = grant.upstream
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -55,6 +55,7 @@
         """
         service = self._tables.services[call.service]
         self._chooser.note_request(service)
+        call.start_by_ms = call.objective_ms - self._chooser.usual_ms(call)
         queue = self._queue(service, call.isolated)
         waiting = Waiting(call=call, deliver=deliver)
         if not queue and self._grant(service, waiting):
@@ -118,7 +119,7 @@
     def _serve_queue(self, service: ServiceRow, queue: WaitQueue) -> None:
         self._refuse_late(queue)
         misses = 0
-        for waiting in queue.ordered():
+        for waiting in queue.ordered(self._clock.now_ms()):
             if waiting not in queue:
                 continue
             if self._grant(service, waiting, queue):
