--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -55,7 +55,9 @@
         """
         service = self._tables.services[call.service]
         self._chooser.note_request(service)
-        call.start_by_ms = call.objective_ms - self._chooser.usual_ms(call)
+        usual_ms = self._chooser.usual_ms(call)
+        call.start_by_ms = call.objective_ms - usual_ms
+        call.useless_after_ms = call.deadline_ms - usual_ms
         queue = self._queue(service, call.isolated)
         waiting = Waiting(call=call, deliver=deliver)
         if not queue and self._grant(service, waiting):
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -55,7 +55,7 @@
             "request": call.request_id,
             "route": call.route,
             "service": call.service,
-            "outcome": DONE if error is None else error.outcome,
+            "outcome": DONE if error is None else str(error.outcome),
             "cause": "" if error is None else error.code,
             "total_ms": round(self._clock.now_ms() - call.arrived_ms),
             "attempt": call.attempt,
--- a/tests/core/choice/test_expected.py
+++ b/tests/core/choice/test_expected.py
@@ -186,3 +186,16 @@
     old = bench.book.finish_ms(slow, 100.0, now_ms + 5_000.0)
     assert young > 390.0
     assert abs(old - bench.book.finish_ms(fast, 100.0, now_ms + 5_000.0)) < 1.0
+
+
+def test_call_is_refused_once_it_could_not_end_before_its_deadline(bench):
+    for name in bench.rows:
+        bench.report(name, running=2)
+    usual_ms = bench.book.work_ms("")
+    bench.ask(deadline_ms=bench.clock.now_ms() + 300.0)
+    bench.clock.advance(300.0 - usual_ms - 1.0)
+    bench.router.tick()
+    assert bench.decisions == []
+    bench.clock.advance(2.0)
+    bench.router.tick()
+    assert isinstance(bench.decisions[0], Refusal)
