--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -8,13 +8,13 @@
 import structlog
 
 from mangohatch.clock import Clock
-from mangohatch.directory.part import DirectoryPart, PartItem, digest_of
+from mangohatch.directory.part import DirectoryPart, PartItem
+from mangohatch.directory.pieces import ArrivingPart, make_pieces
 from mangohatch.directory.source import DirectorySource, PartReading
 from mangohatch.errors import StoreError
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages import (
     Beacon,
-    ConfigItem,
     DirectoryMark,
     DirectoryPiece,
     DirectoryPull,
@@ -23,7 +23,6 @@
 
 __all__ = ["DirectoryFollower", "FollowSettings"]
 
-PIECE_BYTES = 8_000  # fits a datagram also where fragments are lost often
 PULL_AGAIN_MS = 150.0
 
 log = structlog.get_logger()
@@ -65,7 +64,7 @@
     failures: int = 0
     kept_until_ms: float = 0.0
     pulled_ms: float = 0.0
-    pieces: dict[int, DirectoryPiece] = field(default_factory=dict)
+    arriving: ArrivingPart = field(default_factory=ArrivingPart)
 
 
 class DirectoryFollower:
@@ -247,7 +246,7 @@
             "directory_changed", part=part.name, revision=revision, items=len(items)
         )
         self._on_change(part)
-        for piece in self._pieces(part):
+        for piece in make_pieces(part, self._mark(part)):
             self._bus.broadcast(piece)
 
     def _mark(self, part: DirectoryPart) -> DirectoryMark:
@@ -275,52 +274,16 @@
     def _take_pull(self, sender: str, pull: DirectoryPull) -> None:
         state = self._states.get(pull.part)
         if state is not None and state.part.known:
-            for piece in self._pieces(state.part):
+            for piece in make_pieces(state.part, self._mark(state.part)):
                 self._bus.send(sender, piece)
 
-    def _pieces(self, part: DirectoryPart) -> list[DirectoryPiece]:
-        groups: list[list[ConfigItem]] = [[]]
-        size = 0
-        for item in part.items.values():
-            if size and size + len(item.json) > PIECE_BYTES:
-                groups.append([])
-                size = 0
-            size += len(item.json)
-            groups[-1].append(
-                ConfigItem(
-                    kind=part.name,
-                    name=item.name,
-                    revision=item.revision,
-                    json=item.json,
-                )
-            )
-        mark = self._mark(part)
-        return [
-            DirectoryPiece(mark=mark, number=number, count=len(groups), items=group)
-            for number, group in enumerate(groups)
-        ]
-
     def _take_piece(self, sender: str, piece: DirectoryPiece) -> None:
         mark = piece.mark
         state = self._states.get(mark.part)
         if state is None or mark.revision <= state.part.revision:
             return
-        kept = next(iter(state.pieces.values()), None)
-        if kept is None or (kept.mark.revision, kept.mark.digest) != (
-            mark.revision,
-            mark.digest,
-        ):
-            state.pieces = {}
-        state.pieces[piece.number] = piece
-        if len(state.pieces) < piece.count:
-            return
-        items = [
-            PartItem(name=item.name, revision=item.revision, json=item.json)
-            for part in state.pieces.values()
-            for item in part.items
-        ]
-        state.pieces = {}
-        if digest_of(items) != mark.digest:
+        items = state.arriving.add(piece)
+        if items is None:
             return
         read_ms = self._clock.now_ms() - mark.age_ms
         if state.part.adopt(items, revision=mark.revision, read_ms=read_ms):
--- /dev/null
+++ b/src/mangohatch/fleet/decisions.py
@@ -0,0 +1,109 @@
+"""Composition of the decision core of a fleet host."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mangohatch.clock import Clock
+from mangohatch.core.call import Grant
+from mangohatch.core.choice.base import Chooser
+from mangohatch.core.choice.expected import ExpectedTimeChooser
+from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
+from mangohatch.core.health import OutlierHealth
+from mangohatch.core.load_book import LoadBook
+from mangohatch.core.moving import MovePolicy
+from mangohatch.core.quarantine import (
+    QuarantineGate,
+    QuarantineNotices,
+    QuarantineTable,
+)
+from mangohatch.core.router import Router
+from mangohatch.core.tables import Tables
+from mangohatch.core.timers import Timers
+from mangohatch.fleet.health_log import HealthLog
+from mangohatch.fleet.placement import Placement
+from mangohatch.peer.bus import PeerBus
+from mangohatch.probing import PlacementNews
+from mangohatch.timeline import Recorder
+
+__all__ = ["Decisions", "make_decisions"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Decisions:
+    """
+    The decision core; ``gate`` is what requests go through.
+
+    ``should_move`` is None where requests stay where they were placed.
+    """
+
+    router: Router
+    gate: QuarantineGate
+    should_move: Callable[[Grant], bool] | None
+
+
+def make_decisions(
+    *,
+    clock: Clock,
+    rng: random.Random,
+    tables: Tables,
+    bus: PeerBus,
+    timers: Timers,
+    book: LoadBook,
+    recorder: Recorder,
+    zone: str,
+    placement: Placement,
+) -> Decisions:
+    """
+    Put the decision core together.
+
+    :param clock: source of time
+    :param rng: source of random numbers
+    :param tables: services, upstreams and routes
+    :param bus: messages to other hosts
+    :param timers: wakes calls that wait
+    :param book: estimates completion
+    :param recorder: the time line
+    :param zone: availability zone of this host
+    :param placement: how upstreams are chosen
+    :return: its parts
+    """
+    health = OutlierHealth(clock=clock, rng=rng, listener=HealthLog())
+    chooser: Chooser
+    should_move = None
+    if placement is Placement.POWER_OF_TWO:
+        chooser = PowerOfTwoChooser(clock=clock, rng=rng, health=health)
+    else:
+        news = PlacementNews(clock=clock, tables=tables, bus=bus, timers=timers)
+        chooser = ExpectedTimeChooser(
+            clock=clock,
+            rng=rng,
+            health=health,
+            timers=timers,
+            book=book,
+            zone=zone,
+            listener=news,
+        )
+        should_move = MovePolicy(
+            clock=clock, tables=tables, book=book, chooser=chooser
+        ).should_move
+    router = Router(
+        clock=clock,
+        rng=rng,
+        tables=tables,
+        health=health,
+        host_id=bus.host_id,
+        chooser=chooser,
+        timers=timers,
+    )
+    if placement is not Placement.POWER_OF_TWO:
+        news.on_end = router.serve
+    quarantine = QuarantineTable(clock=clock)
+    gate = QuarantineGate(
+        clock=clock,
+        router=router,
+        table=quarantine,
+        notices=QuarantineNotices(clock=clock, rng=rng, bus=bus, table=quarantine),
+        recorder=recorder,
+    )
+    return Decisions(router=router, gate=gate, should_move=should_move)
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -2,36 +2,23 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from collections.abc import Iterator
+from dataclasses import replace
 
 import structlog
 
 from mangohatch.clock import Clock
-from mangohatch.core.call import Grant
-from mangohatch.core.choice.base import Chooser
-from mangohatch.core.choice.expected import ExpectedTimeChooser
-from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
-from mangohatch.core.health import OutlierHealth
-from mangohatch.core.health.ejection import Health
 from mangohatch.core.load_book import LoadBook
-from mangohatch.core.moving import MovePolicy
-from mangohatch.core.quarantine import (
-    QuarantineGate,
-    QuarantineNotices,
-    QuarantineTable,
-)
 from mangohatch.core.retry import FleetRetryBudget
-from mangohatch.core.router import Router
 from mangohatch.core.tables import Tables
-from mangohatch.core.timers import Timers
-from mangohatch.directory import DirectoryFollower, DirectoryPart, DirectorySource
+from mangohatch.directory import DirectoryFollower, DirectoryPart
 from mangohatch.directory.tables import DirectoryTables
-from mangohatch.entry.dialect import Dialect
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.limits import CallerLimits
 from mangohatch.entry.observer import ObserverGroup
 from mangohatch.entry.server import EntryServer
+from mangohatch.fleet.decisions import make_decisions
+from mangohatch.fleet.parts import FleetParts
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.request_log import RequestLog
 from mangohatch.fleet.settings import FleetSettings
@@ -41,12 +28,12 @@
 from mangohatch.metrics import Metrics, Sample, make_counter
 from mangohatch.metrics.observer import MetricsObserver
 from mangohatch.peer.datagram import DatagramPeerBus
-from mangohatch.probing import LoadReports, PlacementNews, ProbingSystem
+from mangohatch.probing import LoadReports, ProbingSystem
 from mangohatch.timeline import HybridClock, Recorder
-from mangohatch.upstream.load_probe import HttpLoadProbe, ReadProbe
+from mangohatch.upstream.load_probe import HttpLoadProbe
 from mangohatch.upstream.pool import ConnectionPool
 
-__all__ = ["FleetHost", "FleetParts"]
+__all__ = ["FleetHost"]
 
 BUSY_TICK_MS = 20.0  # deadlines, and requests on upstreams that became slow
 IDLE_TICK_MS = 50.0  # readings of the store are due to about this
@@ -59,23 +46,6 @@
 log = structlog.get_logger()
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class FleetParts:
-    """
-    What an adapter contributes to a host.
-
-    ``apply_part`` puts a part of the directory in force; ``read_probe`` reads the
-    answer to a health check.
-    """
-
-    dialect: Dialect
-    source: DirectorySource
-    apply_part: Callable[[DirectoryPart, DirectoryTables], None]
-    read_probe: ReadProbe
-    readiness_path: str
-    metrics_path: str
-
-
 class FleetHost:
     """
     All parts of one host.
@@ -128,7 +98,18 @@
         self.bus.marks = self.follower.marks
         self.book = LoadBook(clock=clock)
         timers = LoopTimers()
-        self.router = self._make_router(placement, timers)
+        decisions = make_decisions(
+            clock=clock,
+            rng=rng,
+            tables=self.tables,
+            bus=self.bus,
+            timers=timers,
+            book=self.book,
+            recorder=self.recorder,
+            zone=cfg.zone,
+            placement=placement,
+        )
+        self.gate = decisions.gate
         self.probe = HttpLoadProbe(clock=clock, read=parts.read_probe)
         self.reports = LoadReports(
             clock=clock,
@@ -136,7 +117,7 @@
             bus=self.bus,
             timers=timers,
             book=self.book,
-            on_load=self.router.serve,
+            on_load=decisions.router.serve,
         )
         self.probing = ProbingSystem(
             clock=clock,
@@ -146,9 +127,8 @@
             reports=self.reports,
             timers=timers,
             book=self.book,
-            on_load=self.router.serve,
+            on_load=decisions.router.serve,
         )
-        self.gate = self._make_gate()
         self.pool = ConnectionPool(clock=clock)
         self.budget = self._make_budget()
         self.request_log = RequestLog(clock=clock)
@@ -167,7 +147,7 @@
                     MetricsObserver(clock=clock, metrics=self.metrics),
                 ]
             ),
-            should_move=self._make_move_policy(),
+            should_move=decisions.should_move,
         )
         self.entry = EntryServer(
             host_id=cfg.host_id,
@@ -182,64 +162,6 @@
         self._was_ready = False
         self._leave_by_ms: float | None = None
 
-    def _make_router(self, placement: Placement, timers: Timers) -> Router:
-        health: Health = OutlierHealth(clock=self._clock, rng=self._rng)
-        chooser: Chooser
-        if placement is Placement.POWER_OF_TWO:
-            chooser = PowerOfTwoChooser(clock=self._clock, rng=self._rng, health=health)
-        else:
-            chooser = ExpectedTimeChooser(
-                clock=self._clock,
-                rng=self._rng,
-                health=health,
-                timers=timers,
-                book=self.book,
-                zone=self.cfg.zone,
-                listener=PlacementNews(
-                    clock=self._clock,
-                    tables=self.tables,
-                    bus=self.bus,
-                    timers=timers,
-                    on_end=self._serve,
-                ),
-            )
-        self._chooser = chooser
-        return Router(
-            clock=self._clock,
-            rng=self._rng,
-            tables=self.tables,
-            health=health,
-            host_id=self.cfg.host_id,
-            chooser=chooser,
-            timers=timers,
-        )
-
-    def _make_move_policy(self) -> Callable[[Grant], bool] | None:
-        if not isinstance(self._chooser, ExpectedTimeChooser):
-            return None
-        return MovePolicy(
-            clock=self._clock,
-            tables=self.tables,
-            book=self.book,
-            chooser=self._chooser,
-        ).should_move
-
-    def _serve(self, service: str) -> None:
-        self.router.serve(service)
-
-    def _make_gate(self) -> QuarantineGate:
-        table = QuarantineTable(clock=self._clock)
-        notices = QuarantineNotices(
-            clock=self._clock, rng=self._rng, bus=self.bus, table=table
-        )
-        return QuarantineGate(
-            clock=self._clock,
-            router=self.router,
-            table=table,
-            notices=notices,
-            recorder=self.recorder,
-        )
-
     def _make_budget(self) -> FleetRetryBudget:
         bounds = self.cfg.bounds
         return FleetRetryBudget(
--- /dev/null
+++ b/src/mangohatch/fleet/parts.py
@@ -0,0 +1,28 @@
+"""What an adapter contributes to a host of a fleet."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mangohatch.directory import DirectoryPart, DirectorySource
+from mangohatch.directory.tables import DirectoryTables
+from mangohatch.entry.dialect import Dialect
+from mangohatch.upstream.load_probe import ReadProbe
+
+__all__ = ["FleetParts"]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FleetParts:
+    """
+    What an adapter contributes to a host.
+
+    ``apply_part`` puts a part of the directory in force; ``read_probe`` reads the
+    answer to a health check.
+    """
+
+    dialect: Dialect
+    source: DirectorySource
+    apply_part: Callable[[DirectoryPart, DirectoryTables], None]
+    read_probe: ReadProbe
+    readiness_path: str
+    metrics_path: str
--- a/src/mangohatch/platform/host.py
+++ b/src/mangohatch/platform/host.py
@@ -7,7 +7,8 @@
 from mangohatch.clock import SystemClock
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.tables import DirectoryTables
-from mangohatch.fleet.host import FleetHost, FleetParts
+from mangohatch.fleet.host import FleetHost
+from mangohatch.fleet.parts import FleetParts
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.settings import FleetSettings
 from mangohatch.platform.dialect import PlatformDialect, read_probe
--- a/src/mangohatch/platform/run.py
+++ b/src/mangohatch/platform/run.py
@@ -25,7 +25,7 @@
     :param arguments: the placement; the default one without
     :return: exit status
     """
-    configure_logging()
+    configure_logging(to_stdout=True)
     try:
         placement = Placement(arguments[0] if arguments else Placement.EXPECTED_TIME)
         path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
--- a/src/mangohatch/probing/placements.py
+++ b/src/mangohatch/probing/placements.py
@@ -13,19 +13,27 @@
 __all__ = ["PlacementNews"]
 
 
+def ignore(service: str) -> None:
+    """
+    Stand in for the router until there is one.
+
+    :param service: name of a service
+    """
+
+
 class PlacementNews(PlacementListener):
     """
     Tells peers at once where this host sends requests, and takes what they tell.
 
     Answers the load of upstreams with one or two slots: reports are some hundred
     milliseconds old, and without these notes several hosts choose the same free slot
-    in between. A lost note makes a count wrong until the next report.
+    in between. A lost note makes a count wrong until the next report. ``on_end`` is
+    called with the service of each request that ended at a peer.
 
     :param clock: source of time
     :param tables: services and upstreams
     :param bus: messages to other hosts
     :param timers: sends what one turn of the event loop has collected
-    :param on_end: called with the service of each request that ended at a peer
     """
 
     def __init__(
@@ -35,13 +43,12 @@
         tables: Tables,
         bus: PeerBus,
         timers: Timers,
-        on_end: Callable[[str], None],
     ) -> None:
+        self.on_end: Callable[[str], None] = ignore
         self._clock = clock
         self._tables = tables
         self._bus = bus
         self._timers = timers
-        self._on_end = on_end
         self._unsent: dict[str, PlacementNotes] = {}
         bus.subscribe(PlacementNotes, self._receive)
 
@@ -83,4 +90,4 @@
             if row is not None:
                 row.load.end_at_peer(sender, token, now_ms)
         if notes.ended_upstreams:
-            self._on_end(notes.service_name)
+            self.on_end(notes.service_name)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -84,6 +84,7 @@
             *command,
             cwd=root,
             env={"MANGOHATCH_SETTINGS": str(path)} | env,
+            stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.DEVNULL,
         )
 
