Weigh each place once, and share framing and fingerprint between dialects

Found in the read-through: a choice estimated the time of each free upstream twice, once for its cost and once to see whether waiting pays; the platform's dialect repeated the framing and the hashing of the native one; a check of a body's size took an argument it did not use; a table began as None.

--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -15,6 +15,7 @@
 
 WORK_FACTORS = (1.0, 2.0)  # a usual request, and one of the longest in a hundred
 ANSWER_MS = 5.0  # way of an answer and its reading
+BYTES_PER_KB = 1000.0
 MAX_WORK_MS = 1_000.0  # longer responses were held up by something else
 
 
@@ -106,25 +107,28 @@
     def choose(self, service: ServiceRow, call: Call) -> Grant | None:
         now_ms = self._clock.now_ms()
         work_ms = self._book.work_ms(call.route)
-        costs = [
-            (cost, row)
+        places = [
+            (time_ms, row)
             for row in service.upstreams.values()
-            if (cost := self.cost_ms(row, call, work_ms, now_ms)) < math.inf
+            if (time_ms := self.time_ms(row, call, work_ms, now_ms)) < math.inf
         ]
-        if not costs:
+        if not places:
             self.candidates(service, call)
             return None
-        least = min(cost for cost, _ in costs)
         if now_ms - call.arrived_ms < self._cfg.patience_ms:
-            quickest_ms = min(
-                self.time_ms(row, call, work_ms, now_ms) for _, row in costs
-            )
+            quickest_ms = min(time_ms for time_ms, _ in places)
             if quickest_ms >= self._cfg.poor_factor * work_ms:
                 return None
-        good = [row for cost, row in costs if cost <= least * (1.0 + self._cfg.tie)]
+        costs = [time_ms + self.way_ms(row, call) for time_ms, row in places]
+        limit_ms = min(costs) * (1.0 + self._cfg.tie)
+        good = [
+            row
+            for cost, (_, row) in zip(costs, places, strict=True)
+            if cost <= limit_ms
+        ]
         row = self._rng.choice(good)
         grant = self.make_grant(call, row)
-        grant.basis = self._basis(row, work_ms, now_ms, len(costs))
+        grant.basis = self._basis(row, work_ms, now_ms, len(places))
         grant.token = next(self._tokens)
         row.load.begin(grant.granted_ms)
         self._listener.began(grant)
@@ -184,7 +188,7 @@
         now_ms = self._clock.now_ms()
         return min(
             (
-                self.cost_ms(row, call, work_ms, now_ms)
+                self.time_ms(row, call, work_ms, now_ms) + self.way_ms(row, call)
                 for row in service.upstreams.values()
             ),
             default=math.inf,
@@ -222,19 +226,14 @@
         ]
         return sum(times) / len(times)
 
-    def cost_ms(
-        self, row: UpstreamRow, call: Call, work_ms: float, now_ms: float
-    ) -> float:
+    def way_ms(self, row: UpstreamRow, call: Call) -> float:
         """
-        Weigh the placing of a call on an upstream.
+        Weigh the way of a call's response.
 
         :param row: the upstream
         :param call: the call
-        :param work_ms: its work at the usual speed
-        :param now_ms: monotonic time
-        :return: expected time, and the price of the way; infinite without a free slot
+        :return: the price of bytes between zones, in milliseconds of a caller's time
         """
-        cost_ms = self.time_ms(row, call, work_ms, now_ms)
-        if row.zone != self._zone:
-            cost_ms += self._cfg.zone_ms_per_kb * call.response_bytes / 1000.0
-        return cost_ms
+        if row.zone == self._zone:
+            return 0.0
+        return self._cfg.zone_ms_per_kb * call.response_bytes / BYTES_PER_KB
--- a/src/mangohatch/directory/part.py
+++ b/src/mangohatch/directory/part.py
@@ -1,7 +1,7 @@
 """One part of the directory: items of one kind as of one revision of the store."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import xxhash
 
@@ -34,10 +34,7 @@
     revision: int = 0
     read_ms: float = 0.0
     digest: int = 0
-    items: dict[str, PartItem] = None  # type: ignore[assignment]
-
-    def __post_init__(self) -> None:
-        self.items = {}
+    items: dict[str, PartItem] = field(default_factory=dict)
 
     @property
     def known(self) -> bool:
--- a/src/mangohatch/entry/connection.py
+++ b/src/mangohatch/entry/connection.py
@@ -122,7 +122,7 @@
             if reading is not None:
                 await reading
         except HTTPInputError as exc:
-            if self._is_over_limit(body, exc):
+            if is_over_limit(exc):
                 raise self._too_large() from exc
             raise BadRequest(f"the request body is malformed: {exc}") from exc
         self._read_finished = True
@@ -162,11 +162,6 @@
         limit = self._limits.body_bytes
         return BodyTooLarge(f"the request body has more than {limit} bytes")
 
-    @staticmethod
-    def _is_over_limit(body: RequestBody, exc: HTTPInputError) -> bool:
-        # Tornado has one exception type for all malformed bodies.
-        return "too large" in str(exc)
-
     def write_headers(self, start_line, headers, chunk=None):
         request = self._request_start_line or UNKNOWN_LINE
         code = start_line.code
@@ -236,3 +231,13 @@
         for value in headers.get_list("Connection")
         for token in value.split(",")
     )
+
+
+def is_over_limit(exc: HTTPInputError) -> bool:
+    """
+    Tell a body over the limit from a malformed one; tornado has one type for both.
+
+    :param exc: raised while the body was read
+    :return: whether the body is too large
+    """
+    return "too large" in str(exc)
--- a/src/mangohatch/entry/request.py
+++ b/src/mangohatch/entry/request.py
@@ -1,7 +1,7 @@
 """From a checked request head to a call and the headers sent upstream."""
 
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import xxhash
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -27,7 +27,13 @@
 )
 from mangohatch.errors import BadRequest
 
-__all__ = ["make_call", "prepare_headers", "read_request_id"]
+__all__ = [
+    "make_call",
+    "make_fingerprint",
+    "prepare_framing",
+    "prepare_headers",
+    "read_request_id",
+]
 
 IDENTIFIER = re.compile(r"[A-Za-z0-9._:\-]{1,128}")
 MAX_KEY_CHARACTERS = 256
@@ -95,12 +101,23 @@
     :param req: a request whose body is whole or whose kept beginning is full
     :raises BadRequest: when the body can't be framed for the upstream
     """
-    headers = req.headers
-    drop_hop_by_hop(headers)
-    headers.pop("Expect", None)
-    headers[REQUEST_ID_HEADER] = req.call.request_id
-    frame_body(req.line.method, headers, req.body)
-    req.call.fingerprint = make_fingerprint(req)
+    prepare_framing(req)
+    req.headers[REQUEST_ID_HEADER] = req.call.request_id
+    key = req.headers.get(IDEMPOTENCY_KEY_HEADER, "")
+    named = (req.call.service, req.line.method, req.line.path, key)
+    req.call.fingerprint = make_fingerprint(req, named)
+
+
+def prepare_framing(req: ActiveRequest) -> None:
+    """
+    Leave out the fields of the caller's connection, and state the body's length.
+
+    :param req: a request whose body is whole or whose kept beginning is full
+    :raises BadRequest: when the body can't be framed for the upstream
+    """
+    drop_hop_by_hop(req.headers)
+    req.headers.pop("Expect", None)
+    frame_body(req.line.method, req.headers, req.body)
 
 
 def frame_body(method: str, headers: HTTPHeaders, body: RequestBody | None) -> None:
@@ -121,15 +138,14 @@
         raise BadRequest(f"a chunked body of this length needs {sorted(BODY_METHODS)}")
 
 
-def make_fingerprint(req: ActiveRequest) -> str:
+def make_fingerprint(req: ActiveRequest, named: Iterable[str]) -> str:
     """
     Identify a request and its resends.
 
     :param req: the request
-    :return: hash of service, method, target, key and the beginning of the body
+    :param named: what a resend has in common with it, beside the body
+    :return: hash of these words and the beginning of the body
     """
-    key = req.headers.get(IDEMPOTENCY_KEY_HEADER, "")
-    named = (req.call.service, req.line.method, req.line.path, key)
     digest = xxhash.xxh64("\n".join(named).encode())
     if req.body is not None:
         digest.update(bytes(req.body.kept))
--- a/src/mangohatch/platform/dialect.py
+++ b/src/mangohatch/platform/dialect.py
@@ -2,7 +2,6 @@
 
 import re
 
-import xxhash
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from mangohatch.core.call import Call, Report
@@ -11,7 +10,7 @@
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.dialect import Dialect, ErrorAnswer
 from mangohatch.entry.headers import drop_hop_by_hop
-from mangohatch.entry.request import frame_body
+from mangohatch.entry.request import make_fingerprint, prepare_framing
 from mangohatch.errors import (
     BadRequest,
     DeadlineExceeded,
@@ -94,18 +93,12 @@
         )
 
     def prepare_headers(self, req: ActiveRequest) -> None:
-        headers = req.headers
-        drop_hop_by_hop(headers)
-        headers.pop("Expect", None)
-        frame_body(req.line.method, headers, req.body)
+        prepare_framing(req)
         # A request that crashes upstreams comes again with the same caller, path and
         # body, under another id.
         call = req.call
         named = (call.route, call.customer, req.line.method, req.line.path)
-        digest = xxhash.xxh64("\n".join(named).encode())
-        if req.body is not None:
-            digest.update(bytes(req.body.kept))
-        call.fingerprint = digest.hexdigest()
+        call.fingerprint = make_fingerprint(req, named)
 
     def stamp_attempt(
         self, req: ActiveRequest, upstream: UpstreamRow, remaining_ms: float
