Forget the rhythm of upstreams that are gone

Cause: RhythmTable.keep_only was called by tests only, so upstreams that had left counted in the share of upstreams that speak against a period, and their rows stayed.

Ruled out: forgetting in the registry's tables, which don't know the load book.

Before: two new tests fail, the rhythm of a gone upstream and of a gone service is known. After: they pass. Conclusion: the system that measures tells the book who remains.

--- a/src/mangohatch/core/load_book.py
+++ b/src/mangohatch/core/load_book.py
@@ -1,6 +1,7 @@
 """All that is known of the speed of upstreams, and what it means for a request."""
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from mangohatch.clock import Clock
@@ -84,6 +85,17 @@
             table = self._rhythms[service] = RhythmTable()
         return table
 
+    def keep_only(self, names: Mapping[str, set[str]]) -> None:
+        """
+        Forget the rhythm of upstreams that are gone.
+
+        :param names: names of those that remain, by service
+        """
+        for service in self._rhythms.keys() - names.keys():
+            del self._rhythms[service]
+        for service, table in self._rhythms.items():
+            table.keep_only(names[service])
+
     def next_change_ms(self, row: UpstreamRow, now_ms: float) -> float | None:
         """
         Tell when the speed of an upstream may change next.
--- a/src/mangohatch/probing/system.py
+++ b/src/mangohatch/probing/system.py
@@ -114,6 +114,10 @@
                 owned[id(row)] = known or self._start(row, now_ms)
         self._owned = owned
         self._probe.keep_only([item.row for item in owned.values()])
+        services = self._tables.services
+        self._book.keep_only(
+            {name: set(row.upstreams) for name, row in services.items()}
+        )
 
     def _start(self, row: UpstreamRow, now_ms: float) -> ProbeRow:
         owned = ProbeRow(row=row, quick_left=self._cfg.quick_questions)
--- a/tests/probing/test_system.py
+++ b/tests/probing/test_system.py
@@ -26,7 +26,7 @@
 PERIOD_MS = 300.0
 
 
-def make_service(upstreams=UPSTREAMS):
+def make_service(upstreams=UPSTREAMS, *, gone=()):
     return DiscoveredService(
         name="desk",
         max_queue_wait_ms=100.0,
@@ -41,6 +41,7 @@
                 connections=10,
             )
             for number in range(upstreams)
+            if f"u{number}" not in gone
         ),
     )
 
@@ -221,3 +222,22 @@
     fleet.run(500.0)
     assert fleet.world.asked["u1"] > 1
     assert len(fleet.world.asked) == UPSTREAMS
+
+
+def test_rhythm_of_an_upstream_that_is_gone_is_forgotten(fleet, clock):
+    fleet.run(6_000.0)
+    host = fleet.hosts[0]
+    row = host.tables.services["desk"].upstreams["u1"]
+    assert host.book.next_change_ms(row, clock.now_ms()) is not None
+    host.tables.apply(make_service(gone={"u1"}), revision=2)
+    fleet.run(TICK_MS)
+    assert host.book.next_change_ms(row, clock.now_ms()) is None
+    assert host.book.rhythm("desk").known
+
+
+def test_rhythms_of_a_service_that_is_gone_are_forgotten(fleet):
+    fleet.run(6_000.0)
+    host = fleet.hosts[0]
+    host.tables.remove("desk", revision=2)
+    fleet.run(TICK_MS)
+    assert not host.book.rhythm("desk").known
