--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -189,7 +189,6 @@
             self._refuse_busy(queue, waiting)
 
     def _refuse_busy(self, queue: WaitQueue, waiting: Waiting) -> None:
-        self._tables.ages.note_refusal(self._clock.now_ms())
         error = Overloaded(
             "no upstream is free in time", retry_after_ms=queue.retry_after_ms()
         )
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -5,7 +5,6 @@
 from enum import StrEnum
 from typing import Any
 
-from mangohatch.core.ages import CallerAges
 from mangohatch.core.load import LoadView
 from mangohatch.core.routes import RouteTable
 from mangohatch.core.spec import UpstreamSpec
@@ -107,7 +106,6 @@
         self.services: dict[str, ServiceRow] = {}
         self.routes = RouteTable()
         self.response_bytes: dict[str, float] = {}
-        self.ages = CallerAges()
 
     def apply(self, spec: Any, *, revision: int) -> bool:
         """
--- a/src/mangohatch/directory/tables.py
+++ b/src/mangohatch/directory/tables.py
@@ -51,7 +51,6 @@
             services=len(config.services),
         )
         self._config = config
-        self._tables.ages.keep_only({route.name for route in config.routes})
         self._limits.head_bytes = config.limits.head_bytes
         self._limits.body_bytes = config.limits.body_bytes
         self._limits.head_timeout_ms = config.limits.head_timeout_ms
--- a/src/mangohatch/platform/dialect.py
+++ b/src/mangohatch/platform/dialect.py
@@ -77,19 +77,18 @@
         route = tables.routes.find(host, path)
         if route is None:
             raise NoRoute(f"no route of host {host!r} begins the path")
-        patience_ms = read_deadline_ms(headers, route.timeout_ms)
-        age_ms = tables.ages.age_ms(route.name, patience_ms, now_ms)
+        budget_ms = min(read_deadline_ms(headers, route.timeout_ms), route.timeout_ms)
         return Call(
             request_id=request_id,
             service=route.choose(self._rng),
             arrived_ms=now_ms,
-            deadline_ms=now_ms + min(patience_ms, route.timeout_ms),
+            deadline_ms=now_ms + budget_ms,
             idempotent=route.idempotent,
             customer=caller,
             route=route.name,
             priority=route.priority,
             max_attempts=route.max_attempts,
-            objective_ms=now_ms - age_ms + route.objective_ms,
+            objective_ms=now_ms + route.objective_ms,
             response_bytes=tables.response_bytes.get(route.name, 0.0),
         )
 
