--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -20,10 +20,6 @@
 MAX_WORK_MS = 1_000.0  # longer responses were held up by something else
 
 
-# How long a call would take on an upstream, in milliseconds, and the upstream.
-Place = tuple[float, UpstreamRow]
-
-
 class PlacementListener(ABC):
     """Hears of placed requests."""
 
@@ -93,9 +89,7 @@
     several times slower than the others: what counts is not how many requests an
     upstream has, but whether one of its slots is free, how fast it runs now, and for
     how long that will hold. Requests that find no free slot wait here and not at an
-    upstream, so that each goes to the first slot that becomes free anywhere. While
-    calls wait, one that can still be in time is kept for a place where it would be; slow
-    upstreams serve those that are late already.
+    upstream, so that each goes to the first slot that becomes free anywhere.
 
     :param timers: wakes calls that waited for a better place
     :param book: estimates completion
@@ -140,10 +134,6 @@
             quickest_ms = min(time_ms for time_ms, _ in places)
             if quickest_ms >= self._cfg.poor_factor * work_ms:
                 return None
-        if self._is_contested(service):
-            places = self._in_time(places, call, work_ms, now_ms)
-            if not places:
-                return None
         costs = [time_ms + self.way_ms(row, call) for time_ms, row in places]
         limit_ms = min(costs) * (1.0 + self._cfg.tie)
         good = [
@@ -163,30 +153,7 @@
         return grant
 
     def usual_ms(self, call: Call) -> float:
-        # It matters when calls wait, and then most upstreams have all slots in use.
-        return self._book.work_ms(call.route) * self._cfg.crowded_slowdown
-
-    def _is_contested(self, service: ServiceRow) -> bool:
-        name = service.spec.name
-        return bool(self._count_waiting(name)) or self._turns.contested(name)
-
-    def _in_time(
-        self, places: list[Place], call: Call, work_ms: float, now_ms: float
-    ) -> list[Place]:
-        """Leave out places where the call would be of no more use than elsewhere."""
-        is_late = now_ms > call.start_by_ms
-        left_ms = (call.deadline_ms if is_late else call.objective_ms) - now_ms
-        return [
-            (time_ms, row)
-            for time_ms, row in places
-            if self._book.finish_ms(row, work_ms * self._crowding(row), now_ms)
-            <= left_ms
-        ]
-
-    def _crowding(self, row: UpstreamRow) -> float:
-        slots = row.load.load.slots if row.load.load is not None else row.slots
-        is_crowded = (row.load.occupancy() + 1) / slots > self._cfg.crowded_share
-        return self._cfg.crowded_slowdown if is_crowded else 1.0
+        return self._book.work_ms(call.route)
 
     def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
         now_ms = self._clock.now_ms()
@@ -290,7 +257,9 @@
         share = self._health.capacity(row)
         if occupancy >= max(1, round(slots * share)):
             return math.inf
-        work_ms *= self._crowding(row)
+        cfg = self._cfg
+        if (occupancy + 1) / slots > cfg.crowded_share:
+            work_ms *= cfg.crowded_slowdown
         # Work varies: a place must also be good for a request that takes long.
         times = [
             self._book.finish_ms(row, work_ms * factor, now_ms)
