Count a broken connection as a crash only when the upstream falls silent

Ruled out: crashed upstreams; those that had reset went on to report their load.

Change: where loads are reported, a break counts after 700 ms without a report of that upstream. Known limit, until then a request that does crash upstreams costs one an attempt.

Three new tests; the first fails without the evidence.

--- a/src/mangohatch/core/quarantine/__init__.py
+++ b/src/mangohatch/core/quarantine/__init__.py
@@ -1,7 +1,8 @@
 """Quarantine of requests that crash the upstreams that run them."""
 
+from mangohatch.core.quarantine.evidence import CrashEvidence
 from mangohatch.core.quarantine.gate import QuarantineGate
 from mangohatch.core.quarantine.notices import QuarantineNotices
 from mangohatch.core.quarantine.table import QuarantineTable
 
-__all__ = ["QuarantineGate", "QuarantineNotices", "QuarantineTable"]
+__all__ = ["CrashEvidence", "QuarantineGate", "QuarantineNotices", "QuarantineTable"]
--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -5,6 +5,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call, Decision, Deliver, Grant, Refusal, Report, Result
+from mangohatch.core.quarantine.evidence import CrashEvidence
 from mangohatch.core.quarantine.notices import QuarantineNotices
 from mangohatch.core.quarantine.table import Key, QuarantineRow, QuarantineTable
 from mangohatch.core.router import Router
@@ -32,7 +33,8 @@
     A request whose attempt broke a connection is suspected on all hosts. Of its
     copies one at a time runs on this host, alone on its upstream. An answer
     clears it; a second crash quarantines it, and its copies are refused as not
-    run until the term is over or an operator releases it.
+    run until the term is over or an operator releases it. With ``evidence``, only a
+    crash that it confirms counts.
     """
 
     def __init__(
@@ -43,12 +45,14 @@
         table: QuarantineTable,
         notices: QuarantineNotices,
         recorder: Recorder,
+        evidence: CrashEvidence | None = None,
     ) -> None:
         self._clock = clock
         self._router = router
         self._table = table
         self._notices = notices
         self._recorder = recorder
+        self._evidence = evidence
         self._trials: dict[Key, Trial] = {}
         notices.on_change(self._settle)
 
@@ -105,7 +109,10 @@
         if not call.fingerprint:
             return
         if report.result is Result.ABORTED:
-            self._strike(call, grant.upstream.name)
+            if self._evidence is None:
+                self._strike(call, grant.upstream.name)
+            else:
+                self._evidence.suspect(call, grant.upstream)
         elif report.result in ANSWERED:
             if self._table.find(call.service, call.fingerprint) is not None:
                 self._clear(call)
@@ -127,6 +134,9 @@
     def tick(self) -> None:
         """Let time pass: terms, repeated notices, and the router's systems."""
         self._table.expire()
+        if self._evidence is not None:
+            for item in self._evidence.crashes():
+                self._strike(item.call, item.upstream.name)
         self._notices.tick()
         self._expire_waiting()
         self._router.tick()
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -13,6 +13,7 @@
 from mangohatch.core.load_book import LoadBook
 from mangohatch.core.moving import MovePolicy
 from mangohatch.core.quarantine import (
+    CrashEvidence,
     QuarantineGate,
     QuarantineNotices,
     QuarantineTable,
@@ -113,5 +114,7 @@
         table=quarantine,
         notices=QuarantineNotices(clock=clock, rng=rng, bus=bus, table=quarantine),
         recorder=recorder,
+        # Without reports nobody could tell.
+        evidence=CrashEvidence(clock=clock) if should_move is not None else None,
     )
     return Decisions(router=router, gate=gate, should_move=should_move)
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -4,7 +4,9 @@
 
 from mangohatch.clock import ManualClock
 from mangohatch.core.call import Call, Grant, Refusal, Report, Result
+from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.quarantine import (
+    CrashEvidence,
     QuarantineGate,
     QuarantineNotices,
     QuarantineTable,
@@ -26,7 +28,7 @@
 ABORTED = Report(result=Result.ABORTED, latency_ms=5.0)
 
 
-def make_gate(network, clock, name):
+def make_gate(network, clock, name, *, evidence=None):
     tables = Tables()
     tables.apply(make_service(SERVICE, upstreams=30), revision=1)
     rng = random.Random(name)
@@ -38,6 +40,7 @@
         table=table,
         notices=QuarantineNotices(clock=clock, rng=rng, bus=bus, table=table),
         recorder=Recorder(host=name, zone="puno", clock=HybridClock(clock=clock)),
+        evidence=evidence,
     )
 
 
@@ -215,3 +218,42 @@
     assert kinds == [EventKind.UPSTREAM_DRAINED]
     assert gate._recorder.events()[0].upstream == first.upstream.name
     assert second.upstream.in_flight == 1
+
+
+@fixture
+def careful(network, clock):
+    """A gate that waits for signs of life."""
+    return make_gate(network, clock, "entry-1", evidence=CrashEvidence(clock=clock))
+
+
+def pass_time(gate, clock, span_ms):
+    for _ in range(int(span_ms / 20.0)):
+        clock.advance(20.0)
+        gate.tick()
+
+
+def test_request_whose_upstreams_live_on_is_never_refused(careful, clock):
+    load = UpstreamLoad(running=0, waiting=0, slots=2)
+    for _ in range(5):
+        grant = run_once(careful, clock, POISON, ABORTED)
+        clock.advance(300.0)
+        grant.upstream.load.observe(load, measured_ms=clock.now_ms())
+        careful.tick()
+    pass_time(careful, clock, 2_000.0)
+    assert isinstance(run_once(careful, clock, POISON, OK), Grant)
+
+
+def test_request_whose_upstreams_fall_silent_is_refused(careful, clock):
+    for _ in range(2):
+        assert isinstance(run_once(careful, clock, POISON, ABORTED), Grant)
+        pass_time(careful, clock, 800.0)
+    assert isinstance(run_once(careful, clock, POISON, OK), Refusal)
+
+
+def test_report_from_before_the_break_is_no_sign_of_life(careful, clock):
+    for _ in range(2):
+        grant = run_once(careful, clock, POISON, ABORTED)
+        load = UpstreamLoad(running=1, waiting=0, slots=2)
+        grant.upstream.load.observe(load, measured_ms=clock.now_ms() - 5.0)
+        pass_time(careful, clock, 800.0)
+    assert isinstance(run_once(careful, clock, POISON, OK), Refusal)
