--- a/src/mangohatch/core/quarantine/evidence.py
+++ b/src/mangohatch/core/quarantine/evidence.py
@@ -2,12 +2,16 @@
 
 from dataclasses import dataclass
 
+import structlog
+
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call
 from mangohatch.core.tables import UpstreamRow
 
 __all__ = ["BrokenConnection", "CrashEvidence"]
 
+log = structlog.get_logger()
+
 CONFIRM_MS = 700.0  # two load probes, 300 ms apart, and the transfer of their report
 
 
@@ -59,11 +63,12 @@
         :return: breaks after which the upstream was silent for :data:`CONFIRM_MS`
         """
         due_ms = self._clock.now_ms() - CONFIRM_MS
-        silent = [
-            item
-            for item in self._breaks
-            if item.upstream.reported and not is_alive(item)
-        ]
+        silent = []
+        for item in self._breaks:
+            if item.upstream.reported and not is_alive(item):
+                silent.append(item)
+            else:
+                log_dismissed(item)
         self._breaks = [item for item in silent if item.broken_ms > due_ms]
         return [item for item in silent if item.broken_ms <= due_ms]
 
@@ -76,3 +81,20 @@
     :return: whether the last load report is newer than the break
     """
     return item.upstream.load.measured_ms > item.broken_ms
+
+
+def log_dismissed(item: BrokenConnection) -> None:
+    """
+    Log why a broken connection does not count as a crash.
+
+    :param item: the broken connection
+    """
+    row = item.upstream
+    log.info(
+        "crash_dismissed",
+        request=item.call.request_id,
+        fingerprint=item.call.fingerprint,
+        upstream=row.name,
+        cause="report after the break" if row.reported else "no reports for this host",
+        report_after_ms=round(row.load.measured_ms - item.broken_ms),
+    )
--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -3,6 +3,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+import structlog
+
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call, Decision, Deliver, Grant, Refusal, Report, Result
 from mangohatch.core.quarantine.evidence import CrashEvidence
@@ -17,6 +19,8 @@
 
 ANSWERED = frozenset({Result.OK, Result.ERROR})
 
+log = structlog.get_logger()
+
 
 @dataclass(slots=True, kw_only=True)
 class Trial:
@@ -35,6 +39,9 @@
     request. A second crash quarantines it: its copies are refused as not run until
     the quarantine expires or an operator releases the request. With ``evidence``,
     only crashes that it confirms count.
+
+    ``crashes`` counts the crashes recorded by this host, and ``refused`` the calls
+    that it refused because of them.
     """
 
     def __init__(
@@ -54,6 +61,8 @@
         self._recorder = recorder
         self._evidence = evidence
         self._trials: dict[Key, Trial] = {}
+        self.crashes = 0
+        self.refused = 0
         notices.on_change(self._decide_waiting)
 
     def request(self, call: Call, deliver: Deliver) -> None:
@@ -109,6 +118,7 @@
         if not call.fingerprint:
             return
         if report.result is Result.ABORTED:
+            self._log_broken(grant)
             if self._evidence is None:
                 self._record_crash(call, grant.upstream.name)
             else:
@@ -175,6 +185,15 @@
 
     def _record_crash(self, call: Call, upstream: str) -> None:
         row = self._table.record_crash(call.service, call.fingerprint, upstream)
+        self.crashes += 1
+        log.info(
+            "request_quarantined" if row.quarantined else "request_suspected",
+            request=call.request_id,
+            service=call.service,
+            fingerprint=call.fingerprint,
+            upstream=upstream,
+            crashes=row.crashes,
+        )
         self._notices.announce(row)
         if row.quarantined:
             self._record(EventKind.REQUEST_QUARANTINED, call, upstream)
@@ -182,6 +201,12 @@
     def _clear(self, call: Call) -> None:
         self._table.clear(call.service, call.fingerprint)
         self._notices.announce_clear(call.service, call.fingerprint)
+        log.info(
+            "request_cleared",
+            request=call.request_id,
+            service=call.service,
+            fingerprint=call.fingerprint,
+        )
         self._record(EventKind.REQUEST_RELEASED, call, "")
 
     def _record(self, kind: EventKind, call: Call, upstream: str) -> None:
@@ -193,6 +218,20 @@
             cause=f"fingerprint {call.fingerprint}",
         )
 
+    @staticmethod
+    def _log_broken(grant: Grant) -> None:
+        call = grant.call
+        log.info(
+            "connection_broken",
+            request=call.request_id,
+            service=call.service,
+            fingerprint=call.fingerprint,
+            upstream=grant.upstream.name,
+            attempt=call.attempt,
+            isolated=call.isolated,
+            occupancy=grant.upstream.load.occupancy(),
+        )
+
     def _record_drained(self, upstream: UpstreamRow) -> None:
         if upstream.state is UpstreamState.DRAINING and upstream.in_flight == 0:
             self._recorder.record(
@@ -208,6 +247,7 @@
             f"{row.crashes} attempts of this request broke their upstream",
             retry_after_ms=remaining_ms,
         )
+        self.refused += 1
         deliver(Refusal(call=call, error=error))
 
     def _expire_waiting(self) -> None:
--- a/src/mangohatch/core/quarantine/notices.py
+++ b/src/mangohatch/core/quarantine/notices.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable
 
+import structlog
+
 from mangohatch.clock import Clock
 from mangohatch.core.quarantine.table import Key, QuarantineRow, QuarantineTable
 from mangohatch.peer.bus import PeerBus
@@ -13,6 +15,8 @@
 REPEAT_INTERVAL_MS = 1_000.0
 REPEAT_ROWS = 20
 
+log = structlog.get_logger()
+
 OnChange = Callable[[Key], None]
 
 
@@ -96,6 +100,15 @@
         )
 
     def _receive(self, sender: str, notice: QuarantineNotice) -> None:
+        known = self._table.find(notice.service_name, notice.fingerprint)
+        if (known.crashes if known else 0) != notice.crashes:
+            log.info(
+                "quarantine_notice",
+                peer=sender,
+                service=notice.service_name,
+                fingerprint=notice.fingerprint,
+                crashes=notice.crashes,
+            )
         if notice.crashes:
             self._table.merge(
                 notice.service_name,
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -225,6 +225,16 @@
                 "Milliseconds by which iterations of the main loop were late.",
                 self._loop_delay.total_ms,
             ),
+            (
+                "upstream_crashes",
+                "Crashes of upstreams under requests of this host.",
+                self.gate.crashes,
+            ),
+            (
+                "requests_quarantined",
+                "Requests refused because their copies crashed upstreams.",
+                self.gate.refused,
+            ),
             ("peer_datagrams_sent", "Datagrams sent to peers.", self.bus.sent),
             (
                 "peer_datagrams_received",
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -10,6 +10,7 @@
 __all__ = ["RequestLog"]
 
 LINES_PER_SECOND = 200.0  # about 80 KB/s and 1 % of a core
+MAX_TARGET_CHARACTERS = 100
 MS_PER_S = 1000.0
 DONE = "done"
 
@@ -64,7 +65,12 @@
         if req.sink.head is not None:
             fields["status"] = req.sink.head.line.code
         if error is not None:
-            fields["detail"] = error.detail
+            fields |= {
+                "detail": error.detail,
+                "caller": call.customer,
+                "target": req.line.path[:MAX_TARGET_CHARACTERS],
+                "fingerprint": call.fingerprint,
+            }
         fields |= describe_grant(req)
         log.info("request_ended", **fields)
 
