--- a/src/standins/simulated_fleet/__init__.py
+++ b/src/standins/simulated_fleet/__init__.py
@@ -1,11 +1,21 @@
 """Whole fleets of hosts in virtual time, without sockets and processes."""
 
+from standins.simulated_fleet.crash_traffic import (
+    COPY_VARIANTS,
+    CrashPlan,
+    CrashTraffic,
+    CrashVerdict,
+)
 from standins.simulated_fleet.fleet import FleetPlan, SimulatedFleet
 from standins.simulated_fleet.host import SimulatedHost
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
 from standins.simulated_fleet.usage import Usage
 
 __all__ = [
+    "COPY_VARIANTS",
+    "CrashPlan",
+    "CrashTraffic",
+    "CrashVerdict",
     "FleetPlan",
     "HostLimits",
     "PeerNetwork",
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -19,8 +19,11 @@
 START_MS = 1_000.0
 START_SPAN_MS = 300.0  # all hosts start within this time
 CHECK_MS = 50.0
+RETURN_MS = 3_000.0  # from a crash until a new process has started
+LAPSE_MS = 4_500.0  # three heartbeats of an upstream
 MEAN_WORK_MS = 100.0
 WORK_SPREAD = 0.3
+MAX_PORT = 65_000
 ZONES = 4
 SEEDS = 2  # live ones; a third one is down
 PORT = 8166
@@ -73,6 +76,7 @@
         )
         self.store.put_configuration(plan.services, plan.configuration_bytes)
         self._upstreams: dict[str, SimulatedUpstream] = {}
+        self.crashed = 0
         self.start_upstreams(plan.upstreams)
         self._start_hosts()
 
@@ -89,13 +93,19 @@
     def _add_upstream(self, number: int) -> None:
         name = f"server-{number}"
         rng = random.Random(f"{self.plan.seed}/{name}")
-        self._upstreams[name] = SimulatedUpstream(name=name, clock=self.clock, rng=rng)
+        self._upstreams[name] = SimulatedUpstream(
+            name=name,
+            clock=self.clock,
+            rng=rng,
+            loop=self.loop,
+            on_crash=lambda upstream: self._replace_crashed(upstream.name, number),
+        )
         self.store.put_upstream(
             RegisteredUpstream(
                 name=name,
                 service=self._service(number),
                 address="10.200.0.1",
-                port=1 + number,
+                port=1 + number % MAX_PORT,
                 zone=zone_name(number),
                 slots=SLOTS,
                 draining=False,
@@ -104,6 +114,13 @@
             )
         )
 
+    def _replace_crashed(self, name: str, number: int) -> None:
+        """Start a crashed upstream under a new name; its old entry lapses later."""
+        self.crashed += 1
+        follower = number + SMALL_SERVICE_EVERY * self.plan.upstreams * self.crashed
+        self.loop.call_later(RETURN_MS / MS_PER_S, self._add_upstream, follower)
+        self.loop.call_later(LAPSE_MS / MS_PER_S, self.store.remove_upstream, name)
+
     def _service(self, number: int) -> str:
         return self.plan.services[-1 if number % SMALL_SERVICE_EVERY == 0 else 0]
 
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -1,10 +1,15 @@
 """One host of a simulated fleet: a fleet host with simulated surroundings."""
 
 import random
+from dataclasses import replace
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from mangohatch.core.call import Call, Decision, Grant, Report, Result
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.table_updater import TableUpdater
+from mangohatch.entry.active import ActiveRequest
+from mangohatch.entry.body import RequestBody
 from mangohatch.fleet.components import FleetComponents
 from mangohatch.fleet.host import BUSY_TICK_MS, IDLE_TICK_MS, FleetHost
 from mangohatch.fleet.placement import Placement
@@ -12,6 +17,7 @@
 from mangohatch.peer.datagram import PeerAddress
 from mangohatch.platform.protocol import PlatformProtocol, read_probe
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
+from standins.simulated_fleet.requests import SimulatedRequest
 from standins.simulated_fleet.store import (
     CONFIGURATION,
     SimulatedSource,
@@ -27,6 +33,7 @@
 DEADLINE_MS = 3_000.0
 OBJECTIVE_MS = 400.0
 RESPONSE_BYTES = 1_500
+MAX_ATTEMPTS = 2
 MS_PER_S = 1000.0
 UNUSED = ("127.0.0.1", 0)
 BOUNDS = FleetBounds(
@@ -79,8 +86,9 @@
         self._in_flight = 0
         self.port = network.add(address, self._receive, limits)
         source = SimulatedSource(store=store, clock=self._clock, port=self.port)
+        self._protocol = PlatformProtocol(rng=rng)
         components = FleetComponents(
-            protocol=PlatformProtocol(rng=rng),
+            protocol=self._protocol,
             source=source,
             apply_part=self._apply_part,
             read_probe=read_probe,
@@ -150,6 +158,90 @@
         self._in_flight += 1
         self.fleet_host.gate.request(call, lambda item: self._run(item, work_ms))
 
+    def submit(self, req: SimulatedRequest, service: str) -> None:
+        """
+        Forward a request like a host of the platform, with a retry after a failure.
+
+        :param req: the request
+        :param service: name of its service
+        """
+        now_ms = self._clock.now_ms()
+        req.arrived_ms = now_ms
+        call = Call(
+            request_id=req.request_id,
+            service=service,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + DEADLINE_MS,
+            objective_ms=now_ms + OBJECTIVE_MS,
+            idempotent=req.idempotent,
+            customer=req.caller,
+            route=req.route or service,
+            max_attempts=MAX_ATTEMPTS,
+            response_bytes=RESPONSE_BYTES,
+        )
+        self._identify(req, call)
+        self.fleet_host.budget.earn(call)
+        self._in_flight += 1
+        self._attempt(req, call)
+
+    def _identify(self, req: SimulatedRequest, call: Call) -> None:
+        body = None
+        if req.body:
+            body = RequestBody()
+            body.replay_prefix += req.body
+            body.complete = True
+        active = ActiveRequest(
+            call=call,
+            line=RequestStartLine(req.method, req.target, "HTTP/1.1"),
+            headers=HTTPHeaders({"Host": "site.example"}),
+            body=body,
+            sink=None,  # type: ignore[arg-type]  # nothing is answered
+        )
+        self._protocol.prepare_headers(active)
+
+    def _attempt(self, req: SimulatedRequest, call: Call) -> None:
+        self.fleet_host.gate.request(call, lambda item: self._send(req, item))
+
+    def _send(self, req: SimulatedRequest, decision: Decision) -> None:
+        now_ms = self._clock.now_ms()
+        if not isinstance(decision, Grant):
+            self._in_flight -= 1
+            req.end(decision.error.code, now_ms)
+            return
+        req.sent_ms.append(now_ms)
+        self._upstreams[decision.upstream.name].run(
+            req.work_ms,
+            lambda result: self._end_attempt(req, decision, result),
+            crashes=req.crashes,
+            reset_after_ms=req.reset_after_ms if len(req.sent_ms) == 1 else None,
+        )
+
+    def _end_attempt(self, req: SimulatedRequest, grant: Grant, result: Result) -> None:
+        if not self.running:
+            return
+        call = grant.call
+        now_ms = self._clock.now_ms()
+        report = Report(result=result, latency_ms=now_ms - grant.granted_ms)
+        if result is Result.OK:
+            report.first_byte_ms = report.latency_ms
+            report.load = self._upstreams[grant.upstream.name].load()
+            report.response_bytes = RESPONSE_BYTES
+        self.fleet_host.gate.release(grant, report)
+        may_repeat = call.idempotent or result is Result.UNREACHABLE
+        if result is Result.OK:
+            self._in_flight -= 1
+            req.end("", now_ms)
+        elif (
+            may_repeat
+            and call.attempt < call.max_attempts
+            and self.fleet_host.budget.allow(call)
+        ):
+            avoid = call.avoid | {grant.upstream.name}
+            self._attempt(req, replace(call, avoid=avoid, attempt=call.attempt + 1))
+        else:
+            self._in_flight -= 1
+            req.end(str(result), now_ms)
+
     def _run(self, decision: Decision, work_ms: float) -> None:
         if not isinstance(decision, Grant):
             self._in_flight -= 1
--- a/src/standins/simulated_fleet/store.py
+++ b/src/standins/simulated_fleet/store.py
@@ -107,6 +107,15 @@
         fields = {name: getattr(entry, name) for name in entry.__slots__}
         self._put(UPSTREAMS, entry.name, json.dumps(fields))
 
+    def remove_upstream(self, name: str) -> None:
+        """
+        Remove the entry of an upstream that no longer renews it.
+
+        :param name: name of the upstream
+        """
+        self._writes += 1
+        self._items[UPSTREAMS].pop(name, None)
+
     def _put(self, part: str, name: str, text: str) -> None:
         self._writes += 1
         self._items[part][name] = PartItem(name=name, revision=self.revision, json=text)
--- a/src/standins/simulated_fleet/upstreams.py
+++ b/src/standins/simulated_fleet/upstreams.py
@@ -1,8 +1,10 @@
-"""Simulated upstreams whose speed changes, and load probes of them."""
+"""Simulated upstreams whose speed changes and that crash, and load probes of them."""
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
+from mangohatch.core.call import Result
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.probing import LoadProbe, ProbeResult
@@ -15,9 +17,28 @@
 SLOW_SHARE = 0.25
 SLOW_FACTOR = 4.0
 PROBE_MS = 1.0  # round trip of a load probe
+CRASH_MS = 60.0  # from the start of a run until it crashes its upstream
 MS_PER_S = 1000.0
 
 
+@dataclass(slots=True, kw_only=True, eq=False)
+class Run:
+    """A request at an upstream; ``on_end`` receives its result."""
+
+    on_end: Callable[[Result], None]
+    ended: bool = False
+
+    def end(self, result: Result) -> None:
+        """
+        End the run, once.
+
+        :param result: result of the attempt as the host sees it
+        """
+        if not self.ended:
+            self.ended = True
+            self.on_end(result)
+
+
 class SimulatedUpstream:
     """
     An upstream with two slots, whose speed is redrawn every 300 ms.
@@ -25,11 +46,25 @@
     :param name: name of the upstream
     :param clock: source of time
     :param rng: source of random numbers
+    :param loop: event loop in virtual time
+    :param on_crash: called when a request has crashed the upstream
     """
 
-    def __init__(self, *, name: str, clock: LoopClock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        clock: LoopClock,
+        rng: random.Random,
+        loop: VirtualLoop,
+        on_crash: Callable[["SimulatedUpstream"], None],
+    ) -> None:
         self.name = name
+        self.alive = True
         self._clock = clock
+        self._loop = loop
+        self._on_crash = on_crash
+        self._runs: set[Run] = set()
         self._seed = rng.random()
         self._phase_ms = rng.uniform(0.0, PERIOD_MS)
         self._free_at_ms = [0.0] * SLOTS
@@ -69,6 +104,55 @@
         self._free_at_ms[slot] = start_ms + work_ms * self.slowdown()
         return self._free_at_ms[slot] - now_ms
 
+    def run(
+        self,
+        work_ms: float,
+        on_end: Callable[[Result], None],
+        *,
+        crashes: bool = False,
+        reset_after_ms: float | None = None,
+    ) -> None:
+        """
+        Run a request.
+
+        :param work_ms: work in milliseconds at the typical speed
+        :param on_end: receives the result
+        :param crashes: whether the request crashes the upstream
+        :param reset_after_ms: time until the connection is reset although the upstream
+            lives on, None if it is not
+        """
+        run = Run(on_end=on_end)
+        if not self.alive:
+            self._call_later(PROBE_MS, lambda: run.end(Result.UNREACHABLE))
+            return
+        self._runs.add(run)
+        duration_ms = self.start(work_ms)
+        run_ms = work_ms * self.slowdown()
+        if crashes:
+            self._call_later(duration_ms - run_ms + CRASH_MS, self.crash)
+        elif reset_after_ms is not None:
+            delay_ms = min(reset_after_ms, duration_ms)
+            self._call_later(delay_ms, lambda: self._end(run, Result.ABORTED))
+        else:
+            self._call_later(duration_ms, lambda: self._end(run, Result.OK))
+
+    def crash(self) -> None:
+        """Break all connections, and accept no more."""
+        if not self.alive:
+            return
+        self.alive = False
+        runs, self._runs = self._runs, set()
+        for run in runs:
+            run.end(Result.ABORTED)
+        self._on_crash(self)
+
+    def _end(self, run: Run, result: Result) -> None:
+        self._runs.discard(run)
+        run.end(result)
+
+    def _call_later(self, delay_ms: float, function: Callable[[], None]) -> None:
+        self._loop.call_later(delay_ms / MS_PER_S, function)
+
 
 class SimulatedProbe(LoadProbe):
     """
@@ -96,7 +180,8 @@
         sent_ms = self._clock.now_ms()
 
         def answer() -> None:
-            load = self._upstreams[row.name].load()
+            upstream = self._upstreams[row.name]
+            load = upstream.load() if upstream.alive else None
             done(ProbeResult(load=load, measured_ms=sent_ms, instance=row.name))
 
         self._loop.call_later(PROBE_MS / MS_PER_S, answer)
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -26,6 +26,7 @@
 POISON = "poison"
 OK = Report(result=Result.OK, latency_ms=5.0)
 ABORTED = Report(result=Result.ABORTED, latency_ms=5.0)
+ERROR = Report(result=Result.ERROR, latency_ms=5.0)
 
 
 def make_gate(network, clock, name, *, evidence=None):
@@ -265,3 +266,107 @@
         grant.upstream.reported = False
         pass_time(careful, clock, 800.0)
     assert isinstance(run_once(careful, clock, POISON, OK), Grant)
+
+
+def test_retry_waits_until_it_is_known_whether_the_upstream_crashed(careful, clock):
+    grant = run_once(careful, clock, POISON, ABORTED)
+    avoid = frozenset({grant.upstream.name})
+    assert ask(careful, make_call(clock, POISON, avoid=avoid)) == []
+
+
+def test_error_response_does_not_clear_a_suspected_request(gates, network, clock):
+    run_once(gates[0], clock, POISON, ABORTED)
+    run_once(gates[0], clock, POISON, ERROR)
+    network.deliver()
+    assert all(ask(gate, make_call(clock, POISON))[0].call.isolated for gate in gates)
+
+
+def test_late_response_does_not_release_a_quarantined_request(gates, network, clock):
+    early = ask(gates[2], make_call(clock, POISON))[0]
+    run_once(gates[0], clock, POISON, ABORTED)
+    run_once(gates[0], clock, POISON, ABORTED)
+    network.deliver()
+    gates[2].release(early, OK)
+    network.deliver()
+    assert all(isinstance(run_once(gate, clock, POISON, OK), Refusal) for gate in gates)
+
+
+def test_clear_notice_that_arrives_late_does_not_remove_newer_crashes(
+    gates, network, clock
+):
+    run_once(gates[0], clock, POISON, ABORTED)
+    network.deliver()
+    run_once(gates[1], clock, POISON, OK)
+    late = [item for item in network.queue if item[1] == "entry-3"]
+    network.queue = [item for item in network.queue if item[1] != "entry-3"]
+    network.deliver()
+    for _ in range(2):
+        run_once(gates[2], clock, POISON, ABORTED)
+        network.deliver()
+    network.queue = late
+    network.deliver()
+    assert isinstance(run_once(gates[3], clock, POISON, OK), Refusal)
+
+
+def test_host_that_lost_the_notice_of_a_suspicion_learns_of_it(gates, network, clock):
+    network.disconnected_hosts.add("entry-14")
+    run_once(gates[0], clock, POISON, ABORTED)
+    network.deliver()
+    network.disconnected_hosts.clear()
+    for _ in range(2):
+        clock.advance(1_000.0)
+        for gate in gates:
+            gate.tick()
+        network.deliver()
+    assert ask(gates[14], make_call(clock, POISON))[0].call.isolated
+
+
+def test_hosts_of_a_large_fleet_that_lost_a_notice_learn_within_two_seconds(
+    network, clock
+):
+    gates = [make_gate(network, clock, f"entry-{n}") for n in range(136)]
+    lost = {f"entry-{n}" for n in range(100, 120)}
+    network.disconnected_hosts |= lost
+    for _ in range(2):
+        run_once(gates[0], clock, POISON, ABORTED)
+    network.deliver()
+    network.disconnected_hosts.clear()
+    for _ in range(2):
+        clock.advance(1_000.0)
+        for gate in gates:
+            gate.tick()
+        network.deliver()
+    decisions = [run_once(gate, clock, POISON, OK) for gate in gates]
+    granted = [item for item in decisions if isinstance(item, Grant)]
+    assert not granted, f"{len(granted)} hosts still send it on"
+
+
+def break_together(gates, clock, upstream, fingerprints):
+    """Break the connections of several requests in flight at one upstream."""
+    names = {f"u{number}" for number in range(1, 31)}
+    avoid = frozenset(names - {upstream})
+    grants = [
+        ask(gate, make_call(clock, fingerprint, avoid=avoid))[0]
+        for gate, fingerprint in zip(gates, fingerprints, strict=True)
+    ]
+    for gate, grant in zip(gates, grants, strict=True):
+        gate.release(grant, ABORTED)
+
+
+def test_innocent_request_beside_two_crashes_is_tried_once_their_cause_is_known(
+    gates, network, clock
+):
+    # The host of the third crash has no notices yet.
+    network.disconnected_hosts.add("entry-5")
+    for upstream in ("u1", "u2"):
+        break_together(gates[:2], clock, upstream, (POISON, "innocent"))
+        network.deliver()
+    break_together(gates[5:6], clock, "u3", (POISON,))
+    network.disconnected_hosts.clear()
+    for _ in range(3):
+        clock.advance(1_000.0)
+        for gate in gates:
+            gate.tick()
+        network.deliver()
+    assert isinstance(run_once(gates[0], clock, POISON, OK), Refusal)
+    assert isinstance(run_once(gates[0], clock, "innocent", OK), Grant)
--- /dev/null
+++ b/tests/fleet/test_crashing_requests.py
@@ -0,0 +1,50 @@
+"""Tests of fleets that are sent a request which crashes upstreams."""
+
+from standins.simulated_fleet import CrashPlan, CrashTraffic, FleetPlan, SimulatedFleet
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+HOSTS = 17
+UPSTREAMS = 31
+SETTLE_MS = 4_000.0  # load probes are most frequent for 3 s after the start
+RUN_MS = 12_000.0
+MAX_SENDS_AFTER_THIRD = 3  # the users' bound, over all hosts
+
+
+def play(loop, *, seed=1, **traffic):
+    """Run a fleet under copies of a crashing request, and return the verdict."""
+    plan = FleetPlan(hosts=HOSTS, upstreams=UPSTREAMS, services=("desk",), seed=seed)
+    fleet = SimulatedFleet(plan=plan, loop=loop)
+    fleet.run(SETTLE_MS)
+    verdict = CrashTraffic(fleet=fleet, plan=CrashPlan(seed=seed, **traffic)).run(
+        RUN_MS
+    )
+    assert verdict.copies_after_third > 0, "no copy came after the third crash"
+    return verdict
+
+
+def assert_contained(verdict):
+    assert verdict.sends_after_third <= MAX_SENDS_AFTER_THIRD, str(verdict)
+    assert verdict.longest_refusal_ms == 0.0, str(verdict)
+
+
+def test_equal_copies_are_not_sent_on_without_end(loop):
+    assert_contained(play(loop, variant="equal"))
+
+
+def test_copies_with_another_query_are_not_sent_on_without_end(loop):
+    assert_contained(play(loop, variant="other query"))
+
+
+def test_copies_of_other_callers_are_not_sent_on_without_end(loop):
+    assert_contained(play(loop, variant="other caller"))
+
+
+def test_copies_are_not_sent_on_without_end_after_routes_are_renamed(loop):
+    assert_contained(play(loop, variant="other route", copies_per_s=15.0))
+
+
+def test_unsafe_copies_with_a_body_are_not_sent_on_without_end(loop):
+    verdict = play(loop, variant="other query", method="POST", body=b"order" * 100)
+    assert_contained(verdict)
