--- a/src/mangohatch/entry/body.py
+++ b/src/mangohatch/entry/body.py
@@ -25,7 +25,6 @@
         self.complete = False
         self.rest_taken = False
         self.received_bytes = 0
-        self._prefix_full = False
         self._overflow: bytes | None = None
         self._failure: RequestError | None = None
         self._wake_reader: asyncio.Future[None] | None = None
@@ -48,13 +47,11 @@
         :param chunk: next bytes of the body
         """
         self.received_bytes += len(chunk)
-        if (
-            not self._prefix_full
-            and len(self.replay_prefix) + len(chunk) <= REPLAY_BYTES
-        ):
-            self.replay_prefix += chunk
+        room = REPLAY_BYTES - len(self.replay_prefix)
+        self.replay_prefix += chunk[:room]
+        chunk = chunk[room:]
+        if not chunk:
             return
-        self._prefix_full = True
         while self._overflow is not None:
             self._wake_reader = asyncio.get_running_loop().create_future()
             await self._wake_reader
