--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -1,6 +1,7 @@
 """The gate in front of the router that isolates and refuses suspected requests."""
 
-from collections import deque
+import math
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 import structlog
@@ -9,7 +10,7 @@
 from mangohatch.core.call import Call, Decision, Deliver, Grant, Refusal, Report, Result
 from mangohatch.core.quarantine.evidence import CrashEvidence
 from mangohatch.core.quarantine.notices import QuarantineNotices
-from mangohatch.core.quarantine.table import Key, QuarantineRow, QuarantineTable
+from mangohatch.core.quarantine.table import QuarantineRow, QuarantineTable
 from mangohatch.core.router import Router
 from mangohatch.core.tables import UpstreamRow, UpstreamState
 from mangohatch.errors import DeadlineExceeded, Outcome, RequestQuarantined
@@ -18,6 +19,8 @@
 __all__ = ["QuarantineGate"]
 
 ANSWERED = frozenset({Result.OK, Result.ERROR})
+ANSWERED_PATH_MS = 60_000.0
+MAX_ANSWERED_PATHS = 2_000
 
 log = structlog.get_logger()
 
@@ -40,6 +43,11 @@
     the quarantine expires or an operator releases the request. With ``evidence``,
     only crashes that it confirms count.
 
+    Crashes are recorded by the fingerprint of the request and by that of its path. The
+    row of a path catches copies that differ in query or caller. It does not apply on a
+    host that saw a response to a request of the same path lately, so that one crashing
+    query does not stop a path that many callers use.
+
     ``crashes`` counts the crashes recorded by this host, and ``refused`` the calls
     that it refused because of them.
     """
@@ -60,7 +68,8 @@
         self._notices = notices
         self._recorder = recorder
         self._evidence = evidence
-        self._trials: dict[Key, Trial] = {}
+        self._trials: dict[str, Trial] = {}
+        self._answered_paths: OrderedDict[str, float] = OrderedDict()
         self.crashes = 0
         self.refused = 0
         notices.on_change(self._decide_waiting)
@@ -72,16 +81,16 @@
         :param call: the call with its fingerprint
         :param deliver: called with exactly one grant or refusal
         """
-        row = self._table.find(call.service, call.fingerprint)
-        if not call.fingerprint or row is None:
+        row = self._find_row(call)
+        if row is None:
             self._router.request(call, deliver)
             return
         if row.quarantined:
             self._refuse(row, call, deliver)
             return
-        trial = self._trials.get((call.service, call.fingerprint))
+        trial = self._trials.get(row.fingerprint)
         if trial is None:
-            self._start_trial(call, deliver)
+            self._start_trial(row.fingerprint, call, deliver)
         else:
             trial.waiting.append((call, deliver))
 
@@ -91,19 +100,16 @@
 
         :param call: a call passed to :meth:`request`
         """
-        trial = self._trials.get((call.service, call.fingerprint))
-        if trial is None:
-            self._router.cancel(call)
-            return
-        if trial.call is call:
-            self._router.cancel(call)
-            self._end_trial(call)
-            return
-        kept = (item for item in trial.waiting if item[0] is not call)
-        waiting = deque(kept)
-        if len(waiting) == len(trial.waiting):
-            self._router.cancel(call)
-        trial.waiting = waiting
+        for trial in self._trials_of(call):
+            if trial.call is call:
+                self._router.cancel(call)
+                self._end_trial(call)
+                return
+            waiting = deque(item for item in trial.waiting if item[0] is not call)
+            if len(waiting) < len(trial.waiting):
+                trial.waiting = waiting
+                return
+        self._router.cancel(call)
 
     def release(self, grant: Grant, report: Report) -> None:
         """
@@ -124,8 +130,7 @@
             else:
                 self._evidence.record_break(call, grant.upstream)
         elif report.result in ANSWERED:
-            if self._table.find(call.service, call.fingerprint) is not None:
-                self._clear(call)
+            self._record_answer(call)
         self._end_trial(call)
 
     def release_request(self, service: str, fingerprint: str) -> bool:
@@ -136,9 +141,9 @@
         :param fingerprint: fingerprint of the request
         :return: whether the request was suspected or quarantined on this host
         """
-        known = self._table.clear(service, fingerprint)
+        known = self._table.clear(fingerprint)
         self._notices.announce_clear(service, fingerprint)
-        self._decide_waiting((service, fingerprint))
+        self._decide_waiting(fingerprint)
         return known
 
     def tick(self) -> None:
@@ -151,9 +156,40 @@
         self._expire_waiting()
         self._router.tick()
 
-    def _start_trial(self, call: Call, deliver: Deliver) -> None:
+    def _find_row(self, call: Call) -> QuarantineRow | None:
+        """Find the row that decides about a call: a quarantined one, or the widest."""
+        rows = []
+        if call.path_fingerprint and not self._is_answered(call.path_fingerprint):
+            rows.append(self._table.find(call.path_fingerprint))
+        if call.fingerprint:
+            rows.append(self._table.find(call.fingerprint))
+        known = [row for row in rows if row is not None]
+        return next((row for row in known if row.quarantined), next(iter(known), None))
+
+    def _is_answered(self, path_fingerprint: str) -> bool:
+        answered_ms = self._answered_paths.get(path_fingerprint, -math.inf)
+        return self._clock.now_ms() - answered_ms < ANSWERED_PATH_MS
+
+    def _record_answer(self, call: Call) -> None:
+        for fingerprint in fingerprints(call):
+            if self._table.find(fingerprint) is not None:
+                self._clear(call, fingerprint)
+        if call.path_fingerprint:
+            self._answered_paths[call.path_fingerprint] = self._clock.now_ms()
+            self._answered_paths.move_to_end(call.path_fingerprint)
+            if len(self._answered_paths) > MAX_ANSWERED_PATHS:
+                self._answered_paths.popitem(last=False)
+
+    def _trials_of(self, call: Call) -> list[Trial]:
+        return [
+            self._trials[fingerprint]
+            for fingerprint in fingerprints(call)
+            if fingerprint in self._trials
+        ]
+
+    def _start_trial(self, fingerprint: str, call: Call, deliver: Deliver) -> None:
         call.isolated = True
-        self._trials[(call.service, call.fingerprint)] = Trial(call=call)
+        self._trials[fingerprint] = Trial(call=call)
 
         def deliver_trial(decision: Decision) -> None:
             deliver(decision)
@@ -163,17 +199,17 @@
         self._router.request(call, deliver_trial)
 
     def _end_trial(self, call: Call) -> None:
-        trial = self._trials.get((call.service, call.fingerprint))
-        if trial is None or trial.call is not call:
-            return
-        del self._trials[(call.service, call.fingerprint)]
-        for waiting_call, deliver in trial.waiting:
-            self.request(waiting_call, deliver)
-
-    def _decide_waiting(self, key: Key) -> None:
+        for fingerprint in fingerprints(call):
+            trial = self._trials.get(fingerprint)
+            if trial is not None and trial.call is call:
+                del self._trials[fingerprint]
+                for waiting_call, deliver in trial.waiting:
+                    self.request(waiting_call, deliver)
+
+    def _decide_waiting(self, fingerprint: str) -> None:
         """Route or refuse calls that wait for a trial, after a change of its row."""
-        trial = self._trials.get(key)
-        row = self._table.find(*key)
+        trial = self._trials.get(fingerprint)
+        row = self._table.find(fingerprint)
         if trial is None or (row is not None and not row.quarantined):
             return
         waiting, trial.waiting = trial.waiting, deque()
@@ -184,38 +220,41 @@
                 self._refuse(row, call, deliver)
 
     def _record_crash(self, call: Call, upstream: str) -> None:
-        row = self._table.record_crash(call.service, call.fingerprint, upstream)
         self.crashes += 1
-        log.info(
-            "request_quarantined" if row.quarantined else "request_suspected",
-            request=call.request_id,
-            service=call.service,
-            fingerprint=call.fingerprint,
-            upstream=upstream,
-            crashes=row.crashes,
-        )
-        self._notices.announce(row)
-        if row.quarantined:
-            self._record(EventKind.REQUEST_QUARANTINED, call, upstream)
+        for fingerprint in fingerprints(call):
+            row = self._table.record_crash(call.service, fingerprint, upstream)
+            log.info(
+                "request_quarantined" if row.quarantined else "request_suspected",
+                request=call.request_id,
+                service=call.service,
+                fingerprint=fingerprint,
+                upstream=upstream,
+                crashes=row.crashes,
+            )
+            self._notices.announce(row)
+            if row.quarantined:
+                self._record(EventKind.REQUEST_QUARANTINED, call, fingerprint, upstream)
 
-    def _clear(self, call: Call) -> None:
-        self._table.clear(call.service, call.fingerprint)
-        self._notices.announce_clear(call.service, call.fingerprint)
+    def _clear(self, call: Call, fingerprint: str) -> None:
+        self._table.clear(fingerprint)
+        self._notices.announce_clear(call.service, fingerprint)
         log.info(
             "request_cleared",
             request=call.request_id,
             service=call.service,
-            fingerprint=call.fingerprint,
+            fingerprint=fingerprint,
         )
-        self._record(EventKind.REQUEST_RELEASED, call, "")
+        self._record(EventKind.REQUEST_RELEASED, call, fingerprint, "")
 
-    def _record(self, kind: EventKind, call: Call, upstream: str) -> None:
+    def _record(
+        self, kind: EventKind, call: Call, fingerprint: str, upstream: str
+    ) -> None:
         self._recorder.record(
             kind,
             request_id=call.request_id,
             service=call.service,
             upstream=upstream,
-            cause=f"fingerprint {call.fingerprint}",
+            cause=f"fingerprint {fingerprint}",
         )
 
     @staticmethod
@@ -226,6 +265,7 @@
             request=call.request_id,
             service=call.service,
             fingerprint=call.fingerprint,
+            path_fingerprint=call.path_fingerprint,
             upstream=grant.upstream.name,
             attempt=call.attempt,
             isolated=call.isolated,
@@ -266,3 +306,14 @@
             outcome=Outcome.NOT_RUN,
         )
         deliver(Refusal(call=call, error=error))
+
+
+def fingerprints(call: Call) -> tuple[str, ...]:
+    """
+    List the fingerprints by which crashes of a call are recorded.
+
+    :param call: the call
+    :return: that of its path, then its own; without those that are empty
+    """
+    names = (call.path_fingerprint, call.fingerprint)
+    return tuple(name for name in names if name)
--- a/src/mangohatch/core/quarantine/notices.py
+++ b/src/mangohatch/core/quarantine/notices.py
@@ -6,7 +6,7 @@
 import structlog
 
 from mangohatch.clock import Clock
-from mangohatch.core.quarantine.table import Key, QuarantineRow, QuarantineTable
+from mangohatch.core.quarantine.table import QuarantineRow, QuarantineTable
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages.notices import QuarantineNotice
 
@@ -17,7 +17,7 @@
 
 log = structlog.get_logger()
 
-OnChange = Callable[[Key], None]
+OnChange = Callable[[str], None]
 
 
 class QuarantineNotices:
@@ -41,14 +41,14 @@
         self._bus = bus
         self._table = table
         self._repeat_at_ms = 0.0
-        self._on_change: OnChange = lambda key: None
+        self._on_change: OnChange = lambda fingerprint: None
         bus.subscribe(QuarantineNotice, self._receive)
 
     def on_change(self, handler: OnChange) -> None:
         """
         Set the handler for changes reported by peers.
 
-        :param handler: called with the service and fingerprint of the changed row
+        :param handler: called with the fingerprint of the changed row
         """
         self._on_change = handler
 
@@ -100,7 +100,7 @@
         )
 
     def _receive(self, sender: str, notice: QuarantineNotice) -> None:
-        known = self._table.find(notice.service_name, notice.fingerprint)
+        known = self._table.find(notice.fingerprint)
         if (known.crashes if known else 0) != notice.crashes:
             log.info(
                 "quarantine_notice",
@@ -118,5 +118,5 @@
                 ttl_ms=notice.ttl_ms,
             )
         else:
-            self._table.clear(notice.service_name, notice.fingerprint)
-        self._on_change((notice.service_name, notice.fingerprint))
+            self._table.clear(notice.fingerprint)
+        self._on_change(notice.fingerprint)
--- a/src/mangohatch/core/quarantine/table.py
+++ b/src/mangohatch/core/quarantine/table.py
@@ -6,23 +6,22 @@
 
 from mangohatch.clock import Clock
 
-__all__ = ["Key", "QuarantineRow", "QuarantineTable"]
+__all__ = ["QuarantineRow", "QuarantineTable"]
 
 QUARANTINE_CRASHES = 2
 SUSPECT_TTL_MS = 60_000.0
 QUARANTINE_TTL_MS = 600_000.0
 MAX_ROWS = 1_000
 
-Key = tuple[str, str]
-
 
 @dataclass(slots=True, kw_only=True)
 class QuarantineRow:
     """
-    A request, by service and fingerprint, whose attempts broke connections.
+    A request, by its fingerprint, whose attempts broke connections.
 
-    ``crashes`` counts the known crashes on all hosts. It lags by milliseconds behind
-    crashes on other hosts.
+    ``service`` is the one that it crashed last; routes may move requests to another
+    service. ``crashes`` counts the known crashes on all hosts. It lags by milliseconds
+    behind crashes on other hosts.
     """
 
     service: str
@@ -38,21 +37,20 @@
 
 
 class QuarantineTable:
-    """Bounded rows by service and fingerprint; evicts the least recently changed."""
+    """Bounded rows by fingerprint; evicts the least recently changed."""
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._rows: OrderedDict[Key, QuarantineRow] = OrderedDict()
+        self._rows: OrderedDict[str, QuarantineRow] = OrderedDict()
 
-    def find(self, service: str, fingerprint: str) -> QuarantineRow | None:
+    def find(self, fingerprint: str) -> QuarantineRow | None:
         """
         Find the row of a request.
 
-        :param service: name of the service
         :param fingerprint: fingerprint of the request; may be empty
         :return: the row; None if there is none or it has expired
         """
-        row = self._rows.get((service, fingerprint))
+        row = self._rows.get(fingerprint)
         if row is None or row.expires_ms <= self._clock.now_ms():
             return None
         return row
@@ -68,7 +66,7 @@
         :param upstream: name of the upstream whose connection broke
         :return: the changed row
         """
-        row = self.find(service, fingerprint)
+        row = self.find(fingerprint)
         crashes = row.crashes if row is not None else 0
         known = row.upstreams if row is not None else set()
         return self.merge(
@@ -94,30 +92,29 @@
         :param ttl_ms: remaining time in milliseconds at the host; 0 for the full time
         :return: the changed row
         """
-        key = (service, fingerprint)
-        row = self.find(service, fingerprint)
+        row = self.find(fingerprint)
         if row is None:
             row = QuarantineRow(service=service, fingerprint=fingerprint, expires_ms=0)
+        row.service = service
         row.upstreams |= upstreams
         row.crashes = max(row.crashes, crashes, len(row.upstreams))
         term_ms = QUARANTINE_TTL_MS if row.quarantined else SUSPECT_TTL_MS
         until_ms = self._clock.now_ms() + (ttl_ms or term_ms)
         row.expires_ms = max(row.expires_ms, until_ms)
-        self._rows[key] = row
-        self._rows.move_to_end(key)
+        self._rows[fingerprint] = row
+        self._rows.move_to_end(fingerprint)
         if len(self._rows) > MAX_ROWS:
             self._rows.popitem(last=False)
         return row
 
-    def clear(self, service: str, fingerprint: str) -> bool:
+    def clear(self, fingerprint: str) -> bool:
         """
         Remove a row.
 
-        :param service: name of the service
         :param fingerprint: fingerprint of the request
         :return: whether the row existed
         """
-        return self._rows.pop((service, fingerprint), None) is not None
+        return self._rows.pop(fingerprint, None) is not None
 
     def expire(self) -> None:
         """Remove the rows that have expired."""
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -70,6 +70,7 @@
                 "caller": call.customer,
                 "target": req.line.path[:MAX_TARGET_CHARACTERS],
                 "fingerprint": call.fingerprint,
+                "path_fingerprint": call.path_fingerprint,
             }
         fields |= describe_grant(req)
         log.info("request_ended", **fields)
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -99,11 +99,13 @@
 
     def prepare_headers(self, req: ActiveRequest) -> None:
         prepare_framing(req)
-        # The request id is left out: a request that crashes upstreams is sent again
-        # with the same caller, path and body, but under another id.
+        # A request that crashes upstreams is sent again under another id. Routes may be
+        # renamed meanwhile.
         call = req.call
-        identity = (call.route, call.customer, req.line.method, req.line.path)
-        call.fingerprint = make_fingerprint(req, identity)
+        path, _, query = req.line.path.partition("?")
+        identity = (req.headers.get("Host", ""), req.line.method, path)
+        call.path_fingerprint = make_fingerprint(req, identity)
+        call.fingerprint = make_fingerprint(req, (*identity, query, call.customer))
 
     def set_attempt_headers(
         self, req: ActiveRequest, upstream: UpstreamRow, remaining_ms: float
--- a/tests/admin/test_interpreter.py
+++ b/tests/admin/test_interpreter.py
@@ -171,7 +171,7 @@
     def release(service, fingerprint):
         attempts.append(service)
         for host in admin_hosts[: len(attempts)]:
-            host.quarantine.clear(service, fingerprint)
+            host.quarantine.clear(fingerprint)
         return True
 
     admin_hosts[0].interpreter._releaser = Releaser(
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -341,6 +341,46 @@
     assert not granted, f"{len(granted)} hosts still send it on"
 
 
+def make_path_call(clock, fingerprint, path):
+    call = make_call(clock, fingerprint)
+    call.path_fingerprint = path
+    return call
+
+
+def test_copies_of_a_path_are_refused_whatever_their_own_fingerprint(
+    gates, network, clock
+):
+    for number in range(2):
+        call = make_path_call(clock, f"copy-{number}", "path")
+        gates[number].release(ask(gates[number], call)[0], ABORTED)
+        network.deliver()
+    call = make_path_call(clock, "copy-2", "path")
+    assert isinstance(ask(gates[5], call)[0], Refusal)
+
+
+def test_crashing_query_does_not_stop_other_requests_of_an_answered_path(
+    gates, network, clock
+):
+    gate = gates[0]
+    gate.release(ask(gate, make_path_call(clock, "harmless", "path"))[0], OK)
+    for _ in range(2):
+        call = make_path_call(clock, POISON, "path")
+        gate.release(ask(gate, call)[0], ABORTED)
+    call = make_path_call(clock, "another", "path")
+    assert isinstance(ask(gate, call)[0], Grant)
+    assert isinstance(ask(gate, make_path_call(clock, POISON, "path"))[0], Refusal)
+
+
+def test_request_stays_refused_when_its_route_moves_to_another_service(gates, clock):
+    gate = gates[0]
+    gate._router._tables.apply(make_service("other"), revision=1)
+    for _ in range(2):
+        run_once(gate, clock, POISON, ABORTED)
+    call = make_call(clock, POISON)
+    call.service = "other"
+    assert isinstance(ask(gate, call)[0], Refusal)
+
+
 def break_together(gates, clock, upstream, fingerprints):
     """Break the connections of several requests in flight at one upstream."""
     names = {f"u{number}" for number in range(1, 31)}
