--- a/src/mangohatch/core/quarantine/evidence.py
+++ b/src/mangohatch/core/quarantine/evidence.py
@@ -1,18 +1,52 @@
-"""Load reports that distinguish a broken connection from a crash."""
+"""Checks that distinguish a crash of an upstream from a broken connection."""
 
-from dataclasses import dataclass
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
 
 import structlog
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call
 from mangohatch.core.tables import UpstreamRow
+from mangohatch.core.timers import Timers
 
-__all__ = ["BrokenConnection", "CrashEvidence"]
+__all__ = ["BrokenConnection", "CheckResult", "CrashCheck", "CrashEvidence"]
+
+CHECK_INTERVAL_MS = 40.0
+MIN_FAILED_CHECKS = 3  # an upstream at its limit of connections may reset one
 
 log = structlog.get_logger()
 
-CONFIRM_MS = 700.0  # two load probes, 300 ms apart, and the transfer of their report
+
+class CheckResult(StrEnum):
+    """What an upstream did with a new request of this host."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+class CrashCheck(ABC):
+    """Asks upstreams whether they are alive."""
+
+    @abstractmethod
+    def send(self, upstream: UpstreamRow, done: Callable[[CheckResult], None]) -> None:
+        """
+        Ask an upstream on a connection that this host does not use for requests.
+
+        :param upstream: the upstream; at most one check of it is in progress
+        :param done: called exactly once, with the result
+        """
+
+    @abstractmethod
+    def retain(self, upstreams: list[UpstreamRow]) -> None:
+        """
+        Close the connections to all other upstreams.
+
+        :param upstreams: upstreams that will be checked again
+        """
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -24,77 +58,122 @@
     broken_ms: float
 
 
+@dataclass(slots=True, kw_only=True)
+class PendingCheck:
+    """Broken connections of one upstream that are not explained yet."""
+
+    upstream: UpstreamRow
+    breaks: list[BrokenConnection] = field(default_factory=list)
+    sent_ms: float = 0.0
+    failed: int = 0
+    refused: bool = False
+
+
 class CrashEvidence:
     """
-    Checks whether an upstream reports its load after a connection to it broke.
+    Checks whether an upstream is alive after a connection to it broke.
+
+    Designed for upstreams and networks that reset connections: the upstream is alive,
+    and a request with two such resets in a row is harmless. An upstream that refuses
+    connections has crashed. One that stays silent has crashed if this host hears of
+    others meanwhile; otherwise the host itself may be cut off.
 
-    Designed for upstreams and networks that reset connections: the upstream is
-    alive, and a request with two such resets in a row is harmless. A crashed
-    upstream reports no more, because it restarts under another name. Until
-    :data:`CONFIRM_MS` have passed, a request that does crash upstreams may crash
-    one with each attempt.
+    ``on_verdict`` is called once for each recorded break, with whether the upstream has
+    crashed.
 
     :param clock: source of time
+    :param timers: schedules the next check of an upstream
+    :param check: asks upstreams whether they are alive
+    :param hears_upstreams: returns whether any upstream reported its load after a time
+        in milliseconds
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        timers: Timers,
+        check: CrashCheck,
+        hears_upstreams: Callable[[float], bool],
+    ) -> None:
+        self.on_verdict: Callable[[BrokenConnection, bool], None] = ignore_verdict
         self._clock = clock
-        self._breaks: list[BrokenConnection] = []
+        self._timers = timers
+        self._check = check
+        self._hears_upstreams = hears_upstreams
+        self._pending: dict[int, PendingCheck] = {}
 
     def record_break(self, call: Call, upstream: UpstreamRow) -> None:
         """
-        Record that a connection broke.
+        Record that a connection broke, and check its upstream.
 
         :param call: the call that used the connection
         :param upstream: the upstream of the connection
         """
-        now_ms = self._clock.now_ms()
-        self._breaks.append(
-            BrokenConnection(call=call, upstream=upstream, broken_ms=now_ms)
+        broken = BrokenConnection(
+            call=call, upstream=upstream, broken_ms=self._clock.now_ms()
         )
-
-    def pop_crashes(self) -> list[BrokenConnection]:
-        """
-        Remove and return the breaks that are confirmed as crashes.
-
-        Breaks after which the upstream reported its load are dropped, as are those of
-        upstreams whose load reports no longer reach this host.
-
-        :return: breaks after which the upstream was silent for :data:`CONFIRM_MS`
-        """
-        due_ms = self._clock.now_ms() - CONFIRM_MS
-        silent = []
-        for item in self._breaks:
-            if item.upstream.reported and not is_alive(item):
-                silent.append(item)
+        pending = self._pending.get(id(upstream))
+        if pending is not None:
+            pending.breaks.append(broken)
+            return
+        pending = PendingCheck(upstream=upstream, breaks=[broken])
+        self._pending[id(upstream)] = pending
+        self._send(pending)
+
+    def _send(self, pending: PendingCheck) -> None:
+        pending.sent_ms = self._clock.now_ms()
+        self._check.send(pending.upstream, lambda item: self._receive(pending, item))
+
+    def _receive(self, pending: PendingCheck, result: CheckResult) -> None:
+        if result is CheckResult.ANSWERED:
+            # The answer says nothing about connections that broke after the question.
+            later = [
+                item for item in pending.breaks if item.broken_ms > pending.sent_ms
+            ]
+            answered = [item for item in pending.breaks if item not in later]
+            pending.breaks = later
+            pending.failed = 0
+            pending.refused = False
+            if later:
+                self._send(pending)
             else:
-                log_dismissed(item)
-        self._breaks = [item for item in silent if item.broken_ms > due_ms]
-        return [item for item in silent if item.broken_ms <= due_ms]
-
-
-def is_alive(item: BrokenConnection) -> bool:
-    """
-    Return whether an upstream has reported its load since a connection broke.
-
-    :param item: the broken connection
-    :return: whether the last load report is newer than the break
-    """
-    return item.upstream.load.measured_ms > item.broken_ms
-
-
-def log_dismissed(item: BrokenConnection) -> None:
+                self._remove(pending)
+            self._decide(answered, crashed=False, cause=result)
+            return
+        pending.failed += 1
+        pending.refused |= result is CheckResult.REFUSED
+        if pending.failed < MIN_FAILED_CHECKS:
+            self._timers.call_later(CHECK_INTERVAL_MS, lambda: self._send(pending))
+            return
+        self._remove(pending)
+        crashed = pending.refused or self._hears_upstreams(pending.breaks[0].broken_ms)
+        self._decide(pending.breaks, crashed=crashed, cause=result)
+
+    def _remove(self, pending: PendingCheck) -> None:
+        del self._pending[id(pending.upstream)]
+        self._check.retain([item.upstream for item in self._pending.values()])
+
+    def _decide(
+        self, breaks: list[BrokenConnection], *, crashed: bool, cause: str
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        for item in breaks:
+            log.info(
+                "crash_confirmed" if crashed else "crash_dismissed",
+                request=item.call.request_id,
+                fingerprint=item.call.fingerprint,
+                upstream=item.upstream.name,
+                cause=str(cause),
+                after_ms=round(now_ms - item.broken_ms),
+            )
+            self.on_verdict(item, crashed)
+
+
+def ignore_verdict(broken: BrokenConnection, crashed: bool) -> None:
     """
-    Log why a broken connection does not count as a crash.
+    Do nothing; the default of ``on_verdict``.
 
-    :param item: the broken connection
+    :param broken: a broken connection
+    :param crashed: whether its upstream has crashed
     """
-    row = item.upstream
-    log.info(
-        "crash_dismissed",
-        request=item.call.request_id,
-        fingerprint=item.call.fingerprint,
-        upstream=row.name,
-        cause="report after the break" if row.reported else "no reports for this host",
-        report_after_ms=round(row.load.measured_ms - item.broken_ms),
-    )
--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -8,7 +8,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call, Decision, Deliver, Grant, Refusal, Report, Result
-from mangohatch.core.quarantine.evidence import CrashEvidence
+from mangohatch.core.quarantine.evidence import BrokenConnection, CrashEvidence
 from mangohatch.core.quarantine.notices import QuarantineNotices
 from mangohatch.core.quarantine.table import QuarantineRow, QuarantineTable
 from mangohatch.core.router import Router
@@ -26,10 +26,16 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Trial:
-    """The single isolated run of a suspected request, and the calls waiting for it."""
+class Hold:
+    """
+    Calls that wait until more is known about copies of their request.
+
+    ``trial`` is the copy that runs in isolation, None if there is none. ``checks``
+    counts broken connections of copies whose upstreams may have crashed.
+    """
 
-    call: Call
+    trial: Call | None = None
+    checks: int = 0
     waiting: deque[tuple[Call, Deliver]] = field(default_factory=deque)
 
 
@@ -41,7 +47,8 @@
     runs one copy of it at a time, isolated on its upstream. A response clears the
     request. A second crash quarantines it: its copies are refused as not run until
     the quarantine expires or an operator releases the request. With ``evidence``,
-    only crashes that it confirms count.
+    only crashes that it confirms count, and copies wait until it is known whether an
+    upstream has crashed.
 
     Crashes are recorded by the fingerprint of the request and by that of its path. The
     row of a path catches copies that differ in query or caller. It does not apply on a
@@ -68,11 +75,13 @@
         self._notices = notices
         self._recorder = recorder
         self._evidence = evidence
-        self._trials: dict[str, Trial] = {}
+        self._holds: dict[str, Hold] = {}
         self._answered_paths: OrderedDict[str, float] = OrderedDict()
         self.crashes = 0
         self.refused = 0
         notices.on_change(self._decide_waiting)
+        if evidence is not None:
+            evidence.on_verdict = self._end_check
 
     def request(self, call: Call, deliver: Deliver) -> None:
         """
@@ -82,17 +91,16 @@
         :param deliver: called with exactly one grant or refusal
         """
         row = self._find_row(call)
-        if row is None:
-            self._router.request(call, deliver)
-            return
-        if row.quarantined:
+        if row is not None and row.quarantined:
             self._refuse(row, call, deliver)
             return
-        trial = self._trials.get(row.fingerprint)
-        if trial is None:
-            self._start_trial(row.fingerprint, call, deliver)
+        hold = self._holds.get(self._scope(call))
+        if hold is not None:
+            hold.waiting.append((call, deliver))
+        elif row is not None:
+            self._start_trial(call, deliver)
         else:
-            trial.waiting.append((call, deliver))
+            self._router.request(call, deliver)
 
     def cancel(self, call: Call) -> None:
         """
@@ -100,14 +108,17 @@
 
         :param call: a call passed to :meth:`request`
         """
-        for trial in self._trials_of(call):
-            if trial.call is call:
+        for fingerprint in fingerprints(call):
+            hold = self._holds.get(fingerprint)
+            if hold is None:
+                continue
+            if hold.trial is call:
                 self._router.cancel(call)
                 self._end_trial(call)
                 return
-            waiting = deque(item for item in trial.waiting if item[0] is not call)
-            if len(waiting) < len(trial.waiting):
-                trial.waiting = waiting
+            waiting = deque(item for item in hold.waiting if item[0] is not call)
+            if len(waiting) < len(hold.waiting):
+                hold.waiting = waiting
                 return
         self._router.cancel(call)
 
@@ -128,6 +139,7 @@
             if self._evidence is None:
                 self._record_crash(call, grant.upstream.name)
             else:
+                self._start_check(call)
                 self._evidence.record_break(call, grant.upstream)
         elif report.result in ANSWERED:
             self._record_answer(call)
@@ -149,9 +161,6 @@
     def tick(self) -> None:
         """Expire rows and waiting calls, repeat notices, and run the router's tick."""
         self._table.expire()
-        if self._evidence is not None:
-            for item in self._evidence.pop_crashes():
-                self._record_crash(item.call, item.upstream.name)
         self._notices.tick()
         self._expire_waiting()
         self._router.tick()
@@ -180,16 +189,25 @@
             if len(self._answered_paths) > MAX_ANSWERED_PATHS:
                 self._answered_paths.popitem(last=False)
 
-    def _trials_of(self, call: Call) -> list[Trial]:
-        return [
-            self._trials[fingerprint]
-            for fingerprint in fingerprints(call)
-            if fingerprint in self._trials
-        ]
+    def _scope(self, call: Call) -> str:
+        """Return the fingerprint by which copies of a call wait for each other."""
+        path = call.path_fingerprint
+        return path if path and not self._is_answered(path) else call.fingerprint
+
+    def _start_check(self, call: Call) -> None:
+        for fingerprint in fingerprints(call):
+            self._holds.setdefault(fingerprint, Hold()).checks += 1
+
+    def _end_check(self, broken: BrokenConnection, crashed: bool) -> None:
+        if crashed:
+            self._record_crash(broken.call, broken.upstream.name)
+        for fingerprint in fingerprints(broken.call):
+            self._holds[fingerprint].checks -= 1
+            self._end_hold(fingerprint)
 
-    def _start_trial(self, fingerprint: str, call: Call, deliver: Deliver) -> None:
+    def _start_trial(self, call: Call, deliver: Deliver) -> None:
         call.isolated = True
-        self._trials[fingerprint] = Trial(call=call)
+        self._holds[self._scope(call)] = Hold(trial=call)
 
         def deliver_trial(decision: Decision) -> None:
             deliver(decision)
@@ -200,19 +218,30 @@
 
     def _end_trial(self, call: Call) -> None:
         for fingerprint in fingerprints(call):
-            trial = self._trials.get(fingerprint)
-            if trial is not None and trial.call is call:
-                del self._trials[fingerprint]
-                for waiting_call, deliver in trial.waiting:
-                    self.request(waiting_call, deliver)
+            hold = self._holds.get(fingerprint)
+            if hold is not None and hold.trial is call:
+                hold.trial = None
+                self._end_hold(fingerprint)
+
+    def _end_hold(self, fingerprint: str) -> None:
+        hold = self._holds[fingerprint]
+        if hold.trial is not None or hold.checks:
+            return
+        del self._holds[fingerprint]
+        for call, deliver in hold.waiting:
+            self.request(call, deliver)
 
     def _decide_waiting(self, fingerprint: str) -> None:
         """Route or refuse calls that wait for a trial, after a change of its row."""
-        trial = self._trials.get(fingerprint)
+        hold = self._holds.get(fingerprint)
         row = self._table.find(fingerprint)
-        if trial is None or (row is not None and not row.quarantined):
+        if hold is None:
+            return
+        if row is None and hold.checks:
+            return
+        if row is not None and not row.quarantined:
             return
-        waiting, trial.waiting = trial.waiting, deque()
+        waiting, hold.waiting = hold.waiting, deque()
         for call, deliver in waiting:
             if row is None:
                 self._router.request(call, deliver)
@@ -292,12 +321,12 @@
 
     def _expire_waiting(self) -> None:
         now_ms = self._clock.now_ms()
-        for trial in tuple(self._trials.values()):
-            if not trial.waiting:
+        for hold in tuple(self._holds.values()):
+            if not hold.waiting:
                 continue
-            expired = [item for item in trial.waiting if item[0].deadline_ms <= now_ms]
+            expired = [item for item in hold.waiting if item[0].deadline_ms <= now_ms]
             for item in expired:
-                trial.waiting.remove(item)
+                hold.waiting.remove(item)
                 self._refuse_expired(*item)
 
     def _refuse_expired(self, call: Call, deliver: Deliver) -> None:
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -26,7 +26,7 @@
 from mangohatch.fleet.health_log import HealthLog
 from mangohatch.fleet.placement import Placement
 from mangohatch.peer.bus import PeerBus
-from mangohatch.probing import PlacementUpdates
+from mangohatch.probing import LoadProbe, PlacementUpdates, ProbeCrashCheck
 from mangohatch.timeline import Recorder
 
 __all__ = ["Decisions", "make_decisions"]
@@ -60,6 +60,7 @@
     recorder: Recorder,
     zone: str,
     placement: Placement,
+    crash_probe: LoadProbe,
 ) -> Decisions:
     """
     Build the decision core.
@@ -74,6 +75,7 @@
     :param recorder: records events on the timeline
     :param zone: availability zone of this host
     :param placement: placement policy, chooses the upstream of a request
+    :param crash_probe: checks whether upstreams have crashed
     :return: the components of the decision core
     """
     health = OutlierHealth(clock=clock, rng=rng, listener=HealthLog())
@@ -118,6 +120,16 @@
     if placement is not Placement.POWER_OF_TWO:
         placement_updates.on_service_freed = router.serve
         placement_updates.urgency = router.urgency
+    evidence = None
+    if placement is not Placement.POWER_OF_TWO:
+        evidence = CrashEvidence(
+            clock=clock,
+            timers=timers,
+            check=ProbeCrashCheck(tables=tables, probe=crash_probe),
+            hears_upstreams=lambda since_ms: any(
+                row.load.measured_ms > since_ms for row in tables.upstreams()
+            ),
+        )
     quarantine = QuarantineTable(clock=clock)
     gate = QuarantineGate(
         clock=clock,
@@ -125,8 +137,6 @@
         table=quarantine,
         notices=QuarantineNotices(clock=clock, rng=rng, bus=bus, table=quarantine),
         recorder=recorder,
-        # Without load reports there is no evidence of whether an upstream has
-        # crashed or has only reset a connection.
-        evidence=CrashEvidence(clock=clock) if should_move is not None else None,
+        evidence=evidence,
     )
     return Decisions(router=router, health=health, gate=gate, should_move=should_move)
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -58,6 +58,7 @@
     :param components: the components that the platform adapter provides
     :param placement: placement policy, chooses the upstream of a request
     :param probe: sends load probes; over HTTP if None
+    :param crash_probe: checks whether upstreams have crashed; over HTTP if None
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         components: FleetComponents,
         placement: Placement,
         probe: LoadProbe | None = None,
+        crash_probe: LoadProbe | None = None,
     ) -> None:
         self.cfg = cfg
         self._clock = clock
@@ -110,6 +112,8 @@
             recorder=self.recorder,
             zone=cfg.zone,
             placement=placement,
+            crash_probe=crash_probe
+            or HttpLoadProbe(clock=clock, read=components.read_probe),
         )
         self.gate = decisions.gate
         self._table_updater = TableUpdater(
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -8,7 +8,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.tables import UpstreamRow
-from mangohatch.errors import RequestError
+from mangohatch.errors import RequestError, UpstreamUnreachable
 from mangohatch.probing import LoadProbe, ProbeResult
 from mangohatch.upstream.connection import (
     DiscardingSink,
@@ -56,18 +56,28 @@
     async def _run(
         self, row: UpstreamRow, path: str, done: Callable[[ProbeResult], None]
     ) -> None:
-        load, instance = None, ""
+        load, instance, refused = None, "", False
         conn = self._acquire(row)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 load, instance = await self._exchange(conn, path)
+        except UpstreamUnreachable:
+            refused = True
+            conn.close()
         except (RequestError, TimeoutError):
             # Placement keeps the previous report, whose weight decreases with its age.
             conn.close()
         if conn.closed:
             self._conns.pop(id(row), None)
         # The send time is a lower bound for the time at which the report was made.
-        done(ProbeResult(load=load, measured_ms=conn.sent_ms, instance=instance))
+        done(
+            ProbeResult(
+                load=load,
+                measured_ms=conn.sent_ms,
+                instance=instance,
+                refused=refused,
+            )
+        )
 
     def _acquire(self, row: UpstreamRow) -> UpstreamConnection:
         conn = self._conns.get(id(row))
--- a/src/standins/simulated_fleet/crash_traffic.py
+++ b/src/standins/simulated_fleet/crash_traffic.py
@@ -60,6 +60,7 @@
     poller got no other answer.
     """
 
+    copies: int
     crashes: int
     sends: int
     sends_after_third: int
@@ -185,6 +186,7 @@
         sent = [sent_ms for req in self._copies for sent_ms in req.sent_ms]
         refused = "request_quarantined"
         return CrashVerdict(
+            copies=len(self._copies),
             crashes=len(self._crash_ms),
             sends=len(sent),
             sends_after_third=sum(sent_ms > bound_ms for sent_ms in sent),
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -106,13 +106,15 @@
             store=UNUSED,
             bounds=BOUNDS,
         )
+        probe = SimulatedProbe(loop=loop, clock=self._clock, upstreams=upstreams)
         self.fleet_host = FleetHost(
             cfg=cfg,
             clock=self._clock,
             rng=rng,
             components=components,
             placement=Placement.EXPECTED_TIME,
-            probe=SimulatedProbe(loop=loop, clock=self._clock, upstreams=upstreams),
+            probe=probe,
+            crash_probe=probe,
         )
         self.fleet_host.bus.attach(self.port)
         loop.call_soon(self._tick)
--- a/src/standins/simulated_fleet/upstreams.py
+++ b/src/standins/simulated_fleet/upstreams.py
@@ -181,8 +181,11 @@
 
         def answer() -> None:
             upstream = self._upstreams[row.name]
-            load = upstream.load() if upstream.alive else None
-            done(ProbeResult(load=load, measured_ms=sent_ms, instance=row.name))
+            if upstream.alive:
+                load = upstream.load()
+                done(ProbeResult(load=load, measured_ms=sent_ms, instance=row.name))
+            else:
+                done(ProbeResult(load=None, measured_ms=sent_ms, refused=True))
 
         self._loop.call_later(PROBE_MS / MS_PER_S, answer)
 
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -4,8 +4,9 @@
 
 from mangohatch.clock import ManualClock
 from mangohatch.core.call import Call, Grant, Refusal, Report, Result
-from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.quarantine import (
+    CheckResult,
+    CrashCheck,
     CrashEvidence,
     QuarantineGate,
     QuarantineNotices,
@@ -13,6 +14,7 @@
 )
 from mangohatch.core.router import Router
 from mangohatch.core.tables import DrainCause, Tables
+from mangohatch.core.timers import Timers
 from mangohatch.timeline import EventKind, HybridClock, Recorder
 from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
@@ -221,51 +223,172 @@
     assert second.upstream.in_flight == 1
 
 
+class ManualCheck(CrashCheck):
+    """Keeps questions until the test answers them."""
+
+    def __init__(self):
+        self.questions = []
+
+    def send(self, upstream, done):
+        self.questions.append(done)
+
+    def retain(self, upstreams):
+        return None
+
+    def answer(self, result):
+        questions, self.questions = self.questions, []
+        for done in questions:
+            done(result)
+
+
+class ManualTimers(Timers):
+    """Runs delayed calls when the test says so."""
+
+    def __init__(self):
+        self.delayed = []
+
+    def call_later(self, delay_ms, function):
+        self.delayed.append(function)
+
+    def run(self):
+        delayed, self.delayed = self.delayed, []
+        for function in delayed:
+            function()
+
+
 @fixture
-def careful(network, clock):
-    """A gate that confirms crashes by missing load reports."""
-    return make_gate(network, clock, "entry-1", evidence=CrashEvidence(clock=clock))
+def check():
+    return ManualCheck()
+
+
+@fixture
+def timers():
+    return ManualTimers()
+
+
+@fixture
+def heard():
+    """Whether the host hears of upstreams; a list, to be changed by a test."""
+    return [True]
+
+
+@fixture
+def careful(network, clock, check, timers, heard):
+    """A gate that checks whether upstreams have crashed."""
+    evidence = CrashEvidence(
+        clock=clock,
+        timers=timers,
+        check=check,
+        hears_upstreams=lambda since_ms: heard[0],
+    )
+    return make_gate(network, clock, "entry-1", evidence=evidence)
 
 
-def pass_time(gate, clock, span_ms):
-    for _ in range(int(span_ms / 20.0)):
-        clock.advance(20.0)
-        gate.tick()
+def answer_all(check, timers, clock, result):
+    """Answer checks until none is asked or scheduled."""
+    while check.questions or timers.delayed:
+        clock.advance(5.0)
+        check.answer(result)
+        timers.run()
 
 
-def test_request_whose_upstreams_keep_reporting_is_never_refused(careful, clock):
-    load = UpstreamLoad(running=0, waiting=0, slots=2)
+def test_request_whose_upstreams_answer_checks_is_never_refused(
+    careful, clock, check, timers
+):
     for _ in range(5):
-        grant = run_once(careful, clock, POISON, ABORTED)
-        clock.advance(300.0)
-        grant.upstream.load.observe(load, measured_ms=clock.now_ms())
-        careful.tick()
-    pass_time(careful, clock, 2_000.0)
-    assert isinstance(run_once(careful, clock, POISON, OK), Grant)
+        assert isinstance(run_once(careful, clock, POISON, ABORTED), Grant)
+        answer_all(check, timers, clock, CheckResult.ANSWERED)
+    grant = run_once(careful, clock, POISON, OK)
+    assert isinstance(grant, Grant)
+    assert not grant.call.isolated
 
 
-def test_request_whose_upstreams_fall_silent_is_refused(careful, clock):
+def test_request_whose_upstreams_refuse_connections_is_refused(
+    careful, clock, check, timers, heard
+):
+    heard[0] = False
     for _ in range(2):
         assert isinstance(run_once(careful, clock, POISON, ABORTED), Grant)
-        pass_time(careful, clock, 800.0)
+        answer_all(check, timers, clock, CheckResult.REFUSED)
     assert isinstance(run_once(careful, clock, POISON, OK), Refusal)
 
 
-def test_report_from_before_the_break_does_not_disprove_a_crash(careful, clock):
+def test_request_whose_upstreams_fall_silent_is_refused(careful, clock, check, timers):
     for _ in range(2):
-        grant = run_once(careful, clock, POISON, ABORTED)
-        load = UpstreamLoad(running=1, waiting=0, slots=2)
-        grant.upstream.load.observe(load, measured_ms=clock.now_ms() - 5.0)
-        pass_time(careful, clock, 800.0)
+        assert isinstance(run_once(careful, clock, POISON, ABORTED), Grant)
+        answer_all(check, timers, clock, CheckResult.SILENT)
     assert isinstance(run_once(careful, clock, POISON, OK), Refusal)
 
 
-def test_silence_of_an_unassigned_upstream_is_no_crash(careful, clock):
-    for _ in range(2):
+def test_silence_of_all_upstreams_is_no_crash(careful, clock, check, timers, heard):
+    heard[0] = False
+    for _ in range(3):
+        grant = run_once(careful, clock, POISON, ABORTED)
+        assert isinstance(grant, Grant)
+        answer_all(check, timers, clock, CheckResult.SILENT)
+    assert not run_once(careful, clock, POISON, OK).call.isolated
+
+
+def test_single_refused_connection_is_no_crash(careful, clock, check, timers):
+    for _ in range(3):
+        assert isinstance(run_once(careful, clock, POISON, ABORTED), Grant)
+        check.answer(CheckResult.REFUSED)
+        timers.run()
+        answer_all(check, timers, clock, CheckResult.ANSWERED)
+    assert not run_once(careful, clock, POISON, OK).call.isolated
+
+
+def test_answer_to_an_earlier_check_does_not_disprove_a_later_crash(
+    careful, clock, check, timers
+):
+    first, second = (ask(careful, make_call(clock, name))[0] for name in "ab")
+    second.upstream = first.upstream
+    careful.release(first, ABORTED)
+    clock.advance(0.5)
+    careful.release(second, ABORTED)
+    check.answer(CheckResult.ANSWERED)
+    assert not ask(careful, make_call(clock, "a"))[0].call.isolated
+    answer_all(check, timers, clock, CheckResult.REFUSED)
+    assert ask(careful, make_call(clock, "b"))[0].call.isolated
+
+
+def test_upstream_that_is_not_assigned_to_this_host_counts_as_well(
+    careful, clock, check, timers
+):
+    for result, isolated in (
+        (CheckResult.ANSWERED, False),
+        (CheckResult.REFUSED, True),
+    ):
         grant = run_once(careful, clock, POISON, ABORTED)
         grant.upstream.reported = False
-        pass_time(careful, clock, 800.0)
-    assert isinstance(run_once(careful, clock, POISON, OK), Grant)
+        answer_all(check, timers, clock, result)
+        grant = ask(careful, make_call(clock, POISON))[0]
+        assert grant.call.isolated is isolated
+        careful.release(grant, Report(result=Result.CANCELLED, latency_ms=1.0))
+
+
+def test_copies_wait_for_a_check_and_follow_its_result(careful, clock, check, timers):
+    for result, isolated in (
+        (CheckResult.ANSWERED, False),
+        (CheckResult.REFUSED, True),
+    ):
+        run_once(careful, clock, POISON, ABORTED)
+        waiting = [ask(careful, make_call(clock, POISON)) for _ in range(3)]
+        assert waiting == [[], [], []]
+        answer_all(check, timers, clock, result)
+        assert waiting[0][0].call.isolated is isolated
+        assert len([item for item in waiting if item]) == (1 if isolated else 3)
+        for item in waiting:
+            if item and not isolated:
+                careful.release(item[0], OK)
+
+
+def test_copy_that_waits_for_a_check_is_refused_at_its_deadline(careful, clock):
+    run_once(careful, clock, POISON, ABORTED)
+    waiting = ask(careful, make_call(clock, POISON))
+    clock.advance(1_001.0)
+    careful.tick()
+    assert waiting[0].error.outcome == "not_run"
 
 
 def test_retry_waits_until_it_is_known_whether_the_upstream_crashed(careful, clock):
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -9,6 +9,7 @@
 UPSTREAMS = 31
 SETTLE_MS = 4_000.0  # load probes are most frequent for 3 s after the start
 RUN_MS = 12_000.0
+MIN_COPIES = 30
 MAX_SENDS_AFTER_THIRD = 3  # the users' bound, over all hosts
 
 
@@ -20,7 +21,7 @@
     verdict = CrashTraffic(fleet=fleet, plan=CrashPlan(seed=seed, **traffic)).run(
         RUN_MS
     )
-    assert verdict.copies_after_third > 0, "no copy came after the third crash"
+    assert verdict.copies >= MIN_COPIES, str(verdict)
     return verdict
 
 
