--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -18,7 +18,6 @@
 
 __all__ = ["QuarantineGate"]
 
-ANSWERED = frozenset({Result.OK, Result.ERROR})
 ANSWERED_PATH_MS = 60_000.0
 MAX_ANSWERED_PATHS = 2_000
 
@@ -141,7 +140,7 @@
             else:
                 self._start_check(call)
                 self._evidence.record_break(call, grant.upstream)
-        elif report.result in ANSWERED:
+        elif report.result is Result.OK:
             self._record_answer(call)
         self._end_trial(call)
 
@@ -153,8 +152,8 @@
         :param fingerprint: fingerprint of the request
         :return: whether the request was suspected or quarantined on this host
         """
-        known = self._table.clear(fingerprint)
-        self._notices.announce_clear(service, fingerprint)
+        known = self._table.find(fingerprint) is not None
+        self._notices.announce(self._table.clear(service, fingerprint))
         self._decide_waiting(fingerprint)
         return known
 
@@ -181,7 +180,9 @@
 
     def _record_answer(self, call: Call) -> None:
         for fingerprint in fingerprints(call):
-            if self._table.find(fingerprint) is not None:
+            row = self._table.find(fingerprint)
+            # A quarantined request is not tried, so this attempt is older.
+            if row is not None and not row.quarantined:
                 self._clear(call, fingerprint)
         if call.path_fingerprint:
             self._answered_paths[call.path_fingerprint] = self._clock.now_ms()
@@ -265,8 +266,7 @@
                 self._record(EventKind.REQUEST_QUARANTINED, call, fingerprint, upstream)
 
     def _clear(self, call: Call, fingerprint: str) -> None:
-        self._table.clear(fingerprint)
-        self._notices.announce_clear(call.service, fingerprint)
+        self._notices.announce(self._table.clear(call.service, fingerprint))
         log.info(
             "request_cleared",
             request=call.request_id,
--- a/src/mangohatch/core/quarantine/notices.py
+++ b/src/mangohatch/core/quarantine/notices.py
@@ -25,7 +25,7 @@
     Notifies peers of each change at once, and repeats rows to random peers.
 
     The repetition reaches hosts that started or were unreachable at the time of the
-    change. A notice with zero crashes clears the row.
+    change. A notice of a later epoch clears the crashes of earlier ones.
     """
 
     def __init__(
@@ -60,16 +60,6 @@
         """
         self._bus.broadcast(self._make_notice(row))
 
-    def announce_clear(self, service: str, fingerprint: str) -> None:
-        """
-        Notify all peers that a request is no longer suspected.
-
-        :param service: name of the service
-        :param fingerprint: fingerprint of the request
-        """
-        notice = QuarantineNotice(service_name=service, fingerprint=fingerprint)
-        self._bus.broadcast(notice)
-
     def tick(self) -> None:
         """Send rows to a random peer if the repeat interval has passed."""
         now_ms = self._clock.now_ms()
@@ -97,6 +87,7 @@
             crashes=row.crashes,
             ttl_ms=row.expires_ms - self._clock.now_ms(),
             upstreams=sorted(row.upstreams),
+            epoch=row.epoch,
         )
 
     def _receive(self, sender: str, notice: QuarantineNotice) -> None:
@@ -107,16 +98,15 @@
                 peer=sender,
                 service=notice.service_name,
                 fingerprint=notice.fingerprint,
+                epoch=notice.epoch,
                 crashes=notice.crashes,
             )
-        if notice.crashes:
-            self._table.merge(
-                notice.service_name,
-                notice.fingerprint,
-                crashes=notice.crashes,
-                upstreams=set(notice.upstreams),
-                ttl_ms=notice.ttl_ms,
-            )
-        else:
-            self._table.clear(notice.fingerprint)
+        self._table.merge(
+            notice.service_name,
+            notice.fingerprint,
+            epoch=notice.epoch,
+            crashes=notice.crashes,
+            upstreams=set(notice.upstreams),
+            ttl_ms=notice.ttl_ms,
+        )
         self._on_change(notice.fingerprint)
--- a/src/mangohatch/core/quarantine/table.py
+++ b/src/mangohatch/core/quarantine/table.py
@@ -20,13 +20,15 @@
     A request, by its fingerprint, whose attempts broke connections.
 
     ``service`` is the one that it crashed last; routes may move requests to another
-    service. ``crashes`` counts the known crashes on all hosts. It lags by milliseconds
-    behind crashes on other hosts.
+    service. ``crashes`` counts the known crashes on all hosts since the request was
+    cleared last, which ``epoch`` counts. It lags by milliseconds behind crashes on
+    other hosts. A row without crashes remembers that the request was cleared.
     """
 
     service: str
     fingerprint: str
     expires_ms: float
+    epoch: int = 0
     crashes: int = 0
     upstreams: set[str] = field(default_factory=set)
 
@@ -48,6 +50,16 @@
         Find the row of a request.
 
         :param fingerprint: fingerprint of the request; may be empty
+        :return: the row; None if the request is not suspected of crashes
+        """
+        row = self.get(fingerprint)
+        return row if row is not None and row.crashes else None
+
+    def get(self, fingerprint: str) -> QuarantineRow | None:
+        """
+        Return the row of a request, which may have been cleared.
+
+        :param fingerprint: fingerprint of the request
         :return: the row; None if there is none or it has expired
         """
         row = self._rows.get(fingerprint)
@@ -66,11 +78,15 @@
         :param upstream: name of the upstream whose connection broke
         :return: the changed row
         """
-        row = self.find(fingerprint)
-        crashes = row.crashes if row is not None else 0
-        known = row.upstreams if row is not None else set()
+        row = self.get(fingerprint) or QuarantineRow(
+            service=service, fingerprint=fingerprint, expires_ms=0.0
+        )
         return self.merge(
-            service, fingerprint, crashes=crashes + 1, upstreams=known | {upstream}
+            service,
+            fingerprint,
+            epoch=row.epoch,
+            crashes=row.crashes + 1,
+            upstreams=row.upstreams | {upstream},
         )
 
     def merge(
@@ -78,6 +94,7 @@
         service: str,
         fingerprint: str,
         *,
+        epoch: int,
         crashes: int,
         upstreams: set[str],
         ttl_ms: float = 0.0,
@@ -87,18 +104,26 @@
 
         :param service: name of the service
         :param fingerprint: fingerprint of the request
+        :param epoch: how often the host knew the request to be cleared; crashes of
+            earlier epochs than that of the row do not count
         :param crashes: number of crashes recorded by the host
         :param upstreams: names of the crashed upstreams recorded by the host
         :param ttl_ms: remaining time in milliseconds at the host; 0 for the full time
         :return: the changed row
         """
-        row = self.find(fingerprint)
+        row = self.get(fingerprint)
         if row is None:
             row = QuarantineRow(service=service, fingerprint=fingerprint, expires_ms=0)
+        if epoch < row.epoch:
+            return row
+        if epoch > row.epoch:
+            row.epoch, row.crashes, row.upstreams = epoch, 0, set()
+            row.expires_ms = 0.0
         row.service = service
         row.upstreams |= upstreams
         row.crashes = max(row.crashes, crashes, len(row.upstreams))
-        term_ms = QUARANTINE_TTL_MS if row.quarantined else SUSPECT_TTL_MS
+        suspected = row.crashes and not row.quarantined
+        term_ms = SUSPECT_TTL_MS if suspected else QUARANTINE_TTL_MS
         until_ms = self._clock.now_ms() + (ttl_ms or term_ms)
         row.expires_ms = max(row.expires_ms, until_ms)
         self._rows[fingerprint] = row
@@ -107,14 +132,19 @@
             self._rows.popitem(last=False)
         return row
 
-    def clear(self, fingerprint: str) -> bool:
+    def clear(self, service: str, fingerprint: str) -> QuarantineRow:
         """
-        Remove a row.
+        Clear a request of all crashes that are known on this host.
 
+        :param service: name of the service
         :param fingerprint: fingerprint of the request
-        :return: whether the row existed
+        :return: the row, without crashes
         """
-        return self._rows.pop(fingerprint, None) is not None
+        row = self.get(fingerprint)
+        epoch = row.epoch if row is not None else 0
+        return self.merge(
+            service, fingerprint, epoch=epoch + 1, crashes=0, upstreams=set()
+        )
 
     def expire(self) -> None:
         """Remove the rows that have expired."""
@@ -125,8 +155,8 @@
 
     def rows(self) -> Iterator[QuarantineRow]:
         """
-        Iterate over all rows.
+        Iterate over the rows of requests with crashes.
 
         :return: rows in order of their last change, oldest first
         """
-        return iter(tuple(self._rows.values()))
+        return iter(tuple(row for row in self._rows.values() if row.crashes))
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -1546,6 +1546,7 @@
      - crashes
      - ttl_ms
      - upstreams
+     - epoch
 
     """
 
@@ -1555,15 +1556,17 @@
         'crashes',
         'ttl_ms',
         'upstreams',
+        'epoch',
     )
 
 
-    def __init__(self, service_name=None, fingerprint=None, crashes=None, ttl_ms=None, upstreams=None,):
+    def __init__(self, service_name=None, fingerprint=None, crashes=None, ttl_ms=None, upstreams=None, epoch=None,):
         self.service_name = service_name
         self.fingerprint = fingerprint
         self.crashes = crashes
         self.ttl_ms = ttl_ms
         self.upstreams = upstreams
+        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1604,6 +1607,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.epoch = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1637,6 +1645,10 @@
                 oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I32, 6)
+            oprot.writeI32(self.epoch)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3860,6 +3872,7 @@
     (3, TType.I32, 'crashes', None, None, ),  # 3
     (4, TType.DOUBLE, 'ttl_ms', None, None, ),  # 4
     (5, TType.LIST, 'upstreams', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.I32, 'epoch', None, None, ),  # 6
 )
 all_structs.append(ConfigItem)
 ConfigItem.thrift_spec = (
--- a/src/mangohatch/peer/messages/notices.py
+++ b/src/mangohatch/peer/messages/notices.py
@@ -21,10 +21,16 @@
 
 @message
 class QuarantineNotice:
-    """Fingerprint of a request whose attempts broke connections to ``upstreams``."""
+    """
+    Fingerprint of a request whose attempts broke connections to ``upstreams``.
+
+    ``epoch`` counts how often the request was cleared; a notice with no crashes tells
+    that it was.
+    """
 
     service_name: str = ""
     fingerprint: str = ""
     crashes: int = 0
     ttl_ms: float = 0.0
     upstreams: list[str] = field(default_factory=list)
+    epoch: int = 0
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -112,6 +112,7 @@
   3: i32 crashes,
   4: double ttl_ms,
   5: list<string> upstreams,
+  6: i32 epoch,
 }
 
 /** Configuration: one object of the platform at one revision. */
--- a/tests/admin/test_interpreter.py
+++ b/tests/admin/test_interpreter.py
@@ -165,13 +165,13 @@
     loop, admin_network, admin_hosts
 ):
     for host in admin_hosts:
-        host.quarantine.merge("s", FINGERPRINT, crashes=2, upstreams={"u1"})
+        host.quarantine.merge("s", FINGERPRINT, epoch=0, crashes=2, upstreams={"u1"})
     attempts = []
 
     def release(service, fingerprint):
         attempts.append(service)
         for host in admin_hosts[: len(attempts)]:
-            host.quarantine.clear(fingerprint)
+            host.quarantine.clear(service, fingerprint)
         return True
 
     admin_hosts[0].interpreter._releaser = Releaser(
@@ -183,7 +183,9 @@
 
 
 def test_release_names_the_hosts_that_still_hold_the_request(loop, admin_hosts):
-    admin_hosts[1].quarantine.merge("s", FINGERPRINT, crashes=2, upstreams={"u1"})
+    admin_hosts[1].quarantine.merge(
+        "s", FINGERPRINT, epoch=0, crashes=2, upstreams={"u1"}
+    )
     admin_hosts[0].interpreter._releaser = Releaser(
         fleet=admin_hosts[0].fleet,
         clock=admin_hosts[0].clock,
