--- a/src/mangohatch/core/quarantine/notices.py
+++ b/src/mangohatch/core/quarantine/notices.py
@@ -12,8 +12,11 @@
 
 __all__ = ["QuarantineNotices"]
 
-REPEAT_INTERVAL_MS = 1_000.0
-REPEAT_ROWS = 20
+REPEAT_INTERVAL_MS = 500.0
+RECENT_MS = 10_000.0  # by then, hosts that lost the first notice know of the change
+RECENT_PEERS = 3
+OLD_PEERS = 1
+REPEAT_ROWS = 10
 
 log = structlog.get_logger()
 
@@ -24,8 +27,8 @@
     """
     Notifies peers of each change at once, and repeats rows to random peers.
 
-    The repetition reaches hosts that started or were unreachable at the time of the
-    change. A notice of a later epoch clears the crashes of earlier ones.
+    The repetition reaches hosts that started, were unreachable or lost the notice when
+    a row changed. A notice of a later epoch clears the crashes of earlier ones.
     """
 
     def __init__(
@@ -61,12 +64,18 @@
         self._bus.broadcast(self._make_notice(row))
 
     def tick(self) -> None:
-        """Send rows to a random peer if the repeat interval has passed."""
+        """Send rows to random peers if the repeat interval has passed."""
         now_ms = self._clock.now_ms()
         if now_ms < self._repeat_at_ms:
             return
         self._repeat_at_ms = now_ms + REPEAT_INTERVAL_MS
-        rows = [row for row in self._table.rows() if row.quarantined]
+        rows = list(self._table.changed_rows())
+        self._repeat(
+            [row for row in rows if now_ms - row.changed_ms < RECENT_MS], RECENT_PEERS
+        )
+        self._repeat([row for row in rows if row.quarantined], OLD_PEERS)
+
+    def _repeat(self, rows: list[QuarantineRow], count: int) -> None:
         if not rows:
             return
         peers = [
@@ -74,11 +83,9 @@
             for member in self._bus.members()
             if member.host_id != self._bus.host_id
         ]
-        if not peers:
-            return
-        peer = self._rng.choice(peers)
+        chosen = self._rng.sample(peers, min(count, len(peers)))
         for row in self._rng.sample(rows, min(REPEAT_ROWS, len(rows))):
-            self._bus.send(peer, self._make_notice(row))
+            self._bus.multicast(chosen, self._make_notice(row))
 
     def _make_notice(self, row: QuarantineRow) -> QuarantineNotice:
         return QuarantineNotice(
--- a/src/mangohatch/core/quarantine/table.py
+++ b/src/mangohatch/core/quarantine/table.py
@@ -28,6 +28,7 @@
     service: str
     fingerprint: str
     expires_ms: float
+    changed_ms: float = 0.0
     epoch: int = 0
     crashes: int = 0
     upstreams: set[str] = field(default_factory=set)
@@ -119,9 +120,13 @@
         if epoch > row.epoch:
             row.epoch, row.crashes, row.upstreams = epoch, 0, set()
             row.expires_ms = 0.0
+            row.changed_ms = self._clock.now_ms()
         row.service = service
         row.upstreams |= upstreams
-        row.crashes = max(row.crashes, crashes, len(row.upstreams))
+        crashes = max(row.crashes, crashes, len(row.upstreams))
+        if crashes != row.crashes:
+            row.crashes = crashes
+            row.changed_ms = self._clock.now_ms()
         suspected = row.crashes and not row.quarantined
         term_ms = SUSPECT_TTL_MS if suspected else QUARANTINE_TTL_MS
         until_ms = self._clock.now_ms() + (ttl_ms or term_ms)
@@ -153,6 +158,14 @@
         for key in expired:
             del self._rows[key]
 
+    def changed_rows(self) -> Iterator[QuarantineRow]:
+        """
+        Iterate over all rows, with those of requests that were cleared.
+
+        :return: rows in order of their last change, oldest first
+        """
+        return iter(tuple(self._rows.values()))
+
     def rows(self) -> Iterator[QuarantineRow]:
         """
         Iterate over the rows of requests with crashes.
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -444,6 +444,14 @@
     assert ask(gates[14], make_call(clock, POISON))[0].call.isolated
 
 
+def run_hosts(gates, network, clock, span_ms):
+    for _ in range(int(span_ms / 20.0)):
+        clock.advance(20.0)
+        for gate in gates:
+            gate.tick()
+        network.deliver()
+
+
 def test_hosts_of_a_large_fleet_that_lost_a_notice_learn_within_two_seconds(
     network, clock
 ):
@@ -454,16 +462,24 @@
         run_once(gates[0], clock, POISON, ABORTED)
     network.deliver()
     network.disconnected_hosts.clear()
-    for _ in range(2):
-        clock.advance(1_000.0)
-        for gate in gates:
-            gate.tick()
-        network.deliver()
+    run_hosts(gates, network, clock, 2_000.0)
     decisions = [run_once(gate, clock, POISON, OK) for gate in gates]
     granted = [item for item in decisions if isinstance(item, Grant)]
     assert not granted, f"{len(granted)} hosts still send it on"
 
 
+def test_repeated_notices_of_a_quarantined_request_become_few(gates, network, clock):
+    for _ in range(2):
+        run_once(gates[0], clock, POISON, ABORTED)
+    network.deliver()
+    run_hosts(gates, network, clock, 12_000.0)
+    for _ in range(50):
+        clock.advance(20.0)
+        for gate in gates:
+            gate.tick()
+    assert len(network.queue) <= 2 * len(gates)
+
+
 def make_path_call(clock, fingerprint, path):
     call = make_call(clock, fingerprint)
     call.path_fingerprint = path
