--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -20,6 +20,7 @@
 
 ANSWERED_PATH_MS = 60_000.0
 MAX_ANSWERED_PATHS = 2_000
+MIN_RETRY_AFTER_MS = 200.0  # a trial is running
 
 log = structlog.get_logger()
 
@@ -45,7 +46,8 @@
     A request whose attempt broke a connection is suspected on all hosts. Each host
     runs one copy of it at a time, isolated on its upstream. A response clears the
     request. A second crash quarantines it: its copies are refused as not run until
-    the quarantine expires or an operator releases the request. With ``evidence``,
+    the quarantine expires or an operator releases the request, but for one trial from
+    time to time, of which all hosts are notified. With ``evidence``,
     only crashes that it confirms count, and copies wait until it is known whether an
     upstream has crashed.
 
@@ -91,13 +93,13 @@
         """
         row = self._find_row(call)
         if row is not None and row.quarantined:
-            self._refuse(row, call, deliver)
+            self._refuse_or_try(row, call, deliver)
             return
         hold = self._holds.get(self._scope(call))
         if hold is not None:
             hold.waiting.append((call, deliver))
         elif row is not None:
-            self._start_trial(call, deliver)
+            self._start_trial(row.fingerprint, call, deliver)
         else:
             self._router.request(call, deliver)
 
@@ -107,10 +109,7 @@
 
         :param call: a call passed to :meth:`request`
         """
-        for fingerprint in fingerprints(call):
-            hold = self._holds.get(fingerprint)
-            if hold is None:
-                continue
+        for hold in self._holds_of(call):
             if hold.trial is call:
                 self._router.cancel(call)
                 self._end_trial(call)
@@ -179,10 +178,11 @@
         return self._clock.now_ms() - answered_ms < ANSWERED_PATH_MS
 
     def _record_answer(self, call: Call) -> None:
+        is_trial = any(hold.trial is call for hold in self._holds_of(call))
         for fingerprint in fingerprints(call):
             row = self._table.find(fingerprint)
-            # A quarantined request is not tried, so this attempt is older.
-            if row is not None and not row.quarantined:
+            # An attempt that began before the quarantine shows nothing.
+            if row is not None and (is_trial or not row.quarantined):
                 self._clear(call, fingerprint)
         if call.path_fingerprint:
             self._answered_paths[call.path_fingerprint] = self._clock.now_ms()
@@ -195,6 +195,25 @@
         path = call.path_fingerprint
         return path if path and not self._is_answered(path) else call.fingerprint
 
+    def _holds_of(self, call: Call) -> list[Hold]:
+        names = fingerprints(call)
+        return [self._holds[name] for name in names if name in self._holds]
+
+    def _refuse_or_try(self, row: QuarantineRow, call: Call, deliver: Deliver) -> None:
+        if row.fingerprint in self._holds or self._clock.now_ms() < row.trial_due_ms:
+            self._refuse(row, call, deliver)
+            return
+        self._table.record_trial(row)
+        self._notices.announce(row)
+        log.info(
+            "quarantine_trial",
+            request=call.request_id,
+            service=call.service,
+            fingerprint=row.fingerprint,
+            crashes=row.crashes,
+        )
+        self._start_trial(row.fingerprint, call, deliver)
+
     def _start_check(self, call: Call) -> None:
         for fingerprint in fingerprints(call):
             self._holds.setdefault(fingerprint, Hold()).checks += 1
@@ -206,9 +225,9 @@
             self._holds[fingerprint].checks -= 1
             self._end_hold(fingerprint)
 
-    def _start_trial(self, call: Call, deliver: Deliver) -> None:
+    def _start_trial(self, fingerprint: str, call: Call, deliver: Deliver) -> None:
         call.isolated = True
-        self._holds[self._scope(call)] = Hold(trial=call)
+        self._holds[fingerprint] = Hold(trial=call)
 
         def deliver_trial(decision: Decision) -> None:
             deliver(decision)
@@ -311,10 +330,10 @@
             )
 
     def _refuse(self, row: QuarantineRow, call: Call, deliver: Deliver) -> None:
-        remaining_ms = row.expires_ms - self._clock.now_ms()
+        retry_at_ms = min(row.expires_ms, row.trial_due_ms)
         error = RequestQuarantined(
             f"{row.crashes} attempts of this request broke their upstream",
-            retry_after_ms=remaining_ms,
+            retry_after_ms=max(retry_at_ms - self._clock.now_ms(), MIN_RETRY_AFTER_MS),
         )
         self.refused += 1
         deliver(Refusal(call=call, error=error))
--- a/src/mangohatch/core/quarantine/notices.py
+++ b/src/mangohatch/core/quarantine/notices.py
@@ -95,6 +95,7 @@
             ttl_ms=row.expires_ms - self._clock.now_ms(),
             upstreams=sorted(row.upstreams),
             epoch=row.epoch,
+            trials=row.trials,
         )
 
     def _receive(self, sender: str, notice: QuarantineNotice) -> None:
@@ -114,6 +115,7 @@
             epoch=notice.epoch,
             crashes=notice.crashes,
             upstreams=set(notice.upstreams),
+            trials=notice.trials,
             ttl_ms=notice.ttl_ms,
         )
         self._on_change(notice.fingerprint)
--- a/src/mangohatch/core/quarantine/table.py
+++ b/src/mangohatch/core/quarantine/table.py
@@ -11,6 +11,8 @@
 QUARANTINE_CRASHES = 2
 SUSPECT_TTL_MS = 60_000.0
 QUARANTINE_TTL_MS = 600_000.0
+FIRST_TRIAL_MS = 1_000.0
+LATER_TRIAL_MS = 120_000.0
 MAX_ROWS = 1_000
 
 
@@ -31,6 +33,7 @@
     changed_ms: float = 0.0
     epoch: int = 0
     crashes: int = 0
+    trials: int = 0
     upstreams: set[str] = field(default_factory=set)
 
     @property
@@ -38,6 +41,16 @@
         """Whether the request is refused instead of only suspected."""
         return self.crashes >= QUARANTINE_CRASHES
 
+    @property
+    def trial_due_ms(self) -> float:
+        """
+        Monotonic time from which one copy may be tried, in milliseconds.
+
+        Two crashes may be a coincidence where upstreams crash by themselves.
+        """
+        first = self.crashes == QUARANTINE_CRASHES
+        return self.changed_ms + (FIRST_TRIAL_MS if first else LATER_TRIAL_MS)
+
 
 class QuarantineTable:
     """Bounded rows by fingerprint; evicts the least recently changed."""
@@ -98,6 +111,7 @@
         epoch: int,
         crashes: int,
         upstreams: set[str],
+        trials: int = 0,
         ttl_ms: float = 0.0,
     ) -> QuarantineRow:
         """
@@ -109,6 +123,7 @@
             earlier epochs than that of the row do not count
         :param crashes: number of crashes recorded by the host
         :param upstreams: names of the crashed upstreams recorded by the host
+        :param trials: trials since the quarantine that the host knows of
         :param ttl_ms: remaining time in milliseconds at the host; 0 for the full time
         :return: the changed row
         """
@@ -118,14 +133,15 @@
         if epoch < row.epoch:
             return row
         if epoch > row.epoch:
-            row.epoch, row.crashes, row.upstreams = epoch, 0, set()
+            row.epoch, row.crashes, row.trials, row.upstreams = epoch, 0, 0, set()
             row.expires_ms = 0.0
             row.changed_ms = self._clock.now_ms()
         row.service = service
         row.upstreams |= upstreams
         crashes = max(row.crashes, crashes, len(row.upstreams))
-        if crashes != row.crashes:
+        if crashes > row.crashes or trials > row.trials:
             row.crashes = crashes
+            row.trials = max(row.trials, trials)
             row.changed_ms = self._clock.now_ms()
         suspected = row.crashes and not row.quarantined
         term_ms = SUSPECT_TTL_MS if suspected else QUARANTINE_TTL_MS
@@ -137,6 +153,15 @@
             self._rows.popitem(last=False)
         return row
 
+    def record_trial(self, row: QuarantineRow) -> None:
+        """
+        Record that a copy of a quarantined request is tried.
+
+        :param row: row of the request
+        """
+        row.trials += 1
+        row.changed_ms = self._clock.now_ms()
+
     def clear(self, service: str, fingerprint: str) -> QuarantineRow:
         """
         Clear a request of all crashes that are known on this host.
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -1547,6 +1547,7 @@
      - ttl_ms
      - upstreams
      - epoch
+     - trials
 
     """
 
@@ -1557,16 +1558,18 @@
         'ttl_ms',
         'upstreams',
         'epoch',
+        'trials',
     )
 
 
-    def __init__(self, service_name=None, fingerprint=None, crashes=None, ttl_ms=None, upstreams=None, epoch=None,):
+    def __init__(self, service_name=None, fingerprint=None, crashes=None, ttl_ms=None, upstreams=None, epoch=None, trials=None,):
         self.service_name = service_name
         self.fingerprint = fingerprint
         self.crashes = crashes
         self.ttl_ms = ttl_ms
         self.upstreams = upstreams
         self.epoch = epoch
+        self.trials = trials
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1612,6 +1615,11 @@
                     self.epoch = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.trials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1649,6 +1657,10 @@
             oprot.writeFieldBegin('epoch', TType.I32, 6)
             oprot.writeI32(self.epoch)
             oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.I32, 7)
+            oprot.writeI32(self.trials)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3873,6 +3885,7 @@
     (4, TType.DOUBLE, 'ttl_ms', None, None, ),  # 4
     (5, TType.LIST, 'upstreams', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I32, 'epoch', None, None, ),  # 6
+    (7, TType.I32, 'trials', None, None, ),  # 7
 )
 all_structs.append(ConfigItem)
 ConfigItem.thrift_spec = (
--- a/src/mangohatch/peer/messages/notices.py
+++ b/src/mangohatch/peer/messages/notices.py
@@ -25,7 +25,7 @@
     Fingerprint of a request whose attempts broke connections to ``upstreams``.
 
     ``epoch`` counts how often the request was cleared; a notice with no crashes tells
-    that it was.
+    that it was. ``trials`` counts the trials since its quarantine.
     """
 
     service_name: str = ""
@@ -34,3 +34,4 @@
     ttl_ms: float = 0.0
     upstreams: list[str] = field(default_factory=list)
     epoch: int = 0
+    trials: int = 0
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -113,6 +113,7 @@
   4: double ttl_ms,
   5: list<string> upstreams,
   6: i32 epoch,
+  7: i32 trials,
 }
 
 /** Configuration: one object of the platform at one revision. */
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -155,6 +155,14 @@
         """
         return [host for host in self.hosts if host.running]
 
+    def live_upstreams(self) -> list[SimulatedUpstream]:
+        """
+        List the upstreams that have not crashed.
+
+        :return: the upstreams in the order in which they started
+        """
+        return [item for item in self._upstreams.values() if item.alive]
+
     def run(self, span_ms: float) -> None:
         """
         Run the fleet.
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -10,6 +10,7 @@
 SETTLE_MS = 4_000.0  # load probes are most frequent for 3 s after the start
 RUN_MS = 12_000.0
 MIN_COPIES = 30
+MAX_REFUSAL_MS = 2_000.0  # a pause, the wait for the next copy, and one trial
 MAX_SENDS_AFTER_THIRD = 3  # the users' bound, over all hosts
 
 
@@ -49,3 +50,11 @@
 def test_unsafe_copies_with_a_body_are_not_sent_on_without_end(loop):
     verdict = play(loop, variant="other query", method="POST", body=b"order" * 100)
     assert_contained(verdict)
+
+
+def test_innocent_requests_are_refused_briefly_while_upstreams_crash_by_themselves(
+    loop,
+):
+    verdict = play(loop, seed=8, variant="other query", own_crashes_per_s=4.0)
+    assert verdict.sends_after_third <= MAX_SENDS_AFTER_THIRD, str(verdict)
+    assert verdict.longest_refusal_ms <= MAX_REFUSAL_MS, str(verdict)
