--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -1,14 +1,14 @@
 """The gate in front of the router that isolates and refuses suspected requests."""
 
-import math
-from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 
 import structlog
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call, Decision, Deliver, Grant, Refusal, Report, Result
+from mangohatch.core.quarantine.answered import AnsweredPaths
 from mangohatch.core.quarantine.evidence import BrokenConnection, CrashEvidence
+from mangohatch.core.quarantine.hold import HoldTable, fingerprints
 from mangohatch.core.quarantine.notices import QuarantineNotices
 from mangohatch.core.quarantine.table import QuarantineRow, QuarantineTable
 from mangohatch.core.router import Router
@@ -18,27 +18,11 @@
 
 __all__ = ["QuarantineGate"]
 
-ANSWERED_PATH_MS = 60_000.0
-MAX_ANSWERED_PATHS = 2_000
 MIN_RETRY_AFTER_MS = 200.0  # a trial is running
 
 log = structlog.get_logger()
 
 
-@dataclass(slots=True, kw_only=True)
-class Hold:
-    """
-    Calls that wait until more is known about copies of their request.
-
-    ``trial`` is the copy that runs in isolation, None if there is none. ``checks``
-    counts broken connections of copies whose upstreams may have crashed.
-    """
-
-    trial: Call | None = None
-    checks: int = 0
-    waiting: deque[tuple[Call, Deliver]] = field(default_factory=deque)
-
-
 class QuarantineGate:
     """
     Routes calls through the router and protects upstreams from crashing requests.
@@ -47,9 +31,8 @@
     runs one copy of it at a time, isolated on its upstream. A response clears the
     request. A second crash quarantines it: its copies are refused as not run until
     the quarantine expires or an operator releases the request, but for one trial from
-    time to time, of which all hosts are notified. With ``evidence``,
-    only crashes that it confirms count, and copies wait until it is known whether an
-    upstream has crashed.
+    time to time, of which all hosts are notified. With ``evidence``, only crashes that
+    it confirms count, and copies wait until it is known whether an upstream crashed.
 
     Crashes are recorded by the fingerprint of the request and by that of its path. The
     row of a path catches copies that differ in query or caller. It does not apply on a
@@ -76,8 +59,8 @@
         self._notices = notices
         self._recorder = recorder
         self._evidence = evidence
-        self._holds: dict[str, Hold] = {}
-        self._answered_paths: OrderedDict[str, float] = OrderedDict()
+        self._holds = HoldTable()
+        self._answered = AnsweredPaths(clock=clock)
         self.crashes = 0
         self.refused = 0
         notices.on_change(self._decide_waiting)
@@ -95,7 +78,7 @@
         if row is not None and row.quarantined:
             self._refuse_or_try(row, call, deliver)
             return
-        hold = self._holds.get(self._scope(call))
+        hold = self._holds.find(self._scope(call))
         if hold is not None:
             hold.waiting.append((call, deliver))
         elif row is not None:
@@ -109,16 +92,10 @@
 
         :param call: a call passed to :meth:`request`
         """
-        for hold in self._holds_of(call):
-            if hold.trial is call:
-                self._router.cancel(call)
-                self._end_trial(call)
-                return
-            waiting = deque(item for item in hold.waiting if item[0] is not call)
-            if len(waiting) < len(hold.waiting):
-                hold.waiting = waiting
-                return
+        if self._holds.cancel(call):
+            return
         self._router.cancel(call)
+        self._request_again(self._holds.end_trial(call))
 
     def release(self, grant: Grant, report: Report) -> None:
         """
@@ -137,11 +114,11 @@
             if self._evidence is None:
                 self._record_crash(call, grant.upstream.name)
             else:
-                self._start_check(call)
+                self._holds.start_check(call)
                 self._evidence.record_break(call, grant.upstream)
         elif report.result is Result.OK:
             self._record_answer(call)
-        self._end_trial(call)
+        self._request_again(self._holds.end_trial(call))
 
     def release_request(self, service: str, fingerprint: str) -> bool:
         """
@@ -160,47 +137,33 @@
         """Expire rows and waiting calls, repeat notices, and run the router's tick."""
         self._table.expire()
         self._notices.tick()
-        self._expire_waiting()
+        for call, deliver in self._holds.expire(self._clock.now_ms()):
+            self._refuse_expired(call, deliver)
         self._router.tick()
 
     def _find_row(self, call: Call) -> QuarantineRow | None:
         """Find the row that decides about a call: a quarantined one, or the widest."""
-        rows = []
-        if call.path_fingerprint and not self._is_answered(call.path_fingerprint):
-            rows.append(self._table.find(call.path_fingerprint))
-        if call.fingerprint:
-            rows.append(self._table.find(call.fingerprint))
-        known = [row for row in rows if row is not None]
-        return next((row for row in known if row.quarantined), next(iter(known), None))
-
-    def _is_answered(self, path_fingerprint: str) -> bool:
-        answered_ms = self._answered_paths.get(path_fingerprint, -math.inf)
-        return self._clock.now_ms() - answered_ms < ANSWERED_PATH_MS
+        names = [name for name in fingerprints(call) if name not in self._answered]
+        rows = [row for name in names if (row := self._table.find(name)) is not None]
+        return next((row for row in rows if row.quarantined), rows[0] if rows else None)
+
+    def _scope(self, call: Call) -> str:
+        """Return the fingerprint by which copies of a call wait for each other."""
+        path = call.path_fingerprint
+        return path if path and path not in self._answered else call.fingerprint
 
     def _record_answer(self, call: Call) -> None:
-        is_trial = any(hold.trial is call for hold in self._holds_of(call))
+        is_trial = self._holds.is_trial(call)
         for fingerprint in fingerprints(call):
             row = self._table.find(fingerprint)
             # An attempt that began before the quarantine shows nothing.
             if row is not None and (is_trial or not row.quarantined):
                 self._clear(call, fingerprint)
-        if call.path_fingerprint:
-            self._answered_paths[call.path_fingerprint] = self._clock.now_ms()
-            self._answered_paths.move_to_end(call.path_fingerprint)
-            if len(self._answered_paths) > MAX_ANSWERED_PATHS:
-                self._answered_paths.popitem(last=False)
-
-    def _scope(self, call: Call) -> str:
-        """Return the fingerprint by which copies of a call wait for each other."""
-        path = call.path_fingerprint
-        return path if path and not self._is_answered(path) else call.fingerprint
-
-    def _holds_of(self, call: Call) -> list[Hold]:
-        names = fingerprints(call)
-        return [self._holds[name] for name in names if name in self._holds]
+        self._answered.record(call.path_fingerprint)
 
     def _refuse_or_try(self, row: QuarantineRow, call: Call, deliver: Deliver) -> None:
-        if row.fingerprint in self._holds or self._clock.now_ms() < row.trial_due_ms:
+        is_held = self._holds.find(row.fingerprint) is not None
+        if is_held or self._clock.now_ms() < row.trial_due_ms:
             self._refuse(row, call, deliver)
             return
         self._table.record_trial(row)
@@ -214,55 +177,35 @@
         )
         self._start_trial(row.fingerprint, call, deliver)
 
-    def _start_check(self, call: Call) -> None:
-        for fingerprint in fingerprints(call):
-            self._holds.setdefault(fingerprint, Hold()).checks += 1
-
     def _end_check(self, broken: BrokenConnection, crashed: bool) -> None:
         if crashed:
             self._record_crash(broken.call, broken.upstream.name)
-        for fingerprint in fingerprints(broken.call):
-            self._holds[fingerprint].checks -= 1
-            self._end_hold(fingerprint)
+        self._request_again(self._holds.end_check(broken.call))
 
     def _start_trial(self, fingerprint: str, call: Call, deliver: Deliver) -> None:
         call.isolated = True
-        self._holds[fingerprint] = Hold(trial=call)
+        self._holds.start_trial(fingerprint, call)
 
         def deliver_trial(decision: Decision) -> None:
             deliver(decision)
             if isinstance(decision, Refusal):
-                self._end_trial(call)
+                self._request_again(self._holds.end_trial(call))
 
         self._router.request(call, deliver_trial)
 
-    def _end_trial(self, call: Call) -> None:
-        for fingerprint in fingerprints(call):
-            hold = self._holds.get(fingerprint)
-            if hold is not None and hold.trial is call:
-                hold.trial = None
-                self._end_hold(fingerprint)
-
-    def _end_hold(self, fingerprint: str) -> None:
-        hold = self._holds[fingerprint]
-        if hold.trial is not None or hold.checks:
-            return
-        del self._holds[fingerprint]
-        for call, deliver in hold.waiting:
+    def _request_again(self, waiting: Iterable[tuple[Call, Deliver]]) -> None:
+        for call, deliver in waiting:
             self.request(call, deliver)
 
     def _decide_waiting(self, fingerprint: str) -> None:
         """Route or refuse calls that wait for a trial, after a change of its row."""
-        hold = self._holds.get(fingerprint)
+        hold = self._holds.find(fingerprint)
         row = self._table.find(fingerprint)
-        if hold is None:
-            return
-        if row is None and hold.checks:
+        if hold is None or (row is None and hold.checks):
             return
         if row is not None and not row.quarantined:
             return
-        waiting, hold.waiting = hold.waiting, deque()
-        for call, deliver in waiting:
+        for call, deliver in self._holds.take_waiting(fingerprint):
             if row is None:
                 self._router.request(call, deliver)
             else:
@@ -283,6 +226,7 @@
             self._notices.announce(row)
             if row.quarantined:
                 self._record(EventKind.REQUEST_QUARANTINED, call, fingerprint, upstream)
+                self._decide_waiting(fingerprint)
 
     def _clear(self, call: Call, fingerprint: str) -> None:
         self._notices.announce(self._table.clear(call.service, fingerprint))
@@ -338,30 +282,9 @@
         self.refused += 1
         deliver(Refusal(call=call, error=error))
 
-    def _expire_waiting(self) -> None:
-        now_ms = self._clock.now_ms()
-        for hold in tuple(self._holds.values()):
-            if not hold.waiting:
-                continue
-            expired = [item for item in hold.waiting if item[0].deadline_ms <= now_ms]
-            for item in expired:
-                hold.waiting.remove(item)
-                self._refuse_expired(*item)
-
     def _refuse_expired(self, call: Call, deliver: Deliver) -> None:
         error = DeadlineExceeded(
             "the deadline passed while a suspected request was tried",
             outcome=Outcome.NOT_RUN,
         )
         deliver(Refusal(call=call, error=error))
-
-
-def fingerprints(call: Call) -> tuple[str, ...]:
-    """
-    List the fingerprints by which crashes of a call are recorded.
-
-    :param call: the call
-    :return: that of its path, then its own; without those that are empty
-    """
-    names = (call.path_fingerprint, call.fingerprint)
-    return tuple(name for name in names if name)
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -147,6 +147,10 @@
             )
         )
 
+    def start_host(self) -> None:
+        """Start a further host."""
+        self._start_host(len(self.hosts))
+
     def running(self) -> list[SimulatedHost]:
         """
         List the hosts that were not killed.
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -169,6 +169,10 @@
         """
         now_ms = self._clock.now_ms()
         req.arrived_ms = now_ms
+        req.host_started_ms = self.started_ms
+        if service not in self.fleet_host.tables.services:
+            req.end("no_configuration", now_ms)
+            return
         call = Call(
             request_id=req.request_id,
             service=service,
--- a/src/standins/simulated_fleet/requests.py
+++ b/src/standins/simulated_fleet/requests.py
@@ -28,6 +28,7 @@
     crashes: bool = False
     reset_after_ms: float | None = None
     arrived_ms: float = 0.0
+    host_started_ms: float = 0.0
     sent_ms: list[float] = field(default_factory=list)
     error: str | None = None
     ended_ms: float | None = None
--- /dev/null
+++ b/tests/fleet/crash_soak.py
@@ -0,0 +1,134 @@
+"""Plays crashing requests on simulated fleets, with troubles chosen by seed."""
+
+import argparse
+import logging
+import multiprocessing
+import random
+import sys
+
+import structlog
+
+from standins.simulated_fleet import (
+    COPY_VARIANTS,
+    CrashPlan,
+    CrashTraffic,
+    CrashVerdict,
+    FleetPlan,
+    SimulatedFleet,
+)
+from standins.virtual_loop import VirtualLoop
+
+__all__ = ["draw", "find_faults", "play"]
+
+SIZES = ((1, 5), (13, 22), (17, 31), (17, 31))  # hosts and upstreams
+INNOCENT_PER_UPSTREAM = (0.6, 2.5, 4.0)  # requests a second
+SETTLE_MS = 4_000.0
+RUN_MS = 12_000.0
+MAX_SENDS_AFTER_THIRD = 3  # the users' bound, over all hosts
+MAX_REFUSAL_MS = 2_000.0  # a pause, the wait for the next copy, and one trial
+
+
+def draw(seed: int) -> tuple[FleetPlan, CrashPlan]:
+    """
+    Draw the fleet and the traffic of a seed.
+
+    :param seed: the seed
+    :return: both plans
+    """
+    rng = random.Random(seed)
+    hosts, upstreams = rng.choice(SIZES)
+    fleet = FleetPlan(
+        hosts=hosts,
+        upstreams=upstreams,
+        services=("desk",),
+        seed=seed,
+        loss=rng.choice((0.0, 0.01, 0.1)),
+    )
+    traffic = CrashPlan(
+        seed=seed,
+        variant=rng.choice(sorted(COPY_VARIANTS)),
+        copies_per_s=rng.choice((1.0, 4.0, 10.0, 30.0)),
+        method=rng.choice(("GET", "POST")),
+        body=rng.choice((b"", b"order" * 100)),
+        innocent_per_s=upstreams * rng.choice(INNOCENT_PER_UPSTREAM),
+        reset_share=rng.choice((0.0, 0.02, 0.2)),
+        own_crashes_per_s=rng.choice((0.0, 0.0, 0.5, 2.0)),
+        hosts_replaced_per_s=rng.choice((0.0, 0.3)) if hosts > 1 else 0.0,
+    )
+    return fleet, traffic
+
+
+def play(plan: FleetPlan, traffic: CrashPlan) -> CrashVerdict:
+    """
+    Run a fleet under copies of a crashing request.
+
+    :param plan: the fleet
+    :param traffic: the copies and the requests beside them
+    :return: what the run showed
+    """
+    loop = VirtualLoop()
+    try:
+        fleet = SimulatedFleet(plan=plan, loop=loop)
+        fleet.run(SETTLE_MS)
+        return CrashTraffic(fleet=fleet, plan=traffic).run(RUN_MS)
+    finally:
+        loop.shutdown()
+
+
+def find_faults(verdict: CrashVerdict) -> list[str]:
+    """
+    List the broken properties of a run.
+
+    :param verdict: what the run showed
+    :return: descriptions, none if all properties held
+    """
+    faults = []
+    if verdict.sends_after_third > MAX_SENDS_AFTER_THIRD:
+        faults.append(f"{verdict.sends_after_third} copies sent on too late")
+    if verdict.longest_refusal_ms > MAX_REFUSAL_MS:
+        faults.append(f"innocent refused for {verdict.longest_refusal_ms:.0f} ms")
+    return faults
+
+
+def run_seed(seed: int) -> tuple[int, CrashVerdict]:
+    """
+    Play one seed in a process of its own.
+
+    :param seed: the seed
+    :return: the seed and what its run showed
+    """
+    level = structlog.make_filtering_bound_logger(logging.CRITICAL)
+    structlog.configure(wrapper_class=level)
+    return seed, play(*draw(seed))
+
+
+def main() -> int:
+    """
+    Play some seeds and print what they show.
+
+    :return: exit status, 1 if a property was broken
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=50, help="number of seeds")
+    parser.add_argument("--jobs", type=int, default=4, help="processes")
+    args = parser.parse_args()
+    failed = 0
+    with multiprocessing.Pool(args.jobs) as pool:
+        seeds = range(args.first, args.first + args.seeds)
+        for seed, verdict in pool.imap(run_seed, seeds):
+            faults = find_faults(verdict)
+            failed += bool(faults)
+            print(
+                f"seed {seed}: upstreams lost {verdict.crashes}, copies sent"
+                f" {verdict.sends} of {verdict.copies}, innocent requests failed"
+                f" {verdict.innocent_failed} of {verdict.innocent}, refused as crashing"
+                f" {verdict.refused} for {verdict.longest_refusal_ms:.0f} ms at most"
+                f" {'; '.join(['', *faults])}"
+            )
+    print(f"{args.seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
