--- a/src/standins/simulated_fleet/__init__.py
+++ b/src/standins/simulated_fleet/__init__.py
@@ -8,6 +8,11 @@
 )
 from standins.simulated_fleet.fleet import FleetPlan, SimulatedFleet
 from standins.simulated_fleet.host import SimulatedHost
+from standins.simulated_fleet.limit_traffic import (
+    LimitPlan,
+    LimitTraffic,
+    LimitVerdict,
+)
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
 from standins.simulated_fleet.usage import Usage
 
@@ -18,6 +23,9 @@
     "CrashVerdict",
     "FleetPlan",
     "HostLimits",
+    "LimitPlan",
+    "LimitTraffic",
+    "LimitVerdict",
     "PeerNetwork",
     "SimulatedFleet",
     "SimulatedHost",
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
 from mangohatch.core.call import Call, Decision, Grant, Report, Result
 from mangohatch.directory import DirectoryPart
@@ -16,6 +16,7 @@
 from mangohatch.fleet.settings import FleetBounds, FleetSettings
 from mangohatch.peer.datagram import PeerAddress
 from mangohatch.platform.protocol import PlatformProtocol, read_probe
+from mangohatch.upstream.connection import ResponseHead
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
 from standins.simulated_fleet.requests import SimulatedRequest
 from standins.simulated_fleet.store import (
@@ -34,6 +35,8 @@
 OBJECTIVE_MS = 400.0
 RESPONSE_BYTES = 1_500
 MAX_ATTEMPTS = 2
+OK = 200
+PERCENT = 100.0
 MS_PER_S = 1000.0
 UNUSED = ("127.0.0.1", 0)
 BOUNDS = FleetBounds(
@@ -46,7 +49,8 @@
     A fleet host that ticks in virtual time and whose requests are simulated.
 
     ``in_force_ms`` holds the time at which each version of the configuration came
-    into force on this host.
+    into force on this host, and ``told_ms`` the time at which it passed on the first
+    answer with each limit of an upstream.
 
     :param host_id: id of the host
     :param zone: its availability zone
@@ -76,6 +80,7 @@
     ) -> None:
         self.host_id = host_id
         self.in_force_ms: dict[int, float] = {}
+        self.told_ms: dict[tuple[str, float], float] = {}
         self.granted = 0
         self.refused = 0
         self.running = True
@@ -218,6 +223,7 @@
         self._upstreams[decision.upstream.name].run(
             req.work_ms,
             lambda result: self._end_attempt(req, decision, result),
+            host_id=self.host_id,
             crashes=req.crashes,
             reset_after_ms=req.reset_after_ms if len(req.sent_ms) == 1 else None,
         )
@@ -230,8 +236,8 @@
         report = Report(result=result, latency_ms=now_ms - grant.granted_ms)
         if result is Result.OK:
             report.first_byte_ms = report.latency_ms
-            report.load = self._upstreams[grant.upstream.name].load()
             report.response_bytes = RESPONSE_BYTES
+            self._read_head(self._upstreams[grant.upstream.name], report)
         self.fleet_host.gate.release(grant, report)
         may_repeat = call.idempotent or result is Result.UNREACHABLE
         if result is Result.OK:
@@ -248,6 +254,22 @@
             self._in_flight -= 1
             req.end(str(result), now_ms)
 
+    def _read_head(self, upstream: SimulatedUpstream, report: Report) -> None:
+        load = upstream.load()
+        percent = round(load.slowdown * PERCENT)
+        headers = HTTPHeaders(
+            {"Upstream-Load": f"{load.running},{load.waiting},{load.slots},{percent}"}
+        )
+        if upstream.limit_per_s is not None:
+            headers["Server-Limit"] = f"{upstream.limit_per_s:g}"
+            self.told_ms.setdefault(
+                (upstream.name, upstream.limit_per_s), self._clock.now_ms()
+            )
+        head = ResponseHead(
+            line=ResponseStartLine("HTTP/1.1", OK, "OK"), headers=headers
+        )
+        self._protocol.read_upstream_state(head, report)
+
     def _run(self, decision: Decision, work_ms: float) -> None:
         if not isinstance(decision, Grant):
             self._in_flight -= 1
--- a/src/standins/simulated_fleet/upstreams.py
+++ b/src/standins/simulated_fleet/upstreams.py
@@ -43,6 +43,9 @@
     """
     An upstream with two slots, whose speed is redrawn every 300 ms.
 
+    ``limit_per_s`` is the limit that its answers name, in requests a second of all
+    hosts together. ``arrivals`` lists when requests arrived, and from which hosts.
+
     :param name: name of the upstream
     :param clock: source of time
     :param rng: source of random numbers
@@ -61,6 +64,8 @@
     ) -> None:
         self.name = name
         self.alive = True
+        self.limit_per_s: float | None = None
+        self.arrivals: list[tuple[float, str]] = []
         self._clock = clock
         self._loop = loop
         self._on_crash = on_crash
@@ -109,6 +114,7 @@
         work_ms: float,
         on_end: Callable[[Result], None],
         *,
+        host_id: str = "",
         crashes: bool = False,
         reset_after_ms: float | None = None,
     ) -> None:
@@ -117,11 +123,13 @@
 
         :param work_ms: work in milliseconds at the typical speed
         :param on_end: receives the result
+        :param host_id: id of the host that sends the request
         :param crashes: whether the request crashes the upstream
         :param reset_after_ms: time until the connection is reset although the upstream
             lives on, None if it is not
         """
         run = Run(on_end=on_end)
+        self.arrivals.append((self._clock.now_ms(), host_id))
         if not self.alive:
             self._call_later(PROBE_MS, lambda: run.end(Result.UNREACHABLE))
             return
