--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -125,8 +125,9 @@
 
     ``latency_ms`` is the time from sending the request to the end of the response.
     ``upstream_in_flight`` and ``load`` are the load reported in the response, None when
-    the response reports none. ``draining`` is set when the response reports that the
-    upstream is draining.
+    the response reports none. ``limit_per_s`` is the limit that the response names for
+    the requests of all hosts, infinite if it names none and None without a response.
+    ``draining`` is set when the response reports that the upstream is draining.
     """
 
     result: Result
@@ -134,5 +135,6 @@
     first_byte_ms: float | None = None
     upstream_in_flight: int | None = None
     load: UpstreamLoad | None = None
+    limit_per_s: float | None = None
     response_bytes: int = 0
     draining: bool = False
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -8,6 +8,7 @@
 from mangohatch.core.call import Call, Grant, GrantBasis, Report, Result
 from mangohatch.core.choice.base import Chooser
 from mangohatch.core.contention import ContentionOrder
+from mangohatch.core.limits import NoSendLimits, SendLimits
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.tables import ServiceRow, UpstreamRow
 from mangohatch.core.timers import Timers
@@ -102,6 +103,7 @@
     :param cfg: weights
     :param listener: is notified of placed requests, their ends, and waiting calls
     :param contention: orders the hosts that compete for a freed slot
+    :param limits: permits requests to upstreams that name a limit
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         cfg: PlacementSettings | None = None,
         listener: PlacementListener | None = None,
         contention: ContentionOrder | None = None,
+        limits: SendLimits | None = None,
         **parts,
     ) -> None:
         super().__init__(**parts)
@@ -122,6 +125,7 @@
         self._cfg = cfg or PlacementSettings()
         self._listener = listener or NoPlacementListener()
         self._contention = contention or ContentionOrder(clock=self._clock, host_id="")
+        self._limits = limits or NoSendLimits()
         self._tokens = itertools.count(1)
 
     def choose(self, service: ServiceRow, call: Call) -> Grant | None:
@@ -152,6 +156,7 @@
         grant = self.make_grant(call, row)
         grant.basis = self._basis(row, work_ms, now_ms, len(estimates))
         grant.token = next(self._tokens)
+        self._limits.take(row)
         row.load.begin(grant.granted_ms)
         if self._contention.is_contested(row.service, row.name):
             # Calls wait on other hosts, so these may take another free slot of this
@@ -169,6 +174,8 @@
         self._record_work(grant, report)
         row.load.end(grant.granted_ms, now_ms)
         self._listener.on_ended(grant)
+        if report.limit_per_s is not None:
+            self._limits.observe(row, report.limit_per_s)
         if report.load is not None:
             self._estimator.observe(
                 row,
@@ -211,6 +218,7 @@
             self._cfg.max_wait_for_faster_ms, lambda: self._available(name)
         )
         self._listener.on_waiting(name)
+        self._limits.request(name)
         return True
 
     def _basis(
@@ -270,6 +278,8 @@
         # is_open().
         if occupancy >= slots or not self.is_open(row, call):
             return math.inf
+        if row.limit.named and not self._limits.may_send(row):
+            return math.inf
         share = self._health.capacity(row)
         if occupancy >= max(1, round(slots * share)):
             return math.inf
--- /dev/null
+++ b/src/mangohatch/core/limits/permits.py
@@ -0,0 +1,233 @@
+"""Permits that this host holds for upstreams that name a limit."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from mangohatch.clock import Clock
+from mangohatch.core.limits.base import SendLimits
+from mangohatch.core.limits.broker import PermitBroker
+from mangohatch.core.subset import SubsetTable
+from mangohatch.core.tables import Tables, UpstreamRow
+from mangohatch.core.timers import Timers
+from mangohatch.peer.bus import PeerBus
+from mangohatch.peer.messages.permits import PermitGrant, PermitRequest, PermitReturn
+
+__all__ = ["PermitTable"]
+
+REQUEST_INTERVAL_MS = 50.0
+HOLD_MS = 100.0  # a permit that no call could use by then goes back
+AHEAD_HOLD_MS = 1_000.0
+# Permits held by all hosts at once then stay below two seconds of the limit.
+MIN_AHEAD_PER_S = 0.5
+MAX_ANSWER_MS = 500.0  # a later grant may be for a request long forgotten
+MAX_REQUESTED = 4
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True, kw_only=True)
+class HeldPermits:
+    """Permits for one upstream, and when this host asked for some last."""
+
+    row: UpstreamRow
+    count: int = 0
+    requested_ms: float = float("-inf")
+
+
+class PermitTable(SendLimits):
+    """
+    Asks the owner of a limited upstream for permits while calls wait.
+
+    Calls go to upstreams without a limit first. Those that wait may use any permit that
+    arrives, and a permit that none can use goes back. Where a limit allows each host a
+    request every other second, hosts also hold a permit for the next call, and the
+    upstream is used like others. The owner itself also sends requests that need not
+    wait, so that it learns when the limit is withdrawn.
+
+    ``on_permit`` is called with the name of a service when a permit has arrived, and
+    ``on_limit`` with an upstream whose responses to this host name another limit.
+    ``count_waiting`` returns the number of calls that wait for a service.
+
+    :param clock: source of time
+    :param tables: services and upstreams
+    :param subset: the owner of each upstream
+    :param bus: messages to the owners
+    :param timers: asks again, and returns unused permits
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        tables: Tables,
+        subset: SubsetTable,
+        bus: PeerBus,
+        timers: Timers,
+    ) -> None:
+        self.on_permit: Callable[[str], None] = ignore_service
+        self.on_limit: Callable[[UpstreamRow], None] = ignore_upstream
+        self.count_waiting: Callable[[str], int] = return_zero
+        self._clock = clock
+        self._tables = tables
+        self._subset = subset
+        self._bus = bus
+        self._timers = timers
+        self._held: dict[int, HeldPermits] = {}
+        self._timed: set[str] = set()
+        self.broker = PermitBroker(
+            clock=clock, subset=subset, timers=timers, grant=self._send_grant
+        )
+        bus.subscribe(PermitRequest, self._receive_request)
+        bus.subscribe(PermitGrant, self._receive_grant)
+        bus.subscribe(PermitReturn, self._receive_return)
+
+    def may_send(self, row: UpstreamRow) -> bool:
+        if not row.limit.named:
+            return True
+        held = self._held.get(id(row))
+        if held is not None and held.count:
+            return True
+        return self.broker.owns(row) and self.broker.is_free(row)
+
+    def take(self, row: UpstreamRow) -> None:
+        if not row.limit.named:
+            return
+        held = self._held.get(id(row))
+        if held is not None and held.count:
+            held.count -= 1
+        else:
+            self.broker.take(row)
+
+    def request(self, service: str) -> None:
+        row = self._tables.services.get(service)
+        if row is None:
+            return
+        limited = [item for item in row.upstreams.values() if item.limit.named]
+        for upstream in limited:
+            self._request(upstream)
+        if limited and service not in self._timed:
+            self._timed.add(service)
+            self._timers.call_later(
+                REQUEST_INTERVAL_MS, lambda: self._request_again(service)
+            )
+
+    def observe(self, row: UpstreamRow, per_s: float) -> None:
+        if not row.limit.observe(per_s, seen_ms=self._clock.now_ms()):
+            return
+        log.info(
+            "upstream_limit", service=row.service, upstream=row.name, limit_per_s=per_s
+        )
+        self.on_limit(row)
+
+    def tick(self) -> None:
+        """Ask ahead where limits allow it, and forget upstreams that name none."""
+        limited = [row for row in self._tables.upstreams() if row.limit.named]
+        self.broker.tick(limited)
+        for key in self._held.keys() - {id(row) for row in limited}:
+            del self._held[key]
+        for row in limited:
+            if row.limit.per_s >= MIN_AHEAD_PER_S * self._subset.hosts:
+                self._request(row)
+
+    def _request_again(self, service: str) -> None:
+        self._timed.discard(service)
+        if self.count_waiting(service):
+            self.request(service)
+
+    def _request(self, row: UpstreamRow) -> None:
+        now_ms = self._clock.now_ms()
+        held = self._held.setdefault(id(row), HeldPermits(row=row))
+        if held.count or now_ms - held.requested_ms < REQUEST_INTERVAL_MS:
+            return
+        held.requested_ms = now_ms
+        waiting = self.count_waiting(row.service)
+        count = max(1, min(waiting, row.slots, MAX_REQUESTED))
+        owner = self._subset.owner(row.service, row.name)
+        if owner == self._bus.host_id:
+            self.broker.request(owner, row, count)
+        elif owner:
+            message = PermitRequest(
+                service_name=row.service, upstream=row.name, count=count
+            )
+            self._bus.send(owner, message)
+
+    def _send_grant(self, host_id: str, row: UpstreamRow, count: int) -> None:
+        if host_id == self._bus.host_id:
+            self._hold(row, count)
+        else:
+            message = PermitGrant(
+                service_name=row.service, upstream=row.name, count=count
+            )
+            self._bus.send(host_id, message)
+
+    def _hold(self, row: UpstreamRow, count: int) -> None:
+        held = self._held.setdefault(id(row), HeldPermits(row=row))
+        if self._clock.now_ms() - held.requested_ms > MAX_ANSWER_MS:
+            log.info("permit_late", service=row.service, upstream=row.name)
+            return
+        held.count += count
+        ahead = row.limit.per_s >= MIN_AHEAD_PER_S * self._subset.hosts
+        hold_ms = AHEAD_HOLD_MS if ahead else HOLD_MS
+        self._timers.call_later(hold_ms, lambda: self._put_back(held))
+        # A grant may come from within the placement of a call.
+        self._timers.call_later(0.0, lambda: self.on_permit(row.service))
+
+    def _put_back(self, held: HeldPermits) -> None:
+        row, count, held.count = held.row, held.count, 0
+        if not count or not row.limit.named:
+            return
+        owner = self._subset.owner(row.service, row.name)
+        if owner == self._bus.host_id:
+            self.broker.put_back(row, count)
+        elif owner:
+            message = PermitReturn(
+                service_name=row.service, upstream=row.name, count=count
+            )
+            self._bus.send(owner, message)
+
+    def _find_row(self, service: str, upstream: str) -> UpstreamRow | None:
+        row = self._tables.services.get(service)
+        return row.upstreams.get(upstream) if row is not None else None
+
+    def _receive_request(self, sender: str, message: PermitRequest) -> None:
+        row = self._find_row(message.service_name, message.upstream)
+        if row is not None:
+            self.broker.request(sender, row, message.count)
+
+    def _receive_grant(self, sender: str, message: PermitGrant) -> None:
+        row = self._find_row(message.service_name, message.upstream)
+        if row is not None:
+            self._hold(row, message.count)
+
+    def _receive_return(self, sender: str, message: PermitReturn) -> None:
+        row = self._find_row(message.service_name, message.upstream)
+        if row is not None and row.limit.named:
+            self.broker.put_back(row, message.count)
+
+
+def ignore_service(service: str) -> None:
+    """
+    Do nothing; the default of ``on_permit``.
+
+    :param service: name of a service
+    """
+
+
+def ignore_upstream(row: UpstreamRow) -> None:
+    """
+    Do nothing; the default of ``on_limit``.
+
+    :param row: an upstream
+    """
+
+
+def return_zero(service: str) -> int:
+    """
+    Return 0; the default of ``count_waiting``.
+
+    :param service: name of a service
+    :return: 0
+    """
+    return 0
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from mangohatch.core.load import LoadView
+from mangohatch.core.named_limit import NamedLimit
 from mangohatch.core.routes import RouteTable
 from mangohatch.core.spec import UpstreamSpec
 
@@ -56,6 +57,7 @@
     in_flight: int = 0
     reported: bool = True
     load: LoadView = field(default_factory=LoadView)
+    limit: NamedLimit = field(default_factory=NamedLimit)
     drain_causes: set[DrainCause] = field(default_factory=set)
 
     def start_drain(self, cause: DrainCause) -> bool:
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -11,6 +11,7 @@
 from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
 from mangohatch.core.contention import ContentionOrder
 from mangohatch.core.health import OutlierHealth
+from mangohatch.core.limits import PermitTable
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.moving import MovePolicy
 from mangohatch.core.quarantine import (
@@ -39,12 +40,13 @@
 
     ``health`` is the health of the upstreams. ``should_move`` returns whether a request
     should move to another upstream; it is None if the placement policy never moves
-    requests.
+    requests. ``limits`` keeps the limits that upstreams name.
     """
 
     router: Router
     health: OutlierHealth
     gate: QuarantineGate
+    limits: PermitTable
     should_move: Callable[[Grant], bool] | None
 
 
@@ -78,6 +80,9 @@
     :param crash_probe: checks whether upstreams have crashed
     :return: the components of the decision core
     """
+    limits = PermitTable(
+        clock=clock, tables=tables, subset=subset, bus=bus, timers=timers
+    )
     health = OutlierHealth(clock=clock, rng=rng, listener=HealthLog())
     chooser: Chooser
     should_move = None
@@ -102,6 +107,7 @@
             zone=zone,
             listener=placement_updates,
             contention=contention,
+            limits=limits,
         )
         placement_updates.on_slot_freed = chooser.apply_contention_order
         estimator.on_improvement = chooser.apply_contention_order
@@ -120,6 +126,8 @@
     if placement is not Placement.POWER_OF_TWO:
         placement_updates.on_service_freed = router.serve
         placement_updates.urgency = router.urgency
+    limits.on_permit = router.serve
+    limits.count_waiting = router.count_waiting
     evidence = None
     if placement is not Placement.POWER_OF_TWO:
         evidence = CrashEvidence(
@@ -139,4 +147,10 @@
         recorder=recorder,
         evidence=evidence,
     )
-    return Decisions(router=router, health=health, gate=gate, should_move=should_move)
+    return Decisions(
+        router=router,
+        health=health,
+        gate=gate,
+        limits=limits,
+        should_move=should_move,
+    )
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -116,6 +116,7 @@
             or HttpLoadProbe(clock=clock, read=components.read_probe),
         )
         self.gate = decisions.gate
+        self._limits = decisions.limits
         self._table_updater = TableUpdater(
             clock=clock,
             tables=self.tables,
@@ -134,6 +135,7 @@
             estimator=self.estimator,
             on_load=decisions.router.serve,
         )
+        decisions.limits.on_limit = self.reports.add
         self.probing = ProbingSystem(
             clock=clock,
             tables=self.tables,
@@ -312,6 +314,7 @@
         if self._probes_load:
             self.probing.tick()
         self.gate.tick()
+        self._limits.tick()
         self.entry.tick()
         self.metrics.tick()
         if not self._was_ready and self.not_ready() is None:
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -3375,6 +3375,8 @@
      - slowdown_percent
      - age_ms
      - healthy
+     - limit_per_s
+     - limit_age_ms
 
     """
 
@@ -3386,10 +3388,12 @@
         'slowdown_percent',
         'age_ms',
         'healthy',
+        'limit_per_s',
+        'limit_age_ms',
     )
 
 
-    def __init__(self, upstream=None, running=None, waiting=None, slots=None, slowdown_percent=None, age_ms=None, healthy=None,):
+    def __init__(self, upstream=None, running=None, waiting=None, slots=None, slowdown_percent=None, age_ms=None, healthy=None, limit_per_s=None, limit_age_ms=None,):
         self.upstream = upstream
         self.running = running
         self.waiting = waiting
@@ -3397,6 +3401,8 @@
         self.slowdown_percent = slowdown_percent
         self.age_ms = age_ms
         self.healthy = healthy
+        self.limit_per_s = limit_per_s
+        self.limit_age_ms = limit_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3442,6 +3448,16 @@
                     self.healthy = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.limit_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3480,6 +3496,296 @@
             oprot.writeFieldBegin('healthy', TType.BOOL, 7)
             oprot.writeBool(self.healthy)
             oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 8)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.limit_age_ms is not None:
+            oprot.writeFieldBegin('limit_age_ms', TType.I32, 9)
+            oprot.writeI32(self.limit_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitRequest(object):
+    """
+    A host asks the owner of a limited upstream for permits.
+
+    Attributes:
+     - service_name
+     - upstream
+     - count
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'upstream',
+        'count',
+    )
+
+
+    def __init__(self, service_name=None, upstream=None, count=None,):
+        self.service_name = service_name
+        self.upstream = upstream
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitRequest')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitGrant(object):
+    """
+    The owner permits requests to a limited upstream.
+
+    Attributes:
+     - service_name
+     - upstream
+     - count
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'upstream',
+        'count',
+    )
+
+
+    def __init__(self, service_name=None, upstream=None, count=None,):
+        self.service_name = service_name
+        self.upstream = upstream
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitGrant')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitReturn(object):
+    """
+    A host returns permits that it did not use.
+
+    Attributes:
+     - service_name
+     - upstream
+     - count
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'upstream',
+        'count',
+    )
+
+
+    def __init__(self, service_name=None, upstream=None, count=None,):
+        self.service_name = service_name
+        self.upstream = upstream
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitReturn')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4020,6 +4326,29 @@
     (5, TType.I32, 'slowdown_percent', None, None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
     (7, TType.BOOL, 'healthy', None, None, ),  # 7
+    (8, TType.DOUBLE, 'limit_per_s', None, None, ),  # 8
+    (9, TType.I32, 'limit_age_ms', None, None, ),  # 9
+)
+all_structs.append(PermitRequest)
+PermitRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+)
+all_structs.append(PermitGrant)
+PermitGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+)
+all_structs.append(PermitReturn)
+PermitReturn.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
--- a/src/mangohatch/peer/messages/load.py
+++ b/src/mangohatch/peer/messages/load.py
@@ -12,7 +12,9 @@
     """
     Load that an upstream reported ``age_ms`` before the message was sent.
 
-    ``slowdown_percent`` is 100 if work takes the typical time.
+    ``slowdown_percent`` is 100 if work takes the typical time. ``limit_per_s`` is the
+    limit that the upstream named in a response ``limit_age_ms`` ago, negative if that
+    response named none. A negative age means that no response is known.
     """
 
     upstream: str = ""
@@ -22,6 +24,8 @@
     slowdown_percent: int = 100
     age_ms: int = 0
     healthy: bool = True
+    limit_per_s: float = -1.0
+    limit_age_ms: int = -1
 
 
 @message
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -238,6 +238,29 @@
   5: i32 slowdown_percent,
   6: i32 age_ms,
   7: bool healthy,
+  8: double limit_per_s,
+  9: i32 limit_age_ms,
+}
+
+/** A host asks the owner of a limited upstream for permits. */
+struct PermitRequest {
+  1: string service_name,
+  2: string upstream,
+  3: i32 count,
+}
+
+/** The owner permits requests to a limited upstream. */
+struct PermitGrant {
+  1: string service_name,
+  2: string upstream,
+  3: i32 count,
+}
+
+/** A host returns permits that it did not use. */
+struct PermitReturn {
+  1: string service_name,
+  2: string upstream,
+  3: i32 count,
 }
 
 struct LoadReport {
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -1,5 +1,6 @@
 """Reads and writes the platform's header fields and response statuses."""
 
+import math
 import re
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -30,6 +31,7 @@
 SIGNATURE = "Upstream-Signature"
 NOT_EXECUTED = "Not-Executed"
 LOAD = "Upstream-Load"
+LIMIT = "Server-Limit"
 INSTANCE = "Upstream-Instance"
 RETRY_AFTER = "Retry-After"
 
@@ -40,7 +42,8 @@
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 
-DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]+)?")
+NUMBER_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]+)?")
+FIRST_SERVER_ERROR = 500
 MIN_LOAD_FIELDS = 3
 PERCENT = 100.0
 MS_PER_SECOND = 1000.0
@@ -129,9 +132,20 @@
 
     def read_upstream_state(self, head: ResponseHead, report: Report) -> None:
         report.load = read_load(head)
+        if head.line.code != MISDIRECTED:
+            report.limit_per_s = self._read_limit(head)
         # 421 means that another upstream now uses the address.
         report.draining = head.line.code == MISDIRECTED
 
+    def _read_limit(self, head: ResponseHead) -> float | None:
+        text = head.headers.get(LIMIT)
+        if text is not None:
+            return float(text) if NUMBER_PATTERN.fullmatch(text.strip()) else None
+        # A request that was not run, or an error, need not come from where limits are
+        # named.
+        is_answer = head.line.code < FIRST_SERVER_ERROR and not self.is_not_run(head)
+        return math.inf if is_answer else None
+
     def finalize_response(self, head: ResponseHead, request_id: str) -> Outcome:
         drop_hop_by_hop(head.headers)
         return Outcome.DONE
@@ -182,7 +196,7 @@
     text = headers.get(DEADLINE)
     if text is None:
         return default_ms
-    if DEADLINE_PATTERN.fullmatch(text) is None:
+    if NUMBER_PATTERN.fullmatch(text) is None:
         raise BadRequest(f"{DEADLINE} is not a number of milliseconds")
     return float(text)
 
--- a/src/mangohatch/probing/reports.py
+++ b/src/mangohatch/probing/reports.py
@@ -1,5 +1,6 @@
 """Exchange of load reports between hosts."""
 
+import math
 from collections.abc import Callable
 
 from mangohatch.clock import Clock
@@ -14,6 +15,9 @@
 __all__ = ["LoadReports"]
 
 PERCENT = 100.0
+NO_LIMIT = -1.0
+UNKNOWN_AGE_MS = -1
+MAX_LIMIT_AGE_MS = 600_000.0
 BATCH_DELAY_MS = 3.0  # results of several probes share a message
 MAX_SAMPLES = 200  # per message; about 4 KB
 MAX_RECEIVERS = 20  # of one host; the users of an upstream on a site of 21 hosts
@@ -123,8 +127,14 @@
             slowdown_percent=round(load.slowdown * PERCENT),
             age_ms=int(self._clock.now_ms() - row.load.measured_ms),
             healthy=load.healthy,
+            limit_per_s=row.limit.per_s if row.limit.named else NO_LIMIT,
+            limit_age_ms=self._limit_age_ms(row),
         )
 
+    def _limit_age_ms(self, row: UpstreamRow) -> int:
+        age_ms = self._clock.now_ms() - row.limit.seen_ms
+        return int(age_ms) if age_ms < MAX_LIMIT_AGE_MS else UNKNOWN_AGE_MS
+
     def _receive(self, sender: str, report: LoadReport) -> None:
         if report.relay:
             self._pass_on(sender, report)
@@ -143,6 +153,11 @@
                 slowdown=sample.slowdown_percent / PERCENT,
                 healthy=sample.healthy,
             )
+            if sample.limit_age_ms >= 0:
+                row.limit.observe(
+                    sample.limit_per_s if sample.limit_per_s >= 0.0 else math.inf,
+                    seen_ms=now_ms - sample.limit_age_ms,
+                )
             self._estimator.observe(
                 row, load, measured_ms=now_ms - sample.age_ms, seen_ms=now_ms
             )
--- a/tests/platform/test_protocol.py
+++ b/tests/platform/test_protocol.py
@@ -1,5 +1,6 @@
 """Tests of the platform's header fields and response statuses."""
 
+import math
 import random
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
@@ -171,3 +172,22 @@
     )
     assert instance == "i-1"
     assert not load.healthy
+
+
+def read_limit(protocol, status=200, **headers):
+    report = Report(result=Result.OK, latency_ms=1.0)
+    protocol.read_upstream_state(make_head(status, **headers), report)
+    return report.limit_per_s
+
+
+def test_limit_is_read_from_answers(protocol):
+    assert read_limit(protocol, Server_Limit="1.25") == 1.25
+    assert read_limit(protocol, 503, Server_Limit="2", Not_Executed="1") == 2.0
+    assert read_limit(protocol) == math.inf
+    assert read_limit(protocol, Server_Limit="few") is None
+
+
+def test_missing_limit_in_an_error_is_no_news(protocol):
+    assert read_limit(protocol, 503, Not_Executed="1") is None
+    assert read_limit(protocol, 500) is None
+    assert read_limit(protocol, 421, Server_Limit="1") is None
