--- /dev/null
+++ b/tests/upstream/test_load_probe.py
@@ -0,0 +1,74 @@
+"""Tests of load probes over HTTP, and of crash checks by them."""
+
+import asyncio
+
+from mangohatch.clock import SystemClock
+from mangohatch.core.quarantine import CheckResult
+from mangohatch.core.tables import Tables
+from mangohatch.platform.protocol import read_probe
+from mangohatch.probing import ProbeCrashCheck
+from mangohatch.upstream.load_probe import HttpLoadProbe
+from tests.fixtures import make_service
+from tests.functions import function_tests
+
+load_tests = function_tests(__name__)
+
+SERVICE = "tablero-misa"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nUpstream-Load: 1,0,2\r\n"
+
+
+async def check_server(handle, *, listening=True):
+    """Check an upstream on a port of this machine, which may not be listening."""
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    tables = Tables()
+    tables.apply(make_service(SERVICE, upstreams=1), revision=1)
+    tables.services[SERVICE].spec = Spec()
+    row = tables.services[SERVICE].upstreams["u1"]
+    row.port = server.sockets[0].getsockname()[1]
+    if not listening:
+        server.close()
+    probe = HttpLoadProbe(clock=SystemClock(), read=read_probe)
+    check = ProbeCrashCheck(tables=tables, probe=probe)
+    done = asyncio.get_running_loop().create_future()
+    check.send(row, done.set_result)
+    try:
+        return await done
+    finally:
+        check.retain([])
+        server.close()
+
+
+class Spec:
+    health_path = "/healthz"
+
+
+def answer(instance):
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + f"Upstream-Instance: {instance}\r\n\r\n".encode())
+        await writer.drain()
+        writer.close()
+
+    return handle
+
+
+async def reset(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.transport.abort()
+
+
+def test_upstream_that_answers_is_alive():
+    assert asyncio.run(check_server(answer("u1"))) is CheckResult.ANSWERED
+
+
+def test_upstream_without_listener_refuses():
+    result = asyncio.run(check_server(answer("u1"), listening=False))
+    assert result is CheckResult.REFUSED
+
+
+def test_another_process_at_the_address_counts_as_refusal():
+    assert asyncio.run(check_server(answer("u2"))) is CheckResult.REFUSED
+
+
+def test_connection_that_is_reset_is_no_answer():
+    assert asyncio.run(check_server(reset)) is CheckResult.SILENT
