--- a/src/mangohatch/core/limits/broker.py
+++ b/src/mangohatch/core/limits/broker.py
@@ -42,6 +42,8 @@
     upstream, which all hosts compute by themselves. While their member lists differ,
     two hosts may give out permits; each of them starts without tokens.
 
+    ``granted`` counts the permits that were given out.
+
     :param clock: source of time
     :param subset: the owner of each upstream
     :param timers: gives out the next token
@@ -61,6 +63,7 @@
         self._timers = timers
         self._grant = grant
         self._limited: dict[int, LimitedUpstream] = {}
+        self.granted = 0
 
     def owns(self, row: UpstreamRow) -> bool:
         """
@@ -157,6 +160,7 @@
             count = min(tokens, wanted.count)
             tokens -= count
             item.bucket.take(count)
+            self.granted += count
             self._grant(host, item.row, count)
         if item.wanted and not item.timed:
             item.timed = True
--- a/src/mangohatch/core/limits/permits.py
+++ b/src/mangohatch/core/limits/permits.py
@@ -48,7 +48,8 @@
 
     ``on_permit`` is called with the name of a service when a permit has arrived, and
     ``on_limit`` with an upstream whose responses to this host name another limit.
-    ``count_waiting`` returns the number of calls that wait for a service.
+    ``count_waiting`` returns the number of calls that wait for a service. ``used``
+    counts the requests that were sent to upstreams with a limit.
 
     :param clock: source of time
     :param tables: services and upstreams
@@ -76,6 +77,7 @@
         self._timers = timers
         self._held: dict[int, HeldPermits] = {}
         self._timed: set[str] = set()
+        self.used = 0
         self.broker = PermitBroker(
             clock=clock, subset=subset, timers=timers, grant=self._send_grant
         )
@@ -94,6 +96,7 @@
     def take(self, row: UpstreamRow) -> None:
         if not row.limit.named:
             return
+        self.used += 1
         held = self._held.get(id(row))
         if held is not None and held.count:
             held.count -= 1
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -241,6 +241,16 @@
                 "Requests refused because their copies crashed upstreams.",
                 self.gate.refused,
             ),
+            (
+                "permits_granted",
+                "Permits given to hosts for upstreams that name a limit.",
+                self._limits.broker.granted,
+            ),
+            (
+                "permits_used",
+                "Requests sent to upstreams that name a limit.",
+                self._limits.used,
+            ),
             ("peer_datagrams_sent", "Datagrams sent to peers.", self.bus.sent),
             (
                 "peer_datagrams_received",
