--- a/src/mangohatch/core/quarantine/notices.py
+++ b/src/mangohatch/core/quarantine/notices.py
@@ -69,7 +69,7 @@
         if now_ms < self._repeat_at_ms:
             return
         self._repeat_at_ms = now_ms + REPEAT_INTERVAL_MS
-        rows = list(self._table.changed_rows())
+        rows = list(self._table.all_rows())
         self._repeat(
             [row for row in rows if now_ms - row.changed_ms < RECENT_MS], RECENT_PEERS
         )
--- a/src/mangohatch/core/quarantine/table.py
+++ b/src/mangohatch/core/quarantine/table.py
@@ -11,6 +11,7 @@
 QUARANTINE_CRASHES = 2
 SUSPECT_TTL_MS = 60_000.0
 QUARANTINE_TTL_MS = 600_000.0
+SAME_CRASH_MS = 1_000.0  # an upstream needs longer to come back and crash again
 FIRST_TRIAL_MS = 1_000.0
 LATER_TRIAL_MS = 120_000.0
 MAX_ROWS = 1_000
@@ -85,7 +86,7 @@
         self, service: str, fingerprint: str, upstream: str
     ) -> QuarantineRow:
         """
-        Record a crash.
+        Record a crash, once if it broke several connections.
 
         :param service: name of the service
         :param fingerprint: fingerprint of the request
@@ -95,11 +96,13 @@
         row = self.get(fingerprint) or QuarantineRow(
             service=service, fingerprint=fingerprint, expires_ms=0.0
         )
+        age_ms = self._clock.now_ms() - row.changed_ms
+        is_known = upstream in row.upstreams and age_ms < SAME_CRASH_MS
         return self.merge(
             service,
             fingerprint,
             epoch=row.epoch,
-            crashes=row.crashes + 1,
+            crashes=row.crashes if is_known else row.crashes + 1,
             upstreams=row.upstreams | {upstream},
         )
 
@@ -183,9 +186,9 @@
         for key in expired:
             del self._rows[key]
 
-    def changed_rows(self) -> Iterator[QuarantineRow]:
+    def all_rows(self) -> Iterator[QuarantineRow]:
         """
-        Iterate over all rows, with those of requests that were cleared.
+        Iterate over the rows of suspected and of cleared requests.
 
         :return: rows in order of their last change, oldest first
         """
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -589,3 +589,9 @@
         network.deliver()
     assert isinstance(run_once(gates[0], clock, POISON, OK), Refusal)
     assert isinstance(run_once(gates[0], clock, "innocent", OK), Grant)
+
+
+def test_copies_that_one_crash_broke_together_count_once(gates, network, clock):
+    break_together(gates[:1] * 2, clock, "u1", (POISON, POISON))
+    network.deliver()
+    assert all(ask(gate, make_call(clock, POISON))[0].call.isolated for gate in gates)
