--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -530,6 +530,7 @@
     gates, network, clock
 ):
     for number in range(2):
+        clock.advance(1_500.0)
         call = make_path_call(clock, f"copy-{number}", "path")
         gates[number].release(ask(gates[number], call)[0], ABORTED)
         network.deliver()
