--- a/src/mangohatch/core/limits/permits.py
+++ b/src/mangohatch/core/limits/permits.py
@@ -175,7 +175,13 @@
         hold_ms = AHEAD_HOLD_MS if ahead else HOLD_MS
         self._timers.call_later(hold_ms, lambda: self._put_back(held))
         # A grant may come from within the placement of a call.
-        self._timers.call_later(0.0, lambda: self.on_permit(row.service))
+        self._timers.call_later(0.0, lambda: self._offer(held, ahead))
+
+    def _offer(self, held: HeldPermits, ahead: bool) -> None:
+        service = held.row.service
+        self.on_permit(service)
+        if not ahead and not self.count_waiting(service):
+            self._put_back(held)
 
     def _put_back(self, held: HeldPermits) -> None:
         row, count, held.count = held.row, held.count, 0
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -3,6 +3,7 @@
 import math
 import re
 
+import structlog
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from mangohatch.core.call import Call, Report
@@ -42,8 +43,9 @@
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 
-NUMBER_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]+)?")
+DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]+)?")
 FIRST_SERVER_ERROR = 500
+MAX_LOGGED_CHARACTERS = 40
 MIN_LOAD_FIELDS = 3
 PERCENT = 100.0
 MS_PER_SECOND = 1000.0
@@ -51,6 +53,8 @@
 MAX_BUFFERED_RESPONSE_BYTES = 1_048_576
 DEFAULT_RETRY_AFTER_MS = 200.0  # if there is no estimate of when a slot becomes free
 
+log = structlog.get_logger()
+
 
 class PlatformProtocol(ProtocolAdapter):
     """
@@ -140,7 +144,7 @@
     def _read_limit(self, head: ResponseHead) -> float | None:
         text = head.headers.get(LIMIT)
         if text is not None:
-            return float(text) if NUMBER_PATTERN.fullmatch(text.strip()) else None
+            return parse_limit(text)
         # A request that was not run, or an error, need not come from where limits are
         # named.
         is_answer = head.line.code < FIRST_SERVER_ERROR and not self.is_not_run(head)
@@ -196,11 +200,28 @@
     text = headers.get(DEADLINE)
     if text is None:
         return default_ms
-    if NUMBER_PATTERN.fullmatch(text) is None:
+    if DEADLINE_PATTERN.fullmatch(text) is None:
         raise BadRequest(f"{DEADLINE} is not a number of milliseconds")
     return float(text)
 
 
+def parse_limit(text: str) -> float | None:
+    """
+    Parse the limit that an upstream names.
+
+    :param text: value of the header field
+    :return: requests a second; None if it is not a number of at least 0
+    """
+    try:
+        per_s = float(text)
+    except ValueError:
+        per_s = math.nan
+    if 0.0 <= per_s < math.inf:
+        return per_s
+    log.warning("limit_unreadable", value=text[:MAX_LOGGED_CHARACTERS])
+    return None
+
+
 def read_load(head: ResponseHead) -> UpstreamLoad | None:
     """
     Read the load that an upstream reports in a response.
--- a/tests/platform/test_protocol.py
+++ b/tests/platform/test_protocol.py
@@ -184,7 +184,10 @@
     assert read_limit(protocol, Server_Limit="1.25") == 1.25
     assert read_limit(protocol, 503, Server_Limit="2", Not_Executed="1") == 2.0
     assert read_limit(protocol) == math.inf
-    assert read_limit(protocol, Server_Limit="few") is None
+    assert read_limit(protocol, Server_Limit=".5") == 0.5
+    assert read_limit(protocol, Server_Limit="0") == 0.0
+    for text in ("few", "-1", "inf", "nan", ""):
+        assert read_limit(protocol, Server_Limit=text) is None, text
 
 
 def test_missing_limit_in_an_error_is_no_news(protocol):
