--- a/src/mangohatch/core/limits/permits.py
+++ b/src/mangohatch/core/limits/permits.py
@@ -6,6 +6,7 @@
 import structlog
 
 from mangohatch.clock import Clock
+from mangohatch.core.choice.base import ignore_service, return_zero
 from mangohatch.core.limits.base import SendLimits
 from mangohatch.core.limits.broker import PermitBroker
 from mangohatch.core.subset import SubsetTable
@@ -216,27 +217,9 @@
             self.broker.put_back(row, message.count)
 
 
-def ignore_service(service: str) -> None:
-    """
-    Do nothing; the default of ``on_permit``.
-
-    :param service: name of a service
-    """
-
-
 def ignore_upstream(row: UpstreamRow) -> None:
     """
     Do nothing; the default of ``on_limit``.
 
     :param row: an upstream
     """
-
-
-def return_zero(service: str) -> int:
-    """
-    Return 0; the default of ``count_waiting``.
-
-    :param service: name of a service
-    :return: 0
-    """
-    return 0
