--- a/src/standins/simulated_fleet/crash_traffic.py
+++ b/src/standins/simulated_fleet/crash_traffic.py
@@ -61,6 +61,9 @@
     ``STABLE_MS`` after the third crash, by hosts that had run for so long. ``refused``
     lists innocent requests that were refused as crashing ones, and
     ``longest_refusal_ms`` the longest time for which a poller got no other answer.
+    ``contained_ms`` is the time from the first crash to the last copy that was sent,
+    trials included, and ``longest_hold_ms`` the longest time from a broken connection
+    of an innocent request to its next attempt.
     """
 
     copies: int
@@ -73,6 +76,8 @@
     innocent_failed: int
     refused: int
     longest_refusal_ms: float
+    contained_ms: float
+    longest_hold_ms: float
 
 
 class CrashTraffic:
@@ -218,4 +223,6 @@
             innocent_failed=sum(bool(req.error) for req in self._innocent),
             refused=sum(req.error == refused for req in self._innocent),
             longest_refusal_ms=self._longest_refusal_ms,
+            contained_ms=max(sent) - self._crash_ms[0] if self._crash_ms else 0.0,
+            longest_hold_ms=max(req.held_ms for req in self._innocent),
         )
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -219,6 +219,9 @@
             self._in_flight -= 1
             req.end(decision.error.code, now_ms)
             return
+        if req.broken_ms is not None:
+            req.held_ms = max(req.held_ms, now_ms - req.broken_ms)
+            req.broken_ms = None
         req.sent_ms.append(now_ms)
         self._upstreams[decision.upstream.name].run(
             req.work_ms,
@@ -234,7 +237,9 @@
         call = grant.call
         now_ms = self._clock.now_ms()
         report = Report(result=result, latency_ms=now_ms - grant.granted_ms)
-        if result is Result.OK:
+        if result is Result.ABORTED:
+            req.broken_ms = now_ms
+        elif result is Result.OK:
             report.first_byte_ms = report.latency_ms
             report.response_bytes = RESPONSE_BYTES
             self._read_head(self._upstreams[grant.upstream.name], report)
--- a/src/standins/simulated_fleet/requests.py
+++ b/src/standins/simulated_fleet/requests.py
@@ -13,8 +13,10 @@
 
     ``crashes`` is set for a request that crashes the upstreams that run it. With
     ``reset_after_ms``, the connection of the first attempt is reset after that time.
-    ``sent_ms`` holds the times at which it was sent to upstreams. ``error`` is empty
-    after a response, and otherwise the code of the error or the last result.
+    ``broken_ms`` is when its connection broke last, and ``held_ms`` the longest time
+    from there to the next attempt. ``sent_ms`` holds the times at which it was sent to
+    upstreams. ``error`` is empty after a response, and otherwise the code of the error
+    or the last result.
     """
 
     request_id: str
@@ -29,6 +31,8 @@
     reset_after_ms: float | None = None
     arrived_ms: float = 0.0
     host_started_ms: float = 0.0
+    broken_ms: float | None = None
+    held_ms: float = 0.0
     sent_ms: list[float] = field(default_factory=list)
     error: str | None = None
     ended_ms: float | None = None
--- a/tests/fleet/crash_soak.py
+++ b/tests/fleet/crash_soak.py
@@ -123,7 +123,9 @@
                 f"seed {seed}: upstreams lost {verdict.crashes}, copies sent"
                 f" {verdict.sends} of {verdict.copies}, innocent requests failed"
                 f" {verdict.innocent_failed} of {verdict.innocent}, refused as crashing"
-                f" {verdict.refused} for {verdict.longest_refusal_ms:.0f} ms at most"
+                f" {verdict.refused} for {verdict.longest_refusal_ms:.0f} ms at most,"
+                f" held for {verdict.longest_hold_ms:.0f} ms; last copy sent"
+                f" {verdict.contained_ms:.0f} ms after the first crash"
                 f" {'; '.join(['', *faults])}"
             )
     print(f"{args.seeds - failed} passed, {failed} failed")
