--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -4,6 +4,7 @@
 
 from mangohatch.clock import ManualClock
 from mangohatch.core.call import Call, Grant, Refusal, Report, Result
+from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.quarantine import (
     CheckResult,
     CrashCheck,
@@ -596,3 +597,17 @@
     break_together(gates[:1] * 2, clock, "u1", (POISON, POISON))
     network.deliver()
     assert all(ask(gate, make_call(clock, POISON))[0].call.isolated for gate in gates)
+
+
+def test_request_is_not_held_while_reports_show_that_its_upstream_lives(
+    careful, clock, check, timers
+):
+    grant = run_once(careful, clock, POISON, ABORTED)
+    waiting = ask(careful, make_call(clock, POISON))
+    clock.advance(250.0)
+    check.answer(CheckResult.SILENT)
+    load = UpstreamLoad(running=1, waiting=0, slots=2)
+    grant.upstream.load.observe(load, measured_ms=clock.now_ms() - 50.0)
+    careful.tick()
+    assert waiting
+    assert not waiting[0].call.isolated
