Dismiss a suspected crash once its upstream has reported its load

Change: each tick, breaks that are older than a load report of the same upstream by more than the error of the report's time are dismissed, unless a connection was refused. An answer to a check whose breaks are gone changes nothing. Ruled out: dismissing at the next unanswered check only; a check that hangs would hold the copies.

--- a/src/mangohatch/core/quarantine/evidence.py
+++ b/src/mangohatch/core/quarantine/evidence.py
@@ -16,6 +16,9 @@
 
 CHECK_INTERVAL_MS = 40.0
 MIN_FAILED_CHECKS = 3  # an upstream at its limit of connections may reset one
+REPORT_DELAY_MS = 100.0  # by which the time of a load report may be estimated too late
+
+REPORTED = "reported"
 
 log = structlog.get_logger()
 
@@ -76,7 +79,8 @@
     Designed for upstreams and networks that reset connections: the upstream is alive,
     and a request with two such resets in a row is harmless. An upstream that refuses
     connections has crashed. One that stays silent has crashed if this host hears of
-    others meanwhile; otherwise the host itself may be cut off.
+    others meanwhile; otherwise the host itself may be cut off. A silent upstream that
+    has reported its load since to any host is alive.
 
     ``on_verdict`` is called once for each recorded break, with whether the upstream has
     crashed.
@@ -121,11 +125,23 @@
         self._pending[id(upstream)] = pending
         self._send(pending)
 
+    def tick(self) -> None:
+        """Dismiss the breaks of upstreams that have reported their load since."""
+        for pending in [*self._pending.values()]:
+            if not pending.refused:
+                self._dismiss_reported(pending)
+
+    def _send_again(self, pending: PendingCheck) -> None:
+        if self._pending.get(id(pending.upstream)) is pending:
+            self._send(pending)
+
     def _send(self, pending: PendingCheck) -> None:
         pending.sent_ms = self._clock.now_ms()
         self._check.send(pending.upstream, lambda item: self._receive(pending, item))
 
     def _receive(self, pending: PendingCheck, result: CheckResult) -> None:
+        if self._pending.get(id(pending.upstream)) is not pending:
+            return  # reports have dismissed its breaks
         if result is CheckResult.ANSWERED:
             # The answer says nothing about connections that broke after the question.
             later = [
@@ -144,12 +160,25 @@
         pending.failed += 1
         pending.refused |= result is CheckResult.REFUSED
         if pending.failed < MIN_FAILED_CHECKS:
-            self._timers.call_later(CHECK_INTERVAL_MS, lambda: self._send(pending))
+            self._timers.call_later(
+                CHECK_INTERVAL_MS, lambda: self._send_again(pending)
+            )
             return
         self._remove(pending)
         crashed = pending.refused or self._hears_upstreams(pending.breaks[0].broken_ms)
         self._decide(pending.breaks, crashed=crashed, cause=result)
 
+    def _dismiss_reported(self, pending: PendingCheck) -> None:
+        """Dismiss the breaks that are older than a load report of the upstream."""
+        reported_ms = pending.upstream.load.measured_ms - REPORT_DELAY_MS
+        disproved = [item for item in pending.breaks if item.broken_ms < reported_ms]
+        if not disproved:
+            return
+        pending.breaks = [item for item in pending.breaks if item not in disproved]
+        if not pending.breaks:
+            self._remove(pending)
+        self._decide(disproved, crashed=False, cause=REPORTED)
+
     def _remove(self, pending: PendingCheck) -> None:
         del self._pending[id(pending.upstream)]
         self._check.retain([item.upstream for item in self._pending.values()])
--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -137,6 +137,8 @@
         """Expire rows and waiting calls, repeat notices, and run the router's tick."""
         self._table.expire()
         self._notices.tick()
+        if self._evidence is not None:
+            self._evidence.tick()
         for call, deliver in self._holds.expire(self._clock.now_ms()):
             self._refuse_expired(call, deliver)
         self._router.tick()
