Refuse calls early that no permit of a limited upstream can reach in time

Change: the permit table knows a host's share of all permits. If that comes later than a call may wait, the call waits for 100 ms at most and takes a permit that others leave.

--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -10,6 +10,7 @@
 
 INTERVAL_WEIGHT = 0.1
 ISOLATED_WAIT_MS = 250.0
+SHORT_WAIT_MS = 100.0  # callers lose little by a refusal that comes this early
 MAX_CUSTOMERS = 1_000
 LATE_URGENCY = 0.1  # a late response has a tenth of the value of one in time
 
@@ -65,16 +66,25 @@
     def __contains__(self, waiting: WaitingCall) -> bool:
         return id(waiting.call) in self._calls
 
-    def offer(self, waiting: WaitingCall, now_ms: float) -> WaitingCall | None:
+    def offer(
+        self, waiting: WaitingCall, now_ms: float, interval_ms: float = 0.0
+    ) -> WaitingCall | None:
         """
         Queue a call, unless it would wait too long.
 
+        A call that is not expected to be served in time waits for ``SHORT_WAIT_MS`` at
+        most, and takes what others leave.
+
         :param waiting: the call
         :param now_ms: monotonic time, in milliseconds
+        :param interval_ms: known time between two calls that are served, in
+            milliseconds; 0 when unknown
         :return: the call to refuse, this or a queued one; None for no refusal
         """
         call = waiting.call
         allowed_ms = max_wait_ms(self.spec, call, now_ms)
+        if (len(self._calls) + 1) * interval_ms > allowed_ms:
+            allowed_ms = min(allowed_ms, SHORT_WAIT_MS)
         if allowed_ms <= 0:
             return waiting
         dropped = None
--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -64,6 +64,16 @@
         """
         return 0.0
 
+    def expected_wait_ms(self, service: ServiceRow, call: Call) -> float:
+        """
+        Estimate the time from one call to the next that leaves the queue of this host.
+
+        :param service: the service of the calls
+        :param call: a call that found no upstream
+        :return: milliseconds, 0 when unknown
+        """
+        return 0.0
+
     def record_request(self, service: ServiceRow) -> None:
         """
         Record that a call has arrived.
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -168,6 +168,13 @@
     def typical_ms(self, call: Call) -> float:
         return self._estimator.work_ms(call.route)
 
+    def expected_wait_ms(self, service: ServiceRow, call: Call) -> float:
+        # Any upstream without a limit may become free at any moment.
+        for row in service.upstreams.values():
+            if not row.limit.named and self.is_open(row, call):
+                return 0.0
+        return self._limits.expected_wait_ms(service.spec.name)
+
     def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
         now_ms = self._clock.now_ms()
         row = grant.upstream
--- a/src/mangohatch/core/limits/base.py
+++ b/src/mangohatch/core/limits/base.py
@@ -35,6 +35,15 @@
         :param service: name of the service
         """
 
+    @abstractmethod
+    def expected_wait_ms(self, service: str) -> float:
+        """
+        Estimate how long this host waits for its fair share of permits.
+
+        :param service: name of a service all of whose upstreams name a limit
+        :return: milliseconds from one permit to the next, 0 without limits
+        """
+
     @abstractmethod
     def observe(self, row: UpstreamRow, per_s: float) -> None:
         """
@@ -57,5 +66,8 @@
     def request(self, service: str) -> None:
         return None
 
+    def expected_wait_ms(self, service: str) -> float:
+        return 0.0
+
     def observe(self, row: UpstreamRow, per_s: float) -> None:
         return None
--- a/src/mangohatch/core/limits/broker.py
+++ b/src/mangohatch/core/limits/broker.py
@@ -10,7 +10,7 @@
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.core.timers import Timers
 
-__all__ = ["PermitBroker"]
+__all__ = ["PermitBroker", "rate"]
 
 REQUEST_TTL_MS = 120.0  # a host whose calls still wait asks again earlier
 MIN_PER_S = 0.05  # an upstream that takes nothing could never withdraw its limit
--- a/src/mangohatch/core/limits/permits.py
+++ b/src/mangohatch/core/limits/permits.py
@@ -8,7 +8,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.choice.base import ignore_service, return_zero
 from mangohatch.core.limits.base import SendLimits
-from mangohatch.core.limits.broker import PermitBroker
+from mangohatch.core.limits.broker import PermitBroker, rate
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.core.timers import Timers
@@ -24,6 +24,7 @@
 MIN_AHEAD_PER_S = 0.5
 MAX_ANSWER_MS = 500.0  # a later grant may be for a request long forgotten
 MAX_REQUESTED = 4
+MS_PER_S = 1000.0
 
 log = structlog.get_logger()
 
@@ -117,6 +118,13 @@
                 REQUEST_INTERVAL_MS, lambda: self._request_again(service)
             )
 
+    def expected_wait_ms(self, service: str) -> float:
+        row = self._tables.services.get(service)
+        if row is None:
+            return 0.0
+        per_s = sum(rate(item) for item in row.upstreams.values() if item.limit.named)
+        return self._subset.hosts / per_s * MS_PER_S if per_s else 0.0
+
     def observe(self, row: UpstreamRow, per_s: float) -> None:
         if not row.limit.observe(per_s, seen_ms=self._clock.now_ms()):
             return
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -64,7 +64,8 @@
         waiting = WaitingCall(call=call, deliver=deliver)
         if not queue and self._grant(service, waiting):
             return
-        refused = queue.offer(waiting, self._clock.now_ms())
+        interval_ms = self._chooser.expected_wait_ms(service, call)
+        refused = queue.offer(waiting, self._clock.now_ms(), interval_ms)
         if refused is not None:
             self._refuse_busy(queue, refused)
         if refused is waiting:
