Serve a queue once an iteration, and not at all while upstreams are full

Cause: each placement note, report and timer walked the queue and estimated every upstream for up to three waiting calls, listed all open upstreams besides, and ranked all hosts for each freed slot, even on hosts without waiting calls. Change: the router serves a service once in the next iteration however many messages asked for it; a look at the slots precedes the walk; one open upstream suffices to keep a call waiting; expiry and urgency are computed after a change only; hosts without waiting calls don't rank the others. Ruled out: coalescing the wake-ups of the chooser of slot leases, which must find a lease at once (two of its tests failed).

--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -1,5 +1,6 @@
 """Queue of the waiting calls of one service on one host."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -59,6 +60,9 @@
         self._served_baseline = 0
         self._service_interval_ms = 0.0
         self._last_served_ms = 0.0
+        self._first_expiry_ms = math.inf
+        self._urgency = 0.0
+        self._urgency_until_ms = -math.inf
 
     def __len__(self) -> int:
         return len(self._calls)
@@ -97,6 +101,8 @@
         if not self._calls:
             self._last_served_ms = now_ms
         self._calls[id(call)] = waiting
+        self._first_expiry_ms = min(self._first_expiry_ms, waiting.until_ms)
+        self._urgency_until_ms = -math.inf
         self._count_waiting_call(call.customer)
         return dropped
 
@@ -126,10 +132,13 @@
         :return: sum over the calls, 1 for a call that can still be in time and
             ``LATE_URGENCY`` for any other
         """
-        return sum(
-            LATE_URGENCY if now_ms > item.call.start_by_ms else 1.0
-            for item in self._calls.values()
-        )
+        if now_ms > self._urgency_until_ms:
+            starts_ms = [item.call.start_by_ms for item in self._calls.values()]
+            in_time_ms = [start_ms for start_ms in starts_ms if start_ms >= now_ms]
+            late = len(starts_ms) - len(in_time_ms)
+            self._urgency = len(in_time_ms) + LATE_URGENCY * late
+            self._urgency_until_ms = min(in_time_ms, default=math.inf)
+        return self._urgency
 
     def ordered(self, now_ms: float) -> Sequence[WaitingCall]:
         """
@@ -168,6 +177,7 @@
         """
         if self._calls.pop(id(waiting.call), None) is not None:
             self._customers[waiting.call.customer].waiting -= 1
+            self._urgency_until_ms = -math.inf
 
     def remove(self, call: Call) -> None:
         """
@@ -186,9 +196,14 @@
         :param now_ms: monotonic time, in milliseconds
         :return: the removed calls
         """
+        if now_ms < self._first_expiry_ms:
+            return []
         late = [item for item in self._calls.values() if item.until_ms <= now_ms]
         for waiting in late:
             self.take(waiting)
+        self._first_expiry_ms = min(
+            (item.until_ms for item in self._calls.values()), default=math.inf
+        )
         return late
 
     def _rank(
--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -145,11 +145,31 @@
         :return: at least one upstream
         :raises NoUpstream: when no upstream accepts the call
         """
-        rows = [row for row in service.upstreams.values() if self.is_open(row, call)]
-        if not rows:
+        self.require_candidate(service, call)
+        return [row for row in service.upstreams.values() if self.is_open(row, call)]
+
+    def require_candidate(self, service: ServiceRow, call: Call) -> None:
+        """
+        Check that some upstream accepts a call.
+
+        :param service: the service of the call
+        :param call: the call
+        :raises NoUpstream: when no upstream accepts the call
+        """
+        if not any(self.is_open(row, call) for row in service.upstreams.values()):
             detail = f"service {call.service} has no upstream for new work"
             raise NoUpstream(detail)
-        return rows
+
+    def has_room(self, service: ServiceRow) -> bool:
+        """
+        Return whether :meth:`choose` may find an upstream, or may raise an error.
+
+        The answer is the same for all calls and costs less than a choice.
+
+        :param service: the service
+        :return: False only if every call has to wait
+        """
+        return True
 
     def make_grant(self, call: Call, row: UpstreamRow, token: int = 0) -> Grant:
         """
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -137,7 +137,7 @@
             if (time_ms := self.completion_ms(row, call, work_ms, now_ms)) < math.inf
         ]
         if not estimates:
-            self.candidates(service, call)
+            self.require_candidate(service, call)
             return None
         if now_ms - call.arrived_ms < self._cfg.max_wait_for_faster_ms:
             quickest_ms = min(time_ms for time_ms, _ in estimates)
@@ -165,6 +165,13 @@
         self._listener.on_started(grant)
         return grant
 
+    def has_room(self, service: ServiceRow) -> bool:
+        now_ms = self._clock.now_ms()
+        rows = service.upstreams.values()
+        if any(is_free(row, now_ms) for row in rows):
+            return True
+        return not any(self.is_open(row, None) for row in rows)
+
     def typical_ms(self, call: Call) -> float:
         return self._estimator.work_ms(call.route)
 
@@ -275,16 +282,13 @@
         :param now_ms: monotonic time, in milliseconds
         :return: milliseconds, infinite when no slot is free for this host and this call
         """
-        if now_ms < row.load.reserved_until_ms:
+        # Under high load most upstreams are full, so the slots are checked first.
+        if not is_free(row, now_ms):
             return math.inf
         occupancy = row.load.occupancy()
-        if call.isolated and occupancy:
-            return math.inf
-        slots = row.load.load.slots if row.load.load is not None else row.slots
-        # Under high load most upstreams are full, so the slots are checked before
-        # is_open().
-        if occupancy >= slots or not self.is_open(row, call):
+        if call.isolated and occupancy or not self.is_open(row, call):
             return math.inf
+        slots = count_slots(row)
         if row.limit.named and not self._limits.may_send(row):
             return math.inf
         share = self._health.capacity(row)
@@ -312,3 +316,26 @@
         if row.zone == self._zone:
             return 0.0
         return self._cfg.cross_zone_ms_per_kb * call.response_bytes / BYTES_PER_KB
+
+
+def count_slots(row: UpstreamRow) -> int:
+    """
+    Count the requests that an upstream runs at once.
+
+    :param row: the upstream
+    :return: slots in its latest report, or else in its registration
+    """
+    return row.load.load.slots if row.load.load is not None else row.slots
+
+
+def is_free(row: UpstreamRow, now_ms: float) -> bool:
+    """
+    Return whether an upstream has a slot that no other host may take first.
+
+    :param row: the upstream
+    :param now_ms: monotonic time, in milliseconds
+    :return: whether a slot is free for this host
+    """
+    if now_ms < row.load.reserved_until_ms:
+        return False
+    return row.load.occupancy() < count_slots(row)
--- a/src/mangohatch/core/contention.py
+++ b/src/mangohatch/core/contention.py
@@ -93,8 +93,10 @@
         :param upstream: name of the upstream of the slot, empty if all hosts use it
         :return: milliseconds from now
         """
-        own = draw_position(event, self.host_id, urgency)
         demands = self._current_demands(service, upstream)
+        if urgency <= 0.0:
+            return min(len(demands), self._cfg.max_windows) * self._cfg.window_ms
+        own = draw_position(event, self.host_id, urgency)
         earlier = sum(
             draw_position(event, host, demand.urgency) < own
             for host, demand in demands.items()
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -22,8 +22,7 @@
     Assigns calls to upstreams by the tables of this host.
 
     The router does no I/O. It passes its decision to ``deliver``, either immediately or
-    later from :meth:`release`, from :meth:`tick`, from a timer or when a message of
-    another host is handled.
+    later from :meth:`release`, from :meth:`tick` or from a timer.
     """
 
     def __init__(
@@ -47,6 +46,7 @@
         )
         self._chooser.bind(self.serve, self.count_waiting, self.urgency)
         self._queues: dict[tuple[str, bool], WaitQueue] = {}
+        self._due: set[str] = set()
 
     def request(self, call: Call, deliver: Deliver) -> None:
         """
@@ -121,8 +121,31 @@
             if queue:
                 self._serve_queue(service, queue)
 
+    def serve_soon(self, name: str) -> None:
+        """
+        Call :meth:`serve` once in the next iteration of the event loop.
+
+        Under high load, many messages of one iteration free slots of the same service.
+
+        :param name: name of the service
+        """
+        if name in self._due or not self._has_waiting(name):
+            return
+        self._due.add(name)
+        self._timers.call_later(0.0, lambda: self._serve_due(name))
+
+    def _serve_due(self, name: str) -> None:
+        if name in self._due:
+            self._due.discard(name)
+            self.serve(name)
+
+    def _has_waiting(self, name: str) -> bool:
+        return any(self._queues.get((name, isolated)) for isolated in (False, True))
+
     def _serve_queue(self, service: ServiceRow, queue: WaitQueue) -> None:
         self._refuse_late(queue)
+        if not self._chooser.has_room(service):
+            return
         failed_grants = 0
         for waiting in queue.ordered(self._clock.now_ms()):
             if waiting not in queue:
@@ -157,6 +180,8 @@
         """Run the periodic tasks: ejection, lease renewal, expiry of waiting calls."""
         self._health.tick()
         self._chooser.tick()
+        for name in [*self._due]:
+            self._serve_due(name)
         for queue in self._queues.values():
             self._refuse_late(queue)
 
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -124,9 +124,9 @@
         timers=timers,
     )
     if placement is not Placement.POWER_OF_TWO:
-        placement_updates.on_service_freed = router.serve
+        placement_updates.on_service_freed = router.serve_soon
         placement_updates.urgency = router.urgency
-    limits.on_permit = router.serve
+    limits.on_permit = router.serve_soon
     limits.count_waiting = router.count_waiting
     evidence = None
     if placement is not Placement.POWER_OF_TWO:
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -133,7 +133,7 @@
             bus=self.bus,
             timers=timers,
             estimator=self.estimator,
-            on_load=decisions.router.serve,
+            on_load=decisions.router.serve_soon,
         )
         decisions.limits.on_limit = self.reports.add
         self.probing = ProbingSystem(
@@ -144,7 +144,7 @@
             reports=self.reports,
             timers=timers,
             estimator=self.estimator,
-            on_load=decisions.router.serve,
+            on_load=decisions.router.serve_soon,
         )
         self.pool = ConnectionPool(clock=clock)
         self.budget = self._make_budget()
