Give out the slack of the retry budget from one place

Cause: the slack was divided among hosts by a count of them, and each process was born with its part: hosts started anew, or many hosts that hear no peer, together spent more than is allowed (BUDGET). Change: a host retries 0.9 of the ratio of its own requests; beyond that it asks the owner of the service for a permit from a token bucket that is empty at first. Ruled out, by reading: retries that don't ask the budget. Not played: pauses that bunch arrivals.

--- a/src/mangohatch/core/limits/bucket.py
+++ b/src/mangohatch/core/limits/bucket.py
@@ -16,10 +16,12 @@
     A new bucket is empty: another host may just have spent the tokens of this time.
 
     :param clock: source of time
+    :param burst_s: time whose tokens are kept beside one, in seconds
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, burst_s: float = BURST_S) -> None:
         self._clock = clock
+        self._burst_s = burst_s
         self._tokens = 0.0
         self._filled_ms = clock.now_ms()
 
@@ -33,7 +35,7 @@
         now_ms = self._clock.now_ms()
         earned = (now_ms - self._filled_ms) / MS_PER_S * per_s
         self._filled_ms = now_ms
-        self._tokens = min(1.0 + BURST_S * per_s, self._tokens + earned)
+        self._tokens = min(1.0 + self._burst_s * per_s, self._tokens + earned)
         return int(self._tokens)
 
     def take(self, count: int) -> None:
--- a/src/mangohatch/core/retry.py
+++ b/src/mangohatch/core/retry.py
@@ -6,6 +6,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call
+from mangohatch.core.limits.retry_permits import RetryPermits
 
 __all__ = ["FleetRetryBudget", "LocalRetryBudget", "RetryBudget"]
 
@@ -13,8 +14,9 @@
 RETRIES_PER_SECOND = 1.0
 MAX_STORED_RETRIES = 10.0
 MS_PER_SECOND = 1000.0
-BUDGET_SHARE = 0.9  # margin, as the windows of hosts do not end at the same time
-MIN_HOSTS = 20  # more hosts than current sites have
+BUDGET_SHARE = (
+    0.9  # margin, as retries reach upstreams some time after they are counted
+)
 
 
 class RetryBudget(ABC):
@@ -31,12 +33,22 @@
     @abstractmethod
     def allow(self, call: Call) -> bool:
         """
-        Spend one retry, if the budget allows it.
+        Spend one retry from what this host holds, if the budget allows it.
 
         :param call: the call to retry
         :return: whether the call may be retried
         """
 
+    def request(self, call: Call, deliver: Callable[[bool], None]) -> None:
+        """
+        Spend one retry, and ask other hosts for it if this host holds none.
+
+        :param call: the call to retry
+        :param deliver: called exactly once, with whether the call may be retried; soon,
+            but maybe after the return of this method
+        """
+        deliver(self.allow(call))
+
 
 class LocalRetryBudget(RetryBudget):
     """A token bucket of one host, refilled by first attempts and at a constant rate."""
@@ -73,18 +85,17 @@
 
 class FleetRetryBudget(RetryBudget):
     """
-    This host's share of a retry budget common to all hosts.
+    A retry budget common to all hosts.
 
     In any window, the retries of a service are at most ``ratio`` times its requests
-    plus ``slack``. Each host counts the requests that it receives itself, and divides
-    the slack by the number of hosts, so the total stays within the limit without
-    messages between hosts. The number of hosts is taken to be at least ``MIN_HOSTS``.
+    plus a slack. Each host counts the requests that it receives itself and may retry
+    their share without messages. Retries beyond that need a permit from the slack,
+    which one host gives out for all.
 
     :param clock: source of time
     :param ratio: maximum ratio of retries to requests
-    :param slack: retries per window in addition to ``ratio``, over all hosts
     :param window_ms: length of the window, in milliseconds
-    :param count_hosts: returns the number of reachable hosts, this one included
+    :param permits: gives out the slack
     """
 
     def __init__(
@@ -92,32 +103,33 @@
         *,
         clock: Clock,
         ratio: float,
-        slack: float,
         window_ms: float,
-        count_hosts: Callable[[], int],
+        permits: RetryPermits,
     ) -> None:
         self._clock = clock
         self._window_ms = window_ms
-        self._count_hosts = count_hosts
-        self._hosts = MIN_HOSTS
+        self._permits = permits
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
-        self.set_bounds(ratio=ratio, slack=slack)
+        self._ratio = ratio * BUDGET_SHARE
 
     def earn(self, call: Call) -> None:
         self._count(self._requests, call.service).append(self._clock.now_ms())
 
     def allow(self, call: Call) -> bool:
-        # Unreachable hosts may still send requests, so the count never decreases.
-        self._hosts = max(self._hosts, self._count_hosts())
         requests = len(self._count(self._requests, call.service))
         retries = self._count(self._retries, call.service)
-        allowed = self._ratio * requests + self._slack / self._hosts
-        if len(retries) + 1 > allowed:
+        if len(retries) + 1 > self._ratio * requests:
             return False
         retries.append(self._clock.now_ms())
         return True
 
+    def request(self, call: Call, deliver: Callable[[bool], None]) -> None:
+        if self.allow(call):
+            deliver(True)
+        else:
+            self._permits.request(call.service, deliver)
+
     def set_bounds(self, *, ratio: float, slack: float) -> None:
         """
         Change the limits of the common budget.
@@ -126,7 +138,7 @@
         :param slack: retries per window in addition to ``ratio``, over all hosts
         """
         self._ratio = ratio * BUDGET_SHARE
-        self._slack = slack * BUDGET_SHARE
+        self._permits.set_slack(slack)
 
     def _count(self, table: dict[str, deque[float]], service: str) -> deque[float]:
         times = table.setdefault(service, deque())
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -1,7 +1,7 @@
 """Sending of one attempt to the upstream selected by the router."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Grant, Report
@@ -40,7 +40,7 @@
         clock: Clock,
         pool: ConnectionPool,
         protocol: ProtocolAdapter,
-        may_retry: Callable[[ActiveRequest], bool],
+        may_retry: Callable[[ActiveRequest], Awaitable[bool]],
     ) -> None:
         self._clock = clock
         self._pool = pool
@@ -97,7 +97,7 @@
             self._silence.observe(conn.upstream, report.first_byte_ms)
             report.result = result_of_status(head.line.code)
             self._protocol.read_upstream_state(head, report)
-            sink = self._select_sink(req, head)
+            sink = await self._select_sink(req, head)
             # If the upstream responds before the whole request was sent, the
             # connection can't be reused: the upstream would parse the remaining
             # body bytes as the start of the next request.
@@ -124,7 +124,9 @@
             await conn.discard_body(head)
         raise UpstreamAborted("the connection carries responses to other requests")
 
-    def _select_sink(self, req: ActiveRequest, head: ResponseHead) -> ResponseSink:
+    async def _select_sink(
+        self, req: ActiveRequest, head: ResponseHead
+    ) -> ResponseSink:
         if self._protocol.is_not_run(head):
             raise UpstreamRefused("the upstream did not run the request")
         self._protocol.check_response(head)
@@ -133,7 +135,7 @@
             return ContinuationSink(sink=req.sink)
         if not req.call.idempotent or not is_server_failure(head):
             return req.sink
-        if self._may_retry(req):
+        if await self._may_retry(req):
             req.retry_allowed = True
             raise UpstreamFailed(f"the upstream answered {head.line.code}")
         return req.sink
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -92,7 +92,10 @@
         self._observer = observer or NoObserver()
         self._events = RequestEvents(clock=clock, recorder=recorder)
         self._attempts = AttemptRunner(
-            clock=clock, pool=pool, protocol=self.protocol, may_retry=self._spend_retry
+            clock=clock,
+            pool=pool,
+            protocol=self.protocol,
+            may_retry=self._request_safe_retry,
         )
         self._monitor = RequestMonitor(
             clock=clock,
@@ -150,7 +153,7 @@
                 error = await self._try_once(req)
                 if error is None:
                     break
-                self._prepare_retry(req, error)
+                await self._prepare_retry(req, error)
                 self._observer.on_retried(req)
             req.sink.end()
         except RequestError as exc:
@@ -256,13 +259,28 @@
             and self._clock.now_ms() < req.call.deadline_ms
         )
 
-    def _prepare_continuation(self, req: ActiveRequest, error: RequestError) -> None:
+    async def _request_retry(self, req: ActiveRequest) -> bool:
+        fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+        def deliver(allowed: bool) -> None:
+            if not fut.done():
+                fut.set_result(allowed)
+
+        self._budget.request(req.call, deliver)
+        return await fut
+
+    async def _request_safe_retry(self, req: ActiveRequest) -> bool:
+        return self._may_retry(req) and await self._request_retry(req)
+
+    async def _prepare_continuation(
+        self, req: ActiveRequest, error: RequestError
+    ) -> None:
         plan = plan_continuation(req.line.method, req.sink)
         if plan is None or not can_continue(req):
             raise error
-        if not isinstance(error, CONTINUABLE_ERRORS) or not self._budget.allow(
-            req.call
-        ):
+        if not isinstance(error, CONTINUABLE_ERRORS):
+            raise error
+        if not await self._request_retry(req):
             raise error
         assert req.upstream is not None
         previous = req.continuation
@@ -280,16 +298,16 @@
         )
         self._events.record(EventKind.REQUEST_RETRIED, req, error.code)
 
-    def _prepare_retry(self, req: ActiveRequest, error: RequestError) -> None:
+    async def _prepare_retry(self, req: ActiveRequest, error: RequestError) -> None:
         if req.sink.sent:
-            self._prepare_continuation(req, error)
+            await self._prepare_continuation(req, error)
             return
         call = req.call
         allowed = req.retry_allowed
         req.retry_allowed = False
         if not is_retry_safe(call, error) or not self._may_retry(req):
             raise error
-        if not allowed and not self._budget.allow(call):
+        if not allowed and not await self._request_retry(req):
             raise error
         assert req.upstream is not None
         req.last_error = error
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -8,6 +8,7 @@
 import structlog
 
 from mangohatch.clock import Clock
+from mangohatch.core.limits.retry_permits import RetryPermits
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.retry import FleetRetryBudget
 from mangohatch.core.subset import SubsetTable
@@ -147,7 +148,20 @@
             on_load=decisions.router.serve_soon,
         )
         self.pool = ConnectionPool(clock=clock)
-        self.budget = self._make_budget()
+        self._retry_permits = RetryPermits(
+            clock=clock,
+            bus=self.bus,
+            timers=timers,
+            services=self.subset.services,
+            slack=cfg.bounds.retry_slack,
+            window_ms=cfg.bounds.retry_window_ms,
+        )
+        self.budget = FleetRetryBudget(
+            clock=clock,
+            ratio=cfg.bounds.retry_ratio,
+            window_ms=cfg.bounds.retry_window_ms,
+            permits=self._retry_permits,
+        )
         self.request_log = RequestLog(clock=clock)
         self.metrics = Metrics(clock=clock)
         self.metrics.add_source(self._samples)
@@ -184,16 +198,6 @@
         self._was_ready = False
         self._stop_deadline_ms: float | None = None
 
-    def _make_budget(self) -> FleetRetryBudget:
-        bounds = self.cfg.bounds
-        return FleetRetryBudget(
-            clock=self._clock,
-            ratio=bounds.retry_ratio,
-            slack=bounds.retry_slack,
-            window_ms=bounds.retry_window_ms,
-            count_hosts=lambda: len(self.bus.members()),
-        )
-
     def _apply_part(self, part: DirectoryPart) -> None:
         self._components.apply_part(part, self._table_updater)
 
@@ -251,6 +255,11 @@
                 "Requests sent to upstreams that name a limit.",
                 self._limits.used,
             ),
+            (
+                "retry_permits_granted",
+                "Retries permitted to hosts from the slack of the retry budget.",
+                self._retry_permits.granted,
+            ),
             ("peer_datagrams_sent", "Datagrams sent to peers.", self.bus.sent),
             (
                 "peer_datagrams_received",
@@ -325,6 +334,7 @@
             self.probing.tick()
         self.gate.tick()
         self._limits.tick()
+        self._retry_permits.tick()
         self.entry.tick()
         self.metrics.tick()
         if not self._was_ready and self.not_ready() is None:
--- a/src/mangohatch/peer/messages/permits.py
+++ b/src/mangohatch/peer/messages/permits.py
@@ -1,4 +1,4 @@
-"""Messages about permits for upstreams that name a limit of requests a second."""
+"""Messages about permits for upstreams that name a limit, and about retry permits."""
 
 from mangohatch.peer.messages.kinds import message
 
@@ -7,7 +7,12 @@
 
 @message
 class PermitRequest:
-    """A host with waiting calls asks the owner of an upstream for permits."""
+    """
+    A host with waiting calls asks the owner of an upstream for permits.
+
+    Without the name of an upstream, it asks the owner of a service for permits to retry
+    requests.
+    """
 
     service_name: str = ""
     upstream: str = ""
@@ -16,7 +21,11 @@
 
 @message
 class PermitGrant:
-    """The owner permits a host to send some requests to an upstream."""
+    """
+    The owner permits a host to send some requests to an upstream.
+
+    Without the name of an upstream, it permits some retries; no count denies them.
+    """
 
     service_name: str = ""
     upstream: str = ""
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -248,17 +248,27 @@
         if result is Result.OK:
             self._in_flight -= 1
             req.end("", now_ms)
-        elif (
-            may_repeat
-            and call.attempt < call.max_attempts
-            and self.fleet_host.budget.allow(call)
-        ):
-            avoid = call.avoid | {grant.upstream.name}
-            self._attempt(req, replace(call, avoid=avoid, attempt=call.attempt + 1))
+        elif may_repeat and call.attempt < call.max_attempts:
+            self.fleet_host.budget.request(
+                call, lambda allowed: self._retry(req, grant, result, allowed)
+            )
         else:
             self._in_flight -= 1
             req.end(str(result), now_ms)
 
+    def _retry(
+        self, req: SimulatedRequest, grant: Grant, result: Result, allowed: bool
+    ) -> None:
+        if not self.running:
+            return
+        if not allowed:
+            self._in_flight -= 1
+            req.end(str(result), self._clock.now_ms())
+            return
+        call = grant.call
+        avoid = call.avoid | {grant.upstream.name}
+        self._attempt(req, replace(call, avoid=avoid, attempt=call.attempt + 1))
+
     def _read_head(self, upstream: SimulatedUpstream, report: Report) -> None:
         load = upstream.load()
         percent = round(load.slowdown * PERCENT)
