Give up answers that are no HTTP at once, and endless bodies at the deadline

Cause: a head was read until its end, 64 KB or the silence limit, though its first byte showed that it was none; a response that had begun had no end but that of its bytes; bodies of load probes and of late answers to other requests were read without a bound. Change: the reader of heads also stops at bytes that begin no status line; on the platform a response must end by the deadline of its request, plus the time that a known length takes at 10 KB a second; bodies that are discarded end at 1 MB, those of probes at 16 KB. Not done: a fuzzer, a third of the connections at once, and the memory of a host beside such upstreams.

--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -105,6 +105,7 @@
             may_retry=self._may_retry,
             should_move=should_move,
             spend_retry=self._spend_retry,
+            bounds_transfer=self.protocol.bounds_transfer,
         )
         self.active: set[ActiveRequest] = set()
 
--- a/src/mangohatch/entry/monitor.py
+++ b/src/mangohatch/entry/monitor.py
@@ -24,6 +24,7 @@
 
 CONNECT_TIMEOUT_MS = 300.0
 CONTINUABLE_STALL_MS = 1_500.0
+MIN_TRANSFER_BYTES_PER_MS = 10.0
 BODY_STALL_MS = 30_000.0
 
 
@@ -41,6 +42,8 @@
         meet its objective or deadline; None to never move requests
     :param spend_retry: takes one retry of a request from the retry budget; returns
         whether the retry is permitted
+    :param bounds_transfer: whether a response that has begun must end by the deadline,
+        apart from the time that a known length takes
     """
 
     def __init__(
@@ -53,7 +56,9 @@
         may_retry: Callable[[ActiveRequest], bool],
         should_move: Callable[[Grant], bool] | None = None,
         spend_retry: Callable[[ActiveRequest], bool] | None = None,
+        bounds_transfer: bool = False,
     ) -> None:
+        self._bounds_transfer = bounds_transfer
         self._should_move = should_move
         self._spend_retry = spend_retry
         self._clock = clock
@@ -86,6 +91,10 @@
         conn = req.conn
         if conn is None or req.sink.is_write_pending:
             return
+        if self._bounds_transfer and now_ms >= transfer_deadline_ms(req):
+            error = ResponseLate("the response did not end in time")
+            req.abort(error, self._router)
+            return
         quiet_since_ms = max(conn.last_read_ms, conn.sent_ms)
         quiet_ms = now_ms - quiet_since_ms
         if quiet_ms > BODY_STALL_MS:
@@ -128,3 +137,16 @@
             req.abort_attempt(ConnectionSilent("the connection went silent"))
         else:
             req.abort_attempt(ResponseLate("the response did not begin in time"))
+
+
+def transfer_deadline_ms(req: ActiveRequest) -> float:
+    """
+    Return when a response that has begun must have ended.
+
+    :param req: the request, whose response has begun
+    :return: monotonic time in milliseconds
+    """
+    head = req.sink.head
+    length = head.headers.get("Content-Length") if head is not None else None
+    transfer_ms = int(length) / MIN_TRANSFER_BYTES_PER_MS if length else 0.0
+    return req.call.deadline_ms + transfer_ms
--- a/src/mangohatch/entry/protocol.py
+++ b/src/mangohatch/entry/protocol.py
@@ -32,10 +32,13 @@
 
     ``allows_unframed`` is true when the end of a connection may delimit a response.
     Responses of up to ``max_buffered_bytes`` are buffered until they are complete, so
-    that a truncated one can be retried.
+    that a truncated one can be retried. With ``bounds_transfer``, a response that has
+    begun must end by the deadline of its request, or by the time that its known length
+    takes at a low rate from then on.
     """
 
     allows_unframed = False
+    bounds_transfer = False
     max_buffered_bytes = 0
 
     @abstractmethod
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -64,6 +64,7 @@
     """
 
     allows_unframed = True
+    bounds_transfer = True
     max_buffered_bytes = MAX_BUFFERED_RESPONSE_BYTES
 
     def __init__(self, *, rng) -> None:
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -24,10 +24,17 @@
 __all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
 
 HEAD_END = b"\r?\n\r?\n"
+# Matches as soon as the first bytes can't begin a status line, so that they are given
+# up before the end of a head that may never come.
+NO_STATUS_LINE = (
+    rb"\A[\r\n]*(?:[^H\r\n]|H[^T]|HT[^T]|HTT[^P]|HTTP[^/]|HTTP/[^1]|HTTP/1[^.])"
+)
+HEAD_END_OR_GARBAGE = HEAD_END + b"|" + NO_STATUS_LINE
 MAX_HEADER_BYTES = 65_536
 CHUNK_BYTES = 65_536
 MAX_BUFFER_BYTES = 1_048_576
 MAX_BODY_BYTES = 1 << 40
+MAX_DISCARDED_BYTES = 1_048_576  # reading more costs more than a new connection
 MAX_INTERIM_RESPONSES = 10
 SWITCHING_PROTOCOLS = 101
 # Requests with these methods always have a body, which may be empty.
@@ -218,7 +225,9 @@
 
     async def _read_one_head(self) -> ResponseHead:
         try:
-            data = await self.stream.read_until_regex(HEAD_END, MAX_HEADER_BYTES)
+            data = await self.stream.read_until_regex(
+                HEAD_END_OR_GARBAGE, MAX_HEADER_BYTES
+            )
             first, *fields = data.decode("latin1").strip("\r\n").split("\r\n")
             line = parse_response_start_line(first)
             headers = parse_fields(fields)
@@ -233,14 +242,23 @@
         )
         return ResponseHead(line=line, headers=headers)
 
-    async def discard_body(self, head: ResponseHead) -> None:
+    async def discard_body(
+        self, head: ResponseHead, *, max_bytes: int = MAX_DISCARDED_BYTES
+    ) -> bool:
         """
         Read the body of a response and discard it.
 
-        :param head: head of a response to another request
-        :raises UpstreamAborted: when the connection breaks before the end
+        :param head: head of a response whose content is not needed
+        :param max_bytes: size from which the connection is given up, in bytes
+        :return: whether the connection can carry another request
+        :raises UpstreamAborted: when the connection breaks before the end, or the body
+            is longer
         """
-        await self.read_body(head, DiscardingSink())
+        self.set_max_body_size(max_bytes)
+        try:
+            return await self.read_body(head, DiscardingSink())
+        finally:
+            self.set_max_body_size(MAX_BODY_BYTES)
 
     async def read_body(
         self, head: ResponseHead, sink: ResponseSink, *, until_close: bool = False
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -11,7 +11,6 @@
 from mangohatch.errors import RequestError, UpstreamUnreachable
 from mangohatch.probing import LoadProbe, ProbeResult
 from mangohatch.upstream.connection import (
-    DiscardingSink,
     ResponseHead,
     UpstreamConnection,
 )
@@ -23,6 +22,8 @@
 # means that the host did not probe in between, so the connection is replaced.
 MAX_IDLE_MS = 3_000.0
 
+MAX_PROBE_BODY_BYTES = 16_384  # the report is in the head
+
 ReadProbe = Callable[[ResponseHead], tuple[UpstreamLoad | None, str]]
 
 
@@ -101,6 +102,6 @@
         conn.send_head(RequestStartLine("GET", path, "HTTP/1.1"), headers, None)
         head = await conn.read_head()
         result = self._read(head)
-        if not await conn.read_body(head, DiscardingSink()):
+        if not await conn.discard_body(head, max_bytes=MAX_PROBE_BODY_BYTES):
             conn.close()
         return result
