Leave slots empty with which an upstream completes less

Cause: with more than 0.8 of its slots in use an upstream takes 1.7 times as long (placement settings), so one of three slots completes 3 / 1.7 = 1.76 requests where it completes 2 with two. Under overload calls took the third after 60 ms, made the two beside them late, and lowered what the service completes. Change: a slot counts as free only as long as one more request adds to the throughput. Sites with two slots keep both: 2 / 1.7 is more than 1. The test that plays the load fails before.

--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -83,6 +83,16 @@
     high_load_share: float = 0.8
     high_load_slowdown: float = 1.7
 
+    def useful_slots(self, slots: int) -> int:
+        """
+        Count the slots up to which one more request adds to what an upstream completes.
+
+        :param slots: requests that the upstream runs at once
+        :return: all slots, or fewer if it completes more without high load
+        """
+        unslowed = int(self.high_load_share * slots)
+        return unslowed if unslowed >= slots / self.high_load_slowdown else slots
+
 
 class ExpectedTimeChooser(Chooser):
     """
@@ -168,7 +178,7 @@
     def has_room(self, service: ServiceRow) -> bool:
         now_ms = self._clock.now_ms()
         rows = service.upstreams.values()
-        if any(is_free(row, now_ms) for row in rows):
+        if any(self._is_free(row, now_ms) for row in rows):
             return True
         return not any(self.is_open(row, None) for row in rows)
 
@@ -283,7 +293,7 @@
         :return: milliseconds, infinite when no slot is free for this host and this call
         """
         # Under high load most upstreams are full, so the slots are checked first.
-        if not is_free(row, now_ms):
+        if not self._is_free(row, now_ms):
             return math.inf
         occupancy = row.load.occupancy()
         if call.isolated and occupancy or not self.is_open(row, call):
@@ -305,6 +315,11 @@
         ]
         return sum(times) / len(times)
 
+    def _is_free(self, row: UpstreamRow, now_ms: float) -> bool:
+        if now_ms < row.load.reserved_until_ms:
+            return False
+        return row.load.occupancy() < self._cfg.useful_slots(count_slots(row))
+
     def transfer_cost_ms(self, row: UpstreamRow, call: Call) -> float:
         """
         Return the cost of transferring a call's response between zones.
@@ -326,16 +341,3 @@
     :return: slots in its latest report, or else in its registration
     """
     return row.load.load.slots if row.load.load is not None else row.slots
-
-
-def is_free(row: UpstreamRow, now_ms: float) -> bool:
-    """
-    Return whether an upstream has a slot that no other host may take first.
-
-    :param row: the upstream
-    :param now_ms: monotonic time, in milliseconds
-    :return: whether a slot is free for this host
-    """
-    if now_ms < row.load.reserved_until_ms:
-        return False
-    return row.load.occupancy() < count_slots(row)
--- a/tests/core/choice/test_expected.py
+++ b/tests/core/choice/test_expected.py
@@ -3,7 +3,11 @@
 from collections import Counter
 
 from mangohatch.core.call import Call, Grant, Refusal, Report, Result
-from mangohatch.core.choice.expected import ExpectedTimeChooser, PlacementListener
+from mangohatch.core.choice.expected import (
+    ExpectedTimeChooser,
+    PlacementListener,
+    PlacementSettings,
+)
 from mangohatch.core.health import NoHealth
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.load_estimator import LoadEstimator
@@ -16,6 +20,8 @@
 load_tests = function_tests(__name__)
 
 SERVICE = "tablero-misa"
+WORK_MS = 100.0
+OBJECTIVE_MS = 300.0
 
 
 class RecordingListener(PlacementListener):
@@ -205,3 +211,84 @@
     bench.clock.advance(2.0)
     bench.router.tick()
     assert isinstance(bench.decisions[0], Refusal)
+
+
+class FullSite:
+    """
+    Upstreams whose requests take 1.7 times as long once over 0.8 of the slots run.
+
+    Calls arrive evenly, all upstreams report after each change, and the time in which a
+    request ends follows the number of requests beside it.
+    """
+
+    def __init__(self, bench, *, slots, load):
+        self.bench = bench
+        self.slots = slots
+        self.running = {name: {} for name in bench.rows}
+        self.interval_ms = WORK_MS / load / len(bench.rows) / slots
+        self.in_time = self.asked = 0
+
+    def run(self, span_ms):
+        bench = self.bench
+        due_ms = bench.clock.now_ms()
+        end_ms = due_ms + span_ms
+        while bench.clock.now_ms() < end_ms:
+            if bench.clock.now_ms() >= due_ms:
+                due_ms += self.interval_ms
+                self.ask()
+            self.work()
+            self.report()
+            bench.router.tick()
+            bench.router.serve(SERVICE)
+            bench.clock.advance(1.0)
+        return self.in_time / self.asked
+
+    def ask(self):
+        bench = self.bench
+        self.asked += 1
+        now_ms = bench.clock.now_ms()
+        call = Call(
+            request_id=f"r{self.asked}",
+            service=SERVICE,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + 1_000.0,
+            objective_ms=now_ms + OBJECTIVE_MS,
+            idempotent=True,
+        )
+        bench.router.request(call, self.begin)
+
+    def begin(self, decision):
+        if isinstance(decision, Grant):
+            name = decision.upstream.name
+            self.running[name][decision.token] = [decision, WORK_MS]
+
+    def work(self):
+        now_ms = self.bench.clock.now_ms()
+        for running in self.running.values():
+            slowdown = 1.7 if len(running) > 0.8 * self.slots else 1.0
+            for token, item in list(running.items()):
+                item[1] -= 1.0 / slowdown
+                if item[1] <= 0.0:
+                    del running[token]
+                    self.in_time += now_ms <= item[0].call.objective_ms
+                    report = Report(result=Result.OK, latency_ms=1.0)
+                    self.bench.router.release(item[0], report)
+
+    def report(self):
+        now_ms = self.bench.clock.now_ms()
+        for name, running in self.running.items():
+            load = UpstreamLoad(running=len(running), waiting=0, slots=self.slots)
+            self.bench.estimator.observe(
+                self.bench.rows[name], load, measured_ms=now_ms, seen_ms=now_ms
+            )
+
+
+def test_slots_that_lower_the_throughput_stay_empty_under_overload(bench):
+    assert FullSite(bench, slots=3, load=0.72).run(4_000.0) >= 0.8
+    assert all(row.load.occupancy() <= 2 for row in bench.rows.values())
+
+
+def test_slots_that_raise_the_throughput_are_used(bench):
+    settings = PlacementSettings()
+    useful = {slots: settings.useful_slots(slots) for slots in (1, 2, 3, 4, 5, 10)}
+    assert useful == {1: 1, 2: 2, 3: 2, 4: 3, 5: 4, 10: 8}
