Let each upstream be used by eight hosts, also on small sites

Change: eight users (20 before) and ten upstreams a host and service (12); parts of audiences keep 20 hosts.

--- a/src/mangohatch/core/subset.py
+++ b/src/mangohatch/core/subset.py
@@ -22,13 +22,15 @@
     An upstream is used by ``min_users`` hosts, or by more if hosts would otherwise use
     fewer than ``upstreams_per_host`` upstreams of its service on the mean. A host that
     is assigned fewer than ``min_upstreams`` uses additional ones. ``spare`` hosts are
-    ranked beyond those that use an upstream.
+    ranked beyond those that use an upstream. Hosts that share upstreams are told of
+    waiting calls in parts of ``audience_size``.
     """
 
-    min_users: int = 20  # above the largest small site, which keeps one subset
-    upstreams_per_host: int = 12  # one in 160,000 hosts is assigned none
+    min_users: int = 8  # losses of several leave a choice of hosts
+    upstreams_per_host: int = 10  # a quarter may be slow, and some full
     min_upstreams: int = 4  # one may fail, one be slow
     spare: int = 8  # losses until an upstream is ranked again
+    audience_size: int = 20
 
 
 @dataclass(slots=True, kw_only=True)
@@ -194,7 +196,7 @@
         Return the hosts that use any upstream of this host, in equal parts.
 
         :param service: name of the service
-        :return: parts of at most ``min_users`` hosts other than this one; one part if
+        :return: parts of at most ``audience_size`` hosts other than this one; one if
             there are no more members than that
         """
         subsets = self._services.get(service)
@@ -207,7 +209,7 @@
     def _divide(
         self, service: str, subsets: ServiceSubsets
     ) -> tuple[frozenset[str], ...]:
-        size = self._cfg.min_users
+        size = self._cfg.audience_size
         if self._live <= size:
             return (self._everyone,)
         rivals: set[str] = set()
