Bound waits by the time that callers have, not by constants of one site

Cause: calls waited up to 600 ms at the host, all of the time of a sailing-check (600 ms) and less than the third of that of a lookup of the large site (2 s), and up to 60 ms for a faster upstream whether their work takes 26 or 390 ms. Refused ones were sent back for at least 600 ms. Change: a call waits for up to half of the time that its caller allows, and a third of what it can spare for a faster upstream; Retry-After is the time to serve the queue, at least 150 ms.

--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -11,7 +11,9 @@
 
 INTERVAL_WEIGHT = 0.1
 ISOLATED_WAIT_MS = 250.0
+MAX_WAIT_SHARE = 0.5  # of the time that the caller allows; the rest is for another try
 SHORT_WAIT_MS = 100.0  # callers lose little by a refusal that comes this early
+MIN_RETRY_AFTER_MS = 150.0  # about the time of a request, after which slots are free
 MAX_CUSTOMERS = 1_000
 LATE_URGENCY = 0.1  # a late response has a tenth of the value of one in time
 
@@ -120,9 +122,9 @@
         """
         Estimate after which time a refused call may be accepted.
 
-        :return: milliseconds to serve the current queue, at least the maximum wait
+        :return: milliseconds to serve the current queue, at least the minimum
         """
-        return max(self.spec.max_queue_wait_ms, self.estimate_wait_ms())
+        return max(MIN_RETRY_AFTER_MS, self.estimate_wait_ms())
 
     def urgency(self, now_ms: float) -> float:
         """
@@ -251,4 +253,6 @@
     :return: milliseconds from now
     """
     bound_ms = ISOLATED_WAIT_MS if call.isolated else spec.max_queue_wait_ms
-    return min(bound_ms, min(call.deadline_ms, call.latest_start_ms) - now_ms)
+    share_ms = MAX_WAIT_SHARE * (call.deadline_ms - call.arrived_ms)
+    left_ms = min(call.deadline_ms, call.latest_start_ms) - now_ms
+    return min(bound_ms, share_ms, left_ms)
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -70,7 +70,8 @@
     ``tie_tolerance`` is the share by which costs may differ and still count as equal.
     ``cross_zone_ms_per_kb`` is the cost of a kilobyte sent between availability zones,
     in milliseconds of a caller's time. A call waits for up to
-    ``max_wait_for_faster_ms`` while every free upstream would take at least
+    ``wait_for_faster_share`` of the time that it has to spare, at most
+    ``max_wait_for_faster_ms``, while every free upstream would take at least
     ``slow_threshold`` times as long as at the typical speed. An upstream with more
     than ``high_load_share`` of its slots in use is assumed to take
     ``high_load_slowdown`` times as long.
@@ -79,7 +80,8 @@
     tie_tolerance: float = 0.1
     cross_zone_ms_per_kb: float = 1.5  # a 90 KB download costs 135 of its 300 spare ms
     slow_threshold: float = 2.4
-    max_wait_for_faster_ms: float = 60.0  # a lookup has 180 ms to spare
+    wait_for_faster_share: float = 0.33
+    max_wait_for_faster_ms: float = 300.0  # an upstream's speed changes as often
     high_load_share: float = 0.8
     high_load_slowdown: float = 1.7
 
@@ -149,7 +151,7 @@
         if not estimates:
             self.require_candidate(service, call)
             return None
-        if now_ms - call.arrived_ms < self._cfg.max_wait_for_faster_ms:
+        if now_ms - call.arrived_ms < self._max_wait_for_faster_ms(call, work_ms):
             quickest_ms = min(time_ms for time_ms, _ in estimates)
             if quickest_ms >= self._cfg.slow_threshold * work_ms:
                 return None
@@ -238,13 +240,18 @@
 
     def wait(self, service: ServiceRow, call: Call, waiting: int) -> bool:
         name = service.spec.name
-        self._timers.call_later(
-            self._cfg.max_wait_for_faster_ms, lambda: self._available(name)
-        )
+        max_wait_ms = self._max_wait_for_faster_ms(call, self.typical_ms(call))
+        self._timers.call_later(max_wait_ms, lambda: self._available(name))
         self._listener.on_waiting(name)
         self._limits.request(name)
         return True
 
+    def _max_wait_for_faster_ms(self, call: Call, work_ms: float) -> float:
+        cfg = self._cfg
+        spare_ms = call.objective_ms - call.arrived_ms - work_ms
+        share_ms = cfg.wait_for_faster_share * max(0.0, spare_ms)
+        return min(share_ms, cfg.max_wait_for_faster_ms)
+
     def _basis(
         self, row: UpstreamRow, work_ms: float, now_ms: float, free: int
     ) -> GrantBasis:
--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -17,7 +17,7 @@
 
 __all__ = ["TableUpdater"]
 
-MAX_QUEUE_WAIT_MS = 600.0  # half of the shortest deadline at current sites
+MAX_QUEUE_WAIT_MS = 5_000.0  # shares of deadlines bound most calls earlier
 MEMBERS_INTERVAL_MS = 250.0  # joins at the start of a site are applied together
 
 log = structlog.get_logger()
