Keep long request bodies for another attempt, within a bound of a host

Change: bytes beyond the beginning are kept too while all bodies of the host keep less than 16 MB; the first byte that isn't kept waits until those before it are sent. The fingerprint is that of the beginning, as before. Ruled out: reading the whole body before the first attempt, which adds its transfer time to each upload; Expect: 100-continue, which the users' pages don't mention.

--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -145,7 +145,7 @@
     req: ActiveRequest, conn: UpstreamConnection
 ) -> asyncio.Task[None] | None:
     """
-    Send a request head with the replayable beginning of the body.
+    Send a request head with the beginning of the body.
 
     :param req: the request
     :param conn: a connection to the upstream
@@ -155,10 +155,9 @@
     if body is None:
         conn.send_head(req.line, req.headers, None)
         return None
-    conn.send_head(req.line, req.headers, bytes(body.replay_prefix))
+    conn.send_head(req.line, req.headers, body.beginning)
     if not body.has_rest:
         return None
-    body.rest_taken = True
     sending = asyncio.create_task(conn.send_rest(body.rest()))
     sending.add_done_callback(consume_exception)
     return sending
--- a/src/mangohatch/entry/body.py
+++ b/src/mangohatch/entry/body.py
@@ -5,59 +5,85 @@
 
 from tornado.httputil import HTTPMessageDelegate
 
+from mangohatch.entry.replay_memory import ReplayMemory
 from mangohatch.errors import RequestError
 
 __all__ = ["REPLAY_BYTES", "RequestBody"]
 
 REPLAY_BYTES = 65_536
+PIECE_BYTES = 65_536
 
 
 class RequestBody(HTTPMessageDelegate):
     """
-    Buffers the beginning of a body for replay and streams the rest once.
+    Streams a body to an upstream, and keeps it for another attempt.
 
-    The reader of the caller's connection adds chunks. An attempt sends the buffered
-    beginning and, when the body is longer, the rest chunk by chunk.
+    The reader of the caller's connection adds chunks. An attempt sends the beginning of
+    ``REPLAY_BYTES`` and streams the rest. Bytes beyond the beginning are kept as well
+    while there is memory. The first one that is not kept waits until an attempt has
+    sent all before it; once it is sent, there is no other attempt.
+
+    :param memory: bounds what the bodies of a host keep; one of its own if None
     """
 
-    def __init__(self) -> None:
-        self.replay_prefix = bytearray()
+    def __init__(self, *, memory: ReplayMemory | None = None) -> None:
         self.complete = False
-        self.rest_taken = False
         self.received_bytes = 0
+        self.replayable = True
+        self._memory = memory or ReplayMemory()
+        self._reserved_bytes = 0
+        self._kept = bytearray()
+        self._keeping = True
         self._overflow: bytes | None = None
         self._failure: RequestError | None = None
         self._wake_reader: asyncio.Future[None] | None = None
         self._wake_sender: asyncio.Future[None] | None = None
 
     @property
-    def replayable(self) -> bool:
-        """Whether another attempt can send the whole body."""
-        return not self.rest_taken
+    def beginning(self) -> bytes:
+        """The first ``REPLAY_BYTES`` of the body, or all of a shorter one."""
+        return bytes(self._kept[:REPLAY_BYTES])
 
     @property
     def has_rest(self) -> bool:
-        """Whether more data may follow the buffered beginning."""
-        return self._overflow is not None or not self.complete
+        """Whether more data may follow the beginning."""
+        return not self.complete or self._exceeds_beginning()
+
+    def _exceeds_beginning(self) -> bool:
+        return self._overflow is not None or len(self._kept) > REPLAY_BYTES
 
     async def data_received(self, chunk: bytes) -> None:
         """
-        Add a chunk from the reader; waits until the previous chunk was sent.
+        Add a chunk from the reader; waits for its turn to be sent if it isn't kept.
 
         :param chunk: next bytes of the body
         """
-        self.received_bytes += len(chunk)
-        room = REPLAY_BYTES - len(self.replay_prefix)
-        self.replay_prefix += chunk[:room]
-        chunk = chunk[room:]
+        chunk = self.add_beginning(chunk)
         if not chunk:
             return
-        while self._overflow is not None:
-            self._wake_reader = asyncio.get_running_loop().create_future()
-            await self._wake_reader
-        self._overflow = chunk
+        self._keeping = self._keeping and self._memory.take(len(chunk))
+        if self._keeping:
+            self._reserved_bytes += len(chunk)
+            self._kept += chunk
+        else:
+            while self._overflow is not None:
+                self._wake_reader = asyncio.get_running_loop().create_future()
+                await self._wake_reader
+            self._overflow = chunk
         self._wake(self._wake_sender)
 
+    def add_beginning(self, chunk: bytes) -> bytes:
+        """
+        Add what belongs to the beginning.
+
+        :param chunk: next bytes of the body
+        :return: what follows the beginning
+        """
+        self.received_bytes += len(chunk)
+        room = max(0, REPLAY_BYTES - len(self._kept))
+        self._kept += chunk[:room]
+        return chunk[room:]
+
     def end(self) -> None:
         """Mark the end of the body."""
         self.complete = True
@@ -73,27 +99,37 @@
         self._wake(self._wake_sender)
         self._wake(self._wake_reader)
 
+    def release(self) -> None:
+        """Give back the memory of a body that no attempt will send any more."""
+        self._memory.give_back(self._reserved_bytes)
+        self._reserved_bytes = 0
+        self._keeping = False
+
     async def prefetch(self) -> None:
         """
-        Wait until the body is complete or the replay buffer is full.
+        Wait until the body is complete or longer than its beginning.
 
         :raises RequestError: when the rest will not arrive
         """
-        while not self.complete and self._overflow is None:
+        while not self.complete and not self._exceeds_beginning():
             await self._wait_for_reader()
 
     async def rest(self) -> AsyncIterator[bytes]:
         """
-        Stream what follows the buffered beginning; can be called only once.
+        Stream what follows the beginning, as it arrives.
 
         :return: chunks in order
         :raises RequestError: when the rest will not arrive
         """
-        self.rest_taken = True
+        position = REPLAY_BYTES
         while True:
-            if self._overflow is not None:
-                chunk = self._overflow
-                self._overflow = None
+            if position < len(self._kept):
+                chunk = bytes(self._kept[position : position + PIECE_BYTES])
+                position += len(chunk)
+                yield chunk
+            elif self._overflow is not None:
+                self.replayable = False
+                chunk, self._overflow = self._overflow, None
                 self._wake(self._wake_reader)
                 yield chunk
             elif self.complete:
--- a/src/mangohatch/entry/connection.py
+++ b/src/mangohatch/entry/connection.py
@@ -14,6 +14,7 @@
 from mangohatch.entry.body import RequestBody
 from mangohatch.entry.head import parse_head
 from mangohatch.entry.limits import CallerLimits
+from mangohatch.entry.replay_memory import ReplayMemory
 from mangohatch.errors import BadRequest, BodyTooLarge
 from mangohatch.wire import format_head, send
 
@@ -91,18 +92,21 @@
         ) or requests_close(headers)
         return line, headers
 
-    def make_body(self, headers: HTTPHeaders) -> RequestBody | None:
+    def make_body(
+        self, headers: HTTPHeaders, memory: ReplayMemory
+    ) -> RequestBody | None:
         """
         Prepare to read the body of the request.
 
         :param headers: header fields of the request
+        :param memory: bounds what the bodies of the host keep
         :return: the body; None when the request has none
         :raises BodyTooLarge: when its Content-Length is over the limit
         """
         if "Content-Length" in headers or "Transfer-Encoding" in headers:
             if int(headers.get("Content-Length", 0)) > self._limits.body_bytes:
                 raise self._body_too_large()
-            return RequestBody()
+            return RequestBody(memory=memory)
         self._read_finished = True
         return None
 
--- a/src/mangohatch/entry/request.py
+++ b/src/mangohatch/entry/request.py
@@ -98,7 +98,7 @@
     """
     Replace received header fields by those sent upstream and set the fingerprint.
 
-    :param req: a request whose body is complete or whose replay buffer is full
+    :param req: a request whose body is complete or longer than its beginning
     :raises BadRequest: when the body can't be framed for the upstream
     """
     prepare_framing(req)
@@ -134,7 +134,7 @@
         if method in BODY_METHODS:
             headers["Content-Length"] = "0"
     elif not body.has_rest:
-        headers["Content-Length"] = str(len(body.replay_prefix))
+        headers["Content-Length"] = str(len(body.beginning))
     elif "Content-Length" not in headers and method not in BODY_METHODS:
         raise BadRequest(f"a chunked body of this length needs {sorted(BODY_METHODS)}")
 
@@ -149,5 +149,5 @@
     """
     digest = xxhash.xxh64("\n".join(identity).encode())
     if req.body is not None:
-        digest.update(bytes(req.body.replay_prefix))
+        digest.update(req.body.beginning)
     return digest.hexdigest()
--- a/src/mangohatch/entry/server.py
+++ b/src/mangohatch/entry/server.py
@@ -9,6 +9,7 @@
 from mangohatch.core.tables import Tables
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.limits import CallerLimits
+from mangohatch.entry.replay_memory import ReplayMemory
 from mangohatch.entry.session import CallerSession
 
 __all__ = ["EntryServer"]
@@ -40,6 +41,7 @@
     :param balancer_delay_ms: time in milliseconds that the load balancer needs to
         detect a leaving host
     :param limits: limits of callers' connections
+    :param replay_memory: bounds what request bodies keep for another attempt
     """
 
     def __init__(
@@ -51,8 +53,10 @@
         forwarder: Forwarder,
         balancer_delay_ms: float = DEFAULT_BALANCER_DELAY_MS,
         limits: CallerLimits | None = None,
+        replay_memory: ReplayMemory | None = None,
     ) -> None:
         self.limits = limits or CallerLimits()
+        self.replay_memory = replay_memory or ReplayMemory()
         self.clock = clock
         self.forwarder = forwarder
         self.closing = False
--- a/src/mangohatch/entry/session.py
+++ b/src/mangohatch/entry/session.py
@@ -155,7 +155,7 @@
         self, line: RequestStartLine, headers: HTTPHeaders, request_id: str
     ) -> None:
         conn = self._conn
-        body = conn.make_body(headers)
+        body = conn.make_body(headers, self._server.replay_memory)
         call = self._protocol.make_call(
             line=line,
             headers=headers,
@@ -177,6 +177,8 @@
         finally:
             self._req = None
             self.stream.set_close_callback(None)
+            if body is not None:
+                body.release()
             if self._reader is not None:
                 self._reader.cancel()
                 self._reader = None
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -198,9 +198,7 @@
     def _identify(self, req: SimulatedRequest, call: Call) -> None:
         body = None
         if req.body:
-            body = RequestBody()
-            body.replay_prefix += req.body
-            body.complete = True
+            body = make_body(req.body)
         active = ActiveRequest(
             call=call,
             line=RequestStartLine(req.method, req.target, "HTTP/1.1"),
@@ -324,3 +322,16 @@
         self.fleet_host.tick()
         delay_ms = BUSY_TICK_MS if self._in_flight else IDLE_TICK_MS
         self._loop.call_later(delay_ms / MS_PER_S, self._tick)
+
+
+def make_body(content: bytes) -> RequestBody:
+    """
+    Make a body that has arrived, for fingerprints.
+
+    :param content: at most the beginning of a body
+    :return: the body
+    """
+    body = RequestBody()
+    body.add_beginning(content)
+    body.end()
+    return body
