Bound warm-ups by elapsed time, and log kinds of routes that are unknown

Cause: an entry says for how much longer its upstream is cold; the reader turns that into a time of day, and a host whose clock is 2,400 s off took the upstream for cold as long. Kinds of routes beside safe and download were silently not idempotent. Change: a warm-up ends at most 10 s after a host learns of the start; an unknown kind is logged once. Read for the same cause: incarnations of members start at the time of day and are corrected by peers; the hybrid clock orders log lines only; the product's own claims use the time of day, the platform does not have them.

--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -18,6 +18,7 @@
 __all__ = ["TableUpdater"]
 
 MAX_QUEUE_WAIT_MS = 5_000.0  # shares of deadlines bound most calls earlier
+MAX_WARM_UP_MS = 10_000.0  # cold starts last for some seconds
 MEMBERS_INTERVAL_MS = 250.0  # joins at the start of a site are applied together
 
 log = structlog.get_logger()
@@ -185,7 +186,9 @@
         # The offset between the clocks varies slightly. The known value is kept, so
         # that an unchanged entry gives an equal specification.
         offset_ms = self._clock.wall_ms() - self._clock.now_ms()
-        warm_at_ms = item.warm_wall_ms - offset_ms
+        # The time of day of this host, or of the one that read the entry, may be wrong.
+        latest_ms = self._clock.now_ms() + MAX_WARM_UP_MS
+        warm_at_ms = min(item.warm_wall_ms - offset_ms, latest_ms)
         if known is not None and known.started_ms == item.started_ms:
             warm_at_ms = known.warm_at_ms
         return DiscoveredUpstream(
--- a/src/mangohatch/platform/documents.py
+++ b/src/mangohatch/platform/documents.py
@@ -1,8 +1,11 @@
 """Decodes documents of the platform's store into the types of this program."""
 
 import json
+from functools import lru_cache
 from typing import Any
 
+import structlog
+
 from mangohatch.core.routes import Route, Target
 from mangohatch.directory.content import (
     Configuration,
@@ -22,10 +25,14 @@
 
 # Route kinds whose requests may run more than once.
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
+KNOWN_KINDS = IDEMPOTENT_KINDS | {"unsafe", "upload"}
+MAX_LOGGED_KINDS = 64
 DRAINING = "draining"
 STATES = frozenset({"ready", DRAINING})
 NUMBER = (int, float)
 
+log = structlog.get_logger()
+
 
 def read_configuration(text: str) -> Configuration:
     """
@@ -89,12 +96,15 @@
         )
     else:
         targets = (Target(service=require_field(spec, "service", str)),)
+    kind = require_field(spec, "kind", str)
+    if kind not in KNOWN_KINDS:
+        log_unknown_kind(kind)
     return Route(
         name=name,
         host=require_field(spec, "host", str),
         prefix=require_field(spec, "path_prefix", str),
         targets=targets,
-        idempotent=require_field(spec, "kind", str) in IDEMPOTENT_KINDS,
+        idempotent=kind in IDEMPOTENT_KINDS,
         timeout_ms=parse_duration_ms(spec.get("timeout")),
         objective_ms=parse_duration_ms(spec.get("target_latency")),
         priority=require_field(spec, "priority", int),
@@ -102,6 +112,16 @@
     )
 
 
+@lru_cache(maxsize=MAX_LOGGED_KINDS)
+def log_unknown_kind(kind: str) -> None:
+    """
+    Log a kind of route that this release does not know, once a process.
+
+    :param kind: the kind; its requests are treated as not idempotent
+    """
+    log.warning("route_kind_unknown", kind=kind, treated_as="unsafe")
+
+
 def read_limits(spec: dict[str, Any]) -> CallerLimits:
     """
     Read the limits for requests and connections of callers.
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,7 +1,9 @@
 """Tests of the platform's documents."""
 
 import json
+from unittest.mock import patch
 
+from mangohatch.platform import documents
 from mangohatch.platform.documents import (
     normalize_upstream,
     read_configuration,
@@ -162,3 +164,15 @@
         except DocumentError:
             continue
         raise AssertionError(text)
+
+
+def test_unknown_kind_of_route_is_not_idempotent_and_logged_once():
+    documents.log_unknown_kind.cache_clear()
+    with patch.object(documents, "log") as log:
+        for _ in range(3):
+            read = read_configuration(document(route("r1", kind="stream-of-news")))
+            assert not read.routes[0].idempotent
+        read_configuration(document(route("r2", kind="upload")))
+    log.warning.assert_called_once_with(
+        "route_kind_unknown", kind="stream-of-news", treated_as="unsafe"
+    )
