--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -145,17 +145,14 @@
             )
             current = self._tables.services.get(name)
             self._mark_reported(name, current)
+            registered = frozenset(item.name for item in spec.upstreams)
             if current is None or current.spec != used:
                 self._tables.apply(used, revision=self._revision)
                 self._mark_reported(name, self._tables.services[name])
-                registered = frozenset(item.name for item in spec.upstreams)
                 self._on_unused(name, registered - names)
-                self._assignment_log.record(
-                    name,
-                    assigned=names,
-                    registered=registered,
-                    hosts=self._subset.hosts,
-                )
+            self._assignment_log.record(
+                name, assigned=names, registered=registered, hosts=self._subset.hosts
+            )
         for name in self._tables.services.keys() - self._specs.keys():
             self._tables.remove(name, revision=self._revision)
 
