Wait for the first byte sent in the test of a body that stops

The reader of a long body no longer waits for the sender, so all of the body could be received before its attempt began, and the request was refused as not run, which is true. The test expects the outcome of one that was sent and now waits for that; its assertions stay.

--- a/tests/entry/test_slow_callers.py
+++ b/tests/entry/test_slow_callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.entry.harness import fixed, open_entry, request
+from tests.entry.harness import TIMEOUT_S, fixed, open_entry, request
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
@@ -18,6 +18,13 @@
         await asyncio.sleep(0)
 
 
+async def wait_until_sent(entry) -> None:
+    """Wait until an attempt has begun to send a request."""
+    async with asyncio.timeout(TIMEOUT_S):
+        while not any(req.may_have_run for req in entry.forwarder.active):
+            await asyncio.sleep(0.0)
+
+
 async def wait_until_received(entry, size) -> None:
     """Wait until the entry server has read the sent part of a body and needs more."""
     while not any(
@@ -58,6 +65,8 @@
             await caller.send(request(method="POST", **fields))
             await caller.send(b"x" * (size // 2))
             await wait_until_received(entry, size // 2)
+            if outcome == "unknown":
+                await wait_until_sent(entry)
             entry.pass_time(9_000)
             entry.pass_time(11_000)
             response = await caller.read()
