Run test modules in several processes

Change: a pool of one process a processor runs modules side by side, and the cases of those that use virtual time only each on its own; failures are printed in the order of the cases, then the ten slowest. A case whose process ends counts as failed.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,18 +1,17 @@
 """Runs all tests, or those whose names contain one of the arguments."""
 
-import logging
 import sys
 import unittest
+from collections.abc import Iterable
 from pathlib import Path
 
-import structlog
-
-import tests.fixtures  # noqa: F401
-import tests.network  # noqa: F401
+from tests.parallel import CaseResult, flatten, prepare_process, run_jobs
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 RED_PREFIX = "test:"
+SEPARATOR = "=" * 70
+SLOWEST = 10
 
 
 def read_known_red() -> set[str]:
@@ -31,20 +30,6 @@
     }
 
 
-def iterate_cases(suite: unittest.TestSuite):
-    """
-    Iterate over the test cases of nested suites.
-
-    :param suite: a suite of suites and test cases
-    :return: the test cases in order
-    """
-    for item in suite:
-        if isinstance(item, unittest.TestSuite):
-            yield from iterate_cases(item)
-        else:
-            yield item
-
-
 def case_name(case: unittest.TestCase) -> str:
     """
     Return the name of a test case, as used in KNOWN-RED.txt.
@@ -61,17 +46,14 @@
 
     :return: the exit status
     """
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
-    )
-    logging.disable(logging.CRITICAL)
+    prepare_process()
     discovered = unittest.TestLoader().discover(
         str(ROOT / "tests"), top_level_dir=str(ROOT)
     )
     name_filters = sys.argv[1:]
     cases = [
         case
-        for case in iterate_cases(discovered)
+        for case in flatten(discovered)
         if not name_filters
         or any(name_filter in case_name(case) for name_filter in name_filters)
     ]
@@ -79,11 +61,26 @@
     skipped = [case for case in cases if case_name(case) in known_red]
     for case in skipped:
         print(f"known red, not run: {case_name(case)}")
-    suite = unittest.TestSuite(case for case in cases if case not in skipped)
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = len(result.failures) + len(result.errors)
-    print(f"{result.testsRun - failed} passed, {failed} failed")
-    return 1 if failed or not result.testsRun else 0
+    names = [case_name(case) for case in cases if case not in skipped]
+    results = run_jobs(names)
+    failed = [result for result in results if result.failure]
+    for result in failed:
+        print(f"{SEPARATOR}\nFAIL: {result.name}\n{result.failure}")
+    print_slowest(results)
+    print(f"{len(results) - len(failed)} passed, {len(failed)} failed")
+    return 1 if failed or not results else 0
+
+
+def print_slowest(results: Iterable[CaseResult]) -> None:
+    """
+    Print the cases that took longest.
+
+    :param results: results of all cases
+    """
+    slowest = sorted(results, key=lambda result: -result.seconds)[:SLOWEST]
+    print("slowest tests:")
+    for result in slowest:
+        print(f"{result.seconds:8.1f} s  {result.name}")
 
 
 if __name__ == "__main__":
--- a/tests/core/test_fleet_budget.py
+++ b/tests/core/test_fleet_budget.py
@@ -8,6 +8,7 @@
 from tests.network import ManualNetwork, ManualPeerBus
 
 load_tests = function_tests(__name__)
+SPLIT_CASES = True
 
 RATIO = 0.2
 SLACK = 56.0
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -6,6 +6,7 @@
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
+SPLIT_CASES = True
 
 HOSTS = 17
 UPSTREAMS = 31
--- a/tests/fleet/test_named_limits.py
+++ b/tests/fleet/test_named_limits.py
@@ -4,6 +4,7 @@
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
+SPLIT_CASES = True
 
 SETTLE_MS = 4_000.0  # load probes are most frequent for 3 s after the start
 RUN_MS = 16_000.0
--- a/tests/fleet/test_retry_budget.py
+++ b/tests/fleet/test_retry_budget.py
@@ -8,6 +8,7 @@
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
+SPLIT_CASES = True
 
 SERVICE = "desk"
 SETTLE_MS = 14_000.0
--- a/tests/fleet/test_simulated_fleet.py
+++ b/tests/fleet/test_simulated_fleet.py
@@ -5,6 +5,7 @@
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
+SPLIT_CASES = True
 
 MAX_APPLY_MS = 2_000.0  # the shortest bound of the users' sites
 SETTLE_MS = 4_000.0  # load probes are most frequent for 3 s after the start
--- a/tests/probing/test_placements.py
+++ b/tests/probing/test_placements.py
@@ -20,6 +20,7 @@
 from tests.probing.test_system import TickTimers
 
 load_tests = function_tests(__name__)
+SPLIT_CASES = True
 
 HOSTS = 8
 UPSTREAMS = 6
