--- a/tests/host/test_entry_host.py
+++ b/tests/host/test_entry_host.py
@@ -168,8 +168,8 @@
     upstream = SilentUpstream()
     offer = WaitQueue.offer
 
-    def offer_late(queue, waiting, now_ms):
-        return offer(queue, waiting, now_ms + 60.0)
+    def offer_late(queue, waiting, now_ms, interval_ms):
+        return offer(queue, waiting, now_ms + 60.0, interval_ms)
 
     with (
         mock.patch.object(Router, "_grant", return_value=False),
