Prefer hosts in the zone of an upstream as its users

Change: the rank of a host in the zone of an upstream counts an eighth, so that half (19 hosts, three zones) to two thirds (300 hosts, five zones) of its users are there; a third stay elsewhere for unequal load. Ruled out: users of one zone only, which a loss of its hosts or a shift of callers would leave without upstreams.

--- a/src/mangohatch/core/subset.py
+++ b/src/mangohatch/core/subset.py
@@ -3,7 +3,7 @@
 import heapq
 import math
 from bisect import bisect_left, insort
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from mangohatch.peer.bus import MemberView
@@ -22,8 +22,9 @@
     An upstream is used by ``min_users`` hosts, or by more if hosts would otherwise use
     fewer than ``upstreams_per_host`` upstreams of its service on the mean. A host that
     is assigned fewer than ``min_upstreams`` uses additional ones. ``spare`` hosts are
-    ranked beyond those that use an upstream. Hosts that share upstreams are told of
-    waiting calls in parts of ``audience_size``.
+    ranked beyond those that use an upstream. A host in the availability zone of an
+    upstream is ``zone_weight`` times as likely to use it as any other. Hosts that share
+    upstreams are told of waiting calls in parts of ``audience_size``.
     """
 
     min_users: int = 8  # losses of several leave a choice of hosts
@@ -31,6 +32,7 @@
     min_upstreams: int = 4  # one may fail, one be slow
     spare: int = 8  # losses until an upstream is ranked again
     audience_size: int = 20
+    zone_weight: int = 8
 
 
 @dataclass(slots=True, kw_only=True)
@@ -43,14 +45,22 @@
 
 @dataclass(slots=True, kw_only=True)
 class ServiceSubsets:
-    """Rankings of the upstreams of a service, with the values derived from them."""
+    """
+    Rankings of the upstreams of a service, with the values derived from them.
+
+    ``zones`` are those of all upstreams that were registered, by name.
+    """
 
     size: int = 0
+    zones: dict[str, str] = field(default_factory=dict)
     rankings: dict[str, UpstreamRanking] = field(default_factory=dict)
     assigned: frozenset[str] | None = None
     audiences: tuple[frozenset[str], ...] | None = None
 
 
+RankingChange = Callable[[ServiceSubsets, str, UpstreamRanking, Sequence[str]], None]
+
+
 class SubsetTable:
     """
     Assigns upstreams to hosts; each host computes the same assignment by itself.
@@ -61,6 +71,10 @@
     owns it and sends its load probes. While member lists differ, a host may use an
     upstream that others do not expect it to use; its information is then older.
 
+    Most users of an upstream are in its availability zone, as messages about it and
+    its responses cost more between zones. The others take over when callers or
+    upstreams are spread unequally over the zones.
+
     Hosts that are leaving own nothing and do not count towards the size of a subset,
     but are users up to their rank, because they complete requests.
 
@@ -78,6 +92,7 @@
         self._leaving = {host_id: False}
         self._everyone = frozenset(self._leaving)
         self._live = 1
+        self._host_zones: dict[str, str] = {}
         self._services: dict[str, ServiceSubsets] = {}
 
     @property
@@ -91,27 +106,46 @@
 
         :param members: all live members; this host is added if it is missing
         """
+        members = tuple(members)
         leaving = {member.host_id: member.leaving for member in members}
         leaving.setdefault(self.host_id, False)
-        if leaving == self._leaving:
+        zones = {member.host_id: member.zone for member in members}
+        if leaving == self._leaving and zones == self._host_zones:
             return
         previous, self._leaving = self._leaving, leaving
         self._live = sum(not item for item in leaving.values())
         self._everyone = frozenset(leaving)
-        joined = sorted(leaving.keys() - previous.keys())
-        lost = sorted(previous.keys() - leaving.keys())
+        moved = {
+            host
+            for host in leaving.keys() & previous.keys()
+            if zones.get(host) != self._host_zones.get(host)
+        }
+        lost = sorted((previous.keys() - leaving.keys()) | moved)
+        joined = sorted((leaving.keys() - previous.keys()) | moved)
+        self._change_rankings(self._remove, lost)
+        self._host_zones = zones
         for service in self._services.values():
             self._resize(service)
-            for name, ranking in service.rankings.items():
-                self._update(service, name, ranking, joined, lost)
+        self._change_rankings(self._insert, joined)
         self.version += 1
 
-    def set_upstreams(self, service: str, names: Iterable[str]) -> None:
+    def _change_rankings(self, change: RankingChange, hosts: Sequence[str]) -> None:
+        for service in self._services.values():
+            for name, ranking in service.rankings.items():
+                change(service, name, ranking, hosts)
+
+    def set_upstreams(
+        self,
+        service: str,
+        names: Iterable[str],
+        zones: Mapping[str, str] | None = None,
+    ) -> None:
         """
         Replace the registered upstreams of a service.
 
         :param service: name of the service
         :param names: names of all its upstreams; none removes the service
+        :param zones: availability zones by the name of the upstream, as far as known
         """
         wanted = list(dict.fromkeys(names))
         known = self._services.get(service)
@@ -124,6 +158,7 @@
             del self._services[service]
             return
         subsets = self._services.setdefault(service, ServiceSubsets())
+        subsets.zones |= zones or {}
         rankings = subsets.rankings
         subsets.rankings = {
             name: rankings.get(name) or UpstreamRanking() for name in wanted
@@ -259,27 +294,43 @@
         leaving = len(self._leaving) - self._live
         ranking.ranked = heapq.nsmallest(
             self._needed(subsets) + self._cfg.spare + leaving,
-            ((rendezvous_hash(name, host), host) for host in self._leaving),
+            (self._position(subsets, name, host) for host in self._leaving),
         )
 
-    def _update(
+    def _position(self, subsets: ServiceSubsets, name: str, host: str) -> Ranked:
+        """Compute the position of a host in the ranking; the lowest comes first."""
+        position = rendezvous_hash(name, host)
+        zone = subsets.zones.get(name)
+        if zone is not None and zone == self._host_zones.get(host):
+            position //= self._cfg.zone_weight
+        return position, host
+
+    def _remove(
         self,
         subsets: ServiceSubsets,
         name: str,
         ranking: UpstreamRanking,
-        joined: Sequence[str],
         lost: Sequence[str],
     ) -> None:
         ranked = ranking.ranked
         for host in lost:
-            item = (rendezvous_hash(name, host), host)
+            item = self._position(subsets, name, host)
             index = bisect_left(ranked, item)
             if index < len(ranked) and ranked[index] == item:
                 del ranked[index]
+
+    def _insert(
+        self,
+        subsets: ServiceSubsets,
+        name: str,
+        ranking: UpstreamRanking,
+        joined: Sequence[str],
+    ) -> None:
+        ranked = ranking.ranked
         # A host behind the last one is inserted only by a new ranking, as hosts that
         # are not in the list may come before it.
         for host in joined:
-            item = (rendezvous_hash(name, host), host)
+            item = self._position(subsets, name, host)
             if ranked and item < ranked[-1]:
                 insort(ranked, item)
         leaving = len(self._leaving) - self._live
--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -101,7 +101,8 @@
         for service in self._upstreams.keys() - by_service.keys():
             self._subset.set_upstreams(service, ())
         for service, items in by_service.items():
-            self._subset.set_upstreams(service, [item.name for item in items])
+            zones = {item.name: item.zone for item in items}
+            self._subset.set_upstreams(service, zones, zones)
         self._upstreams = by_service
         self._apply()
 
--- a/tests/core/test_subset.py
+++ b/tests/core/test_subset.py
@@ -249,3 +249,49 @@
     before = split_hosts(hosts, 20)
     after = split_hosts(hosts - {"h7"}, 20)
     assert [[host for host in part if host != "h7"] for part in before] == after
+
+
+def make_zoned(hosts, upstreams, zones):
+    """Make the tables of all hosts of a site whose zones are equally large."""
+    members = [
+        MemberView(host_id=f"h{number}", incarnation=1, zone=f"z{number % zones}")
+        for number in range(hosts)
+    ]
+    places = {f"u{number}": f"z{number % zones}" for number in range(upstreams)}
+    tables = []
+    for member in members:
+        table = SubsetTable(host_id=member.host_id)
+        table.set_members(members)
+        table.set_upstreams("desk", places, places)
+        tables.append(table)
+    return members, places, tables
+
+
+def test_most_users_of_an_upstream_are_in_its_zone():
+    for hosts, upstreams, zones, least in ((19, 21, 3, 0.5), (300, 306, 5, 0.6)):
+        members, places, tables = make_zoned(hosts, upstreams, zones)
+        zone_of = {member.host_id: member.zone for member in members}
+        users = [
+            zone_of[host] == zone
+            for name, zone in places.items()
+            for host in tables[0].users("desk", name)
+        ]
+        assert least <= mean(users) <= 0.9, mean(users)
+        for name in places:
+            assert len({table.users("desk", name) for table in tables[::40]}) == 1
+        counts = [len(table.assigned("desk")) for table in tables]
+        assert min(counts) >= CFG.min_upstreams
+
+
+def test_zones_survive_incremental_changes():
+    members, places, tables = make_zoned(60, 40, 3)
+    table = tables[0]
+    table.set_members(members[:50])
+    table.set_members(members[10:] + members[:1])
+    table.set_upstreams("desk", places, places)
+    fresh = SubsetTable(host_id="h0")
+    fresh.set_members(members[10:] + members[:1])
+    fresh.set_upstreams("desk", places, places)
+    for name in places:
+        assert table.users("desk", name) == fresh.users("desk", name)
+        assert table.owner("desk", name) == fresh.owner("desk", name)
