--- a/src/mangohatch/probing/placements.py
+++ b/src/mangohatch/probing/placements.py
@@ -6,7 +6,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.call import Grant
 from mangohatch.core.choice.base import ignore_service, return_zero
-from mangohatch.core.choice.expected import PlacementListener
+from mangohatch.core.choice.placement import PlacementListener
 from mangohatch.core.contention import ContentionOrder
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables, UpstreamRow
--- a/tests/core/choice/test_expected.py
+++ b/tests/core/choice/test_expected.py
@@ -3,11 +3,8 @@
 from collections import Counter
 
 from mangohatch.core.call import Call, Grant, Refusal, Report, Result
-from mangohatch.core.choice.expected import (
-    ExpectedTimeChooser,
-    PlacementListener,
-    PlacementSettings,
-)
+from mangohatch.core.choice.expected import ExpectedTimeChooser
+from mangohatch.core.choice.placement import PlacementListener, PlacementSettings
 from mangohatch.core.health import NoHealth
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.load_estimator import LoadEstimator
