--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -135,6 +135,14 @@
         """
         return {member.host_id for member in self.fleet_host.bus.members()}
 
+    def step_wall_clock(self, delta_ms: float) -> None:
+        """
+        Step the time of day of the host.
+
+        :param delta_ms: milliseconds to add, negative for a step back
+        """
+        self._clock.step_wall(delta_ms)
+
     def kill(self) -> None:
         """Stop without a message, like a host that loses its power."""
         self.running = False
--- a/src/standins/virtual_loop.py
+++ b/src/standins/virtual_loop.py
@@ -33,6 +33,14 @@
     def wall_ms(self) -> float:
         return self.now_ms() + self._wall_offset_ms
 
+    def step_wall(self, delta_ms: float) -> None:
+        """
+        Step the wall clock, which does not affect the monotonic time.
+
+        :param delta_ms: milliseconds to add, negative for a step back
+        """
+        self._wall_offset_ms += delta_ms
+
 
 class DeferredCall:
     """
