Collect retry tokens once a second, and log unanswered permits at most as often

Read again as a newcomer: the owner looked at all services at each tick, 520 at the size to design for, and a lost owner would have cost a log line for each retry.

--- a/src/mangohatch/core/limits/retry_permits.py
+++ b/src/mangohatch/core/limits/retry_permits.py
@@ -20,6 +20,8 @@
 # Half of what may be given out in a window is kept for a burst, and half accrues.
 BURST_SHARE = 0.45
 MS_PER_S = 1000.0
+COLLECT_INTERVAL_MS = 1_000.0
+LOG_INTERVAL_MS = 1_000.0
 MIN_MEMBERS = 2  # a host that hears no peer may be one of many
 ALL_UPSTREAMS = ""
 
@@ -77,6 +79,9 @@
         self._owners: dict[str, str] = {}
         self._buckets: dict[str, TokenBucket] = {}
         self._pending: dict[str, deque[PendingRetry]] = {}
+        self._collect_due_ms = 0.0
+        self._log_due_ms = 0.0
+        self._unanswered = 0
         self.granted = 0
         self.set_slack(slack)
         bus.subscribe(PermitRequest, self._receive_request)
@@ -97,10 +102,10 @@
         :param service: name of the service
         :param deliver: called exactly once, with whether the retry is permitted
         """
-        owner = self._owner(service)
-        if owner == self._bus.host_id:
+        if self._owns(service):
             deliver(self._take(service))
             return
+        owner = self._owner(service)
         if not owner:
             deliver(False)
             return
@@ -113,6 +118,10 @@
 
     def tick(self) -> None:
         """Collect tokens for the services that this host owns, and drop all others."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._collect_due_ms:
+            return
+        self._collect_due_ms = now_ms + COLLECT_INTERVAL_MS
         owned = {name for name in self._services() if self._owns(name)}
         for name in self._buckets.keys() - owned:
             del self._buckets[name]
@@ -157,15 +166,28 @@
         pending = self._pending.get(service, deque())
         if item in pending:
             pending.remove(item)
-            log.info("retry_permit_unanswered", service=service, waited_ms=ANSWER_MS)
+            self._unanswered += 1
+            self._log_unanswered(service)
             item.deliver(False)
 
+    def _log_unanswered(self, service: str) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms < self._log_due_ms:
+            return
+        self._log_due_ms = now_ms + LOG_INTERVAL_MS
+        log.info(
+            "retry_permits_unanswered",
+            service=service,
+            owner=self._owner(service),
+            count=self._unanswered,
+        )
+        self._unanswered = 0
+
     def _receive_request(self, sender: str, message: PermitRequest) -> None:
         if message.upstream != ALL_UPSTREAMS:
             return
         service = message.service_name
-        is_owner = self._owner(service) == self._bus.host_id
-        count = int(is_owner and self._take(service))
+        count = int(self._owns(service) and self._take(service))
         answer = PermitGrant(service_name=service, upstream=ALL_UPSTREAMS, count=count)
         self._bus.send(sender, answer)
 
--- a/src/mangohatch/core/retry.py
+++ b/src/mangohatch/core/retry.py
@@ -14,9 +14,7 @@
 RETRIES_PER_SECOND = 1.0
 MAX_STORED_RETRIES = 10.0
 MS_PER_SECOND = 1000.0
-BUDGET_SHARE = (
-    0.9  # margin, as retries reach upstreams some time after they are counted
-)
+BUDGET_SHARE = 0.9  # retries reach upstreams some time after they are counted
 
 
 class RetryBudget(ABC):
