--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -8,6 +8,7 @@
 import structlog
 
 from mangohatch.clock import Clock
+from mangohatch.core.call import Grant
 from mangohatch.core.limits.retry_permits import RetryPermits
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.retry import FleetRetryBudget
@@ -117,6 +118,7 @@
             or HttpLoadProbe(clock=clock, read=components.read_probe),
         )
         self.gate = decisions.gate
+        self._move_policy = decisions.should_move
         self._limits = decisions.limits
         self._table_updater = TableUpdater(
             clock=clock,
@@ -178,7 +180,7 @@
                     MetricsObserver(clock=clock, metrics=self.metrics),
                 ]
             ),
-            should_move=decisions.should_move,
+            should_move=self.should_move,
         )
         self.entry = EntryServer(
             host_id=cfg.host_id,
@@ -325,6 +327,20 @@
         self.bus.set_leaving()
         self.entry.begin_drain()
 
+    def should_move(self, grant: Grant) -> bool:
+        """
+        Return whether a request should move to another upstream.
+
+        A host that leaves moves none: a request that finds no other place in the rest
+        of the grace period would be lost although its upstream was at work.
+
+        :param grant: an attempt of an idempotent request without a response so far
+        :return: whether to send the request to another upstream
+        """
+        if self._stop_deadline_ms is not None or self._move_policy is None:
+            return False
+        return self._move_policy(grant)
+
     def tick(self) -> None:
         """Run all systems once."""
         self.bus.tick()
