--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -145,8 +145,10 @@
         :return: at least one upstream
         :raises NoUpstream: when no upstream accepts the call
         """
-        self.require_candidate(service, call)
-        return [row for row in service.upstreams.values() if self.is_open(row, call)]
+        rows = [row for row in service.upstreams.values() if self.is_open(row, call)]
+        if not rows:
+            raise no_upstream(call)
+        return rows
 
     def require_candidate(self, service: ServiceRow, call: Call) -> None:
         """
@@ -157,8 +159,7 @@
         :raises NoUpstream: when no upstream accepts the call
         """
         if not any(self.is_open(row, call) for row in service.upstreams.values()):
-            detail = f"service {call.service} has no upstream for new work"
-            raise NoUpstream(detail)
+            raise no_upstream(call)
 
     def has_room(self, service: ServiceRow) -> bool:
         """
@@ -202,6 +203,16 @@
         """
 
 
+def no_upstream(call: Call) -> NoUpstream:
+    """
+    Make the error of a call that no upstream accepts.
+
+    :param call: the call
+    :return: the error
+    """
+    return NoUpstream(f"service {call.service} has no upstream for new work")
+
+
 def return_zero(service: str) -> int:
     """
     Return 0; the default until the chooser is bound to the queues of a router.
