--- a/bench/virtual/host.py
+++ b/bench/virtual/host.py
@@ -10,6 +10,7 @@
 from mangohatch.core.call import Call, Decision, Grant, Refusal, Report, Result
 from mangohatch.core.quarantine import QuarantineGate
 from mangohatch.core.retry import LocalRetryBudget
+from mangohatch.core.statement import UpstreamStatement
 
 __all__ = ["Outcomes", "VirtualHost"]
 
@@ -134,8 +135,7 @@
         report = Report(
             result=result,
             latency_ms=latency_ms,
-            upstream_in_flight=load,
-            draining=draining,
+            statement=UpstreamStatement(in_flight=load, leaving=draining),
         )
         started_ns = time.perf_counter_ns()
         self.router.release(grant, report)
--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -208,6 +208,18 @@
         )
         return late
 
+    def take_until(self, until_ms: float) -> list[WaitingCall]:
+        """
+        Remove the calls whose maximum wait ends before a time.
+
+        :param until_ms: monotonic time, in milliseconds
+        :return: the removed calls
+        """
+        taken = [item for item in self._calls.values() if item.until_ms < until_ms]
+        for waiting in taken:
+            self.take(waiting)
+        return taken
+
     def _rank(
         self, waiting: WaitingCall, now_ms: float
     ) -> tuple[bool, int, int, float]:
--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from mangohatch.core.load import UpstreamLoad
+from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import RequestError
 
@@ -124,17 +124,11 @@
     The result of an attempt.
 
     ``latency_ms`` is the time from sending the request to the end of the response.
-    ``upstream_in_flight`` and ``load`` are the load reported in the response, None when
-    the response reports none. ``limit_per_s`` is the limit that the response names for
-    the requests of all hosts, infinite if it names none and None without a response.
-    ``draining`` is set when the response reports that the upstream is draining.
+    ``statement`` is what the response says of its upstream.
     """
 
     result: Result
     latency_ms: float
     first_byte_ms: float | None = None
-    upstream_in_flight: int | None = None
-    load: UpstreamLoad | None = None
-    limit_per_s: float | None = None
+    statement: UpstreamStatement = UpstreamStatement()
     response_bytes: int = 0
-    draining: bool = False
--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -1,5 +1,6 @@
 """Chooser interface, and the base class of choosers that never queue calls."""
 
+import math
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -130,12 +131,35 @@
         :param call: the call, None when it is not known yet
         :return: whether the upstream accepts it
         """
+        if not row.signs.allows(self._clock.now_ms(), row.in_flight):
+            return False
+        return self._is_open_but_for_pause(row, call)
+
+    def _is_open_but_for_pause(self, row: UpstreamRow, call: Call | None) -> bool:
         if row.state not in OPEN_STATES:
             return False
         if call is not None and row.name in call.avoid:
             return False
         return self._health.eligible(row, call)
 
+    def opens_ms(self, service: ServiceRow) -> float:
+        """
+        Return when an upstream takes calls again, if all that would ask for a pause.
+
+        :param service: the service
+        :return: monotonic time in milliseconds; infinitely early if an upstream takes
+            calls now, infinite if none will by itself
+        """
+        now_ms = self._clock.now_ms()
+        opens_ms = math.inf
+        for row in service.upstreams.values():
+            if not self._is_open_but_for_pause(row, None):
+                continue
+            if not row.signs.is_paused(now_ms):
+                return -math.inf
+            opens_ms = min(opens_ms, row.signs.paused_until_ms)
+        return opens_ms
+
     def candidates(self, service: ServiceRow, call: Call) -> list[UpstreamRow]:
         """
         List the upstreams that accept a call.
@@ -152,13 +176,14 @@
 
     def require_candidate(self, service: ServiceRow, call: Call) -> None:
         """
-        Check that some upstream accepts a call.
+        Check that some upstream accepts a call now or after a pause.
 
         :param service: the service of the call
         :param call: the call
         :raises NoUpstream: when no upstream accepts the call
         """
-        if not any(self.is_open(row, call) for row in service.upstreams.values()):
+        rows = service.upstreams.values()
+        if not any(self._is_open_but_for_pause(row, call) for row in rows):
             raise no_upstream(call)
 
     def has_room(self, service: ServiceRow) -> bool:
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -128,12 +128,13 @@
         self._record_work(grant, report)
         row.load.end(grant.granted_ms, now_ms)
         self._listener.on_ended(grant)
-        if report.limit_per_s is not None:
-            self._limits.observe(row, report.limit_per_s)
-        if report.load is not None:
+        statement = report.statement
+        if statement.limit_per_s is not None:
+            self._limits.observe(row, statement.limit_per_s)
+        if statement.load is not None:
             self._estimator.observe(
                 row,
-                report.load,
+                statement.load,
                 measured_ms=now_ms - RESPONSE_DELAY_MS,
                 seen_ms=now_ms,
                 shared=False,
--- a/src/mangohatch/core/choice/idle_hints.py
+++ b/src/mangohatch/core/choice/idle_hints.py
@@ -31,7 +31,7 @@
 
     def release(self, service: ServiceRow, grant: Grant, report: Report) -> None:
         row = grant.upstream
-        load = report.upstream_in_flight
+        load = report.statement.in_flight
         hints = self._hints.setdefault(service.spec.name, OrderedDict())
         hints.pop(row.name, None)
         if load is not None and load < row.slots:
--- a/src/mangohatch/core/health/ejection.py
+++ b/src/mangohatch/core/health/ejection.py
@@ -41,7 +41,9 @@
 
     def observe(self, row: UpstreamRow, report: Report, holder_id: str) -> None:
         now_ms = self._clock.now_ms()
-        if report.draining:
+        if report.statement.replaced:
+            self._listener.on_replaced(row)
+        elif report.statement.leaving:
             self._listener.on_draining(row)
         health = self._find(row)
         self._detector.update(health, report, now_ms=now_ms)
--- a/src/mangohatch/core/health/listener.py
+++ b/src/mangohatch/core/health/listener.py
@@ -29,6 +29,14 @@
         :param row: row of the upstream
         """
 
+    @abstractmethod
+    def on_replaced(self, upstream: UpstreamRow) -> None:
+        """
+        Handle a response by another process than the upstream.
+
+        :param upstream: the upstream that was expected at the address
+        """
+
     @abstractmethod
     def on_draining(self, upstream: UpstreamRow) -> None:
         """
@@ -47,5 +55,8 @@
     def on_returned(self, row: HealthRow) -> None:
         return None
 
+    def on_replaced(self, upstream: UpstreamRow) -> None:
+        return None
+
     def on_draining(self, upstream: UpstreamRow) -> None:
         return None
--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -12,6 +12,7 @@
 from mangohatch.core.quarantine.notices import QuarantineNotices
 from mangohatch.core.quarantine.table import QuarantineRow, QuarantineTable
 from mangohatch.core.router import Router
+from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import UpstreamRow, UpstreamState
 from mangohatch.errors import DeadlineExceeded, Outcome, RequestQuarantined
 from mangohatch.timeline import EventKind, Recorder
@@ -120,6 +121,15 @@
             self._record_answer(call)
         self._request_again(self._holds.end_trial(call))
 
+    def observe(self, upstream: UpstreamRow, statement: UpstreamStatement) -> None:
+        """
+        Record what an upstream says of itself, as soon as its response begins.
+
+        :param upstream: the upstream
+        :param statement: the decoded head of the response
+        """
+        self._router.observe(upstream, statement)
+
     def release_request(self, service: str, fingerprint: str) -> bool:
         """
         Release a request on all hosts by order of an operator.
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -1,5 +1,6 @@
 """The router, which decides which upstream runs a call and when."""
 
+import math
 import random
 
 from mangohatch.clock import Clock
@@ -8,7 +9,9 @@
 from mangohatch.core.choice import Chooser
 from mangohatch.core.choice.least_in_flight import LeastInFlightChooser
 from mangohatch.core.health import Health, NoHealth
-from mangohatch.core.tables import ServiceRow, Tables, UpstreamState
+from mangohatch.core.signs import SignSystem
+from mangohatch.core.statement import UpstreamStatement
+from mangohatch.core.tables import ServiceRow, Tables, UpstreamRow, UpstreamState
 from mangohatch.core.timers import NoTimers, Timers
 from mangohatch.errors import NoUpstream, Overloaded, RequestError
 
@@ -35,11 +38,13 @@
         host_id: str = "",
         chooser: Chooser | None = None,
         timers: Timers | None = None,
+        signs: SignSystem | None = None,
     ) -> None:
         self._clock = clock
         self._tables = tables
         self._health = health or NoHealth()
         self._host_id = host_id
+        self._signs = signs
         self._timers = timers or NoTimers()
         self._chooser = chooser or LeastInFlightChooser(
             clock=clock, rng=rng, health=self._health
@@ -73,6 +78,8 @@
         self._timers.call_later(
             waiting.until_ms - self._clock.now_ms(), lambda: self._refuse_late(queue)
         )
+        if self._refuse_unopened(service, queue) and waiting not in queue:
+            return
         if not self._chooser.wait(service, call, len(queue)):
             self.serve(call.service)
 
@@ -100,13 +107,25 @@
             return
         if grant.call.route and report.response_bytes:
             self._tables.record_response(grant.call.route, report.response_bytes)
-        if report.draining:
+        statement = report.statement
+        # The sign system decides by itself how long an upstream counts as leaving.
+        if statement.replaced or (statement.leaving and self._signs is None):
             grant.upstream.state = UpstreamState.DRAINING
         self._chooser.release(service, grant, report)
         self.serve(grant.call.service)
         if not self.count_waiting(grant.call.service):
             self._chooser.idle(service)
 
+    def observe(self, upstream: UpstreamRow, statement: UpstreamStatement) -> None:
+        """
+        Record what an upstream says of itself, as soon as its response begins.
+
+        :param upstream: the upstream
+        :param statement: the decoded head of the response
+        """
+        if self._signs is not None:
+            self._signs.observe(upstream, statement)
+
     def serve(self, name: str) -> None:
         """
         Assign available upstreams to waiting calls.
@@ -146,6 +165,8 @@
         self._refuse_late(queue)
         if not self._chooser.has_room(service):
             return
+        if self._refuse_unopened(service, queue):
+            return
         failed_grants = 0
         for waiting in queue.ordered(self._clock.now_ms()):
             if waiting not in queue:
@@ -215,6 +236,24 @@
         for waiting in queue.expire(self._clock.now_ms()):
             self._refuse_busy(queue, waiting)
 
+    def _refuse_unopened(self, service: ServiceRow, queue: WaitQueue) -> bool:
+        """
+        Refuse the calls that wait in vain while all upstreams ask for a pause.
+
+        :return: whether no upstream takes calls now but some will
+        """
+        now_ms = self._clock.now_ms()
+        opens_ms = self._chooser.opens_ms(service)
+        if not now_ms < opens_ms < math.inf:
+            return False
+        for waiting in queue.take_until(opens_ms):
+            error = Overloaded(
+                f"all upstreams of {service.spec.name} ask for a pause",
+                retry_after_ms=opens_ms - now_ms,
+            )
+            self._refuse(waiting, error)
+        return True
+
     def _refuse_busy(self, queue: WaitQueue, waiting: WaitingCall) -> None:
         error = Overloaded(
             "no upstream is free in time", retry_after_ms=queue.retry_after_ms()
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -12,6 +12,7 @@
 from mangohatch.core.slots.recall import IDLE_LINGER_MS, Demand, Recaller
 from mangohatch.core.slots.shards import shard_rows
 from mangohatch.core.slots.speed import SpeedTable
+from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import ServiceRow, UpstreamRow, UpstreamState
 from mangohatch.core.timers import Timers
 from mangohatch.peer.messages.slots import SlotGrant, SlotRequest, SlotReturn, SlotUse
@@ -201,7 +202,9 @@
             if result is Result.OK:
                 self._speeds.record(use.upstream, use.latency_ms)
             report = Report(
-                result=result, latency_ms=use.latency_ms, draining=use.draining
+                result=result,
+                latency_ms=use.latency_ms,
+                statement=UpstreamStatement(leaving=use.draining),
             )
             self._health.observe(slot.row, report, holder)
 
--- a/src/mangohatch/core/slots/holder.py
+++ b/src/mangohatch/core/slots/holder.py
@@ -138,11 +138,15 @@
             token=token,
             result=str(report.result),
             latency_ms=report.latency_ms,
-            draining=report.draining,
+            draining=report.statement.leaving,
         )
         self._uses.append(use)
         now_ms = self._clock.now_ms()
-        if report.result is not Result.OK or report.draining or held.single_use:
+        if (
+            report.result is not Result.OK
+            or report.statement.leaving
+            or held.single_use
+        ):
             del self.leases[token]
             use.freed = True
             self.flush()
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -9,6 +9,7 @@
 from mangohatch.core.named_limit import NamedLimit
 from mangohatch.core.routes import RouteTable
 from mangohatch.core.spec import UpstreamSpec
+from mangohatch.core.upstream_signs import InstanceKey, UpstreamSigns
 
 __all__ = ["DrainCause", "ServiceRow", "Tables", "UpstreamRow", "UpstreamState"]
 
@@ -58,8 +59,14 @@
     reported: bool = True
     load: LoadView = field(default_factory=LoadView)
     limit: NamedLimit = field(default_factory=NamedLimit)
+    signs: UpstreamSigns = field(default_factory=UpstreamSigns)
     drain_causes: set[DrainCause] = field(default_factory=set)
 
+    @property
+    def instance(self) -> InstanceKey:
+        """The process of the upstream."""
+        return (self.service, self.name, self.address, self.port, self.started_ms)
+
     def start_drain(self, cause: DrainCause) -> bool:
         """
         Stop sending new requests to the upstream.
@@ -106,12 +113,17 @@
 
 
 class Tables:
-    """All tables of one host."""
+    """
+    All tables of one host.
+
+    ``signs`` holds what upstream processes asked for, also of those without a row.
+    """
 
     def __init__(self) -> None:
         self.services: dict[str, ServiceRow] = {}
         self.routes = RouteTable()
         self.response_bytes: dict[str, float] = {}
+        self.signs: dict[InstanceKey, UpstreamSigns] = {}
         self._removed: dict[tuple[str, str], UpstreamRow] = {}
 
     def apply(self, spec: Any, *, revision: int) -> bool:
@@ -139,7 +151,9 @@
             if old is not None and is_same_process(old, upstream):
                 row.upstreams[upstream.name] = update_row(old, upstream)
             else:
-                row.upstreams[upstream.name] = make_row(spec.name, upstream)
+                made = make_row(spec.name, upstream)
+                self._restore_signs(made)
+                row.upstreams[upstream.name] = made
         self.services[spec.name] = row
         self._keep_removed(known, row.upstreams)
         return True
@@ -152,6 +166,14 @@
         row.reported = True
         return row
 
+    def _restore_signs(self, row: UpstreamRow) -> None:
+        signs = self.signs.get(row.instance)
+        if signs is None:
+            return
+        row.signs = signs
+        if signs.leaving:
+            row.start_drain(DrainCause.SIGN)
+
     def _keep_removed(
         self, known: dict[str, UpstreamRow], current: dict[str, UpstreamRow]
     ) -> None:
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -4,12 +4,19 @@
 from collections.abc import Awaitable, Callable
 
 from mangohatch.clock import Clock
-from mangohatch.core.call import Grant, Report
+from mangohatch.core.call import Grant, Report, Result
+from mangohatch.core.statement import UpstreamStatement
+from mangohatch.core.tables import UpstreamRow
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.continuation import ContinuationSink
 from mangohatch.entry.protocol import ProtocolAdapter
 from mangohatch.entry.retry import is_server_failure, result_of_status
-from mangohatch.errors import UpstreamAborted, UpstreamFailed, UpstreamRefused
+from mangohatch.errors import (
+    UpstreamAborted,
+    UpstreamFailed,
+    UpstreamRefused,
+    UpstreamWithdrawn,
+)
 from mangohatch.upstream.connection import (
     ResponseHead,
     ResponseSink,
@@ -32,6 +39,8 @@
     :param protocol: adapter for the header fields of callers and upstreams
     :param may_retry: takes one retry of a request from the retry budget; returns
         whether the retry is permitted
+    :param on_statement: called with an upstream and what it says of itself, as soon as
+        a response begins
     """
 
     def __init__(
@@ -41,11 +50,13 @@
         pool: ConnectionPool,
         protocol: ProtocolAdapter,
         may_retry: Callable[[ActiveRequest], Awaitable[bool]],
+        on_statement: Callable[[UpstreamRow, UpstreamStatement], None],
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._protocol = protocol
         self._may_retry = may_retry
+        self._on_statement = on_statement
         self._silence = SilenceDetector()
 
     async def run(self, req: ActiveRequest, grant: Grant, report: Report) -> None:
@@ -70,14 +81,22 @@
                 await conn.connect()
             if req.failure is not None:
                 raise req.failure
-            reusable = await self._exchange(req, conn, report)
+            if not grant.upstream.signs.allows(self._clock.now_ms(), 0):
+                raise UpstreamWithdrawn(
+                    f"upstream {grant.upstream.name} leaves or asks for a pause"
+                )
+            reusable = await self._exchange(req, conn, grant, report)
         finally:
             req.conn = None
             req.awaits_head = False
             self._pool.release(conn, reusable=reusable)
 
     async def _exchange(
-        self, req: ActiveRequest, conn: UpstreamConnection, report: Report
+        self,
+        req: ActiveRequest,
+        conn: UpstreamConnection,
+        grant: Grant,
+        report: Report,
     ) -> bool:
         req.reuses_connection = conn.exchanges > 0
         req.silence_limit_ms = self._silence.limit_ms(
@@ -96,7 +115,11 @@
             report.first_byte_ms = conn.last_read_ms - conn.sent_ms
             self._silence.observe(conn.upstream, report.first_byte_ms)
             report.result = result_of_status(head.line.code)
-            self._protocol.read_upstream_state(head, report)
+            statement = self._protocol.read_statement(head, conn.upstream)
+            report.statement = statement
+            if statement.pause_ms is not None:
+                report.result = Result.REFUSED
+            self._on_statement(grant.upstream, statement)
             sink = await self._select_sink(req, head)
             # If the upstream responds before the whole request was sent, the
             # connection can't be reused: the upstream would parse the remaining
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -35,6 +35,7 @@
     UpstreamFailed,
     UpstreamRefused,
     UpstreamUnreachable,
+    UpstreamWithdrawn,
 )
 from mangohatch.timeline.event import EventKind
 from mangohatch.timeline.recorder import Recorder
@@ -96,6 +97,7 @@
             pool=pool,
             protocol=self.protocol,
             may_retry=self._request_safe_retry,
+            on_statement=router.observe,
         )
         self._monitor = RequestMonitor(
             clock=clock,
@@ -203,6 +205,8 @@
             report.result = result_of(error)
             if req.silent and report.result is Result.TIMEOUT and req.reuses_connection:
                 report.result = Result.SILENT
+            if report.statement.pause_ms is not None:
+                report.result = Result.REFUSED  # no evidence that it fails
             if req.failure is not None:
                 raise req.failure from exc
             return error
@@ -304,6 +308,9 @@
             await self._prepare_continuation(req, error)
             return
         call = req.call
+        if isinstance(error, UpstreamWithdrawn):
+            # No byte was sent, so this was neither an attempt nor costs a retry.
+            return
         allowed = req.retry_allowed
         req.retry_allowed = False
         if not is_retry_safe(call, error) or not self._may_retry(req):
--- a/src/mangohatch/entry/native.py
+++ b/src/mangohatch/entry/native.py
@@ -5,7 +5,8 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from mangohatch.core.call import Call, Report
+from mangohatch.core.call import Call
+from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.headers import (
@@ -77,12 +78,19 @@
     def check_response(self, head: ResponseHead) -> None:
         return None
 
-    def read_upstream_state(self, head: ResponseHead, report: Report) -> None:
+    def read_statement(
+        self, head: ResponseHead, upstream: UpstreamRow
+    ) -> UpstreamStatement:
         load = head.headers.pop(UPSTREAM_LOAD_HEADER, None)
+        in_flight = None
         if load is not None and load.isascii() and load.isdigit():
-            report.upstream_in_flight = int(load[:MAX_LOAD_DIGITS])
+            in_flight = int(load[:MAX_LOAD_DIGITS])
         state = head.headers.pop(UPSTREAM_STATE_HEADER, None)
-        report.draining = state == DRAINING
+        return UpstreamStatement(
+            in_flight=in_flight,
+            leaving=state == DRAINING,
+            accepted=not self.is_not_run(head),
+        )
 
     def finalize_response(self, head: ResponseHead, request_id: str) -> Outcome:
         drop_hop_by_hop(head.headers)
--- a/src/mangohatch/entry/protocol.py
+++ b/src/mangohatch/entry/protocol.py
@@ -6,7 +6,8 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from mangohatch.core.call import Call, Report
+from mangohatch.core.call import Call
+from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.errors import Outcome, RequestError
 from mangohatch.upstream.connection import ResponseHead
@@ -125,12 +126,15 @@
         """
 
     @abstractmethod
-    def read_upstream_state(self, head: ResponseHead, report: Report) -> None:
+    def read_statement(
+        self, head: ResponseHead, upstream: UpstreamRow
+    ) -> UpstreamStatement:
         """
-        Read the state of the upstream from a response.
+        Read what an upstream says of itself in a response.
 
         :param head: head of the response
-        :param report: receives load and drain state
+        :param upstream: the upstream to which the request was sent
+        :return: the decoded fields
         """
 
     @abstractmethod
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -55,6 +55,7 @@
     UpstreamAborted,
     UpstreamRefused,
     UpstreamUnreachable,
+    UpstreamWithdrawn,
 )
 from mangohatch.errors.settings import SettingsError
 from mangohatch.errors.store import (
@@ -124,5 +125,6 @@
     "UpstreamAborted",
     "UpstreamFailed",
     "UpstreamRefused",
+    "UpstreamWithdrawn",
     "UpstreamUnreachable",
 ]
--- a/src/mangohatch/errors/request.py
+++ b/src/mangohatch/errors/request.py
@@ -18,6 +18,7 @@
     "Stopping",
     "UpstreamAborted",
     "UpstreamRefused",
+    "UpstreamWithdrawn",
     "UpstreamUnreachable",
 ]
 
@@ -113,6 +114,13 @@
     status = 502
 
 
+class UpstreamWithdrawn(RequestError):
+    """The upstream ended or paused new work before the request was sent to it."""
+
+    code = "upstream_withdrawn"
+    status = 503
+
+
 class UpstreamRefused(RequestError):
     """The upstream stated that it did not run the request."""
 
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -21,6 +21,7 @@
     QuarantineTable,
 )
 from mangohatch.core.router import Router
+from mangohatch.core.signs import SignSettings, SignSystem
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables
 from mangohatch.core.timers import Timers
@@ -40,13 +41,15 @@
 
     ``health`` is the health of the upstreams. ``should_move`` returns whether a request
     should move to another upstream; it is None if the placement policy never moves
-    requests. ``limits`` keeps the limits that upstreams name.
+    requests. ``limits`` keeps the limits that upstreams name, and ``signs`` which of
+    them leave or ask for a pause.
     """
 
     router: Router
     health: OutlierHealth
     gate: QuarantineGate
     limits: PermitTable
+    signs: SignSystem
     should_move: Callable[[Grant], bool] | None
 
 
@@ -63,6 +66,7 @@
     zone: str,
     placement: Placement,
     crash_probe: LoadProbe,
+    sign_settings: SignSettings,
 ) -> Decisions:
     """
     Build the decision core.
@@ -78,11 +82,21 @@
     :param zone: availability zone of this host
     :param placement: placement policy, chooses the upstream of a request
     :param crash_probe: checks whether upstreams have crashed
+    :param sign_settings: bounds of the signs that upstreams give
     :return: the components of the decision core
     """
     limits = PermitTable(
         clock=clock, tables=tables, subset=subset, bus=bus, timers=timers
     )
+    signs = SignSystem(
+        clock=clock,
+        rng=rng,
+        tables=tables,
+        subset=subset,
+        bus=bus,
+        timers=timers,
+        cfg=sign_settings,
+    )
     health = OutlierHealth(clock=clock, rng=rng, listener=HealthLog())
     chooser: Chooser
     should_move = None
@@ -122,7 +136,9 @@
         host_id=bus.host_id,
         chooser=chooser,
         timers=timers,
+        signs=signs,
     )
+    signs.on_change = router.serve_soon
     if placement is not Placement.POWER_OF_TWO:
         placement_updates.on_service_freed = router.serve_soon
         placement_updates.urgency = router.urgency
@@ -152,5 +168,6 @@
         health=health,
         gate=gate,
         limits=limits,
+        signs=signs,
         should_move=should_move,
     )
--- a/src/mangohatch/fleet/health_log.py
+++ b/src/mangohatch/fleet/health_log.py
@@ -31,6 +31,10 @@
         log.info("upstream_returned", service=row.service, upstream=row.name)
 
     def on_draining(self, upstream: UpstreamRow) -> None:
+        # The sign system logs this with origin and age.
+        return None
+
+    def on_replaced(self, upstream: UpstreamRow) -> None:
         log.info(
             "upstream_replaced",
             service=upstream.service,
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -12,6 +12,7 @@
 from mangohatch.core.limits.retry_permits import RetryPermits
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.retry import FleetRetryBudget
+from mangohatch.core.signs import SignSettings
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables
 from mangohatch.directory import DirectoryFollower, DirectoryPart
@@ -116,10 +117,12 @@
             placement=placement,
             crash_probe=crash_probe
             or HttpLoadProbe(clock=clock, read=components.read_probe),
+            sign_settings=SignSettings(max_pause_ms=cfg.bounds.max_pause_ms),
         )
         self.gate = decisions.gate
         self._move_policy = decisions.should_move
         self._limits = decisions.limits
+        self._signs = decisions.signs
         self._table_updater = TableUpdater(
             clock=clock,
             tables=self.tables,
@@ -137,6 +140,7 @@
             timers=timers,
             estimator=self.estimator,
             on_load=decisions.router.serve_soon,
+            signs=decisions.signs,
         )
         decisions.limits.on_limit = self.reports.add
         self.probing = ProbingSystem(
@@ -148,8 +152,10 @@
             timers=timers,
             estimator=self.estimator,
             on_load=decisions.router.serve_soon,
+            signs=decisions.signs,
         )
         self.pool = ConnectionPool(clock=clock)
+        decisions.signs.on_leaving = self.pool.drop_idle
         self._retry_permits = RetryPermits(
             clock=clock,
             bus=self.bus,
@@ -257,6 +263,16 @@
                 "Requests sent to upstreams that name a limit.",
                 self._limits.used,
             ),
+            (
+                "upstreams_leaving",
+                "Upstreams that this host knew to leave.",
+                self._signs.leavings,
+            ),
+            (
+                "upstream_pauses",
+                "Pauses that upstreams asked of this host.",
+                self._signs.pauses,
+            ),
             (
                 "retry_permits_granted",
                 "Retries permitted to hosts from the slack of the retry budget.",
@@ -350,6 +366,7 @@
             self.probing.tick()
         self.gate.tick()
         self._limits.tick()
+        self._signs.tick()
         self._retry_permits.tick()
         self.entry.tick()
         self.metrics.tick()
@@ -371,6 +388,7 @@
         self.budget.set_bounds(
             ratio=cfg.bounds.retry_ratio, slack=cfg.bounds.retry_slack
         )
+        self._signs.cfg = SignSettings(max_pause_ms=cfg.bounds.max_pause_ms)
         self.cfg = replace(self.cfg, seeds=cfg.seeds, bounds=cfg.bounds)
         log.info("settings_in_force", seeds=len(cfg.seeds))
 
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["FleetBounds", "FleetSettings"]
+__all__ = ["MAX_PAUSE_MS", "FleetBounds", "FleetSettings"]
 
 Address = tuple[str, int]
+MAX_PAUSE_MS = 120_000.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -14,13 +15,15 @@
 
     A process must end within ``grace_ms`` of SIGTERM. The retry limits apply to the
     fleet as a whole: in any period of ``retry_window_ms``, the repeated attempts for a
-    service are at most ``retry_ratio`` times its requests, plus ``retry_slack``.
+    service are at most ``retry_ratio`` times its requests, plus ``retry_slack``. Longer
+    pauses than ``max_pause_ms`` that upstreams ask for are cut to it.
     """
 
     grace_ms: float
     retry_ratio: float
     retry_slack: float
     retry_window_ms: float
+    max_pause_ms: float = MAX_PAUSE_MS
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/host/health.py
+++ b/src/mangohatch/host/health.py
@@ -52,6 +52,10 @@
             cause="answered on probation",
         )
 
+    def on_replaced(self, upstream: UpstreamRow) -> None:
+        # Upstreams of the native protocol do not say which process answers.
+        return None
+
     def on_draining(self, upstream: UpstreamRow) -> None:
         self._draining.mark_draining(upstream, cause="its answer said so")
 
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -3377,6 +3377,7 @@
      - healthy
      - limit_per_s
      - limit_age_ms
+     - leaving
 
     """
 
@@ -3390,10 +3391,11 @@
         'healthy',
         'limit_per_s',
         'limit_age_ms',
+        'leaving',
     )
 
 
-    def __init__(self, upstream=None, running=None, waiting=None, slots=None, slowdown_percent=None, age_ms=None, healthy=None, limit_per_s=None, limit_age_ms=None,):
+    def __init__(self, upstream=None, running=None, waiting=None, slots=None, slowdown_percent=None, age_ms=None, healthy=None, limit_per_s=None, limit_age_ms=None, leaving=None,):
         self.upstream = upstream
         self.running = running
         self.waiting = waiting
@@ -3403,6 +3405,7 @@
         self.healthy = healthy
         self.limit_per_s = limit_per_s
         self.limit_age_ms = limit_age_ms
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3458,6 +3461,11 @@
                     self.limit_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3504,6 +3512,270 @@
             oprot.writeFieldBegin('limit_age_ms', TType.I32, 9)
             oprot.writeI32(self.limit_age_ms)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 10)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LeavingNotice(object):
+    """
+    An upstream process said age_ms ago that it leaves.
+
+    Attributes:
+     - service_name
+     - upstream
+     - address
+     - port
+     - started_ms
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'upstream',
+        'address',
+        'port',
+        'started_ms',
+        'age_ms',
+    )
+
+
+    def __init__(self, service_name=None, upstream=None, address=None, port=None, started_ms=None, age_ms=None,):
+        self.service_name = service_name
+        self.upstream = upstream
+        self.address = address
+        self.port = port
+        self.started_ms = started_ms
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.started_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingNotice')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.DOUBLE, 5)
+            oprot.writeDouble(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PauseNotice(object):
+    """
+    An upstream process asked the sender for a pause.
+
+    Attributes:
+     - service_name
+     - upstream
+     - address
+     - port
+     - started_ms
+     - rest_ms
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'upstream',
+        'address',
+        'port',
+        'started_ms',
+        'rest_ms',
+    )
+
+
+    def __init__(self, service_name=None, upstream=None, address=None, port=None, started_ms=None, rest_ms=None,):
+        self.service_name = service_name
+        self.upstream = upstream
+        self.address = address
+        self.port = port
+        self.started_ms = started_ms
+        self.rest_ms = rest_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.started_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.rest_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PauseNotice')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.DOUBLE, 5)
+            oprot.writeDouble(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.rest_ms is not None:
+            oprot.writeFieldBegin('rest_ms', TType.I32, 6)
+            oprot.writeI32(self.rest_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4328,6 +4600,27 @@
     (7, TType.BOOL, 'healthy', None, None, ),  # 7
     (8, TType.DOUBLE, 'limit_per_s', None, None, ),  # 8
     (9, TType.I32, 'limit_age_ms', None, None, ),  # 9
+    (10, TType.BOOL, 'leaving', None, None, ),  # 10
+)
+all_structs.append(LeavingNotice)
+LeavingNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+    (5, TType.DOUBLE, 'started_ms', None, None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
+)
+all_structs.append(PauseNotice)
+PauseNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+    (5, TType.DOUBLE, 'started_ms', None, None, ),  # 5
+    (6, TType.I32, 'rest_ms', None, None, ),  # 6
 )
 all_structs.append(PermitRequest)
 PermitRequest.thrift_spec = (
--- a/src/mangohatch/peer/messages/load.py
+++ b/src/mangohatch/peer/messages/load.py
@@ -14,7 +14,8 @@
 
     ``slowdown_percent`` is 100 if work takes the typical time. ``limit_per_s`` is the
     limit that the upstream named in a response ``limit_age_ms`` ago, negative if that
-    response named none. A negative age means that no response is known.
+    response named none. A negative age means that no response is known. ``leaving`` is
+    whether the upstream said that it leaves.
     """
 
     upstream: str = ""
@@ -26,6 +27,7 @@
     healthy: bool = True
     limit_per_s: float = -1.0
     limit_age_ms: int = -1
+    leaving: bool = False
 
 
 @message
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -240,6 +240,27 @@
   7: bool healthy,
   8: double limit_per_s,
   9: i32 limit_age_ms,
+  10: bool leaving,
+}
+
+/** An upstream process said age_ms ago that it leaves. */
+struct LeavingNotice {
+  1: string service_name,
+  2: string upstream,
+  3: string address,
+  4: i32 port,
+  5: double started_ms,
+  6: i32 age_ms,
+}
+
+/** An upstream process asked the sender for a pause. */
+struct PauseNotice {
+  1: string service_name,
+  2: string upstream,
+  3: string address,
+  4: i32 port,
+  5: double started_ms,
+  6: i32 rest_ms,
 }
 
 /** A host asks the owner of a limited upstream for permits. */
--- a/src/mangohatch/platform/settings.py
+++ b/src/mangohatch/platform/settings.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from mangohatch.errors import SettingsError
-from mangohatch.fleet.settings import FleetBounds, FleetSettings
+from mangohatch.fleet.settings import MAX_PAUSE_MS, FleetBounds, FleetSettings
 from mangohatch.platform.values import (
     DocumentError,
     parse_address,
@@ -65,6 +65,30 @@
             retry_ratio=require_field(bounds, "retry_budget_ratio", (int, float)),
             retry_slack=require_field(bounds, "budget_slack", (int, float)),
             retry_window_ms=parse_duration_ms(bounds.get("budget_window")),
+            max_pause_ms=read_max_pause_ms(bounds),
         ),
         first_start=fields.get("bootstrap") is True,
     )
+
+
+def read_max_pause_ms(bounds: dict[str, Any]) -> float:
+    """
+    Read the longest pause that is obeyed, which the platform need not set.
+
+    :param bounds: the decoded table of bounds
+    :return: milliseconds, more than 0
+    :raises DocumentError: if the value is not a duration above 0
+    """
+    text = bounds.get("max_pause")
+    if text is None:
+        return MAX_PAUSE_MS
+    try:
+        pause_ms = parse_duration_ms(text)
+    except DocumentError:
+        pause_ms = 0.0
+    if pause_ms <= 0.0:
+        raise DocumentError(
+            f"field 'bounds.max_pause' is {text!r}, expected a duration above 0 such"
+            " as '120s'"
+        )
+    return pause_ms
--- a/src/mangohatch/probing/probe.py
+++ b/src/mangohatch/probing/probe.py
@@ -18,13 +18,15 @@
     ``load`` is None when the upstream sent no usable response. ``measured_ms`` is the
     monotonic time at which the probe was sent; the upstream made its report later.
     ``instance`` is the instance id in the response, empty when it contains none.
-    ``refused`` is whether the upstream accepted no connection.
+    ``refused`` is whether the upstream accepted no connection, and ``leaving`` whether
+    its response says that it leaves.
     """
 
     load: UpstreamLoad | None
     measured_ms: float
     instance: str = ""
     refused: bool = False
+    leaving: bool = False
 
 
 class LoadProbe(ABC):
--- a/src/mangohatch/probing/reports.py
+++ b/src/mangohatch/probing/reports.py
@@ -6,6 +6,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.load_estimator import LoadEstimator
+from mangohatch.core.signs import SignSystem
 from mangohatch.core.subset import SubsetTable, split_hosts
 from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.core.timers import Timers
@@ -41,6 +42,7 @@
     :param timers: delays sending to collect several loads in one message
     :param estimator: receives the reports of peers
     :param on_load: called with the service name after a report was applied
+    :param signs: learns from reports which upstreams still leave
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         timers: Timers,
         estimator: LoadEstimator,
         on_load: Callable[[str], None],
+        signs: SignSystem,
     ) -> None:
         self._clock = clock
         self._estimator = estimator
@@ -61,6 +64,7 @@
         self._subset = subset
         self._bus = bus
         self._on_load = on_load
+        self._signs = signs
         self._turn = 0
         self._unsent: dict[str, dict[str, UpstreamRow]] = {}
         bus.subscribe(LoadReport, self._receive)
@@ -127,6 +131,7 @@
             slowdown_percent=round(load.slowdown * PERCENT),
             age_ms=int(self._clock.now_ms() - row.load.measured_ms),
             healthy=load.healthy,
+            leaving=row.signs.leaving_ms >= row.load.measured_ms,
             limit_per_s=row.limit.per_s if row.limit.named else NO_LIMIT,
             limit_age_ms=self._limit_age_ms(row),
         )
@@ -158,6 +163,12 @@
                     sample.limit_per_s if sample.limit_per_s >= 0.0 else math.inf,
                     seen_ms=now_ms - sample.limit_age_ms,
                 )
+            self._signs.observe_report(
+                row,
+                leaving=sample.leaving,
+                healthy=sample.healthy,
+                measured_ms=now_ms - sample.age_ms,
+            )
             self._estimator.observe(
                 row, load, measured_ms=now_ms - sample.age_ms, seen_ms=now_ms
             )
--- a/src/mangohatch/probing/system.py
+++ b/src/mangohatch/probing/system.py
@@ -5,6 +5,8 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.load_estimator import LoadEstimator
+from mangohatch.core.signs import SignSystem
+from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.core.timers import Timers
@@ -70,6 +72,7 @@
     :param timers: schedules the next probe of each upstream
     :param estimator: receives the results
     :param on_load: called with the service name of each upstream that was probed
+    :param signs: receives what responses say of their upstream
     :param cfg: intervals and numbers of load probes
     """
 
@@ -84,6 +87,7 @@
         timers: Timers,
         estimator: LoadEstimator,
         on_load: Callable[[str], None],
+        signs: SignSystem,
         cfg: ProbeSettings | None = None,
     ) -> None:
         self._clock = clock
@@ -94,6 +98,7 @@
         self._timers = timers
         self._estimator = estimator
         self._on_load = on_load
+        self._signs = signs
         self._cfg = cfg or ProbeSettings()
         self._owned: dict[int, ProbeRow] = {}
         self._subset_version: int | None = None
@@ -177,8 +182,18 @@
         return now_ms + cfg.interval_ms
 
     def _handle_result(self, row: UpstreamRow, result: ProbeResult) -> None:
-        if result.load is None or result.instance not in ("", row.name):
+        if result.instance not in ("", row.name):
             return
+        if result.leaving:
+            self._signs.observe(row, UpstreamStatement(leaving=True))
+        if result.load is None:
+            return
+        self._signs.observe_report(
+            row,
+            leaving=result.leaving,
+            healthy=result.load.healthy,
+            measured_ms=result.measured_ms,
+        )
         if self._estimator.observe(
             row,
             result.load,
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from mangohatch.clock import Clock
-from mangohatch.core.load import UpstreamLoad
+from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import RequestError, UpstreamUnreachable
 from mangohatch.probing import LoadProbe, ProbeResult
@@ -24,7 +24,7 @@
 
 MAX_PROBE_BODY_BYTES = 16_384  # the report is in the head
 
-ReadProbe = Callable[[ResponseHead], tuple[UpstreamLoad | None, str]]
+ReadProbe = Callable[[ResponseHead], tuple[UpstreamStatement, str]]
 
 
 class HttpLoadProbe(LoadProbe):
@@ -57,11 +57,11 @@
     async def _run(
         self, row: UpstreamRow, path: str, done: Callable[[ProbeResult], None]
     ) -> None:
-        load, instance, refused = None, "", False
+        statement, instance, refused = UpstreamStatement(), "", False
         conn = self._acquire(row)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                load, instance = await self._exchange(conn, path)
+                statement, instance = await self._exchange(conn, path)
         except UpstreamUnreachable:
             refused = True
             conn.close()
@@ -73,7 +73,8 @@
         # The send time is a lower bound for the time at which the report was made.
         done(
             ProbeResult(
-                load=load,
+                load=statement.load,
+                leaving=statement.leaving,
                 measured_ms=conn.sent_ms,
                 instance=instance,
                 refused=refused,
@@ -94,7 +95,7 @@
 
     async def _exchange(
         self, conn: UpstreamConnection, path: str
-    ) -> tuple[UpstreamLoad | None, str]:
+    ) -> tuple[UpstreamStatement, str]:
         if not conn.connected:
             await conn.connect()
         upstream = conn.upstream
--- a/src/mangohatch/upstream/pool.py
+++ b/src/mangohatch/upstream/pool.py
@@ -105,11 +105,21 @@
         """
         upstream = conn.upstream
         pool = self._pools[(upstream.address, upstream.port)]
-        if reusable and not conn.closed:
+        if reusable and not conn.closed and not upstream.signs.leaving:
             pool.idle.append(conn)
         else:
             self._drop(pool, conn)
 
+    def drop_idle(self, upstream: UpstreamRow) -> None:
+        """
+        Close the idle connections to an upstream that gets no new requests.
+
+        :param upstream: the upstream
+        """
+        pool = self._pools.get((upstream.address, upstream.port))
+        while pool is not None and pool.idle:
+            self._drop(pool, pool.idle.pop())
+
     def drop_stale_siblings(self, conn: UpstreamConnection) -> int:
         """
         Drop idle connections to the address of a silent connection.
--- a/src/standins/platform_site.py
+++ b/src/standins/platform_site.py
@@ -67,12 +67,16 @@
     """
     An upstream that answers each request with its path.
 
-    It answers 421 to requests whose ``Expected-Instance`` names another upstream.
+    It answers 421 to requests whose ``Expected-Instance`` names another upstream. Its
+    answers carry the fields ``signs``, and with ``pause_s`` it turns requests away and
+    asks for a pause.
     """
 
     name: str
     service: str
     work_s: float = 0.0
+    signs: Headers = field(default_factory=dict)
+    pause_s: str = ""
     requests: list[Headers] = field(default_factory=list)
     server: StubHttpServer | None = None
 
@@ -108,12 +112,15 @@
         :param body: request body
         :return: status, header fields and body of the response
         """
-        load = {"Upstream-Load": "0,0,2,100"}
+        load = {"Upstream-Load": "0,0,2,100"} | self.signs
         if target == "/healthz":
             return 200, load | {"Upstream-Instance": self.name}, b""
         if headers.get("expected-instance") != self.name:
             return 421, {"Upstream-Instance": self.name}, b""
         self.requests.append(headers)
+        if self.pause_s:
+            refusal = {"Not-Executed": "1", "Retry-After": self.pause_s}
+            return 503, load | refusal | {"Request-Id": headers["request-id"]}, b""
         await asyncio.sleep(self.work_s)
         fields = {
             "Request-Id": headers["request-id"],
--- a/src/standins/simulated_fleet/__init__.py
+++ b/src/standins/simulated_fleet/__init__.py
@@ -14,6 +14,7 @@
     LimitVerdict,
 )
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
+from standins.simulated_fleet.sign_traffic import SignPlan, SignTraffic, SignVerdict
 from standins.simulated_fleet.usage import Usage
 
 __all__ = [
@@ -27,6 +28,9 @@
     "LimitTraffic",
     "LimitVerdict",
     "PeerNetwork",
+    "SignPlan",
+    "SignTraffic",
+    "SignVerdict",
     "SimulatedFleet",
     "SimulatedHost",
     "Usage",
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -20,6 +20,7 @@
 START_SPAN_MS = 300.0  # all hosts start within this time
 CHECK_MS = 50.0
 RETURN_MS = 3_000.0  # from a crash until a new process has started
+LAPSED_MS = 1_000.0
 LAPSE_MS = 4_500.0  # three heartbeats of an upstream
 MEAN_WORK_MS = 100.0
 WORK_SPREAD = 0.3
@@ -76,6 +77,7 @@
         )
         self.store.put_configuration(plan.services, plan.configuration_bytes)
         self._upstreams: dict[str, SimulatedUpstream] = {}
+        self._entries: dict[str, RegisteredUpstream] = {}
         self.crashed = 0
         self.start_upstreams(plan.upstreams)
         self._start_hosts()
@@ -100,19 +102,29 @@
             loop=self.loop,
             on_crash=lambda upstream: self._replace_crashed(upstream.name, number),
         )
-        self.store.put_upstream(
-            RegisteredUpstream(
-                name=name,
-                service=self._service(number),
-                address="10.200.0.1",
-                port=1 + number % MAX_PORT,
-                zone=zone_name(number),
-                slots=SLOTS,
-                draining=False,
-                started_ms=1.0,
-                warm_wall_ms=0.0,
-            )
+        entry = RegisteredUpstream(
+            name=name,
+            service=self._service(number),
+            address="10.200.0.1",
+            port=1 + number % MAX_PORT,
+            zone=zone_name(number),
+            slots=SLOTS,
+            draining=False,
+            started_ms=1.0,
+            warm_wall_ms=0.0,
         )
+        self._entries[name] = entry
+        self.store.put_upstream(entry)
+
+    def lapse_entry(self, name: str) -> None:
+        """
+        Let the entry of an upstream lapse and return, while its process lives.
+
+        :param name: name of the upstream
+        """
+        self.store.remove_upstream(name)
+        entry = self._entries[name]
+        self.loop.call_later(LAPSED_MS / MS_PER_S, self.store.put_upstream, entry)
 
     def _replace_crashed(self, name: str, number: int) -> None:
         """Start a crashed upstream under a new name; its old entry lapses later."""
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -6,6 +6,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
 from mangohatch.core.call import Call, Decision, Grant, Report, Result
+from mangohatch.core.statement import UpstreamStatement
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.table_updater import TableUpdater
 from mangohatch.entry.active import ActiveRequest
@@ -36,6 +37,9 @@
 RESPONSE_BYTES = 1_500
 MAX_ATTEMPTS = 2
 OK = 200
+SERVICE_UNAVAILABLE = 503
+ANSWERED = frozenset({Result.OK, Result.REFUSED})
+NOT_RUN = frozenset({Result.UNREACHABLE, Result.REFUSED})
 PERCENT = 100.0
 MS_PER_S = 1000.0
 UNUSED = ("127.0.0.1", 0)
@@ -50,7 +54,9 @@
 
     ``in_force_ms`` holds the time at which each version of the configuration came
     into force on this host, and ``told_ms`` the time at which it passed on the first
-    answer with each limit of an upstream.
+    answer with each limit of an upstream. ``leaving_ms`` holds the same for the answers
+    by which upstreams leave, and ``pauses`` lists the upstreams that asked for a pause,
+    with its begin and end.
 
     :param host_id: id of the host
     :param zone: its availability zone
@@ -81,6 +87,8 @@
         self.host_id = host_id
         self.in_force_ms: dict[int, float] = {}
         self.told_ms: dict[tuple[str, float], float] = {}
+        self.leaving_ms: dict[str, float] = {}
+        self.pauses: list[tuple[str, float, float]] = []
         self.granted = 0
         self.refused = 0
         self.running = True
@@ -229,6 +237,7 @@
             req.held_ms = max(req.held_ms, now_ms - req.broken_ms)
             req.broken_ms = None
         req.sent_ms.append(now_ms)
+        req.reached.append(decision.upstream.name)
         self._upstreams[decision.upstream.name].run(
             req.work_ms,
             lambda result: self._end_attempt(req, decision, result),
@@ -248,9 +257,10 @@
         elif result is Result.OK:
             report.first_byte_ms = report.latency_ms
             report.response_bytes = RESPONSE_BYTES
-            self._read_head(self._upstreams[grant.upstream.name], report)
+        if result in ANSWERED:
+            self._read_head(grant, report)
         self.fleet_host.gate.release(grant, report)
-        may_repeat = call.idempotent or result is Result.UNREACHABLE
+        may_repeat = call.idempotent or result in NOT_RUN
         if result is Result.OK:
             self._in_flight -= 1
             req.end("", now_ms)
@@ -275,7 +285,9 @@
         avoid = call.avoid | {grant.upstream.name}
         self._attempt(req, replace(call, avoid=avoid, attempt=call.attempt + 1))
 
-    def _read_head(self, upstream: SimulatedUpstream, report: Report) -> None:
+    def _read_head(self, grant: Grant, report: Report) -> None:
+        upstream = self._upstreams[grant.upstream.name]
+        now_ms = self._clock.now_ms()
         load = upstream.load()
         percent = round(load.slowdown * PERCENT)
         headers = HTTPHeaders(
@@ -283,13 +295,23 @@
         )
         if upstream.limit_per_s is not None:
             headers["Server-Limit"] = f"{upstream.limit_per_s:g}"
-            self.told_ms.setdefault(
-                (upstream.name, upstream.limit_per_s), self._clock.now_ms()
-            )
+            self.told_ms.setdefault((upstream.name, upstream.limit_per_s), now_ms)
+        if upstream.leaving:
+            headers["Server-Leaving"] = "1"
+            self.leaving_ms.setdefault(upstream.name, now_ms)
+        status = OK
+        if report.result is Result.REFUSED:
+            status = SERVICE_UNAVAILABLE
+            headers["Not-Executed"] = "1"
+            pause_ms = upstream.asked_pause_ms()
+            if pause_ms is not None:
+                headers["Retry-After"] = f"{pause_ms / MS_PER_S:.3f}"
+                self.pauses.append((upstream.name, now_ms, now_ms + pause_ms))
         head = ResponseHead(
-            line=ResponseStartLine("HTTP/1.1", OK, "OK"), headers=headers
+            line=ResponseStartLine("HTTP/1.1", status, ""), headers=headers
         )
-        self._protocol.read_upstream_state(head, report)
+        report.statement = self._protocol.read_statement(head, grant.upstream)
+        self.fleet_host.gate.observe(grant.upstream, report.statement)
 
     def _run(self, decision: Decision, work_ms: float) -> None:
         if not isinstance(decision, Grant):
@@ -310,7 +332,9 @@
             result=Result.OK,
             latency_ms=duration_ms,
             first_byte_ms=duration_ms,
-            load=self._upstreams[grant.upstream.name].load(),
+            statement=UpstreamStatement(
+                load=self._upstreams[grant.upstream.name].load()
+            ),
             response_bytes=RESPONSE_BYTES,
         )
         self.fleet_host.gate.release(grant, report)
--- a/src/standins/simulated_fleet/requests.py
+++ b/src/standins/simulated_fleet/requests.py
@@ -15,8 +15,8 @@
     ``reset_after_ms``, the connection of the first attempt is reset after that time.
     ``broken_ms`` is when its connection broke last, and ``held_ms`` the longest time
     from there to the next attempt. ``sent_ms`` holds the times at which it was sent to
-    upstreams. ``error`` is empty after a response, and otherwise the code of the error
-    or the last result.
+    upstreams, and ``reached`` the names of these. ``error`` is empty after a response,
+    and otherwise the code of the error or the last result.
     """
 
     request_id: str
@@ -34,6 +34,7 @@
     broken_ms: float | None = None
     held_ms: float = 0.0
     sent_ms: list[float] = field(default_factory=list)
+    reached: list[str] = field(default_factory=list)
     error: str | None = None
     ended_ms: float | None = None
     on_end: Callable[["SimulatedRequest"], None] | None = None
--- a/src/standins/simulated_fleet/upstreams.py
+++ b/src/standins/simulated_fleet/upstreams.py
@@ -44,7 +44,10 @@
     An upstream with two slots, whose speed is redrawn every 300 ms.
 
     ``limit_per_s`` is the limit that its answers name, in requests a second of all
-    hosts together. ``arrivals`` lists when requests arrived, and from which hosts.
+    hosts together. ``leaving`` is whether its answers say that it leaves. It turns
+    requests away until ``pauses_until_ms``, and asks for a pause of ``pause_ms``, of
+    the rest of this time if None. ``arrivals`` lists when requests arrived, and from
+    which hosts.
 
     :param name: name of the upstream
     :param clock: source of time
@@ -65,6 +68,9 @@
         self.name = name
         self.alive = True
         self.limit_per_s: float | None = None
+        self.leaving = False
+        self.pauses_until_ms = 0.0
+        self.pause_ms: float | None = None
         self.arrivals: list[tuple[float, str]] = []
         self._clock = clock
         self._loop = loop
@@ -96,6 +102,17 @@
             running=running, waiting=0, slots=SLOTS, slowdown=self.slowdown()
         )
 
+    def asked_pause_ms(self) -> float | None:
+        """
+        Return for how long the upstream wants no request of a host.
+
+        :return: milliseconds, None if it takes requests
+        """
+        rest_ms = self.pauses_until_ms - self._clock.now_ms()
+        if rest_ms <= 0.0:
+            return None
+        return rest_ms if self.pause_ms is None else self.pause_ms
+
     def start(self, work_ms: float) -> float:
         """
         Start a request on the slot that is free first.
@@ -133,6 +150,9 @@
         if not self.alive:
             self._call_later(PROBE_MS, lambda: run.end(Result.UNREACHABLE))
             return
+        if self.asked_pause_ms() is not None:
+            self._call_later(PROBE_MS, lambda: run.end(Result.REFUSED))
+            return
         self._runs.add(run)
         duration_ms = self.start(work_ms)
         run_ms = work_ms * self.slowdown()
@@ -191,7 +211,14 @@
             upstream = self._upstreams[row.name]
             if upstream.alive:
                 load = upstream.load()
-                done(ProbeResult(load=load, measured_ms=sent_ms, instance=row.name))
+                done(
+                    ProbeResult(
+                        load=load,
+                        measured_ms=sent_ms,
+                        instance=row.name,
+                        leaving=upstream.leaving,
+                    )
+                )
             else:
                 done(ProbeResult(load=None, measured_ms=sent_ms, refused=True))
 
--- a/tests/core/choice/test_baselines.py
+++ b/tests/core/choice/test_baselines.py
@@ -11,6 +11,7 @@
 from mangohatch.core.health import NoHealth
 from mangohatch.core.measuring import MeasuringCounter
 from mangohatch.core.router import Router
+from mangohatch.core.statement import UpstreamStatement
 from tests.functions import fixture, function_tests
 
 load_tests = function_tests(__name__)
@@ -86,7 +87,9 @@
     chooser = IdleHintsChooser(**parts)
     router, decisions = route(chooser, parts, tables, 1)
     grant = decisions[0]
-    report = Report(result=Result.OK, latency_ms=5.0, upstream_in_flight=0)
+    report = Report(
+        result=Result.OK, latency_ms=5.0, statement=UpstreamStatement(in_flight=0)
+    )
     router.release(grant, report)
     router.request(make_call(1), decisions.append)
     assert decisions[1].upstream is grant.upstream
--- a/tests/core/health/test_ejection.py
+++ b/tests/core/health/test_ejection.py
@@ -32,6 +32,9 @@
     def on_draining(self, upstream):
         self.lines.append(("leaving", upstream.name))
 
+    def on_replaced(self, upstream):
+        self.lines.append(("replaced", upstream.name))
+
 
 @fixture
 def notes():
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -311,8 +311,8 @@
         caller = await entry.connect()
         response = await caller.fetch()
         assert not any(name.startswith("x-upstream") for name in response.headers)
-        report = entry.router.reports[0]
-        assert (report.upstream_in_flight, report.draining) == (2, True)
+        statement = entry.router.reports[0].statement
+        assert (statement.in_flight, statement.leaving) == (2, True)
 
 
 async def test_attempt_number_is_sent_to_upstreams():
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -55,6 +55,39 @@
         assert len(draining.requests) == before
 
 
+async def test_load_probe_shows_that_an_upstream_leaves():
+    async with open_host() as host:
+        leaving, remaining = host.site.upstreams
+        leaving.signs = {"Server-Leaving": "1"}
+        await asyncio.sleep(1.2)
+        for _ in range(20):
+            assert (await host.get("front", "/a/x")).status == 200
+        assert not leaving.requests
+
+
+async def test_upstream_that_asks_for_a_pause_gets_none_until_it_ends():
+    async with open_host() as host:
+        paused, remaining = host.site.upstreams
+        paused.pause_s = "60"
+        statuses = [(await host.get("front", "/a/x")).status for _ in range(40)]
+        # A host without peers has no slack for the retry of the first request.
+        assert statuses.count(200) >= 39
+        assert len(paused.requests) == 1
+
+
+async def test_request_is_refused_with_the_rest_of_the_pauses_of_all_upstreams():
+    async with open_host() as host:
+        for upstream in host.site.upstreams:
+            upstream.pause_s = "30"
+        statuses = set()
+        for _ in range(5):
+            response = await host.get("front", "/a/x")
+            statuses.add(response.status)
+        assert statuses == {503}
+        assert 25.0 < float(response.headers["retry-after"]) <= 30.5
+        assert [len(upstream.requests) for upstream in host.site.upstreams] == [1, 1]
+
+
 async def test_service_without_upstreams_returns_503():
     async with open_host(upstreams=1) as host:
         host.site.delete("servers", "i-0")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -67,6 +67,24 @@
         raise AssertionError(line)
 
 
+def test_longest_pause_may_be_set():
+    assert load(TEXT).bounds.max_pause_ms == 120_000.0
+    text = TEXT.replace("[platform]", 'max_pause = "30s"\n[platform]')
+    assert load(text).bounds.max_pause_ms == 30_000.0
+
+
+def test_invalid_longest_pause_is_rejected_with_key_and_value():
+    for value in ('"0s"', '"-1s"', '"soon"', "30"):
+        text = TEXT.replace("[platform]", f"max_pause = {value}\n[platform]")
+        try:
+            load(text)
+        except SettingsError as exc:
+            assert "bounds.max_pause" in str(exc)
+            assert value.strip('"') in str(exc)
+            continue
+        raise AssertionError(value)
+
+
 def test_missing_file_raises_settings_error():
     try:
         load_fleet_settings(Path("/nonexistent/local.toml"))
--- a/tests/probing/test_audiences.py
+++ b/tests/probing/test_audiences.py
@@ -1,12 +1,14 @@
 """Tests of which hosts receive load reports, placements and urgency."""
 
 import math
+import random
 from collections import Counter
 
 from mangohatch.core.call import Call, Grant
 from mangohatch.core.contention import ContentionOrder, ContentionSettings
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.load_estimator import LoadEstimator
+from mangohatch.core.signs import SignSystem
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables
 from mangohatch.peer.bus import MemberView, PeerBus
@@ -91,6 +93,14 @@
             timers=self.timers,
             estimator=LoadEstimator(clock=clock),
             on_load=lambda service: None,
+            signs=SignSystem(
+                clock=clock,
+                rng=random.Random(name),
+                tables=self.tables,
+                subset=self.subset,
+                bus=self.bus,
+                timers=self.timers,
+            ),
         )
 
     def report(self, name):
--- a/tests/probing/test_system.py
+++ b/tests/probing/test_system.py
@@ -5,6 +5,7 @@
 
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.load_estimator import LoadEstimator
+from mangohatch.core.signs import SignSystem
 from mangohatch.core.spec import DiscoveredService, DiscoveredUpstream
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables
@@ -115,6 +116,14 @@
         self.subset.set_upstreams("desk", [row.name for row in self.tables.upstreams()])
         self.notified = Counter()
         self.timers = TickTimers(self.clock)
+        self.signs = SignSystem(
+            clock=self.clock,
+            rng=random.Random(name),
+            tables=self.tables,
+            subset=self.subset,
+            bus=self.bus,
+            timers=self.timers,
+        )
         self.reports = LoadReports(
             clock=self.clock,
             tables=self.tables,
@@ -123,6 +132,7 @@
             timers=self.timers,
             estimator=self.estimator,
             on_load=lambda service: self.notified.update([service]),
+            signs=self.signs,
         )
         self.system = ProbingSystem(
             clock=self.clock,
@@ -133,6 +143,7 @@
             timers=self.timers,
             estimator=self.estimator,
             on_load=lambda service: self.notified.update([service]),
+            signs=self.signs,
             cfg=cfg,
         )
 
