Play a crashing request with varying queries on a path that others use

Hypothesis 3 of docs/incidents/crashing-requests-again.md: the row of a path does not apply on hosts that saw a success for the path, and the other row depends on the query.

--- a/src/standins/simulated_fleet/crash_traffic.py
+++ b/src/standins/simulated_fleet/crash_traffic.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from standins.simulated_fleet.fleet import SimulatedFleet
-from standins.simulated_fleet.requests import SimulatedRequest
+from standins.simulated_fleet.requests import CALLER, SimulatedRequest
 
 __all__ = ["COPY_VARIANTS", "CrashPlan", "CrashTraffic", "CrashVerdict"]
 
@@ -15,6 +15,7 @@
 POLL_MS = 400.0
 RESET_MS = 20.0
 PREFIX = "/orders/"
+CRASHING_PATH = f"{PREFIX}642e59"
 MS_PER_S = 1000.0
 
 CopyVariant = Callable[[SimulatedRequest, int], SimulatedRequest]
@@ -37,7 +38,8 @@
     Innocent requests have targets of their own, but for ``pollers``, which send the
     same request again and again. ``reset_share`` of them lose the connection of their
     first attempt at an upstream that lives on. ``own_crashes_per_s`` upstreams crash by
-    themselves, and ``hosts_replaced_per_s`` hosts are lost while new ones join.
+    themselves, and ``hosts_replaced_per_s`` hosts are lost while new ones join. With
+    ``shares_path``, other callers send innocent requests on the path of the copies.
     """
 
     copies_per_s: float = 4.0
@@ -49,6 +51,7 @@
     reset_share: float = 0.02
     own_crashes_per_s: float = 0.0
     hosts_replaced_per_s: float = 0.0
+    shares_path: bool = False
     seed: int = 1
 
 
@@ -154,7 +157,7 @@
         number = len(self._copies)
         copy = SimulatedRequest(
             request_id=f"copy-{number}",
-            target=f"{PREFIX}642e59",
+            target=CRASHING_PATH,
             method=self._plan.method,
             body=self._plan.body,
             idempotent=self._plan.method == "GET",
@@ -167,12 +170,17 @@
 
     def _send_innocent(self) -> None:
         number = len(self._innocent)
-        self._send_harmless(f"{PREFIX}i{number}")
+        if self._plan.shares_path:
+            caller = f"100.65.0.{number % 250}"
+            self._send_harmless(f"{CRASHING_PATH}?page=i{number}", caller=caller)
+        else:
+            self._send_harmless(f"{PREFIX}i{number}")
 
     def _send_harmless(
         self,
         target: str,
         on_end: Callable[[SimulatedRequest], None] | None = None,
+        caller: str = CALLER,
     ) -> None:
         reset = self._rng.random() < self._plan.reset_share
         req = SimulatedRequest(
@@ -180,6 +188,7 @@
             target=target,
             work_ms=WORK_MS * self._rng.uniform(0.5, 1.5),
             reset_after_ms=RESET_MS if reset else None,
+            caller=caller,
             on_end=on_end,
         )
         self._innocent.append(req)
--- a/src/standins/simulated_fleet/requests.py
+++ b/src/standins/simulated_fleet/requests.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-__all__ = ["SimulatedRequest"]
+__all__ = ["CALLER", "SimulatedRequest"]
+
+CALLER = "100.64.0.1"
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -23,7 +25,7 @@
     target: str
     work_ms: float
     method: str = "GET"
-    caller: str = "100.64.0.1"
+    caller: str = CALLER
     body: bytes = b""
     route: str = ""
     idempotent: bool = True
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -40,6 +40,10 @@
     assert_contained(play(loop, variant="other query"))
 
 
+def test_copies_with_another_query_on_a_path_of_many_callers_are_not_sent_on(loop):
+    assert_contained(play(loop, variant="other query", shares_path=True))
+
+
 def test_copies_of_other_callers_are_not_sent_on_without_end(loop):
     assert_contained(play(loop, variant="other caller"))
 
