Recognise a crashing request by its caller, whatever its query

Callers saw upstreams crash one after the other (67 in 12 s, 235 of 1,262 innocent requests failed) where a request that crashes its upstream came again with another query each time, on a path that other callers use with success. Cause: the row of a path does not apply on a host that has lately seen a success for that path, and the other row contained the query, which the sender need not keep; the users' pages promise path, caller and body. Change: a third row, of path, caller and body. It does not apply where that caller had a success on that path. Left: copies and innocent requests of one caller on one path with varying queries can't be told apart.

--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -31,8 +31,9 @@
     All times are in milliseconds on the monotonic clock of this host. ``avoid`` names
     the upstreams that earlier attempts of this request used. ``fingerprint`` identifies
     resends of the same request; it is empty when there is none. ``path_fingerprint`` is
-    equal for all requests with the same path and body, whatever their query and caller;
-    it is empty where callers do not vary these. An isolated call runs on an upstream
+    equal for all requests with the same path and body, whatever their query and caller,
+    and ``caller_fingerprint`` for those of the same caller; both are empty where callers
+    do not vary these. An isolated call runs on an upstream
     with no other request in flight. Calls with a lower ``priority`` go first. A
     response after ``objective_ms`` is late, and a response to an attempt that starts
     after ``start_by_ms`` is likely to be late. An attempt that starts after
@@ -48,6 +49,7 @@
     customer: str = ""
     fingerprint: str = ""
     path_fingerprint: str = ""
+    caller_fingerprint: str = ""
     avoid: frozenset[str] = frozenset()
     attempt: int = 1
     isolated: bool = False
--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -35,10 +35,11 @@
     time to time, of which all hosts are notified. With ``evidence``, only crashes that
     it confirms count, and copies wait until it is known whether an upstream crashed.
 
-    Crashes are recorded by the fingerprint of the request and by that of its path. The
-    row of a path catches copies that differ in query or caller. It does not apply on a
-    host that saw a response to a request of the same path lately, so that one crashing
-    query does not stop a path that many callers use.
+    Crashes are recorded by the fingerprint of the request, by that of its path, and by
+    that of its path and caller. The row of a path catches copies that differ in query
+    or caller, and the row of a caller those that differ in query. Neither applies on a
+    host that saw a response to such a request lately, so that one crashing query does
+    not stop a path that many callers use, or all that a caller sends to it.
 
     ``crashes`` counts the crashes recorded by this host, and ``refused`` the calls
     that it refused because of them.
@@ -161,8 +162,10 @@
 
     def _scope(self, call: Call) -> str:
         """Return the fingerprint by which copies of a call wait for each other."""
-        path = call.path_fingerprint
-        return path if path and path not in self._answered else call.fingerprint
+        names = fingerprints(call)
+        return next(
+            (name for name in names if name not in self._answered), call.fingerprint
+        )
 
     def _record_answer(self, call: Call) -> None:
         is_trial = self._holds.is_trial(call)
@@ -172,6 +175,7 @@
             if row is not None and (is_trial or not row.quarantined):
                 self._clear(call, fingerprint)
         self._answered.record(call.path_fingerprint)
+        self._answered.record(call.caller_fingerprint)
 
     def _refuse_or_try(self, row: QuarantineRow, call: Call, deliver: Deliver) -> None:
         is_held = self._holds.find(row.fingerprint) is not None
--- a/src/mangohatch/core/quarantine/hold.py
+++ b/src/mangohatch/core/quarantine/hold.py
@@ -152,7 +152,8 @@
     List the fingerprints by which crashes of a call are recorded.
 
     :param call: the call
-    :return: that of its path, then its own; without those that are empty
+    :return: that of its path, that of its path and caller, then its own; without those
+        that are empty
     """
-    names = (call.path_fingerprint, call.fingerprint)
+    names = (call.path_fingerprint, call.caller_fingerprint, call.fingerprint)
     return tuple(name for name in names if name)
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -124,6 +124,7 @@
         path, _, query = req.line.path.partition("?")
         identity = (req.headers.get("Host", ""), req.line.method, path)
         call.path_fingerprint = make_fingerprint(req, identity)
+        call.caller_fingerprint = make_fingerprint(req, (*identity, call.customer))
         call.fingerprint = make_fingerprint(req, (*identity, query, call.customer))
 
     def set_attempt_headers(
