Name the upstreams that a placement passed over for a sign

The line request_ended of a request names up to five upstreams that were passed over because they leave or ask for a pause, with the age or the rest of the sign. Without signs the line is as before.

--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -32,8 +32,8 @@
     the upstreams that earlier attempts of this request used. ``fingerprint`` identifies
     resends of the same request; it is empty when there is none. ``path_fingerprint`` is
     equal for all requests with the same path and body, whatever their query and caller,
-    and ``caller_fingerprint`` for those of the same caller; both are empty where callers
-    do not vary these. An isolated call runs on an upstream
+    and ``caller_fingerprint`` for those of the same caller; both are empty where
+    callers do not vary these. An isolated call runs on an upstream
     with no other request in flight. Calls with a lower ``priority`` go first. A
     response after ``objective_ms`` is late, and a response to an attempt that starts
     after ``start_by_ms`` is likely to be late. An attempt that starts after
@@ -68,7 +68,8 @@
     The estimates that a choice was based on, kept to explain the choice later.
 
     ``hold_ms`` is the time for which the slowdown was expected to stay the same; it is
-    infinite where no change period is known.
+    infinite where no change period is known. ``withheld`` describes the upstreams that
+    were passed over because they leave or ask for a pause.
     """
 
     expected_ms: float
@@ -77,6 +78,7 @@
     report_age_ms: float
     occupancy: int
     free: int
+    withheld: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -21,6 +21,7 @@
 WORK_FACTORS = (1.0, 2.0)  # work of a typical request, and at the 99th percentile
 RESPONSE_DELAY_MS = 5.0  # transfer and parsing of a response
 BYTES_PER_KB = 1000.0
+MAX_WITHHELD = 5  # named for each request in the log
 MAX_WORK_MS = 1_000.0  # longer responses were delayed by something other than work
 
 
@@ -94,7 +95,7 @@
         ]
         row = self._rng.choice(near_best)
         grant = self.make_grant(call, row)
-        grant.basis = self._basis(row, work_ms, now_ms, len(estimates))
+        grant.basis = self._basis(service, row, work_ms, len(estimates))
         grant.token = next(self._tokens)
         self._limits.take(row)
         row.load.begin(grant.granted_ms)
@@ -182,8 +183,14 @@
         return min(share_ms, cfg.max_wait_for_faster_ms)
 
     def _basis(
-        self, row: UpstreamRow, work_ms: float, now_ms: float, free: int
+        self, service: ServiceRow, row: UpstreamRow, work_ms: float, free: int
     ) -> GrantBasis:
+        now_ms = self._clock.now_ms()
+        withheld = (
+            f"{item.name} {reason}"
+            for item in service.upstreams.values()
+            if (reason := item.signs.describe(now_ms))
+        )
         slowdown, until_ms = self._estimator.speed(row, now_ms)
         return GrantBasis(
             expected_ms=self._estimator.finish_ms(row, work_ms, now_ms),
@@ -192,6 +199,7 @@
             report_age_ms=now_ms - row.load.measured_ms,
             occupancy=row.load.occupancy(),
             free=free,
+            withheld=tuple(itertools.islice(withheld, MAX_WITHHELD)),
         )
 
     def min_completion_ms(
--- a/src/mangohatch/core/upstream_signs.py
+++ b/src/mangohatch/core/upstream_signs.py
@@ -45,6 +45,19 @@
         """
         return now_ms < self.paused_until_ms
 
+    def describe(self, now_ms: float) -> str:
+        """
+        Describe the sign in force, for the log.
+
+        :param now_ms: monotonic time in milliseconds
+        :return: the sign with its age or its rest, empty if there is none
+        """
+        if self.leaving_since_ms is not None:
+            return f"leaves, known for {now_ms - self.leaving_since_ms:.0f} ms"
+        if now_ms < self.paused_until_ms:
+            return f"pauses for {self.paused_until_ms - now_ms:.0f} ms"
+        return ""
+
     def allows(self, now_ms: float, in_flight: int) -> bool:
         """
         Return whether the upstream may get another request of this host.
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -111,4 +111,6 @@
             "occupancy": basis.occupancy,
             "free": basis.free,
         }
+        if basis.withheld:
+            fields["withheld"] = "; ".join(basis.withheld)
     return fields
--- a/tests/core/signs/test_system.py
+++ b/tests/core/signs/test_system.py
@@ -402,6 +402,16 @@
     assert host.used() == {"u2", "u3"}
 
 
+def test_placement_names_the_upstreams_that_it_passed_over(host):
+    host.observe(LEAVES, "u1")
+    host.observe(pause(1_000.0), "u2")
+    host.pass_time(100.0)
+    (grant,) = host.ask()
+    leaves, pauses = grant.basis.withheld
+    assert leaves == "u1 leaves, known for 100 ms"
+    assert pauses.startswith("u2 pauses for 9")
+
+
 def test_signs_of_processes_that_are_gone_are_forgotten(host):
     host.observe(LEAVES)
     host.apply(make_desk(started=()))
