Continue a download elsewhere if its next upstream leaves before it is sent

Cause: a request that was withdrawn after its connection had opened was treated as a failed continuation, and the download ended. Change: an attempt that was not sent is placed again whatever came before. Three tests over sockets; test_download_is_continued_on_another_upstream fails with the check after that of the sink.

--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -304,13 +304,14 @@
         self._events.record(EventKind.REQUEST_RETRIED, req, error.code)
 
     async def _prepare_retry(self, req: ActiveRequest, error: RequestError) -> None:
+        if isinstance(error, UpstreamWithdrawn):
+            # No byte was sent, so this was no attempt and costs no retry.
+            req.last_error = error
+            return
         if req.sink.sent:
             await self._prepare_continuation(req, error)
             return
         call = req.call
-        if isinstance(error, UpstreamWithdrawn):
-            # No byte was sent, so this was neither an attempt nor costs a retry.
-            return
         allowed = req.retry_allowed
         req.retry_allowed = False
         if not is_retry_safe(call, error) or not self._may_retry(req):
