--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import sys
 import tempfile
@@ -61,6 +62,9 @@
 
     def __init__(self, site):
         self.site = site
+        # The port for metrics is fixed, and tests may run in several processes.
+        number = os.getpid()
+        self.address = f"127.1.{number // 250 % 250}.{1 + number % 250}"
         self.ports = {name: free_port() for name in ("front", "ready", "peers")}
         self.process = None
 
@@ -68,11 +72,11 @@
         return f"""
 node_name = "h1"
 zone = "z"
-ip = "{LOOPBACK}"
+ip = "{self.address}"
 internal_ports = [{self.ports["peers"]}, {self.ports["peers"]}]
 [listen]
-front = "{LOOPBACK}:{self.ports["front"]}"
-ready = "{LOOPBACK}:{self.ports["ready"]}"
+front = "{self.address}:{self.ports["front"]}"
+ready = "{self.address}:{self.ports["ready"]}"
 [bounds]
 grace = "6s"
 retry_budget_ratio = 0.2
@@ -96,7 +100,7 @@
         fields = {"Host": HOST_NAME, "Request-Id": "abc", "Deadline-Ms": "2000"}
         fields |= {name.replace("_", "-"): text for name, text in headers.items()}
         lines = "".join(f"{name}: {text}\r\n" for name, text in fields.items())
-        reader, writer = await asyncio.open_connection(LOOPBACK, self.ports[port])
+        reader, writer = await asyncio.open_connection(self.address, self.ports[port])
         try:
             writer.write(f"GET {target} HTTP/1.1\r\n{lines}\r\n".encode())
             return await asyncio.wait_for(read_message(reader), WAIT_S)
