--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 HOLD ?= 0
 SOURCES := src tests bench demo tooling
 
-.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak
+.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak
 
 all: lint test
 
@@ -32,6 +32,10 @@
 crash-soak: setup
 	$(BIN)/python -m tests.fleet.crash_soak --first $(SEED)
 
+# Upstreams that leave or ask for pauses on simulated fleets, 50 seeds from SEED on.
+sign-soak: setup
+	$(BIN)/python -m tests.fleet.sign_soak --first $(SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/isort --check-only --quiet $(SOURCES)
--- a/src/standins/simulated_fleet/sign_traffic.py
+++ b/src/standins/simulated_fleet/sign_traffic.py
@@ -67,11 +67,6 @@
     left: int
     pauses: int
 
-    @property
-    def is_broken(self) -> bool:
-        """Whether a sign was not obeyed."""
-        return bool(self.to_leaving or self.in_pauses)
-
 
 class SignTraffic:
     """
@@ -213,7 +208,11 @@
             for at_ms, host_id in upstream.arrivals:
                 arrivals.setdefault((host_id, upstream.name), []).append(at_ms)
         return sum(
-            max(0, count_between(arrivals.get((host.host_id, name), ()), pause) - 2)
+            max(
+                0,
+                count_between(arrivals.get((host.host_id, name), ()), pause)
+                - MAX_WITHIN_PAUSE,
+            )
             for host in self._fleet.hosts
             for name, *pause in host.pauses
         )
--- a/tests/fleet/crash_soak.py
+++ b/tests/fleet/crash_soak.py
@@ -1,13 +1,8 @@
 """Plays crashing requests on simulated fleets, with troubles chosen by seed."""
 
-import argparse
-import logging
-import multiprocessing
 import random
 import sys
 
-import structlog
-
 from standins.simulated_fleet import (
     COPY_VARIANTS,
     CrashPlan,
@@ -17,6 +12,7 @@
     SimulatedFleet,
 )
 from standins.virtual_loop import VirtualLoop
+from tests.fleet.soak import run_soak
 
 __all__ = ["draw", "find_faults", "play"]
 
@@ -92,44 +88,43 @@
 
 def run_seed(seed: int) -> tuple[int, CrashVerdict]:
     """
-    Play one seed in a process of its own.
+    Play one seed.
 
     :param seed: the seed
     :return: the seed and what its run showed
     """
-    level = structlog.make_filtering_bound_logger(logging.CRITICAL)
-    structlog.configure(wrapper_class=level)
     return seed, play(*draw(seed))
 
 
+def describe(verdict: CrashVerdict) -> str:
+    """
+    Describe what a run showed.
+
+    :param verdict: what it showed
+    :return: the description
+    """
+    return (
+        f"upstreams lost {verdict.crashes}, copies sent {verdict.sends} of"
+        f" {verdict.copies}, innocent requests failed {verdict.innocent_failed} of"
+        f" {verdict.innocent}, refused as crashing {verdict.refused} for"
+        f" {verdict.longest_refusal_ms:.0f} ms at most, held for"
+        f" {verdict.longest_hold_ms:.0f} ms; last copy sent"
+        f" {verdict.contained_ms:.0f} ms after the first crash"
+    )
+
+
 def main() -> int:
     """
     Play some seeds and print what they show.
 
     :return: exit status, 1 if a property was broken
     """
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--first", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=50, help="number of seeds")
-    parser.add_argument("--jobs", type=int, default=4, help="processes")
-    args = parser.parse_args()
-    failed = 0
-    with multiprocessing.Pool(args.jobs) as pool:
-        seeds = range(args.first, args.first + args.seeds)
-        for seed, verdict in pool.imap(run_seed, seeds):
-            faults = find_faults(verdict)
-            failed += bool(faults)
-            print(
-                f"seed {seed}: upstreams lost {verdict.crashes}, copies sent"
-                f" {verdict.sends} of {verdict.copies}, innocent requests failed"
-                f" {verdict.innocent_failed} of {verdict.innocent}, refused as crashing"
-                f" {verdict.refused} for {verdict.longest_refusal_ms:.0f} ms at most,"
-                f" held for {verdict.longest_hold_ms:.0f} ms; last copy sent"
-                f" {verdict.contained_ms:.0f} ms after the first crash"
-                f" {'; '.join(['', *faults])}"
-            )
-    print(f"{args.seeds - failed} passed, {failed} failed")
-    return 1 if failed else 0
+    return run_soak(
+        description=str(__doc__),
+        run_seed=run_seed,
+        describe=describe,
+        find_faults=find_faults,
+    )
 
 
 if __name__ == "__main__":
--- a/tests/fleet/sign_soak.py
+++ b/tests/fleet/sign_soak.py
@@ -1,13 +1,8 @@
 """Plays upstreams that leave or ask for pauses, with troubles chosen by seed."""
 
-import argparse
-import logging
-import multiprocessing
 import random
 import sys
 
-import structlog
-
 from standins.simulated_fleet import (
     FleetPlan,
     SignPlan,
@@ -16,8 +11,9 @@
     SimulatedFleet,
 )
 from standins.virtual_loop import VirtualLoop
+from tests.fleet.soak import run_soak
 
-__all__ = ["draw", "play"]
+__all__ = ["draw", "find_faults", "play"]
 
 SIZES = ((1, 6), (13, 22), (17, 31))  # hosts and upstreams
 PER_UPSTREAM_AT_CAPACITY = 11.0  # requests a second; a quarter of the time it is slow
@@ -75,45 +71,57 @@
         loop.shutdown()
 
 
+def find_faults(verdict: SignVerdict) -> list[str]:
+    """
+    List the signs that were not obeyed in a run.
+
+    :param verdict: what the run showed
+    :return: descriptions, none if all signs were obeyed
+    """
+    faults = []
+    if verdict.to_leaving:
+        faults.append(f"{verdict.to_leaving} requests to upstreams that leave")
+    if verdict.in_pauses:
+        faults.append(f"{verdict.in_pauses} requests too many in pauses")
+    return faults
+
+
 def run_seed(seed: int) -> tuple[int, SignVerdict]:
     """
-    Play one seed in a process of its own.
+    Play one seed.
 
     :param seed: the seed
     :return: the seed and what its run showed
     """
-    level = structlog.make_filtering_bound_logger(logging.CRITICAL)
-    structlog.configure(wrapper_class=level)
     return seed, play(*draw(seed))
 
 
+def describe(verdict: SignVerdict) -> str:
+    """
+    Describe what a run showed.
+
+    :param verdict: what it showed
+    :return: the description
+    """
+    return (
+        f"{verdict.left} left, {verdict.pauses} pauses; served {verdict.served} of"
+        f" {verdict.requests}, {verdict.in_time} in time, {verdict.late_refusals}"
+        " refused late"
+    )
+
+
 def main() -> int:
     """
     Play some seeds and print what they show.
 
     :return: exit status, 1 if a sign was not obeyed
     """
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--first", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=50, help="number of seeds")
-    parser.add_argument("--jobs", type=int, default=4, help="processes")
-    args = parser.parse_args()
-    failed = 0
-    with multiprocessing.Pool(args.jobs) as pool:
-        seeds = range(args.first, args.first + args.seeds)
-        for seed, verdict in pool.imap(run_seed, seeds):
-            failed += verdict.is_broken
-            print(
-                f"seed {seed}: {verdict.to_leaving} requests to upstreams that leave,"
-                f" {verdict.in_pauses} too many in pauses; {verdict.left} left,"
-                f" {verdict.pauses} pauses; served {verdict.served} of"
-                f" {verdict.requests}, {verdict.in_time} in time,"
-                f" {verdict.late_refusals} refused late"
-                f"{' BROKEN' if verdict.is_broken else ''}",
-                flush=True,
-            )
-    print(f"{args.seeds - failed} passed, {failed} failed")
-    return 1 if failed else 0
+    return run_soak(
+        description=str(__doc__),
+        run_seed=run_seed,
+        describe=describe,
+        find_faults=find_faults,
+    )
 
 
 if __name__ == "__main__":
--- a/tests/fleet/test_signs.py
+++ b/tests/fleet/test_signs.py
@@ -1,6 +1,7 @@
 """Tests of fleets whose upstreams leave or ask for pauses."""
 
 from standins.simulated_fleet import FleetPlan, SignPlan, SignTraffic, SimulatedFleet
+from tests.fleet import sign_soak
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
@@ -8,6 +9,8 @@
 
 SETTLE_MS = 4_000.0
 RUN_MS = 9_000.0
+SOAK_SEEDS = (1, 4)
+SOAK_RUN_MS = 6_000.0
 
 
 def play(loop, *, hosts=17, upstreams=31, seed=1, span_ms=RUN_MS, **traffic):
@@ -68,7 +71,7 @@
         pause_ms=2_000.0,
         trouble_ms=2_000.0,
     )
-    assert not verdict.is_broken, str(verdict)
+    assert not sign_soak.find_faults(verdict), str(verdict)
 
 
 def test_requests_are_refused_early_while_all_upstreams_pause(loop):
@@ -82,3 +85,13 @@
     assert verdict.failed >= verdict.requests * 0.9, str(verdict)
     assert verdict.in_pauses == 0, str(verdict)
     assert verdict.late_refusals == 0, str(verdict)
+
+
+def test_signs_are_obeyed_under_troubles_chosen_by_seed():
+    faults = {
+        seed: sign_soak.find_faults(
+            sign_soak.play(*sign_soak.draw(seed), span_ms=SOAK_RUN_MS)
+        )
+        for seed in SOAK_SEEDS
+    }
+    assert not any(faults.values()), f"faults by seed: {faults}"
