Announce pauses of an upstream at most every 100 ms

An upstream that turns many requests away with a short pause each made a host write a line and tell all users for each of them. The pause itself is kept as before. test_notices_of_pauses_are_bounded: 50 notices before, 1 now.

--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -78,7 +78,7 @@
         self._timers.call_later(
             waiting.until_ms - self._clock.now_ms(), lambda: self._refuse_late(queue)
         )
-        if self._refuse_unopened(service, queue) and waiting not in queue:
+        if self._refuse_beyond_pauses(service, queue) and waiting not in queue:
             return
         if not self._chooser.wait(service, call, len(queue)):
             self.serve(call.service)
@@ -165,7 +165,7 @@
         self._refuse_late(queue)
         if not self._chooser.has_room(service):
             return
-        if self._refuse_unopened(service, queue):
+        if self._refuse_beyond_pauses(service, queue):
             return
         failed_grants = 0
         for waiting in queue.ordered(self._clock.now_ms()):
@@ -236,11 +236,13 @@
         for waiting in queue.expire(self._clock.now_ms()):
             self._refuse_busy(queue, waiting)
 
-    def _refuse_unopened(self, service: ServiceRow, queue: WaitQueue) -> bool:
+    def _refuse_beyond_pauses(self, service: ServiceRow, queue: WaitQueue) -> bool:
         """
-        Refuse the calls that wait in vain while all upstreams ask for a pause.
+        Refuse the calls that could not wait for the first pause to end.
 
-        :return: whether no upstream takes calls now but some will
+        :param service: the service
+        :param queue: its waiting calls
+        :return: whether all upstreams that would take calls ask for a pause
         """
         now_ms = self._clock.now_ms()
         opens_ms = self._chooser.opens_ms(service)
--- a/src/mangohatch/core/signs/system.py
+++ b/src/mangohatch/core/signs/system.py
@@ -19,6 +19,8 @@
 
 # A notice may be lost; hosts that have heard it ignore the next one.
 NOTICE_DELAYS_MS = (0.0, 300.0, 1_000.0)
+# Several requests that were under way may be turned away in a row.
+PAUSE_NOTICE_INTERVAL_MS = 100.0
 RETENTION_MS = 900_000.0
 FORGET_INTERVAL_MS = 60_000.0
 
@@ -167,8 +169,12 @@
 
     def _start_pause(self, row: UpstreamRow, asked_ms: float) -> None:
         pause_ms = min(asked_ms, self.cfg.max_pause_ms)
+        self._pause(row, pause_ms)
+        now_ms = self._clock.now_ms()
+        if now_ms - row.signs.announced_ms < PAUSE_NOTICE_INTERVAL_MS:
+            return
+        row.signs.announced_ms = now_ms
         self.pauses += 1
-        row.signs.paused_ms = self._clock.now_ms()
         log.info(
             "upstream_pause",
             service=row.service,
@@ -177,7 +183,6 @@
             pause_ms=round(pause_ms),
             in_flight=row.in_flight,
         )
-        self._pause(row, pause_ms)
         notice = PauseNotice(
             service_name=row.service,
             upstream=row.name,
--- a/src/mangohatch/core/upstream_signs.py
+++ b/src/mangohatch/core/upstream_signs.py
@@ -16,16 +16,17 @@
 
     ``leaving_since_ms`` is None unless the upstream leaves; ``leaving_ms`` is the time
     of its latest response that said so, and ``origin`` the host that received the first
-    one. It wants no request of this host before ``paused_until_ms``. After a pause
-    it gets one request at a time (``on_trial``) until it accepts one. It asked another
-    host for a pause until ``peer_paused_until_ms``; this host ignores such pauses
-    before ``ignore_peers_until_ms``.
+    one. It wants no request of this host before ``paused_until_ms``; peers were told of
+    that at ``announced_ms``. After a pause it gets one request at a time (``on_trial``)
+    until it accepts one. It asked another host for a pause until
+    ``peer_paused_until_ms``; this host ignores such pauses before
+    ``ignore_peers_until_ms``.
     """
 
     leaving_since_ms: float | None = None
     leaving_ms: float = -math.inf
     origin: str = ""
-    paused_ms: float = -math.inf
+    announced_ms: float = -math.inf
     paused_until_ms: float = -math.inf
     on_trial: bool = False
     peer_paused_until_ms: float = -math.inf
--- a/tests/core/signs/test_system.py
+++ b/tests/core/signs/test_system.py
@@ -285,6 +285,18 @@
     assert "u1" in peer.used(6)
 
 
+def test_notices_of_pauses_are_bounded(host, peer, network):
+    for item in (host, peer):
+        item.subset.set_members(item.bus.members())
+    for _ in range(50):
+        host.observe(pause(1.0))
+    assert len(network.queue) == 1
+    assert host.signs.pauses == 1
+    host.clock.advance(100.0)
+    host.observe(pause(1.0))
+    assert len(network.queue) == 2
+
+
 def test_pauses_of_an_upstream_that_turns_away_single_hosts_are_ignored(host, peer):
     for item in (host, peer):
         item.subset.set_members(item.bus.members())
