--- a/src/mangohatch/platform/host.py
+++ b/src/mangohatch/platform/host.py
@@ -12,8 +12,9 @@
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.settings import FleetSettings
 from mangohatch.platform.documents import read_configuration, read_upstream
-from mangohatch.platform.protocol import PlatformProtocol, read_probe
+from mangohatch.platform.protocol import PlatformProtocol
 from mangohatch.platform.source import CONFIGURATION, PlatformSource
+from mangohatch.platform.statement import read_probe
 from mangohatch.platform.store import PlatformStore
 from mangohatch.platform.values import DocumentError
 
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -16,7 +16,8 @@
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.settings import FleetBounds, FleetSettings
 from mangohatch.peer.datagram import PeerAddress
-from mangohatch.platform.protocol import PlatformProtocol, read_probe
+from mangohatch.platform.protocol import PlatformProtocol
+from mangohatch.platform.statement import read_probe
 from mangohatch.upstream.connection import ResponseHead
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
 from standins.simulated_fleet.requests import SimulatedRequest
--- a/src/standins/simulated_fleet/sign_traffic.py
+++ b/src/standins/simulated_fleet/sign_traffic.py
@@ -17,7 +17,7 @@
 LATE_REFUSAL_MS = 125.0  # 100 ms after it is known, and the round trip before
 WORK_MS = 100.0
 UNSAFE_SHARE = 0.3
-COPIES_AFTER_MS = 4_000.0
+LAST_RESPONSES_MS = 4_000.0
 MS_PER_S = 1000.0
 
 
@@ -112,7 +112,7 @@
             self._fleet.store.down = store_away
             self._fleet.run(span_ms / 3)
         self._running = False
-        self._fleet.run(COPIES_AFTER_MS)
+        self._fleet.run(LAST_RESPONSES_MS)
         return self._judge()
 
     def _repeat(self, per_s: float, action) -> None:
--- a/tests/platform/test_protocol.py
+++ b/tests/platform/test_protocol.py
@@ -1,13 +1,11 @@
 """Tests of the platform's header fields and response statuses."""
 
-import math
 import random
-from unittest.mock import patch
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
 from mangohatch.core.routes import Route, Target
-from mangohatch.core.tables import Tables, UpstreamRow
+from mangohatch.core.tables import Tables
 from mangohatch.errors import (
     BadRequest,
     BodyTooLarge,
@@ -21,12 +19,7 @@
     UpstreamAborted,
     UpstreamFailed,
 )
-from mangohatch.platform import protocol as platform_protocol
-from mangohatch.platform.protocol import (
-    PlatformProtocol,
-    log_unreadable_sign,
-    read_probe,
-)
+from mangohatch.platform.protocol import PlatformProtocol
 from mangohatch.upstream.connection import ResponseHead
 from tests.functions import fixture, function_tests
 
@@ -34,15 +27,6 @@
 
 LINE = RequestStartLine("GET", "/lohu930/2f", "HTTP/1.1")
 ID = "9c41d07be2a35f68"
-UPSTREAM = UpstreamRow(
-    service="desk",
-    name="i-1",
-    address="10.0.0.1",
-    port=8080,
-    zone="a",
-    slots=2,
-    connections=10,
-)
 
 
 @fixture
@@ -161,106 +145,3 @@
     assert protocol.is_not_run(make_head(421))
     assert not protocol.is_not_run(make_head(503))
     assert not protocol.is_not_run(make_head(500))
-
-
-def read(protocol, status=200, **headers):
-    return protocol.read_statement(make_head(status, **headers), UPSTREAM)
-
-
-def test_load_is_read_with_the_current_slowdown(protocol):
-    load = read(protocol, Upstream_Load="1,2,8,400").load
-    assert (load.running, load.waiting, load.slots, load.slowdown) == (1, 2, 8, 4.0)
-    for text in ("", "1,2", "a,b,c", "1;2;3"):
-        assert read(protocol, Upstream_Load=text).load is None, text
-
-
-def test_misdirected_response_reports_another_process(protocol):
-    statement = read(protocol, 421, Server_Leaving="1", Retry_After="2")
-    assert statement.replaced
-    assert not statement.leaving
-    assert statement.pause_ms is None
-
-
-def test_leaving_is_read_from_answers_of_any_status(protocol):
-    for status in (200, 404, 429, 500, 503):
-        assert read(protocol, status, Server_Leaving="1").leaving, status
-    assert not read(protocol).leaving
-
-
-def test_unreadable_leaving_says_nothing(protocol):
-    for text in ("0", "true", "", "1, 1", "2"):
-        assert not read(protocol, Server_Leaving=text).leaving, text
-
-
-def test_pause_is_read_from_refusals(protocol):
-    assert read(protocol, 503, Retry_After="2").pause_ms == 2_000.0
-    assert read(protocol, 503, Retry_After="0.3", Not_Executed="1").pause_ms == 300.0
-    assert read(protocol, 503).pause_ms is None
-
-
-def test_unreadable_pause_is_none(protocol):
-    for text in ("-1", "0", "0.0", "soon", "", "1, 2", "1e3", "inf", "nan"):
-        assert read(protocol, 503, Retry_After=text).pause_ms is None, text
-    date = "Fri, 04 Dec 2026 12:00:00 GMT"
-    assert read(protocol, 503, Retry_After=date).pause_ms is None
-    for status in (200, 429, 500):
-        assert read(protocol, status, Retry_After="2").pause_ms is None, status
-
-
-def test_unreadable_sign_is_logged_once_for_each_value(protocol):
-    log_unreadable_sign.cache_clear()
-    with patch.object(platform_protocol, "log") as log:
-        for _ in range(3):
-            read(protocol, Server_Leaving="maybe")
-    log.warning.assert_called_once_with(
-        "sign_unreadable",
-        upstream="i-1",
-        field="Server-Leaving",
-        value="maybe",
-        expected="1",
-    )
-
-
-def test_unknown_field_of_an_upstream_is_logged_once_by_name(protocol):
-    platform_protocol.log_unknown_field.cache_clear()
-    with patch.object(platform_protocol, "log") as log:
-        for value in ("1", "2"):
-            read(protocol, Server_Mood=value, Content_Type="text/plain")
-    log.warning.assert_called_once_with(
-        "field_unknown", field="Server-Mood", treated_as="passed on to the caller"
-    )
-
-
-def test_refusals_are_no_accepted_requests(protocol):
-    assert read(protocol).accepted
-    assert read(protocol, 500).accepted
-    assert not read(protocol, 503).accepted
-    assert not read(protocol, 429, Not_Executed="1").accepted
-
-
-def test_probe_returns_instance_and_health():
-    statement, instance = read_probe(
-        make_head(503, Upstream_Load="0,0,2,100", Upstream_Instance="i-1")
-    )
-    assert instance == "i-1"
-    assert not statement.load.healthy
-
-
-def read_limit(protocol, status=200, **headers):
-    return read(protocol, status, **headers).limit_per_s
-
-
-def test_limit_is_read_from_answers(protocol):
-    assert read_limit(protocol, Server_Limit="1.25") == 1.25
-    assert read_limit(protocol, 503, Server_Limit="2", Not_Executed="1") == 2.0
-    assert read_limit(protocol) == math.inf
-    assert read_limit(protocol, Server_Limit=".5") == 0.5
-    assert read_limit(protocol, Server_Limit="0") == 0.0
-    for text in ("few", "-1", "inf", "nan", ""):
-        assert read_limit(protocol, Server_Limit=text) is None, text
-
-
-def test_missing_limit_in_an_error_is_no_news(protocol):
-    assert read_limit(protocol, 503, Not_Executed="1") is None
-    assert read_limit(protocol, 500) is None
-    assert read_limit(protocol, 421, Server_Limit="1") is None
--- a/tests/upstream/test_load_probe.py
+++ b/tests/upstream/test_load_probe.py
@@ -5,7 +5,7 @@
 from mangohatch.clock import SystemClock
 from mangohatch.core.quarantine import CheckResult
 from mangohatch.core.tables import Tables
-from mangohatch.platform.protocol import read_probe
+from mangohatch.platform.statement import read_probe
 from mangohatch.probing import ProbeCrashCheck
 from mangohatch.upstream.load_probe import HttpLoadProbe
 from tests.fixtures import make_service
