Build notices of signs, the longest pause and the result of a refusal in one place each

Found in reading the change again: both notices were filled and sent by the same lines, the bound of pauses stood twice, a pause was turned into a refusal in the attempt and in the forwarder, and the attempt took a grant only for the upstream that its connection names. Behaviour is as before.

--- a/src/mangohatch/core/signs/settings.py
+++ b/src/mangohatch/core/signs/settings.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-__all__ = ["SignSettings"]
+__all__ = ["MAX_PAUSE_MS", "SignSettings"]
+
+MAX_PAUSE_MS = 120_000.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -20,7 +22,7 @@
     away single hosts, and its pauses of others are ignored for ``peer_distrust_ms``.
     """
 
-    max_pause_ms: float = 120_000.0
+    max_pause_ms: float = MAX_PAUSE_MS
     return_spread: float = 0.1
     max_return_spread_ms: float = 250.0
     leaving_term_ms: float = 3_000.0
--- a/src/mangohatch/core/signs/system.py
+++ b/src/mangohatch/core/signs/system.py
@@ -183,16 +183,7 @@
             pause_ms=round(pause_ms),
             in_flight=row.in_flight,
         )
-        notice = PauseNotice(
-            service_name=row.service,
-            upstream=row.name,
-            address=row.address,
-            port=row.port,
-            started_ms=row.started_ms,
-            rest_ms=int(pause_ms),
-        )
-        users = self._subset.users(row.service, row.name)
-        self._bus.multicast(sorted(users), notice)
+        self._tell_users(row, PauseNotice(rest_ms=int(pause_ms)))
 
     def _pause(self, row: UpstreamRow, pause_ms: float) -> None:
         now_ms = self._clock.now_ms()
@@ -224,14 +215,17 @@
         signs = row.signs
         if not signs.leaving:
             return
-        notice = LeavingNotice(
-            service_name=row.service,
-            upstream=row.name,
-            address=row.address,
-            port=row.port,
-            started_ms=row.started_ms,
-            age_ms=int(self._clock.now_ms() - signs.leaving_ms),
-        )
+        age_ms = int(self._clock.now_ms() - signs.leaving_ms)
+        self._tell_users(row, LeavingNotice(age_ms=age_ms))
+
+    def _tell_users(
+        self, row: UpstreamRow, notice: LeavingNotice | PauseNotice
+    ) -> None:
+        notice.service_name = row.service
+        notice.upstream = row.name
+        notice.address = row.address
+        notice.port = row.port
+        notice.started_ms = row.started_ms
         users = self._subset.users(row.service, row.name)
         self._bus.multicast(sorted(users), notice)
 
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from mangohatch.clock import Clock
-from mangohatch.core.call import Grant, Report, Result
+from mangohatch.core.call import Grant, Report
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.entry.active import ActiveRequest
@@ -85,7 +85,7 @@
                 raise UpstreamWithdrawn(
                     f"upstream {grant.upstream.name} leaves or asks for a pause"
                 )
-            reusable = await self._exchange(req, conn, grant, report)
+            reusable = await self._exchange(req, conn, report)
         finally:
             req.conn = None
             req.awaits_head = False
@@ -95,7 +95,6 @@
         self,
         req: ActiveRequest,
         conn: UpstreamConnection,
-        grant: Grant,
         report: Report,
     ) -> bool:
         req.reuses_connection = conn.exchanges > 0
@@ -117,9 +116,7 @@
             report.result = result_of_status(head.line.code)
             statement = self._protocol.read_statement(head, conn.upstream)
             report.statement = statement
-            if statement.pause_ms is not None:
-                report.result = Result.REFUSED
-            self._on_statement(grant.upstream, statement)
+            self._on_statement(conn.upstream, statement)
             sink = await self._select_sink(req, head)
             # If the upstream responds before the whole request was sent, the
             # connection can't be reused: the upstream would parse the remaining
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -205,12 +205,12 @@
             report.result = result_of(error)
             if req.silent and report.result is Result.TIMEOUT and req.reuses_connection:
                 report.result = Result.SILENT
-            if report.statement.pause_ms is not None:
-                report.result = Result.REFUSED  # no evidence that it fails
             if req.failure is not None:
                 raise req.failure from exc
             return error
         finally:
+            if report.statement.pause_ms is not None:
+                report.result = Result.REFUSED  # no evidence that it fails
             report.latency_ms = self._clock.now_ms() - started_ms
             req.upstream_ms += report.latency_ms
             self._router.release(grant, report)
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
-__all__ = ["MAX_PAUSE_MS", "FleetBounds", "FleetSettings"]
+from mangohatch.core.signs.settings import MAX_PAUSE_MS
+
+__all__ = ["FleetBounds", "FleetSettings"]
 
 Address = tuple[str, int]
-MAX_PAUSE_MS = 120_000.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/platform/settings.py
+++ b/src/mangohatch/platform/settings.py
@@ -4,8 +4,9 @@
 from pathlib import Path
 from typing import Any
 
+from mangohatch.core.signs.settings import MAX_PAUSE_MS
 from mangohatch.errors import SettingsError
-from mangohatch.fleet.settings import MAX_PAUSE_MS, FleetBounds, FleetSettings
+from mangohatch.fleet.settings import FleetBounds, FleetSettings
 from mangohatch.platform.values import (
     DocumentError,
     parse_address,
