Log how connections to upstreams fail and since when an upstream is not heard

Connections are now opened by one Dialer, which classifies failures and counts them by result (mangohatch_upstream_connects); request_retried and failed request_ended have detail and quiet_ms.

--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -9,6 +9,7 @@
 from mangohatch.core.named_limit import NamedLimit
 from mangohatch.core.routes import RouteTable
 from mangohatch.core.spec import UpstreamSpec
+from mangohatch.core.upstream_path import UpstreamPath
 from mangohatch.core.upstream_signs import InstanceKey, UpstreamSigns
 
 __all__ = ["DrainCause", "ServiceRow", "Tables", "UpstreamRow", "UpstreamState"]
@@ -60,6 +61,7 @@
     load: LoadView = field(default_factory=LoadView)
     limit: NamedLimit = field(default_factory=NamedLimit)
     signs: UpstreamSigns = field(default_factory=UpstreamSigns)
+    path: UpstreamPath = field(default_factory=UpstreamPath)
     drain_causes: set[DrainCause] = field(default_factory=set)
 
     @property
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -11,6 +11,7 @@
 from mangohatch.core.call import Grant
 from mangohatch.core.limits.retry_permits import RetryPermits
 from mangohatch.core.load_estimator import LoadEstimator
+from mangohatch.core.paths import PathTable
 from mangohatch.core.retry import FleetRetryBudget
 from mangohatch.core.signs import SignSettings
 from mangohatch.core.subset import SubsetTable
@@ -35,6 +36,7 @@
 from mangohatch.peer.datagram import DatagramPeerBus
 from mangohatch.probing import LoadProbe, LoadReports, ProbingSystem
 from mangohatch.timeline import HybridClock, Recorder
+from mangohatch.upstream.dialer import Dialer
 from mangohatch.upstream.load_probe import HttpLoadProbe
 from mangohatch.upstream.pool import ConnectionPool
 
@@ -104,6 +106,8 @@
         )
         self.estimator = LoadEstimator(clock=clock)
         timers = LoopTimers()
+        self.paths = PathTable(clock=clock)
+        dialer = Dialer(paths=self.paths)
         decisions = make_decisions(
             clock=clock,
             rng=rng,
@@ -116,7 +120,7 @@
             zone=cfg.zone,
             placement=placement,
             crash_probe=crash_probe
-            or HttpLoadProbe(clock=clock, read=components.read_probe),
+            or HttpLoadProbe(clock=clock, dialer=dialer, read=components.read_probe),
             sign_settings=SignSettings(max_pause_ms=cfg.bounds.max_pause_ms),
         )
         self.gate = decisions.gate
@@ -131,7 +135,9 @@
             members=self.bus.members,
             on_unused=decisions.health.set_unused,
         )
-        self.probe = probe or HttpLoadProbe(clock=clock, read=components.read_probe)
+        self.probe = probe or HttpLoadProbe(
+            clock=clock, dialer=dialer, read=components.read_probe
+        )
         self.reports = LoadReports(
             clock=clock,
             tables=self.tables,
@@ -154,7 +160,7 @@
             on_load=decisions.router.serve_soon,
             signs=decisions.signs,
         )
-        self.pool = ConnectionPool(clock=clock)
+        self.pool = ConnectionPool(clock=clock, dialer=dialer)
         decisions.signs.on_leaving = self.pool.drop_idle
         self._retry_permits = RetryPermits(
             clock=clock,
@@ -291,6 +297,13 @@
             ),
         ):
             yield make_counter(f"mangohatch_{name}", description, value)
+        for result, count in self.paths.connects.items():
+            yield make_counter(
+                "mangohatch_upstream_connects",
+                "Direct connections to upstreams that were opened or failed.",
+                count,
+                result=result,
+            )
         for part in self.follower.parts:
             yield Sample(
                 name="mangohatch_directory_age_ms",
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -1,5 +1,7 @@
 """Logs one line per request and per retry, at a bounded rate."""
 
+import math
+
 import structlog
 
 from mangohatch.clock import Clock
@@ -46,6 +48,8 @@
             attempt=req.call.attempt,
             cause=error.code if error else "",
             upstream=req.upstream.name if req.upstream else "",
+            detail=error.detail if error else "",
+            **self._describe_path(req),
         )
 
     def on_ended(self, req: ActiveRequest, error: RequestError | None) -> None:
@@ -72,9 +76,16 @@
                 "fingerprint": call.fingerprint,
                 "path_fingerprint": call.path_fingerprint,
             }
+            fields |= self._describe_path(req)
         fields |= describe_grant(req)
         log.info("request_ended", **fields)
 
+    def _describe_path(self, req: ActiveRequest) -> dict[str, object]:
+        """Describe since when this host has heard nothing from the last upstream."""
+        if req.upstream is None or not math.isfinite(req.upstream.path.heard_ms):
+            return {}
+        return {"quiet_ms": round(self._clock.now_ms() - req.upstream.path.heard_ms)}
+
     def _take_token(self, *, reserve: float) -> bool:
         now_ms = self._clock.now_ms()
         refilled = (now_ms - self._refilled_ms) / MS_PER_S * LINES_PER_SECOND
--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -7,6 +7,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.config import HostSettings
+from mangohatch.core.paths import PathTable
 from mangohatch.core.tables import Tables
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.server import EntryServer
@@ -24,6 +25,7 @@
 from mangohatch.peer.membership import Endpoint
 from mangohatch.peer.tcp import TcpPeerBus
 from mangohatch.timeline import EventKind, HybridClock, Recorder
+from mangohatch.upstream.dialer import Dialer
 from mangohatch.upstream.pool import ConnectionPool
 
 __all__ = ["EntryHost"]
@@ -65,7 +67,9 @@
         )
         self.state = self._make_state(clock)
         self.metrics = self._make_metrics(clock)
-        self.pool = ConnectionPool(clock=clock)
+        self.pool = ConnectionPool(
+            clock=clock, dialer=Dialer(paths=PathTable(clock=clock))
+        )
         forwarder = Forwarder(
             clock=clock,
             router=self.routing.gate,
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -18,7 +18,8 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.tables import UpstreamRow
-from mangohatch.errors import ResponseUnframed, UpstreamAborted, UpstreamUnreachable
+from mangohatch.errors import ResponseUnframed, UpstreamAborted
+from mangohatch.upstream.dialer import Dialer
 from mangohatch.wire import format_head, parse_fields, send
 
 __all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
@@ -111,9 +112,13 @@
 
     Tornado frames and parses the messages. This class controls the sequence of steps,
     so that a response head can be checked before its body is read.
+
+    :param upstream: the upstream
+    :param clock: source of time
+    :param dialer: opens the connection
     """
 
-    def __init__(self, *, upstream: UpstreamRow, clock: Clock) -> None:
+    def __init__(self, *, upstream: UpstreamRow, clock: Clock, dialer: Dialer) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
@@ -124,6 +129,7 @@
         self.sent_ms = 0.0
         self.last_read_ms = clock.now_ms()
         self._clock = clock
+        self._dialer = dialer
         self._must_close = False
 
     @property
@@ -138,6 +144,7 @@
     def record_activity(self) -> None:
         """Record that data has arrived from the upstream."""
         self.last_read_ms = self._clock.now_ms()
+        self.upstream.path.heard_ms = self.last_read_ms
 
     def is_clean(self) -> bool:
         """
@@ -161,12 +168,7 @@
 
         :raises UpstreamUnreachable: when the upstream does not accept it
         """
-        address = (self.upstream.address, self.upstream.port)
-        try:
-            await self.stream.connect(address)
-        except (StreamClosedError, OSError) as exc:
-            detail = f"upstream {self.upstream.name} accepts no connection"
-            raise UpstreamUnreachable(detail) from exc
+        self.stream = await self._dialer.open(self.upstream, self.stream)
         self.connected = True
         self.record_activity()
 
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -14,6 +14,7 @@
     ResponseHead,
     UpstreamConnection,
 )
+from mangohatch.upstream.dialer import Dialer
 
 __all__ = ["HttpLoadProbe", "ReadProbe"]
 
@@ -32,11 +33,13 @@
     Sends a GET request for each probe and keeps the connection open.
 
     :param clock: source of time
+    :param dialer: opens the connections
     :param read: reads load and instance from the head of a response
     """
 
-    def __init__(self, *, clock: Clock, read: ReadProbe) -> None:
+    def __init__(self, *, clock: Clock, dialer: Dialer, read: ReadProbe) -> None:
         self._clock = clock
+        self._dialer = dialer
         self._read = read
         self._conns: dict[int, UpstreamConnection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -89,7 +92,7 @@
                 return conn
             conn.close()
         self.connections += 1
-        conn = UpstreamConnection(upstream=row, clock=self._clock)
+        conn = UpstreamConnection(upstream=row, clock=self._clock, dialer=self._dialer)
         self._conns[id(row)] = conn
         return conn
 
--- a/src/mangohatch/upstream/pool.py
+++ b/src/mangohatch/upstream/pool.py
@@ -7,6 +7,7 @@
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import UpstreamUnreachable
 from mangohatch.upstream.connection import UpstreamConnection
+from mangohatch.upstream.dialer import Dialer
 
 __all__ = ["ConnectionPool"]
 
@@ -30,12 +31,16 @@
     Bounded pools of connections by upstream address, reused in LIFO order.
 
     :param clock: source of time
+    :param dialer: opens the connections
     :param share: this host's fraction of the connections that an upstream accepts
     """
 
-    def __init__(self, *, clock: Clock, share: float = DEFAULT_SHARE) -> None:
+    def __init__(
+        self, *, clock: Clock, dialer: Dialer, share: float = DEFAULT_SHARE
+    ) -> None:
         self.share = share
         self._clock = clock
+        self._dialer = dialer
         self._pools: dict[Address, AddressPool] = {}
 
     def open_count(self, upstream: UpstreamRow) -> int:
@@ -94,7 +99,9 @@
         if pool.open >= self._limit(upstream) and not self._drop_oldest(pool):
             raise UpstreamUnreachable(f"all connections to {upstream.name} are in use")
         pool.open += 1
-        return UpstreamConnection(upstream=upstream, clock=self._clock)
+        return UpstreamConnection(
+            upstream=upstream, clock=self._clock, dialer=self._dialer
+        )
 
     def release(self, conn: UpstreamConnection, *, reusable: bool) -> None:
         """
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -9,11 +9,13 @@
 from mangohatch.clock import ManualClock
 from mangohatch.config import IdempotencyRule, ServiceSpec, UpstreamSpec
 from mangohatch.core.call import Grant, Report, Result
+from mangohatch.core.paths import PathTable
 from mangohatch.core.router import Router
 from mangohatch.core.tables import Tables
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.server import EntryServer
 from mangohatch.timeline.recorder import HybridClock, Recorder
+from mangohatch.upstream.dialer import Dialer
 from mangohatch.upstream.pool import ConnectionPool
 
 __all__ = ["Caller", "Entry", "FakeUpstream", "Message", "fixed", "open_entry"]
@@ -213,7 +215,7 @@
     clock = ManualClock()
     tables = Tables()
     tables.apply(make_spec(upstreams), revision=1)
-    pool = ConnectionPool(clock=clock)
+    pool = ConnectionPool(clock=clock, dialer=Dialer(paths=PathTable(clock=clock)))
     router = SpyRouter(clock=clock, rng=random.Random(1), tables=tables)
     recorder = Recorder(host="h1", zone="puno", clock=HybridClock(clock=clock))
     forwarder = Forwarder(
--- a/tests/upstream/test_load_probe.py
+++ b/tests/upstream/test_load_probe.py
@@ -3,10 +3,12 @@
 import asyncio
 
 from mangohatch.clock import SystemClock
+from mangohatch.core.paths import PathTable
 from mangohatch.core.quarantine import CheckResult
 from mangohatch.core.tables import Tables
 from mangohatch.platform.statement import read_probe
 from mangohatch.probing import ProbeCrashCheck
+from mangohatch.upstream.dialer import Dialer
 from mangohatch.upstream.load_probe import HttpLoadProbe
 from tests.fixtures import make_service
 from tests.functions import function_tests
@@ -27,7 +29,11 @@
     row.port = server.sockets[0].getsockname()[1]
     if not listening:
         server.close()
-    probe = HttpLoadProbe(clock=SystemClock(), read=read_probe)
+    probe = HttpLoadProbe(
+        clock=SystemClock(),
+        dialer=Dialer(paths=PathTable(clock=SystemClock())),
+        read=read_probe,
+    )
     check = ProbeCrashCheck(tables=tables, probe=probe)
     done = asyncio.get_running_loop().create_future()
     check.send(row, done.set_result)
--- a/tests/upstream/test_pool.py
+++ b/tests/upstream/test_pool.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from mangohatch.core.paths import PathTable
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import UpstreamUnreachable
+from mangohatch.upstream.dialer import Dialer
 from mangohatch.upstream.pool import ConnectionPool
 from tests.functions import fixture, function_tests
 
@@ -14,7 +16,9 @@
 
 @fixture
 def pool(clock):
-    return ConnectionPool(clock=clock, share=0.02)
+    return ConnectionPool(
+        clock=clock, dialer=Dialer(paths=PathTable(clock=clock)), share=0.02
+    )
 
 
 def make_row(port, connections=200):
