Reach upstreams through peers where the own path is lost

Callers of a host that had lost its links to all upstreams were refused or not answered: 2 of 416 first attempts were served, 241 of 247 at the other hosts.

Cause: a host knew no way to an upstream but its own. It judged each upstream by itself, and its own link never, so that most upstreams looked bad, all became eligible again, and each request tried one or two of them for 300 ms each. Evidence: in no attempt at a cut host succeeded at any upstream for 12 s, while peers went on reporting the load of the same upstreams. That rules out reports that mislead the choice, and connections that work and are given up.

A new connection now tries the direct path first, and after a failure or 50 ms a peer, which connects to the upstream and copies bytes. All decisions and counts of a request stay at the host that has it, so a relay needs no retry budget, limit, key or deadline of its own, and can't run a request twice. Its end frame tells an upstream that closes from a relay that breaks. A path that only a peer reaches is lost; two of them with nothing heard from their zone mean that the zone, or all, is lost. Then peers come first, kept connections are not used until something arrives on them, requests on silent ones are sent again if they may be, and one path of each lost zone is tried every 250 ms. Failures of lost paths say nothing about the upstream. Load probes and crash checks take the same way.

--- a/src/mangohatch/core/paths/__init__.py
+++ b/src/mangohatch/core/paths/__init__.py
@@ -1,5 +1,6 @@
-"""Direct paths to upstreams, and what is known of their loss."""
+"""Paths to upstreams: direct ones, their loss, and detours through peers."""
 
+from mangohatch.core.paths.relays import RelayChooser, RelayRefusal
 from mangohatch.core.paths.table import PathTable
 
-__all__ = ["PathTable"]
+__all__ = ["PathTable", "RelayChooser", "RelayRefusal"]
--- a/src/mangohatch/core/upstream_path.py
+++ b/src/mangohatch/core/upstream_path.py
@@ -21,10 +21,14 @@
     What this host knows of its own path to an upstream.
 
     Times are monotonic milliseconds. At ``heard_ms``, something arrived from the
-    upstream last. At ``failed_ms``, a new connection to it failed last, in the way that
-    ``failure`` names.
+    upstream last, and at ``connected_ms`` it last accepted a connection. ``lost_ms`` is
+    set while only peers reach the upstream, to the begin of the first attempt that
+    showed it. The path was checked last at ``checked_ms``. At ``detour_failed_ms``, a
+    peer that is not cut off did not reach the upstream either.
     """
 
     heard_ms: float = -math.inf
-    failed_ms: float = -math.inf
-    failure: ConnectFailure | None = None
+    connected_ms: float = -math.inf
+    lost_ms: float | None = None
+    checked_ms: float = -math.inf
+    detour_failed_ms: float = -math.inf
--- a/src/mangohatch/entry/active.py
+++ b/src/mangohatch/entry/active.py
@@ -29,6 +29,8 @@
     ``headers`` are the header fields sent to upstreams. ``may_have_run`` is true
     while an upstream may have run the request and has not reported otherwise.
     ``upstream_ms`` is the total duration of all attempts.
+    ``relay`` is the peer that the last attempt passed, empty for none; ``cut_off`` is
+    true after an attempt that may have failed for this host's own links.
     """
 
     call: Call
@@ -52,6 +54,8 @@
     awaits_head: bool = False
     silent: bool = False
     reuses_connection: bool = False
+    cut_off: bool = False
+    relay: str = ""
     silence_limit_ms: float = 0.0
     upstream_ms: float = 0.0
 
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -75,10 +75,12 @@
             recently_active=not call.idempotent,
         )
         req.conn = conn
+        req.cut_off = False
         reusable = False
         try:
             if not conn.connected:
                 await conn.connect()
+            req.relay = conn.relay
             if req.failure is not None:
                 raise req.failure
             if not grant.upstream.signs.allows(self._clock.now_ms(), 0):
@@ -87,6 +89,7 @@
                 )
             reusable = await self._exchange(req, conn, report)
         finally:
+            req.cut_off = self._pool.is_cut_off(conn)
             req.conn = None
             req.awaits_head = False
             self._pool.release(conn, reusable=reusable)
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -54,6 +54,10 @@
 )
 
 
+# What the loss of a direct path may look like. A broken connection is checked anyway.
+LINK_FAILURES = frozenset({Result.SILENT, Result.TIMEOUT, Result.UNREACHABLE})
+
+
 class Forwarder:
     """
     Forwards requests from callers to upstreams.
@@ -205,6 +209,8 @@
             report.result = result_of(error)
             if req.silent and report.result is Result.TIMEOUT and req.reuses_connection:
                 report.result = Result.SILENT
+            if req.cut_off and report.result in LINK_FAILURES:
+                report.result = Result.CANCELLED  # no evidence about the upstream
             if req.failure is not None:
                 raise req.failure from exc
             return error
--- a/src/mangohatch/entry/monitor.py
+++ b/src/mangohatch/entry/monitor.py
@@ -124,7 +124,10 @@
 
     def _check_silence(self, req: ActiveRequest, now_ms: float) -> None:
         conn = req.conn
-        if conn is None or now_ms - conn.sent_ms <= req.silence_limit_ms:
+        if conn is None:
+            return
+        silent = now_ms - conn.sent_ms > req.silence_limit_ms
+        if not silent and not self._pool.is_dead(conn):
             return
         req.silent = True
         if req.reuses_connection:
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -44,6 +44,7 @@
 from mangohatch.errors.request import (
     BadRequest,
     DeadlineExceeded,
+    HostCutOff,
     NoConfiguration,
     NoRoute,
     NoUpstream,
@@ -80,6 +81,7 @@
     "ConnectionSilent",
     "ContinuationFailed",
     "DeadlineExceeded",
+    "HostCutOff",
     "ExitCode",
     "ExpectationFailed",
     "HeaderTooLarge",
--- a/src/mangohatch/errors/request.py
+++ b/src/mangohatch/errors/request.py
@@ -8,6 +8,7 @@
 __all__ = [
     "BadRequest",
     "DeadlineExceeded",
+    "HostCutOff",
     "NoConfiguration",
     "NoRoute",
     "NoUpstream",
@@ -114,6 +115,13 @@
     status = 502
 
 
+class HostCutOff(UpstreamUnreachable):
+    """Neither this host nor a peer that it asked reaches the upstream."""
+
+    code = "host_cut_off"
+    status = 503
+
+
 class UpstreamWithdrawn(RequestError):
     """The upstream ended or paused new work before the request was sent to it."""
 
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -11,7 +11,7 @@
 from mangohatch.core.call import Grant
 from mangohatch.core.limits.retry_permits import RetryPermits
 from mangohatch.core.load_estimator import LoadEstimator
-from mangohatch.core.paths import PathTable
+from mangohatch.core.paths import PathTable, RelayChooser
 from mangohatch.core.retry import FleetRetryBudget
 from mangohatch.core.signs import SignSettings
 from mangohatch.core.subset import SubsetTable
@@ -35,8 +35,8 @@
 from mangohatch.metrics.observer import MetricsObserver
 from mangohatch.peer.datagram import DatagramPeerBus
 from mangohatch.probing import LoadProbe, LoadReports, ProbingSystem
+from mangohatch.relay import RelayAdmission, RelayClient, RelayDialer, RelayServer
 from mangohatch.timeline import HybridClock, Recorder
-from mangohatch.upstream.dialer import Dialer
 from mangohatch.upstream.load_probe import HttpLoadProbe
 from mangohatch.upstream.pool import ConnectionPool
 
@@ -106,8 +106,20 @@
         )
         self.estimator = LoadEstimator(clock=clock)
         timers = LoopTimers()
-        self.paths = PathTable(clock=clock)
-        dialer = Dialer(paths=self.paths)
+        self.paths = PathTable(clock=clock, tables=self.tables)
+        self.relays = RelayChooser(clock=clock, rng=rng, bus=self.bus, zone=cfg.zone)
+        dialer = RelayDialer(
+            paths=self.paths,
+            chooser=self.relays,
+            client=RelayClient(bus=self.bus),
+            clock=clock,
+        )
+        self._dialer = dialer
+        self.relay_server = RelayServer(
+            bus=self.bus,
+            admission=RelayAdmission(tables=self.tables, paths=self.paths),
+            paths=self.paths,
+        )
         decisions = make_decisions(
             clock=clock,
             rng=rng,
@@ -284,6 +296,21 @@
                 "Retries permitted to hosts from the slack of the retry budget.",
                 self._retry_permits.granted,
             ),
+            (
+                "relays_opened",
+                "Connections to upstreams that this host opened through peers.",
+                self.relays.opened,
+            ),
+            (
+                "relays_served",
+                "Connections to upstreams that this host opened for peers.",
+                self.relay_server.relayed,
+            ),
+            (
+                "relays_refused",
+                "Connections to upstreams that this host did not open for peers.",
+                self.relay_server.refused,
+            ),
             ("peer_datagrams_sent", "Datagrams sent to peers.", self.bus.sent),
             (
                 "peer_datagrams_received",
@@ -329,6 +356,7 @@
         """Start listening for peers, callers, readiness checks and scrapes."""
         cfg = self.cfg
         await self.bus.start()
+        self.relay_server.listen(cfg.peers[1], cfg.peers[0])
         self._readiness.listen(*cfg.readiness)
         self._metrics.listen(*cfg.metrics)
         self.entry.listen(*cfg.entry)
@@ -341,6 +369,7 @@
         self.probe.close()
         self._readiness.stop()
         self._metrics.stop()
+        self.relay_server.close()
         self.bus.stop()
         self.pool.close()
         log.info("host_stopped", host=self.cfg.host_id)
@@ -354,6 +383,7 @@
         )
         log.info("host_leaving", host=self.cfg.host_id)
         self.bus.set_leaving()
+        self.relay_server.leave()
         self.entry.begin_drain()
 
     def should_move(self, grant: Grant) -> bool:
@@ -381,6 +411,7 @@
         self._limits.tick()
         self._signs.tick()
         self._retry_permits.tick()
+        self._dialer.tick(waiting=bool(self.forwarder.active))
         self.entry.tick()
         self.metrics.tick()
         if not self._was_ready and self.not_ready() is None:
@@ -390,7 +421,8 @@
     def _should_stop(self) -> bool:
         if self._stop_deadline_ms is None:
             return False
-        return self.entry.drained() or self._clock.now_ms() >= self._stop_deadline_ms
+        drained = self.entry.drained() and not self.relay_server.active
+        return drained or self._clock.now_ms() >= self._stop_deadline_ms
 
     def _reload(self, settings: SettingsFile) -> None:
         cfg = settings.read_if_changed()
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -77,6 +77,8 @@
                 "path_fingerprint": call.path_fingerprint,
             }
             fields |= self._describe_path(req)
+        if req.relay:
+            fields["relay"] = req.relay
         fields |= describe_grant(req)
         log.info("request_ended", **fields)
 
--- a/src/mangohatch/host/entry_host.py
+++ b/src/mangohatch/host/entry_host.py
@@ -68,7 +68,7 @@
         self.state = self._make_state(clock)
         self.metrics = self._make_metrics(clock)
         self.pool = ConnectionPool(
-            clock=clock, dialer=Dialer(paths=PathTable(clock=clock))
+            clock=clock, dialer=Dialer(paths=PathTable(clock=clock, tables=self.tables))
         )
         forwarder = Forwarder(
             clock=clock,
--- a/src/mangohatch/peer/datagram.py
+++ b/src/mangohatch/peer/datagram.py
@@ -10,7 +10,7 @@
 from mangohatch.clock import Clock
 from mangohatch.errors import PeerProtocolError
 from mangohatch.peer.bus import Handler, MemberView, PeerBus
-from mangohatch.peer.codec import encode
+from mangohatch.peer.codec import Envelope, decode_envelope, encode
 from mangohatch.peer.counters import PeerCounters
 from mangohatch.peer.datagram_settings import DATAGRAM_MEMBERSHIP
 from mangohatch.peer.inbox import Inbox
@@ -149,14 +149,14 @@
             self._transport = None
 
     def send(self, host_id: str, message: Any) -> bool:
-        address = self._address_of(host_id)
+        address = self.address_of(host_id)
         if address is None:
             return False
         self._send([address], message)
         return True
 
     def multicast(self, host_ids: Iterable[str], message: Any) -> None:
-        found = [self._address_of(host_id) for host_id in host_ids]
+        found = [self.address_of(host_id) for host_id in host_ids]
         self._send([item for item in found if item is not None], message)
 
     def broadcast(self, message: Any) -> None:
@@ -190,23 +190,65 @@
         self.received += 1
         self._inbox.handle_frame(data, peer=address[0])
 
-    def _address_of(self, host_id: str) -> PeerAddress | None:
+    @property
+    def address(self) -> PeerAddress:
+        """The address of this host for its peers."""
+        return self._address
+
+    def address_of(self, host_id: str) -> PeerAddress | None:
+        """
+        Look up the address of a peer.
+
+        :param host_id: id of the peer
+        :return: its address and port, None unless it is considered live
+        """
         row = self.membership.table.rows.get(host_id)
         if row is None or not row.live or self.membership.replaced:
             return None
         return row.endpoint.address, row.endpoint.port
 
-    def _send(self, addresses: Sequence[PeerAddress], message: Any) -> None:
-        if self._transport is None or not addresses:
-            return
+    def encode(self, message: Any) -> bytes:
+        """
+        Encode a message of this host.
+
+        :param message: an instance of a class of :mod:`mangohatch.peer.messages`
+        :return: the encoded envelope
+        """
         time_ms, count = self._hybrid.tick()
-        data = encode(
+        return encode(
             message,
             sender=self._host_id,
             incarnation=self.membership.own.incarnation,
             time_ms=time_ms,
             count=count,
         )
+
+    def decode_from_member(self, data: bytes, address: str) -> Envelope:
+        """
+        Decode an envelope that came over a connection of its own.
+
+        :param data: the encoded envelope
+        :param address: IP address of the sender
+        :return: the envelope
+        :raises PeerProtocolError: if its sender is not a live member at that address
+        """
+        envelope = decode_envelope(data)
+        row = self.membership.table.rows.get(envelope.sender)
+        if row is None or not row.live or row.endpoint.address != address:
+            raise PeerProtocolError(
+                f"sender {envelope.sender!r} at {address} is not a live member"
+            )
+        if envelope.incarnation < row.incarnation:
+            raise PeerProtocolError(
+                f"sender {envelope.sender!r} was replaced: incarnation"
+                f" {envelope.incarnation}, expected {row.incarnation} or newer"
+            )
+        return envelope
+
+    def _send(self, addresses: Sequence[PeerAddress], message: Any) -> None:
+        if self._transport is None or not addresses:
+            return
+        data = self.encode(message)
         if len(data) > MAX_DATAGRAM_BYTES:
             raise PeerProtocolError(
                 f"message of {len(data)} bytes exceeds the datagram limit"
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -4345,6 +4345,194 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RelayRequest(object):
+    """
+    A host asks a peer to open a connection to an upstream process and to relay it.
+
+    Attributes:
+     - service_name
+     - upstream
+     - address
+     - port
+     - started_ms
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'upstream',
+        'address',
+        'port',
+        'started_ms',
+    )
+
+
+    def __init__(self, service_name=None, upstream=None, address=None, port=None, started_ms=None,):
+        self.service_name = service_name
+        self.upstream = upstream
+        self.address = address
+        self.port = port
+        self.started_ms = started_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.started_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayRequest')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.DOUBLE, 5)
+            oprot.writeDouble(self.started_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayAnswer(object):
+    """
+    The answer of the peer; `refusal` is empty if the connection is open.
+
+    Attributes:
+     - refusal
+
+    """
+
+    __slots__ = (
+        'refusal',
+    )
+
+
+    def __init__(self, refusal=None,):
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.refusal = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayAnswer')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRING, 1)
+            oprot.writeString(self.refusal.encode('utf-8') if sys.version_info[0] == 2 else self.refusal)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -4660,5 +4848,19 @@
     (5, TType.LIST, 'ended_tokens', (TType.I32, None, False), None, ),  # 5
     (6, TType.DOUBLE, 'urgency', None, None, ),  # 6
 )
+all_structs.append(RelayRequest)
+RelayRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+    (5, TType.DOUBLE, 'started_ms', None, None, ),  # 5
+)
+all_structs.append(RelayAnswer)
+RelayAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'refusal', 'UTF8', None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -302,3 +302,17 @@
   5: list<i32> ended_tokens,
   6: double urgency,
 }
+
+/** A host asks a peer to open a connection to an upstream process and to relay it. */
+struct RelayRequest {
+  1: string service_name,
+  2: string upstream,
+  3: string address,
+  4: i32 port,
+  5: double started_ms,
+}
+
+/** The answer of the peer; `refusal` is empty if the connection is open. */
+struct RelayAnswer {
+  1: string refusal,
+}
--- /dev/null
+++ b/src/mangohatch/relay/dialer.py
@@ -0,0 +1,207 @@
+"""Connections to upstreams, through a peer where the direct path is lost."""
+
+import asyncio
+from collections.abc import Iterator
+
+from tornado.iostream import IOStream
+
+from mangohatch.clock import Clock
+from mangohatch.core.paths import PathTable, RelayChooser, RelayRefusal
+from mangohatch.core.tables import UpstreamRow
+from mangohatch.core.upstream_path import ConnectFailure
+from mangohatch.errors import HostCutOff, UpstreamUnreachable
+from mangohatch.relay.client import RelayClient, RelayFailed
+from mangohatch.upstream.dialer import Dialer, OpenedStream, Reuse, open_stream
+
+__all__ = ["RelayDialer"]
+
+# A direct connection takes a round trip. As in RFC 8305, the next way is tried while
+# the one before it may still succeed.
+NEXT_ATTEMPT_MS = 50.0
+CHECK_TIMEOUT_MS = 200.0  # less than the interval of checks
+MS_PER_S = 1000.0
+
+Attempt = asyncio.Task[OpenedStream]
+
+
+class RelayDialer(Dialer):
+    """
+    Tries the direct path first, and peers when it fails or does not answer.
+
+    While the direct path is lost, peers come first, and kept connections are used only
+    if something has arrived on them since. What a host decides about a request, and
+    all of its counts, stay where they are: the peer sees a connection only.
+
+    :param paths: knows which direct paths are lost, and receives the results
+    :param chooser: orders the peers
+    :param client: opens connections through peers
+    :param clock: source of time
+    """
+
+    def __init__(
+        self,
+        *,
+        paths: PathTable,
+        chooser: RelayChooser,
+        client: RelayClient,
+        clock: Clock,
+    ) -> None:
+        super().__init__(paths=paths)
+        self._chooser = chooser
+        self._client = client
+        self._clock = clock
+        self._checks: set[asyncio.Task[None]] = set()
+
+    async def open(self, upstream: UpstreamRow, stream: IOStream) -> OpenedStream:
+        started_ms = self._clock.now_ms()
+        lost = self.paths.is_lost(upstream)
+        race = Race()
+        try:
+            if not lost:
+                race.start(self._open_direct(upstream, stream))
+            opened = await self._run_race(race, upstream, stream, lost=lost)
+        finally:
+            await race.cancel()
+        if opened.relay:
+            stream.close()
+            self._chooser.record_opened(opened.relay)
+            if not lost:
+                self.paths.record_detour(
+                    upstream, since_ms=started_ms, relay=opened.relay
+                )
+        return opened
+
+    def judge(self, upstream: UpstreamRow, last_read_ms: float, relay: str) -> Reuse:
+        lost_since_ms = self.paths.lost_since_ms(upstream)
+        if relay:
+            usable = lost_since_ms is not None and self._chooser.is_usable(relay)
+            return Reuse.USE if usable else Reuse.CLOSE
+        if lost_since_ms is None or last_read_ms > lost_since_ms:
+            return Reuse.USE
+        return Reuse.KEEP
+
+    def record_closed(self, relay: str) -> None:
+        if relay:
+            self._chooser.record_closed(relay)
+
+    def tick(self, *, waiting: bool) -> None:
+        """
+        Try lost direct paths again, and suspected ones.
+
+        :param waiting: whether requests wait for a response
+        """
+        for upstream in self.paths.due_checks(waiting=waiting):
+            task = asyncio.get_running_loop().create_task(self._check(upstream))
+            self._checks.add(task)
+            task.add_done_callback(self._checks.discard)
+
+    async def _check(self, upstream: UpstreamRow) -> None:
+        stream = open_stream()
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_MS / MS_PER_S):
+                if self.paths.is_lost(upstream):
+                    await self._open_directly(upstream, stream)
+                else:
+                    opened = await self.open(upstream, stream)
+                    opened.stream.close()
+                    self.record_closed(opened.relay)
+        except TimeoutError:
+            self.paths.record_failed(upstream, ConnectFailure.TIMED_OUT)
+        except UpstreamUnreachable:
+            return  # counted where it failed
+        finally:
+            stream.close()
+
+    async def _open_direct(
+        self, upstream: UpstreamRow, stream: IOStream
+    ) -> OpenedStream:
+        await self._open_directly(upstream, stream)
+        return OpenedStream(stream=stream)
+
+    async def _open_relayed(self, upstream: UpstreamRow, peer: str) -> OpenedStream:
+        stream = await self._client.open(peer, upstream)
+        return OpenedStream(stream=stream, relay=peer)
+
+    async def _run_race(
+        self, race: "Race", upstream: UpstreamRow, stream: IOStream, *, lost: bool
+    ) -> OpenedStream:
+        peers: Iterator[str] = iter(())
+        if self.paths.allows_detour(upstream):
+            peers = self._chooser.candidates()
+        failure: UpstreamUnreachable | None = None
+        if lost:
+            failure = HostCutOff(f"no peer reaches upstream {upstream.name}")
+        while True:
+            if stream.closed() and stream.error is None:
+                raise UpstreamUnreachable(f"{upstream.name} did not accept in time")
+            if not race.tasks or race.overdue:
+                peer = next(peers, None)
+                if peer is not None:
+                    race.start(self._open_relayed(upstream, peer), peer=peer)
+                elif not race.tasks:
+                    assert failure is not None
+                    raise failure
+            ended = await race.wait(NEXT_ATTEMPT_MS / MS_PER_S)
+            for late in race.late_peers():
+                self._chooser.record_refused(late, None)
+            for task, asked in ended:
+                exc = task.exception()
+                if exc is None:
+                    return task.result()
+                if isinstance(exc, RelayFailed):
+                    self._chooser.record_refused(asked, exc.refusal)
+                    if exc.refusal is RelayRefusal.UNREACHABLE:
+                        self.paths.record_detour_failed(upstream)
+                        peers = iter(())
+                elif isinstance(exc, UpstreamUnreachable):
+                    failure = exc
+                else:
+                    raise exc
+
+
+class Race:
+    """Attempts of which the first to succeed counts."""
+
+    def __init__(self) -> None:
+        self.tasks: dict[Attempt, str] = {}
+        self.overdue = False
+
+    def start(self, attempt, *, peer: str = "") -> None:
+        """
+        Start an attempt.
+
+        :param attempt: coroutine that returns an opened stream
+        :param peer: id of the peer that it passes, empty for none
+        """
+        self.tasks[asyncio.get_running_loop().create_task(attempt)] = peer
+
+    async def wait(self, timeout_s: float) -> list[tuple[Attempt, str]]:
+        """
+        Wait for attempts to end; none ends if all take longer.
+
+        :param timeout_s: longest time to wait, in seconds
+        :return: the attempts that ended, with their peers
+        """
+        done, _ = await asyncio.wait(
+            self.tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        self.overdue = not done
+        return [(task, self.tasks.pop(task)) for task in done]
+
+    def late_peers(self) -> list[str]:
+        """
+        List the peers that did not answer while :meth:`wait` waited.
+
+        :return: host ids
+        """
+        if not self.overdue:
+            return []
+        return [peer for peer in self.tasks.values() if peer]
+
+    async def cancel(self) -> None:
+        """Cancel the attempts that are left, and close what they opened."""
+        for task in self.tasks:
+            task.cancel()
+        for result in await asyncio.gather(*self.tasks, return_exceptions=True):
+            if isinstance(result, OpenedStream):
+                result.stream.close()
--- /dev/null
+++ b/src/mangohatch/relay/server.py
@@ -0,0 +1,211 @@
+"""Relays bytes between peers that are cut off and upstreams."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from mangohatch.core.paths import PathTable, RelayRefusal
+from mangohatch.core.tables import UpstreamRow
+from mangohatch.errors import PeerProtocolError, UpstreamUnreachable
+from mangohatch.peer.codec import decode_body
+from mangohatch.peer.datagram import DatagramPeerBus
+from mangohatch.peer.messages.relay import RelayAnswer, RelayRequest
+from mangohatch.relay.admission import RelayAdmission
+from mangohatch.relay.stream import END, LENGTH_BYTES, make_frame
+from mangohatch.upstream.dialer import Dialer, open_stream
+
+__all__ = ["RelayServer"]
+
+PIECE_BYTES = 65_536
+MAX_BUFFER_BYTES = 2 * PIECE_BYTES
+MAX_REQUEST_BYTES = 4_096
+REQUEST_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.1  # the caller of the peer waits meanwhile
+
+log = structlog.get_logger()
+
+
+class RelayServer(TCPServer):
+    """
+    Opens connections to upstreams for members, and copies bytes both ways.
+
+    A piece is read only after the one before it was written, so a connection holds a
+    bounded number of bytes. When either side ends or breaks, so does the other.
+    ``relayed`` counts connections, and ``refused`` requests for one.
+
+    :param bus: knows the members, and encodes messages
+    :param admission: decides about requests
+    :param paths: receives the results of connections
+    """
+
+    def __init__(
+        self, *, bus: DatagramPeerBus, admission: RelayAdmission, paths: PathTable
+    ) -> None:
+        super().__init__(max_buffer_size=MAX_BUFFER_BYTES)
+        self.relayed = 0
+        self.refused = 0
+        self._bus = bus
+        self._admission = admission
+        self._dialer = Dialer(paths=paths)
+        self._streams: set[IOStream] = set()
+
+    @property
+    def active(self) -> int:
+        """The number of connections that are relayed."""
+        return self._admission.open
+
+    def leave(self) -> None:
+        """Relay no further connections; those that are open go on."""
+        self._admission.leaving = True
+
+    def close(self) -> None:
+        """Stop listening and break all connections."""
+        self.stop()
+        for stream in [*self._streams]:
+            stream.close()
+
+    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        """
+        Serve one connection of a peer.
+
+        :param stream: the accepted connection
+        :param address: remote address of the connection
+        """
+        self._streams.add(stream)
+        stream.set_nodelay(True)
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                sender, request = await self._read_request(stream, address[0])
+            await self._serve(stream, sender, request)
+        except (StreamClosedError, TimeoutError):
+            pass  # the peer has given up, or is none
+        except PeerProtocolError as exc:
+            log.warning("relay_request_refused", peer=address[0], cause=str(exc))
+            self.refused += 1
+        finally:
+            stream.close()
+            self._streams.discard(stream)
+
+    async def _read_request(
+        self, stream: IOStream, address: str
+    ) -> tuple[str, RelayRequest]:
+        size = int.from_bytes(await stream.read_bytes(LENGTH_BYTES), "big")
+        if not 0 < size <= MAX_REQUEST_BYTES:
+            raise PeerProtocolError(f"relay request of {size} bytes")
+        envelope = self._bus.decode_from_member(await stream.read_bytes(size), address)
+        request = decode_body(envelope)
+        if not isinstance(request, RelayRequest):
+            raise PeerProtocolError(f"{envelope.kind} instead of a relay request")
+        return envelope.sender, request
+
+    async def _serve(
+        self, stream: IOStream, sender: str, request: RelayRequest
+    ) -> None:
+        upstream = self._admission.admit(request)
+        if isinstance(upstream, RelayRefusal):
+            await self._refuse(stream, sender, request, upstream)
+            return
+        self._admission.open += 1
+        connection = open_stream()
+        self._streams.add(connection)
+        try:
+            if not await self._connect(upstream, connection):
+                await self._refuse(stream, sender, request, RelayRefusal.UNREACHABLE)
+                return
+            self.relayed += 1
+            log.info(
+                "relay_opened",
+                peer=sender,
+                service=upstream.service,
+                upstream=upstream.name,
+            )
+            await self._send_answer(stream, "")
+            await relay(stream, connection)
+        finally:
+            self._admission.open -= 1
+            self._streams.discard(connection)
+            connection.close()
+
+    async def _connect(self, upstream: UpstreamRow, connection: IOStream) -> bool:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self._dialer.open(upstream, connection)
+        except (TimeoutError, UpstreamUnreachable):
+            return False
+        return True
+
+    async def _refuse(
+        self,
+        stream: IOStream,
+        sender: str,
+        request: RelayRequest,
+        cause: RelayRefusal,
+    ) -> None:
+        self.refused += 1
+        log.info(
+            "relay_refused",
+            peer=sender,
+            service=request.service_name,
+            upstream=request.upstream,
+            cause=str(cause),
+        )
+        await self._send_answer(stream, cause)
+
+    async def _send_answer(self, stream: IOStream, refusal: str) -> None:
+        frame = make_frame(self._bus.encode(RelayAnswer(refusal=str(refusal))))
+        await stream.write(make_frame(frame))
+
+
+async def relay(peer: IOStream, upstream: IOStream) -> None:
+    """
+    Copy bytes both ways until either side ends.
+
+    :param peer: connection of the peer, which sends plain bytes and receives frames
+    :param upstream: connection to the upstream
+    """
+    tasks = [
+        asyncio.create_task(copy(peer, upstream, frame=lambda piece: piece)),
+        asyncio.create_task(copy(upstream, peer, frame=make_frame)),
+    ]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        if tasks[1].done() and upstream.closed() and upstream.error is None:
+            await write_end(peer)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def copy(
+    source: IOStream, target: IOStream, *, frame: Callable[[bytes], bytes]
+) -> None:
+    """
+    Copy bytes until one of the streams closes.
+
+    :param source: stream to read
+    :param target: stream to write
+    :param frame: converts each piece to what is written
+    """
+    try:
+        while True:
+            await target.write(
+                frame(await source.read_bytes(PIECE_BYTES, partial=True))
+            )
+    except StreamClosedError:
+        return
+
+
+async def write_end(peer: IOStream) -> None:
+    """
+    Tell a peer that its upstream has closed the connection in an orderly way.
+
+    :param peer: connection of the peer
+    """
+    try:
+        await peer.write(END)
+    except StreamClosedError:
+        return
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -14,12 +14,12 @@
     ResponseStartLine,
     parse_response_start_line,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from mangohatch.clock import Clock
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import ResponseUnframed, UpstreamAborted
-from mangohatch.upstream.dialer import Dialer
+from mangohatch.upstream.dialer import Dialer, open_stream
 from mangohatch.wire import format_head, parse_fields, send
 
 __all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
@@ -33,7 +33,6 @@
 HEAD_END_OR_GARBAGE = HEAD_END + b"|" + NO_STATUS_LINE
 MAX_HEADER_BYTES = 65_536
 CHUNK_BYTES = 65_536
-MAX_BUFFER_BYTES = 1_048_576
 MAX_BODY_BYTES = 1 << 40
 MAX_DISCARDED_BYTES = 1_048_576  # reading more costs more than a new connection
 MAX_INTERIM_RESPONSES = 10
@@ -111,7 +110,8 @@
     A connection that carries one request at a time.
 
     Tornado frames and parses the messages. This class controls the sequence of steps,
-    so that a response head can be checked before its body is read.
+    so that a response head can be checked before its body is read. ``relay`` is the
+    peer that the connection passes, empty if it is direct.
 
     :param upstream: the upstream
     :param clock: source of time
@@ -119,17 +119,16 @@
     """
 
     def __init__(self, *, upstream: UpstreamRow, clock: Clock, dialer: Dialer) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
-        super().__init__(stream, True, CONNECTION_PARAMS)
+        super().__init__(open_stream(), True, CONNECTION_PARAMS)
         self.upstream = upstream
         self.connected = False
+        self.relay = ""
         self.exchanges = 0
         self.sent_ms = 0.0
         self.last_read_ms = clock.now_ms()
         self._clock = clock
         self._dialer = dialer
+        self._relay_open = False
         self._must_close = False
 
     @property
@@ -140,11 +139,15 @@
     def close(self) -> None:
         """Close the stream, so that a late response on it reaches no other request."""
         self.stream.close()
+        if self._relay_open:
+            self._relay_open = False
+            self._dialer.record_closed(self.relay)
 
     def record_activity(self) -> None:
         """Record that data has arrived from the upstream."""
         self.last_read_ms = self._clock.now_ms()
-        self.upstream.path.heard_ms = self.last_read_ms
+        if not self.relay:
+            self._dialer.paths.record_heard(self.upstream)
 
     def is_clean(self) -> bool:
         """
@@ -168,7 +171,10 @@
 
         :raises UpstreamUnreachable: when the upstream does not accept it
         """
-        self.stream = await self._dialer.open(self.upstream, self.stream)
+        opened = await self._dialer.open(self.upstream, self.stream)
+        self.stream = opened.stream
+        self.relay = opened.relay
+        self._relay_open = bool(opened.relay)
         self.connected = True
         self.record_activity()
 
--- a/src/mangohatch/upstream/dialer.py
+++ b/src/mangohatch/upstream/dialer.py
@@ -1,5 +1,9 @@
 """Opening of connections to upstreams."""
 
+import socket
+from dataclasses import dataclass
+from enum import Enum, auto
+
 from tornado.iostream import IOStream, StreamClosedError
 
 from mangohatch.core.paths import PathTable
@@ -7,7 +11,25 @@
 from mangohatch.core.upstream_path import ConnectFailure
 from mangohatch.errors import UpstreamUnreachable
 
-__all__ = ["Dialer"]
+__all__ = ["Dialer", "OpenedStream", "Reuse", "open_stream"]
+
+MAX_BUFFER_BYTES = 1_048_576
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OpenedStream:
+    """A connected stream; ``relay`` is the peer that it passes, empty for none."""
+
+    stream: IOStream
+    relay: str = ""
+
+
+class Reuse(Enum):
+    """What to do with an idle connection."""
+
+    USE = auto()
+    KEEP = auto()
+    CLOSE = auto()
 
 
 class Dialer:
@@ -18,26 +40,59 @@
     """
 
     def __init__(self, *, paths: PathTable) -> None:
-        self._paths = paths
+        self.paths = paths
 
-    async def open(self, upstream: UpstreamRow, stream: IOStream) -> IOStream:
+    async def open(self, upstream: UpstreamRow, stream: IOStream) -> OpenedStream:
         """
         Open a connection.
 
         :param upstream: destination of the connection
         :param stream: an unconnected stream; closing it gives the attempt up
-        :return: the connected stream
+        :return: the connected stream, which may be another one
         :raises UpstreamUnreachable: when the upstream does not accept the connection
         """
+        await self._open_directly(upstream, stream)
+        return OpenedStream(stream=stream)
+
+    def judge(self, upstream: UpstreamRow, last_read_ms: float, relay: str) -> Reuse:
+        """
+        Decide about an idle connection.
+
+        :param upstream: its upstream
+        :param last_read_ms: when something arrived on it last, monotonic milliseconds
+        :param relay: id of the peer that it passes, empty for none
+        :return: whether to use it now, to keep it for later, or to close it
+        """
+        return Reuse.USE
+
+    def record_closed(self, relay: str) -> None:
+        """
+        Record the end of a connection.
+
+        :param relay: id of the peer that it passed, empty for none
+        """
+
+    async def _open_directly(self, upstream: UpstreamRow, stream: IOStream) -> None:
         try:
             await stream.connect((upstream.address, upstream.port))
         except (StreamClosedError, OSError) as exc:
             failure = classify_failure(exc)
-            self._paths.record_failed(upstream, failure)
+            self.paths.record_failed(upstream, failure)
             detail = f"upstream {upstream.name} accepts no connection: {failure}"
             raise UpstreamUnreachable(detail) from exc
-        self._paths.record_connected(upstream)
-        return stream
+        self.paths.record_connected(upstream)
+
+
+def open_stream(stream_type: type[IOStream] = IOStream) -> IOStream:
+    """
+    Create a stream for a connection to an upstream or a peer.
+
+    :param stream_type: class of the stream
+    :return: a stream that is not connected
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return stream_type(sock, max_buffer_size=MAX_BUFFER_BYTES)
 
 
 def classify_failure(exc: Exception) -> ConnectFailure:
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -14,7 +14,7 @@
     ResponseHead,
     UpstreamConnection,
 )
-from mangohatch.upstream.dialer import Dialer
+from mangohatch.upstream.dialer import Dialer, Reuse
 
 __all__ = ["HttpLoadProbe", "ReadProbe"]
 
@@ -88,7 +88,8 @@
         conn = self._conns.get(id(row))
         if conn is not None:
             idle_ms = self._clock.now_ms() - conn.last_read_ms
-            if not conn.closed and conn.is_clean() and idle_ms < MAX_IDLE_MS:
+            reuse = self._dialer.judge(row, conn.last_read_ms, conn.relay)
+            if reuse is Reuse.USE and conn.is_clean() and idle_ms < MAX_IDLE_MS:
                 return conn
             conn.close()
         self.connections += 1
--- a/src/mangohatch/upstream/pool.py
+++ b/src/mangohatch/upstream/pool.py
@@ -7,7 +7,7 @@
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import UpstreamUnreachable
 from mangohatch.upstream.connection import UpstreamConnection
-from mangohatch.upstream.dialer import Dialer
+from mangohatch.upstream.dialer import Dialer, Reuse
 
 __all__ = ["ConnectionPool"]
 
@@ -86,16 +86,10 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = AddressPool()
-        while pool.idle and not fresh:
-            conn = pool.idle[-1]
-            age_ms = self._clock.now_ms() - conn.last_read_ms
-            if recently_active and age_ms > RECENT_ACTIVITY_MS:
-                break
-            pool.idle.pop()
-            if age_ms <= IDLE_TIMEOUT_MS and conn.is_clean():
-                conn.upstream = upstream
-                return conn
-            self._drop(pool, conn)
+        if not fresh:
+            found = self._take_idle(pool, upstream, recently_active=recently_active)
+            if found is not None:
+                return found
         if pool.open >= self._limit(upstream) and not self._drop_oldest(pool):
             raise UpstreamUnreachable(f"all connections to {upstream.name} are in use")
         pool.open += 1
@@ -103,6 +97,47 @@
             upstream=upstream, clock=self._clock, dialer=self._dialer
         )
 
+    def _take_idle(
+        self, pool: AddressPool, upstream: UpstreamRow, *, recently_active: bool
+    ) -> UpstreamConnection | None:
+        for conn in [*reversed(pool.idle)]:
+            reuse = self._judge(conn)
+            if reuse is Reuse.KEEP:
+                continue
+            age_ms = self._clock.now_ms() - conn.last_read_ms
+            if recently_active and age_ms > RECENT_ACTIVITY_MS:
+                return None
+            pool.idle.remove(conn)
+            usable = reuse is Reuse.USE and age_ms <= IDLE_TIMEOUT_MS
+            if usable and conn.is_clean():
+                conn.upstream = upstream
+                return conn
+            self._drop(pool, conn)
+        return None
+
+    def is_cut_off(self, conn: UpstreamConnection) -> bool:
+        """
+        Return whether a failure of a connection may be due to this host's own links.
+
+        :param conn: a connection that failed
+        :return: whether it was direct, and the direct path is lost
+        """
+        return not conn.relay and self._dialer.paths.is_lost(conn.upstream)
+
+    def is_dead(self, conn: UpstreamConnection) -> bool:
+        """
+        Return whether nothing can arrive on a connection in use.
+
+        :param conn: a connection from :meth:`acquire`
+        :return: whether it is direct, and nothing has arrived on it since all paths to
+            the zone of its upstream were lost
+        """
+        lost_ms = self._dialer.paths.zone_lost_ms(conn.upstream)
+        return not conn.relay and lost_ms is not None and conn.last_read_ms < lost_ms
+
+    def _judge(self, conn: UpstreamConnection) -> Reuse:
+        return self._dialer.judge(conn.upstream, conn.last_read_ms, conn.relay)
+
     def release(self, conn: UpstreamConnection, *, reusable: bool) -> None:
         """
         Return a connection to the pool.
@@ -149,6 +184,10 @@
         for address, pool in list(self._pools.items()):
             while pool.idle and pool.idle[0].last_read_ms < oldest_ms:
                 self._drop(pool, pool.idle.popleft())
+            for conn in [item for item in pool.idle if item.relay]:
+                if self._judge(conn) is Reuse.CLOSE:
+                    pool.idle.remove(conn)
+                    self._drop(pool, conn)
             if not pool.open:
                 del self._pools[address]
 
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -215,7 +215,9 @@
     clock = ManualClock()
     tables = Tables()
     tables.apply(make_spec(upstreams), revision=1)
-    pool = ConnectionPool(clock=clock, dialer=Dialer(paths=PathTable(clock=clock)))
+    pool = ConnectionPool(
+        clock=clock, dialer=Dialer(paths=PathTable(clock=clock, tables=Tables()))
+    )
     router = SpyRouter(clock=clock, rng=random.Random(1), tables=tables)
     recorder = Recorder(host="h1", zone="puno", clock=HybridClock(clock=clock))
     forwarder = Forwarder(
--- a/tests/upstream/test_load_probe.py
+++ b/tests/upstream/test_load_probe.py
@@ -31,7 +31,7 @@
         server.close()
     probe = HttpLoadProbe(
         clock=SystemClock(),
-        dialer=Dialer(paths=PathTable(clock=SystemClock())),
+        dialer=Dialer(paths=PathTable(clock=SystemClock(), tables=Tables())),
         read=read_probe,
     )
     check = ProbeCrashCheck(tables=tables, probe=probe)
--- a/tests/upstream/test_pool.py
+++ b/tests/upstream/test_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from mangohatch.core.paths import PathTable
-from mangohatch.core.tables import UpstreamRow
+from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.errors import UpstreamUnreachable
 from mangohatch.upstream.dialer import Dialer
 from mangohatch.upstream.pool import ConnectionPool
@@ -17,7 +17,9 @@
 @fixture
 def pool(clock):
     return ConnectionPool(
-        clock=clock, dialer=Dialer(paths=PathTable(clock=clock)), share=0.02
+        clock=clock,
+        dialer=Dialer(paths=PathTable(clock=clock, tables=Tables())),
+        share=0.02,
     )
 
 
