--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections through peers."""
