--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -136,6 +136,7 @@
             sign_settings=SignSettings(max_pause_ms=cfg.bounds.max_pause_ms),
         )
         self.gate = decisions.gate
+        self.health = decisions.health
         self._move_policy = decisions.should_move
         self._limits = decisions.limits
         self._signs = decisions.signs
--- a/src/mangohatch/relay/server.py
+++ b/src/mangohatch/relay/server.py
@@ -1,6 +1,7 @@
 """Relays bytes between peers that are cut off and upstreams."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 import structlog
@@ -23,6 +24,9 @@
 MAX_BUFFER_BYTES = 2 * PIECE_BYTES
 MAX_REQUEST_BYTES = 4_096
 REQUEST_TIMEOUT_S = 1.0
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
 CONNECT_TIMEOUT_S = 0.1  # the caller of the peer waits meanwhile
 
 log = structlog.get_logger()
@@ -76,6 +80,7 @@
         """
         self._streams.add(stream)
         stream.set_nodelay(True)
+        set_keepalive(stream)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 sender, request = await self._read_request(stream, address[0])
@@ -159,6 +164,19 @@
         await stream.write(make_frame(frame))
 
 
+def set_keepalive(stream: IOStream) -> None:
+    """
+    Let a connection end whose other side has lost its power.
+
+    :param stream: the connection
+    """
+    sock = stream.socket
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 async def relay(peer: IOStream, upstream: IOStream) -> None:
     """
     Copy bytes both ways until either side ends.
@@ -172,8 +190,10 @@
     ]
     try:
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        if tasks[1].done() and upstream.closed() and upstream.error is None:
-            await write_end(peer)
+        if upstream.closed() and not peer.closed():
+            await tasks[1]  # what the upstream had sent before it closed
+            if upstream.error is None:
+                await write_end(peer)
     finally:
         for task in tasks:
             task.cancel()
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -8,7 +8,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import UpstreamRow
-from mangohatch.errors import RequestError, UpstreamUnreachable
+from mangohatch.errors import HostCutOff, RequestError, UpstreamUnreachable
 from mangohatch.probing import LoadProbe, ProbeResult
 from mangohatch.upstream.connection import (
     ResponseHead,
@@ -65,8 +65,8 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 statement, instance = await self._exchange(conn, path)
-        except UpstreamUnreachable:
-            refused = True
+        except UpstreamUnreachable as exc:
+            refused = not isinstance(exc, HostCutOff)
             conn.close()
         except (RequestError, TimeoutError):
             # Placement keeps the previous report, whose weight decreases with its age.
--- a/src/standins/platform_site.py
+++ b/src/standins/platform_site.py
@@ -69,7 +69,7 @@
 
     It answers 421 to requests whose ``Expected-Instance`` names another upstream. Its
     answers carry the fields ``signs``, and with ``pause_s`` it turns requests away and
-    asks for a pause.
+    asks for a pause. With ``echoes``, an answer is the body of its request.
     """
 
     name: str
@@ -77,6 +77,7 @@
     work_s: float = 0.0
     signs: Headers = field(default_factory=dict)
     pause_s: str = ""
+    echoes: bool = False
     requests: list[Headers] = field(default_factory=list)
     server: StubHttpServer | None = None
 
@@ -126,7 +127,7 @@
             "Request-Id": headers["request-id"],
             "Upstream-Signature": f"{self.name}.signed",
         }
-        return 200, load | fields, target.encode()
+        return 200, load | fields, body if self.echoes else target.encode()
 
 
 class PlatformSite:
--- a/tests/fleet/cut_site.py
+++ b/tests/fleet/cut_site.py
@@ -144,14 +144,24 @@
             host.run(leaving, settings), context=context
         )
 
-    async def wait_until_ready(self):
+    async def connect_to_relay(self, host_id, *, source=LOOPBACK):
+        return await asyncio.open_connection(
+            *self.hosts[host_id].cfg.peers, local_addr=(source, 0)
+        )
+
+    async def wait_until(self, condition):
         async with asyncio.timeout(WAIT_S):
-            while any(
-                host.not_ready() or len(host.bus.members()) < len(self.hosts)
-                for host in self.hosts.values()
-            ):
+            while not condition():
                 await asyncio.sleep(POLL_S)
 
+    async def wait_until_ready(self):
+        await self.wait_until(
+            lambda: all(
+                not host.not_ready() and len(host.bus.members()) >= len(self.hosts)
+                for host in self.hosts.values()
+            )
+        )
+
     def leave(self, host_id):
         self._leaving[host_id].set()
 
