Answer requests that a host had not read when it stopped accepting

Operators of similar systems saw requests that had just been accepted cut off by a planned stop under load. The caller got a reset (the test fails with ConnectionResetError).

The host now accepts what waits before it stops to listen, keeps connections with unread input, and closes those without any at the next check of sessions.

--- a/src/mangohatch/entry/server.py
+++ b/src/mangohatch/entry/server.py
@@ -29,6 +29,17 @@
     async def handle_stream(self, stream: IOStream, address: tuple) -> None:
         await self._entry.serve(stream, address[0])
 
+    def accept_waiting(self) -> None:
+        """Accept the connections that the kernel has taken, before listening ends."""
+        for sock in self._sockets.values():
+            while True:
+                try:
+                    connection, address = sock.accept()
+                except OSError:
+                    break  # none is left
+                connection.setblocking(False)
+                self._handle_connection(connection, address)
+
 
 class EntryServer:
     """
@@ -149,6 +160,7 @@
 
     def _stop_accepting_requests(self) -> None:
         self.closing = True
+        self._listener.accept_waiting()
         self._listener.stop()
         for session in list(self.sessions):
             if session.idle:
--- a/src/mangohatch/entry/session.py
+++ b/src/mangohatch/entry/session.py
@@ -53,8 +53,10 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request has started."""
-        return self.phase is Phase.HEAD and not self.stream._read_buffer_size
+        """Whether no request has started, not even one that was not read yet."""
+        if self.phase is not Phase.HEAD or self.stream._read_buffer_size:
+            return False
+        return not has_unread_input(self.stream)
 
     @property
     def received_bytes(self) -> int:
@@ -86,10 +88,7 @@
         """
         waited_ms = now_ms - self._last_progress_ms
         if self.phase is Phase.HEAD:
-            limits = self._server.limits
-            limit_ms = limits.idle_timeout_ms if self.idle else limits.head_timeout_ms
-            if waited_ms > limit_ms:
-                self._refuse_slow_head()
+            self._check_head(waited_ms)
         elif self.phase is Phase.BODY:
             self._check_body_progress(now_ms)
         elif self.phase is Phase.RESPONSE:
@@ -97,6 +96,18 @@
         elif waited_ms > LINGER_MS:
             self.stream.close()
 
+    def _check_head(self, waited_ms: float) -> None:
+        limits = self._server.limits
+        shortest_ms = min(limits.idle_timeout_ms, limits.head_timeout_ms)
+        if waited_ms <= shortest_ms and not self._server.closing:
+            return
+        idle = self.idle
+        limit_ms = limits.idle_timeout_ms if idle else limits.head_timeout_ms
+        if waited_ms > limit_ms:
+            self._refuse_slow_head()
+        elif idle and self._server.closing:
+            self.stream.close()
+
     def _refuse_slow_head(self) -> None:
         if not self.idle:
             error = RequestTimeout("the request head did not arrive in time")
@@ -228,3 +239,18 @@
         self.stream.set_close_callback(closed.set)
         self.stream.socket.shutdown(socket.SHUT_WR)
         await closed.wait()
+
+
+def has_unread_input(stream: IOStream) -> bool:
+    """
+    Return whether the socket of a stream holds bytes that were not read.
+
+    :param stream: a caller's connection
+    :return: whether there is input; False at the end of the connection
+    """
+    if stream.closed():
+        return False
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -1,13 +1,15 @@
 """Tests of draining: new requests are refused, requests in flight complete."""
 
 import asyncio
+import socket
 
-from tests.entry.harness import fixed, open_entry, request
+from tests.entry.harness import LOOPBACK, fixed, open_entry, read_message, request
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
 
 BALANCER_DELAY_MS = 3000.0
+SESSION_CHECK_MS = 250.0
 
 
 class GatedResponse:
@@ -48,6 +50,28 @@
         await wait_until(entry.server.drained)
 
 
+async def test_request_that_no_one_had_read_when_accepting_ended_is_answered():
+    async def answer(upstream, message, writer):
+        writer.write(fixed())
+
+    async with open_entry(answer) as (entry, upstreams):
+        kept = await entry.connect()
+        assert (await kept.fetch()).status == 200
+        unaccepted = socket.create_connection((LOOPBACK, entry.server.port))
+        unaccepted.sendall(request())
+        silent = socket.create_connection((LOOPBACK, entry.server.port))
+        kept.writer.write(request())
+        entry.server.begin_drain()
+        entry.pass_time(BALANCER_DELAY_MS)
+        assert (await read_message(kept.reader)).status == 200
+        reader, writer = await asyncio.open_connection(sock=unaccepted)
+        assert (await read_message(reader)).status == 200
+        writer.close()
+        entry.pass_time(SESSION_CHECK_MS)
+        await wait_until(entry.server.drained)
+        silent.close()
+
+
 async def test_drain_waits_for_a_long_download():
     response_gate = GatedResponse()
     async with open_entry(response_gate) as (entry, upstreams):
