Use no permit for a limited upstream after its term

Operators of similar systems saw a paused process act on a permission that had run out. It can happen here: permits held ahead go back by a timer after a second, but a host that was stopped for seconds handles requests before its timers, and may_send looked at the number of permits only. The new test fails before (a permit is usable 5 s after its term). Permits now carry the end of their term, which is checked at each use. Tests of tests.core.limits and test_named_limits passed.

--- a/src/mangohatch/core/limits/permits.py
+++ b/src/mangohatch/core/limits/permits.py
@@ -31,10 +31,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class HeldPermits:
-    """Permits for one upstream, and when this host asked for some last."""
+    """
+    Permits for one upstream, valid until a time, and when this host asked last.
+
+    A host that was paused handles requests before the timers that return its permits.
+    """
 
     row: UpstreamRow
     count: int = 0
+    until_ms: float = float("-inf")
     requested_ms: float = float("-inf")
 
 
@@ -90,8 +95,7 @@
     def may_send(self, row: UpstreamRow) -> bool:
         if not row.limit.named:
             return True
-        held = self._held.get(id(row))
-        if held is not None and held.count:
+        if self._usable(row) is not None:
             return True
         return self.broker.owns(row) and self.broker.is_free(row)
 
@@ -99,12 +103,18 @@
         if not row.limit.named:
             return
         self.used += 1
-        held = self._held.get(id(row))
-        if held is not None and held.count:
+        held = self._usable(row)
+        if held is not None:
             held.count -= 1
         else:
             self.broker.take(row)
 
+    def _usable(self, row: UpstreamRow) -> HeldPermits | None:
+        held = self._held.get(id(row))
+        if held is None or not held.count or self._clock.now_ms() > held.until_ms:
+            return None
+        return held
+
     def request(self, service: str) -> None:
         row = self._tables.services.get(service)
         if row is None:
@@ -182,6 +192,7 @@
         held.count += count
         ahead = row.limit.per_s >= MIN_AHEAD_PER_S * self._subset.hosts
         hold_ms = AHEAD_HOLD_MS if ahead else HOLD_MS
+        held.until_ms = self._clock.now_ms() + hold_ms
         self._timers.call_later(hold_ms, lambda: self._put_back(held))
         # A grant may come from within the placement of a call.
         self._timers.call_later(0.0, lambda: self._offer(held, ahead))
--- a/tests/core/limits/test_permits.py
+++ b/tests/core/limits/test_permits.py
@@ -209,3 +209,15 @@
     assert bucket.count(2.0) == 1
     clock.advance(60_000.0)
     assert bucket.count(40.0) == 11
+
+
+def test_host_that_was_paused_does_not_use_a_permit_that_has_run_out(network, clock):
+    site = Site(network, clock, 6.0)
+    site.run(2_000.0)
+    paused = next(
+        host
+        for host in site.hosts
+        if host is not site.owner and host.permits.may_send(host.row)
+    )
+    clock.advance(5_000.0)
+    assert not paused.permits.may_send(paused.row)
