Keep a host running when one of its systems fails unexpectedly

Operators of similar systems saw one unexpected error take a whole process down. It can happen here: an exception out of any tick, or out of reading changed settings (an empty list of ports raises IndexError), left FleetHost.run and ended the process with all its requests.

Messages of peers, load probes and connections had such a guard already.

--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Iterator
 from dataclasses import replace
+from functools import partial
 
 import structlog
 
@@ -24,6 +25,7 @@
 from mangohatch.entry.server import EntryServer
 from mangohatch.fleet.components import FleetComponents
 from mangohatch.fleet.decisions import make_decisions
+from mangohatch.fleet.guard import SystemGuard
 from mangohatch.fleet.loop_delay import LoopDelay
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.request_log import RequestLog
@@ -222,6 +224,7 @@
             pages={components.metrics_path: self._render_metrics}
         )
         self._loop_delay = LoopDelay(clock=clock)
+        self._guard = SystemGuard(clock=clock)
         self._was_ready = False
         self._stop_deadline_ms: float | None = None
 
@@ -297,6 +300,11 @@
                 "Retries permitted to hosts from the slack of the retry budget.",
                 self._retry_permits.granted,
             ),
+            (
+                "system_failures",
+                "Runs of a system of this host that ended with an unexpected error.",
+                self._guard.failures,
+            ),
             (
                 "relays_opened",
                 "Connections to upstreams that this host opened through peers.",
@@ -403,22 +411,26 @@
 
     def tick(self) -> None:
         """Run all systems once."""
-        self.bus.tick()
-        self.follower.tick()
-        self._table_updater.tick()
+        run = self._guard.run
+        run("peers", self.bus.tick)
+        run("directory", self.follower.tick)
+        run("tables", self._table_updater.tick)
         if self._probes_load:
-            self.probing.tick()
-        self.gate.tick()
-        self._limits.tick()
-        self._signs.tick()
-        self._retry_permits.tick()
-        self._dialer.tick(waiting=bool(self.forwarder.active))
-        self.entry.tick()
-        self.metrics.tick()
+            run("probing", self.probing.tick)
+        run("router", self.gate.tick)
+        run("limits", self._limits.tick)
+        run("signs", self._signs.tick)
+        run("retry permits", self._retry_permits.tick)
+        run("paths", self._check_paths)
+        run("entry", self.entry.tick)
+        run("metrics", self.metrics.tick)
         if not self._was_ready and self.not_ready() is None:
             self._was_ready = True
             log.info("host_ready", host=self.cfg.host_id)
 
+    def _check_paths(self) -> None:
+        self._dialer.tick(waiting=bool(self.forwarder.active))
+
     def _should_stop(self) -> bool:
         if self._stop_deadline_ms is None:
             return False
@@ -453,7 +465,7 @@
             self._loop_delay.record()
             if leaving.is_set():
                 self.leave()
-            self._reload(settings)
+            self._guard.run("settings", partial(self._reload, settings))
             self.tick()
             delay_ms = BUSY_TICK_MS if self.forwarder.active else IDLE_TICK_MS
             self._loop_delay.expect(delay_ms)
--- a/tests/fleet/cut_site.py
+++ b/tests/fleet/cut_site.py
@@ -4,7 +4,6 @@
 import contextlib
 import errno
 import os
-import tempfile
 from collections.abc import AsyncIterator
 from contextvars import ContextVar, copy_context
 from enum import StrEnum
@@ -105,6 +104,19 @@
             yield
 
 
+class FixedSettings(SettingsFile):
+    """Settings that do not change; reading them may fail."""
+
+    def __init__(self, *, cfg):
+        super().__init__(path=Path("/none"), read=lambda path: cfg)
+        self.fail_with = None
+
+    def read_if_changed(self):
+        if self.fail_with is not None:
+            raise self.fail_with
+        return None
+
+
 class CutSite:
     """The stand-in of a platform with running hosts."""
 
@@ -113,9 +125,10 @@
         self.firewall = firewall
         self.hosts = {}
         self.tasks = {}
+        self.settings = {}
         self._leaving = {}
 
-    def start_host(self, number, folder):
+    def start_host(self, number):
         process = os.getpid()
         address = f"127.{2 + number}.{process // 250 % 250}.{1 + process % 250}"
         cfg = FleetSettings(
@@ -137,7 +150,7 @@
         host = make_host(cfg=cfg, placement=Placement.EXPECTED_TIME)
         self.hosts[cfg.host_id] = host
         leaving = self._leaving[cfg.host_id] = asyncio.Event()
-        settings = SettingsFile(path=Path(folder) / "none", read=lambda path: cfg)
+        settings = self.settings[cfg.host_id] = FixedSettings(cfg=cfg)
         context = copy_context()
         context.run(CURRENT_HOST.set, cfg.host_id)
         self.tasks[cfg.host_id] = asyncio.get_running_loop().create_task(
@@ -212,9 +225,9 @@
     firewall = Firewall()
     firewall.ports = {upstream.server.port for upstream in made}
     cut_site = CutSite(site=site, firewall=firewall)
-    with firewall.installed(), tempfile.TemporaryDirectory() as folder:
+    with firewall.installed():
         for number in range(hosts):
-            cut_site.start_host(number, folder)
+            cut_site.start_host(number)
         try:
             await cut_site.wait_until_ready()
             yield cut_site
