Tell a host that is cut off from an upstream that has failed by several failures

A host whose connections to several upstreams failed since it heard from any now suspects itself: it asks all peers, and as a peer it says that it is cut off. An upstream counts as down only after three peers did not reach it.

--- a/src/mangohatch/core/paths/table.py
+++ b/src/mangohatch/core/paths/table.py
@@ -16,6 +16,7 @@
 OPENED = "opened"
 ALL_ZONES = ""
 MIN_LOST_UPSTREAMS = 2  # one upstream may be cut off by itself
+MIN_FAILED_UPSTREAMS = 2  # one upstream may have failed by itself
 CHECK_INTERVAL_MS = 250.0  # an ended cut is known within two intervals
 SUSPECTS_AT_ONCE = 3
 SUSPECT_INTERVAL_MS = 1_000.0  # between checks of one upstream
@@ -67,6 +68,7 @@
         self._lost: dict[int, UpstreamRow] = {}
         self._check_due_ms = -math.inf
         self._heard_ms = -math.inf
+        self._failed: set[tuple[str, str]] = set()
 
     def is_lost(self, upstream: UpstreamRow) -> bool:
         """
@@ -109,13 +111,23 @@
         Return whether a peer may reach an upstream that this host does not reach.
 
         :param upstream: the upstream
-        :return: False if a peer failed to reach it lately and the path is not lost
+        :return: False if peers failed to reach it lately, unless the failure is likely
+            to be that of this host
         """
-        if self.is_lost(upstream):
+        if self.is_lost(upstream) or self.suspects_itself():
             return True
         since_ms = self._clock.now_ms() - upstream.path.detour_failed_ms
         return since_ms >= DETOUR_RETRY_MS
 
+    def suspects_itself(self) -> bool:
+        """
+        Return whether this host rather than upstreams may be cut off.
+
+        :return: whether connections to several upstreams have failed since it heard
+            from any upstream
+        """
+        return len(self._failed) >= MIN_FAILED_UPSTREAMS
+
     def record_connected(self, upstream: UpstreamRow) -> None:
         """
         Record that an upstream accepted a direct connection.
@@ -146,6 +158,8 @@
         :param upstream: the upstream
         """
         upstream.path.heard_ms = self._heard_ms = self._clock.now_ms()
+        if self._failed:
+            self._failed.clear()
 
     def record_failed(self, upstream: UpstreamRow, failure: ConnectFailure) -> None:
         """
@@ -155,6 +169,7 @@
         :param failure: how it failed
         """
         self.connects[failure] += 1
+        self._failed.add((upstream.service, upstream.name))
 
     def record_detour(
         self, upstream: UpstreamRow, *, since_ms: float, relay: str
@@ -189,7 +204,7 @@
 
     def record_detour_failed(self, upstream: UpstreamRow) -> None:
         """
-        Record that a peer that is not cut off does not reach an upstream either.
+        Record that peers do not reach an upstream either.
 
         :param upstream: the upstream
         """
--- a/src/mangohatch/core/upstream_path.py
+++ b/src/mangohatch/core/upstream_path.py
@@ -23,8 +23,8 @@
     Times are monotonic milliseconds. At ``heard_ms``, something arrived from the
     upstream last, and at ``connected_ms`` it last accepted a connection. ``lost_ms`` is
     set while only peers reach the upstream, to the begin of the first attempt that
-    showed it. The path was checked last at ``checked_ms``. At ``detour_failed_ms``, a
-    peer that is not cut off did not reach the upstream either.
+    showed it. The path was checked last at ``checked_ms``. At ``detour_failed_ms``,
+    peers did not reach the upstream either.
     """
 
     heard_ms: float = -math.inf
--- a/src/mangohatch/relay/dialer.py
+++ b/src/mangohatch/relay/dialer.py
@@ -19,6 +19,8 @@
 # the one before it may still succeed.
 NEXT_ATTEMPT_MS = 50.0
 CHECK_TIMEOUT_MS = 200.0  # less than the interval of checks
+# Peers that do not reach an upstream either, until it is considered down.
+MAX_UNREACHABLE = 3
 MS_PER_S = 1000.0
 
 Attempt = asyncio.Task[OpenedStream]
@@ -128,6 +130,7 @@
         peers: Iterator[str] = iter(())
         if self.paths.allows_detour(upstream):
             peers = self._chooser.candidates()
+        unreachable = 0
         failure: UpstreamUnreachable | None = None
         if lost:
             failure = HostCutOff(f"no peer reaches upstream {upstream.name}")
@@ -150,7 +153,8 @@
                     return task.result()
                 if isinstance(exc, RelayFailed):
                     self._chooser.record_refused(asked, exc.refusal)
-                    if exc.refusal is RelayRefusal.UNREACHABLE:
+                    unreachable += exc.refusal is RelayRefusal.UNREACHABLE
+                    if unreachable >= MAX_UNREACHABLE and self._is_down(upstream):
                         self.paths.record_detour_failed(upstream)
                         peers = iter(())
                 elif isinstance(exc, UpstreamUnreachable):
@@ -158,6 +162,10 @@
                 else:
                     raise exc
 
+    def _is_down(self, upstream: UpstreamRow) -> bool:
+        lost = self.paths.is_lost(upstream)
+        return not lost and not self.paths.suspects_itself()
+
 
 class Race:
     """Attempts of which the first to succeed counts."""
--- a/src/mangohatch/relay/server.py
+++ b/src/mangohatch/relay/server.py
@@ -10,6 +10,7 @@
 
 from mangohatch.core.paths import PathTable, RelayRefusal
 from mangohatch.core.tables import UpstreamRow
+from mangohatch.core.upstream_path import ConnectFailure
 from mangohatch.errors import PeerProtocolError, UpstreamUnreachable
 from mangohatch.peer.codec import decode_body
 from mangohatch.peer.datagram import DatagramPeerBus
@@ -53,6 +54,7 @@
         self.refused = 0
         self._bus = bus
         self._admission = admission
+        self._paths = paths
         self._dialer = Dialer(paths=paths)
         self._streams: set[IOStream] = set()
 
@@ -118,7 +120,9 @@
         self._streams.add(connection)
         try:
             if not await self._connect(upstream, connection):
-                await self._refuse(stream, sender, request, RelayRefusal.UNREACHABLE)
+                cut_off = self._paths.suspects_itself()
+                cause = RelayRefusal.CUT_OFF if cut_off else RelayRefusal.UNREACHABLE
+                await self._refuse(stream, sender, request, cause)
                 return
             self.relayed += 1
             log.info(
@@ -138,7 +142,10 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._dialer.open(upstream, connection)
-        except (TimeoutError, UpstreamUnreachable):
+        except TimeoutError:
+            self._paths.record_failed(upstream, ConnectFailure.TIMED_OUT)
+            return False
+        except UpstreamUnreachable:
             return False
         return True
 
--- a/tests/core/paths/test_table.py
+++ b/tests/core/paths/test_table.py
@@ -2,6 +2,7 @@
 
 from mangohatch.core.paths import PathTable
 from mangohatch.core.tables import Tables
+from mangohatch.core.upstream_path import ConnectFailure
 from tests.fixtures import make_service
 from tests.functions import fixture, function_tests
 
@@ -129,6 +130,18 @@
     assert paths.allows_detour(rows["u1"])
 
 
+def test_host_that_reaches_no_upstream_any_more_suspects_itself(paths, rows):
+    paths.record_detour_failed(rows["u1"])
+    paths.record_failed(rows["u1"], ConnectFailure.REFUSED)
+    paths.record_failed(rows["u1"], ConnectFailure.REFUSED)
+    assert not paths.suspects_itself()
+    paths.record_failed(rows["u3"], ConnectFailure.REFUSED)
+    assert paths.suspects_itself()
+    assert paths.allows_detour(rows["u1"])
+    paths.record_heard(rows["u4"])
+    assert not paths.suspects_itself()
+
+
 def test_upstream_that_is_gone_is_checked_no_more(paths, rows, clock, tables):
     record_detour(paths, clock, rows["u1"])
     tables.remove("desk", revision=2)
--- a/tests/fleet/test_cut_off_hosts.py
+++ b/tests/fleet/test_cut_off_hosts.py
@@ -42,3 +42,23 @@
 
 async def test_unsafe_requests_are_served_by_a_host_whose_links_hang():
     await check_served(Cut.HANG, method="POST", prefix="/b/")
+
+
+async def check_served_by_the_last_host(how):
+    async with open_cut_site(hosts=4) as site:
+        for host_id in site.hosts:
+            assert await site.count_served(host_id, WARM_UP) == WARM_UP
+        for host_id in ("h0", "h1", "h2"):
+            site.firewall.cut(host_id, how)
+        await asyncio.sleep(KNOWN_AFTER_S)
+        await site.count_served("h0", 2)
+        served = await site.count_served("h0", REQUESTS)
+        assert served >= MIN_SERVED * REQUESTS, served
+
+
+async def test_last_host_that_reaches_the_upstreams_serves_for_all_after_resets():
+    await check_served_by_the_last_host(Cut.RESET)
+
+
+async def test_last_host_that_reaches_the_upstreams_serves_for_all_when_links_hang():
+    await check_served_by_the_last_host(Cut.HANG)
