Close a connection that a peer opens after it was given up

tests.relay.test_server.test_relays_end_with_the_cut failed once in five runs at a load of 12: relays stayed open for 15 s after the cut. Cause, by reading: closing a connection closes its direct stream, but a peer may still open another one for it. A load probe or crash check that ended meanwhile then left this one open for ever, and the request that was given up went on.

connect now closes what was opened after close, and says that nothing was sent.

--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -18,7 +18,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.tables import UpstreamRow
-from mangohatch.errors import ResponseUnframed, UpstreamAborted
+from mangohatch.errors import ResponseUnframed, UpstreamAborted, UpstreamUnreachable
 from mangohatch.upstream.dialer import Dialer, open_stream
 from mangohatch.wire import format_head, parse_fields, send
 
@@ -129,6 +129,7 @@
         self._clock = clock
         self._dialer = dialer
         self._relay_open = False
+        self._given_up = False
         self._must_close = False
 
     @property
@@ -138,6 +139,7 @@
 
     def close(self) -> None:
         """Close the stream, so that a late response on it reaches no other request."""
+        self._given_up = True
         self.stream.close()
         if self._relay_open:
             self._relay_open = False
@@ -175,6 +177,9 @@
         self.stream = opened.stream
         self.relay = opened.relay
         self._relay_open = bool(opened.relay)
+        if self._given_up:
+            self.close()
+            raise UpstreamUnreachable(f"upstream {self.upstream.name}: given up")
         self.connected = True
         self.record_activity()
 
