Give the hosts of a test ports that differ

test_last_host_that_reaches_the_upstreams_serves_for_all_when_links_hang failed once in five runs: connection refused by a host. Traced by a loop of 91 starts, one of which failed: free_port returned the same port for readiness and metrics, as each socket was closed before the next was bound, and the host could not listen (address already in use). free_ports holds all sockets until the last is bound. The same was done in tests.platform.site, the stand-in fleet, tests.host and the bench of peers.

--- a/bench/peers/__main__.py
+++ b/bench/peers/__main__.py
@@ -14,7 +14,7 @@
 
 from bench.peers.fit import fit_line
 from standins.member_network import MemberNetwork
-from standins.processes import free_port
+from standins.processes import free_ports
 
 SIZES = (3, 8, 17)
 VIRTUAL_SIZES = (17, 50, 100, 200)
@@ -115,7 +115,7 @@
     :param duration_s: duration of the idle measurement in seconds
     :return: figures by name
     """
-    ports = [free_port() for _ in range(size)]
+    ports = free_ports(size)
     started_s = time.time()
     nodes = [await Node.start(number, ports) for number in range(size)]
     joined_s = await wait_for_change(nodes, size, started_s)
--- a/src/standins/fleet.py
+++ b/src/standins/fleet.py
@@ -11,7 +11,7 @@
 from standins.caller.connection import Address
 from standins.http_json import fetch_json
 from standins.platform import Platform
-from standins.processes import LOOPBACK, Child, free_port, wait_for_port
+from standins.processes import LOOPBACK, Child, free_ports, wait_for_port
 from standins.scrape import Totals, scrape
 from standins.sites import ServiceSize, Site
 from standins.upstream import Behaviour
@@ -111,7 +111,7 @@
         """
         number = next(self._host_numbers)
         host_id = f"{self.site.name}-e{number}"
-        entry, admin, peer = ((LOOPBACK, free_port()) for _ in range(3))
+        entry, admin, peer = ((LOOPBACK, port) for port in free_ports(3))
         settings = {
             "host_id": host_id,
             "zone": self.site.zones[number % len(self.site.zones)],
--- a/src/standins/processes.py
+++ b/src/standins/processes.py
@@ -1,6 +1,7 @@
 """Child processes of the demo and the live bench."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
@@ -10,7 +11,7 @@
 
 from standins.caller.connection import Address
 
-__all__ = ["Child", "ProcessError", "free_port", "wait_for_port"]
+__all__ = ["Child", "ProcessError", "free_port", "free_ports", "wait_for_port"]
 
 LOOPBACK = "127.0.0.1"
 CONNECT_RETRY_MS = 20.0
@@ -33,6 +34,20 @@
         return sock.getsockname()[1]
 
 
+def free_ports(count: int) -> list[int]:
+    """
+    Find different free TCP ports on loopback.
+
+    :param count: number of ports
+    :return: the ports
+    """
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((LOOPBACK, 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
 async def wait_for_port(address: Address) -> None:
     """
     Wait until a port accepts connections.
--- a/tests/fleet/cut_site.py
+++ b/tests/fleet/cut_site.py
@@ -17,7 +17,7 @@
 from mangohatch.fleet.settings_file import SettingsFile
 from mangohatch.platform.host import make_host
 from standins.platform_site import PlatformSite, SiteUpstream
-from standins.processes import free_port
+from standins.processes import free_ports
 from tests.entry.harness import LOOPBACK, Message, read_message
 from tests.platform.site import HOST_NAME, configuration, route
 
@@ -131,13 +131,14 @@
     def start_host(self, number):
         process = os.getpid()
         address = f"127.{2 + number}.{process // 250 % 250}.{1 + process % 250}"
+        ports = free_ports(4)
         cfg = FleetSettings(
             host_id=f"h{number}",
             zone=ZONE,
-            entry=(address, free_port()),
-            readiness=(address, free_port()),
-            peers=(address, free_port()),
-            metrics=(address, free_port()),
+            entry=(address, ports[0]),
+            readiness=(address, ports[1]),
+            peers=(address, ports[2]),
+            metrics=(address, ports[3]),
             seeds=tuple(host.cfg.peers for host in self.hosts.values())[:2],
             store=(LOOPBACK, self.site.store.port),
             bounds=FleetBounds(
--- a/tests/host/test_entry_host.py
+++ b/tests/host/test_entry_host.py
@@ -11,7 +11,7 @@
 from mangohatch.core.admission import WaitQueue
 from mangohatch.core.router import Router
 from mangohatch.host import EntryHost
-from standins.processes import free_port
+from standins.processes import free_port, free_ports
 from tests.fixtures import make_service
 from tests.functions import function_tests
 
@@ -21,12 +21,13 @@
 
 
 def make_settings(**fields):
+    entry_port, admin_port = free_ports(2)
     return HostSettings(
         host_id="entry-1",
         zone="puno",
         region="sur-andino",
-        entry=Listener(port=free_port()),
-        admin=Listener(port=free_port()),
+        entry=Listener(port=entry_port),
+        admin=Listener(port=admin_port),
         balancer_delay_ms=0.0,
         **fields,
     )
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from standins.platform_site import PlatformSite, SiteUpstream
-from standins.processes import free_port
+from standins.processes import free_ports
 from tests.entry.harness import LOOPBACK, Message, read_message
 
 __all__ = ["HOST_NAME", "PlatformHost", "open_host", "route"]
@@ -65,7 +65,7 @@
         # The port for metrics is fixed, and tests may run in several processes.
         number = os.getpid()
         self.address = f"127.1.{number // 250 % 250}.{1 + number % 250}"
-        self.ports = {name: free_port() for name in ("front", "ready", "peers")}
+        self.ports = dict(zip(("front", "ready", "peers"), free_ports(3), strict=True))
         self.process = None
 
     def settings(self):
