Close the stream of an attempt that succeeds beside the winner

Cause, by reading: when the direct attempt and a peer succeed in one iteration of the loop, the race forgot both, used the first and never closed the second.

--- a/src/mangohatch/relay/dialer.py
+++ b/src/mangohatch/relay/dialer.py
@@ -150,7 +150,8 @@
             for task, asked in ended:
                 exc = task.exception()
                 if exc is None:
-                    return task.result()
+                    return race.win(task)
+                race.tasks.pop(task)
                 if isinstance(exc, RelayFailed):
                     self._chooser.record_refused(asked, exc.refusal)
                     unreachable += exc.refusal is RelayRefusal.UNREACHABLE
@@ -194,7 +195,17 @@
             self.tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
         )
         self.overdue = not done
-        return [(task, self.tasks.pop(task)) for task in done]
+        return [(task, self.tasks[task]) for task in done]
+
+    def win(self, task: Attempt) -> OpenedStream:
+        """
+        Take the result of an attempt; :meth:`cancel` closes those of all others.
+
+        :param task: an attempt that succeeded
+        :return: what it opened
+        """
+        del self.tasks[task]
+        return task.result()
 
     def late_peers(self) -> list[str]:
         """
