--- a/src/mangohatch/core/paths/relays.py
+++ b/src/mangohatch/core/paths/relays.py
@@ -75,6 +75,11 @@
             if self._clock.now_ms() >= self._avoid_until_ms.get(host_id, 0.0):
                 yield host_id
 
+    @property
+    def in_use(self) -> bool:
+        """Whether this host has connections through peers."""
+        return bool(self._open)
+
     def is_usable(self, host_id: str) -> bool:
         """
         Return whether an idle connection through a peer may be used.
--- a/src/mangohatch/core/paths/table.py
+++ b/src/mangohatch/core/paths/table.py
@@ -99,6 +99,8 @@
         :param upstream: an upstream of the zone
         :return: monotonic time in milliseconds, None if they are not lost
         """
+        if not self._scopes:
+            return None
         times_ms = [
             scope.lost_ms
             for zone in (ALL_ZONES, upstream.zone)
--- a/src/mangohatch/relay/dialer.py
+++ b/src/mangohatch/relay/dialer.py
@@ -73,6 +73,10 @@
                 )
         return opened
 
+    @property
+    def has_relays(self) -> bool:
+        return self._chooser.in_use
+
     def judge(self, upstream: UpstreamRow, last_read_ms: float, relay: str) -> Reuse:
         lost_since_ms = self.paths.lost_since_ms(upstream)
         if relay:
--- a/src/mangohatch/upstream/dialer.py
+++ b/src/mangohatch/upstream/dialer.py
@@ -54,6 +54,11 @@
         await self._open_directly(upstream, stream)
         return OpenedStream(stream=stream)
 
+    @property
+    def has_relays(self) -> bool:
+        """Whether connections through peers are open."""
+        return False
+
     def judge(self, upstream: UpstreamRow, last_read_ms: float, relay: str) -> Reuse:
         """
         Decide about an idle connection.
--- a/src/mangohatch/upstream/pool.py
+++ b/src/mangohatch/upstream/pool.py
@@ -135,6 +135,12 @@
         lost_ms = self._dialer.paths.zone_lost_ms(conn.upstream)
         return not conn.relay and lost_ms is not None and conn.last_read_ms < lost_ms
 
+    def _drop_unusable_relays(self, pool: AddressPool) -> None:
+        for conn in [item for item in pool.idle if item.relay]:
+            if self._judge(conn) is Reuse.CLOSE:
+                pool.idle.remove(conn)
+                self._drop(pool, conn)
+
     def _judge(self, conn: UpstreamConnection) -> Reuse:
         return self._dialer.judge(conn.upstream, conn.last_read_ms, conn.relay)
 
@@ -184,10 +190,8 @@
         for address, pool in list(self._pools.items()):
             while pool.idle and pool.idle[0].last_read_ms < oldest_ms:
                 self._drop(pool, pool.idle.popleft())
-            for conn in [item for item in pool.idle if item.relay]:
-                if self._judge(conn) is Reuse.CLOSE:
-                    pool.idle.remove(conn)
-                    self._drop(pool, conn)
+            if self._dialer.has_relays:
+                self._drop_unusable_relays(pool)
             if not pool.open:
                 del self._pools[address]
 
--- a/src/standins/processes.py
+++ b/src/standins/processes.py
@@ -29,9 +29,7 @@
 
     :return: the port
     """
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    return free_ports(1)[0]
 
 
 def free_ports(count: int) -> list[int]:
