--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -27,6 +27,7 @@
 from mangohatch.core.timers import Timers
 from mangohatch.fleet.health_log import HealthLog
 from mangohatch.fleet.placement import Placement
+from mangohatch.fleet.settings import FleetSettings
 from mangohatch.peer.bus import PeerBus
 from mangohatch.probing import LoadProbe, PlacementUpdates, ProbeCrashCheck
 from mangohatch.timeline import Recorder
@@ -55,6 +56,7 @@
 
 def make_decisions(
     *,
+    cfg: FleetSettings,
     clock: Clock,
     rng: random.Random,
     tables: Tables,
@@ -63,14 +65,13 @@
     timers: Timers,
     estimator: LoadEstimator,
     recorder: Recorder,
-    zone: str,
     placement: Placement,
     crash_probe: LoadProbe,
-    sign_settings: SignSettings,
 ) -> Decisions:
     """
     Build the decision core.
 
+    :param cfg: validated settings of the host
     :param clock: source of time
     :param rng: source of random numbers
     :param tables: services, upstreams and routes
@@ -79,10 +80,8 @@
     :param timers: wakes waiting calls
     :param estimator: estimates when an upstream completes a request
     :param recorder: records events on the timeline
-    :param zone: availability zone of this host
     :param placement: placement policy, chooses the upstream of a request
     :param crash_probe: checks whether upstreams have crashed
-    :param sign_settings: bounds of the signs that upstreams give
     :return: the components of the decision core
     """
     limits = PermitTable(
@@ -95,7 +94,7 @@
         subset=subset,
         bus=bus,
         timers=timers,
-        cfg=sign_settings,
+        cfg=SignSettings(max_pause_ms=cfg.bounds.max_pause_ms),
     )
     health = OutlierHealth(clock=clock, rng=rng, listener=HealthLog())
     chooser: Chooser
@@ -118,7 +117,7 @@
             health=health,
             timers=timers,
             estimator=estimator,
-            zone=zone,
+            zone=cfg.zone,
             listener=placement_updates,
             contention=contention,
             limits=limits,
