Count the objective of repeated requests from their first attempt

Cause: after a loss of power of all hosts, callers repeat the requests that failed, and hosts took each of them for a new one. Change: CallerAgeTable estimates the age of a request from the time that its caller still allows, only where the environment of the host asks for it. Simulated upstreams report the requests in their queue, as real ones do.

--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -32,7 +32,9 @@
     """
     Identity, addresses and bounds of one host.
 
-    ``first_start`` is set while the whole fleet starts for the first time.
+    ``first_start`` is set while the whole fleet starts for the first time. With
+    ``estimates_caller_age``, requests that callers repeat count as late from the first
+    attempt on, by the time that the callers still allow.
     """
 
     host_id: str
@@ -45,3 +47,4 @@
     store: Address
     bounds: FleetBounds
     first_start: bool = False
+    estimates_caller_age: bool = False
--- a/src/mangohatch/platform/host.py
+++ b/src/mangohatch/platform/host.py
@@ -5,6 +5,7 @@
 import structlog
 
 from mangohatch.clock import SystemClock
+from mangohatch.core.admission.caller_age import CallerAgeTable
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.table_updater import TableUpdater
 from mangohatch.fleet.components import FleetComponents
@@ -37,9 +38,10 @@
     """
     clock = SystemClock()
     rng = random.Random()
+    caller_ages = CallerAgeTable() if cfg.estimates_caller_age else None
     store = PlatformStore(address=cfg.store, timeout_ms=STORE_TIMEOUT_MS)
     components = FleetComponents(
-        protocol=PlatformProtocol(rng=rng),
+        protocol=PlatformProtocol(rng=rng, caller_ages=caller_ages),
         source=PlatformSource(store=store, clock=clock),
         apply_part=apply_part,
         read_probe=read_probe,
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -1,9 +1,11 @@
 """Reads and writes the platform's header fields and response statuses."""
 
+import random
 import re
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from mangohatch.core.admission.caller_age import CallerAgeTable
 from mangohatch.core.call import Call
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import Tables, UpstreamRow
@@ -53,14 +55,19 @@
     Protocol adapter for callers and upstreams of the platform.
 
     :param rng: source of random numbers, chooses among the targets of a route
+    :param caller_ages: estimates how long callers have waited before an attempt; None
+        to take each attempt for a first one
     """
 
     allows_unframed = True
     bounds_transfer = True
     max_buffered_bytes = MAX_BUFFERED_RESPONSE_BYTES
 
-    def __init__(self, *, rng) -> None:
+    def __init__(
+        self, *, rng: random.Random, caller_ages: CallerAgeTable | None = None
+    ) -> None:
         self._rng = rng
+        self._caller_ages = caller_ages
 
     def read_request_id(self, headers: HTTPHeaders) -> str:
         return headers.get(REQUEST_ID, "")
@@ -82,7 +89,11 @@
         route = tables.routes.find(host, path)
         if route is None:
             raise NoRoute(f"no route of host {host!r} begins the path")
-        budget_ms = min(read_deadline_ms(headers, route.timeout_ms), route.timeout_ms)
+        allowed_ms = read_deadline_ms(headers, route.timeout_ms)
+        budget_ms = min(allowed_ms, route.timeout_ms)
+        age_ms = 0.0
+        if self._caller_ages is not None:
+            age_ms = self._caller_ages.estimate_ms(route.name, allowed_ms)
         return Call(
             request_id=request_id,
             service=route.choose(self._rng),
@@ -93,7 +104,7 @@
             route=route.name,
             priority=route.priority,
             max_attempts=route.max_attempts,
-            objective_ms=now_ms + route.objective_ms,
+            objective_ms=now_ms + route.objective_ms - age_ms,
             response_bytes=tables.response_bytes.get(route.name, 0.0),
         )
 
--- a/src/mangohatch/platform/run.py
+++ b/src/mangohatch/platform/run.py
@@ -12,6 +12,7 @@
 from mangohatch.fleet.settings_file import SettingsFile
 from mangohatch.log import configure_logging
 from mangohatch.loop import run_loop
+from mangohatch.platform.environment import apply_environment
 from mangohatch.platform.host import make_host
 from mangohatch.platform.settings import SETTINGS_VARIABLE, load_fleet_settings
 
@@ -30,7 +31,7 @@
     try:
         placement = Placement(arguments[0] if arguments else Placement.EXPECTED_TIME)
         path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-        cfg = load_fleet_settings(path)
+        cfg = apply_environment(load_fleet_settings(path), os.environ)
     except ValueError as exc:
         print(f"mangohatch: {exc}", file=sys.stderr)
         return SettingsError.exit_code
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from mangohatch.core.admission.caller_age import CallerAgeTable
 from mangohatch.directory.content import RegisteredUpstream
 from mangohatch.peer.datagram import PeerAddress
 from standins.simulated_fleet.host import SimulatedHost
@@ -57,6 +58,8 @@
     """
     Starts and runs the hosts of a plan in virtual time.
 
+    ``make_caller_ages`` makes what estimates the age of requests, for each new host.
+
     :param plan: size and surroundings
     :param loop: event loop in virtual time
     """
@@ -67,6 +70,7 @@
         self.clock = LoopClock(loop=loop)
         self.hosts: list[SimulatedHost] = []
         self.requests = 0
+        self.make_caller_ages: Callable[[], CallerAgeTable | None] = lambda: None
         self._loaded = False
         self._rng = random.Random(f"{plan.seed}/requests")
         self.network = PeerNetwork(
@@ -156,9 +160,22 @@
                 upstreams=self._upstreams,
                 limits=self.plan.limits,
                 rng=random.Random(f"{self.plan.seed}/host-{number}"),
+                caller_ages=self.make_caller_ages(),
             )
         )
 
+    def restart_hosts(self) -> None:
+        """Start new processes of all hosts of the plan, as after a loss of power."""
+        self._start_hosts()
+
+    def all_ready(self) -> bool:
+        """
+        Return whether all running hosts are ready.
+
+        :return: whether the balancer may send callers to each of them
+        """
+        return all(host.fleet_host.not_ready() is None for host in self.running())
+
     def start_host(self) -> None:
         """Start a further host."""
         self._start_host(len(self.hosts))
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -5,6 +5,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
+from mangohatch.core.admission.caller_age import CallerAgeTable
 from mangohatch.core.call import Call, Decision, Grant, Report, Result
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.directory import DirectoryPart
@@ -69,6 +70,8 @@
     :param upstreams: upstreams by name
     :param limits: limits of the host, none if None
     :param rng: source of random numbers
+    :param caller_ages: estimates the age of requests; None to take each for a first
+        attempt
     """
 
     def __init__(
@@ -84,8 +87,10 @@
         upstreams: dict[str, SimulatedUpstream],
         limits: HostLimits | None,
         rng: random.Random,
+        caller_ages: CallerAgeTable | None = None,
     ) -> None:
         self.host_id = host_id
+        self._caller_ages = caller_ages
         self.in_force_ms: dict[int, float] = {}
         self.told_ms: dict[tuple[str, float], float] = {}
         self.leaving_ms: dict[str, float] = {}
@@ -195,12 +200,16 @@
         if service not in self.fleet_host.tables.services:
             req.end("no_configuration", now_ms)
             return
+        allowed_ms = req.allowed_ms or DEADLINE_MS
+        age_ms = 0.0
+        if self._caller_ages is not None:
+            age_ms = self._caller_ages.estimate_ms(req.route or service, allowed_ms)
         call = Call(
             request_id=req.request_id,
             service=service,
             arrived_ms=now_ms,
-            deadline_ms=now_ms + DEADLINE_MS,
-            objective_ms=now_ms + OBJECTIVE_MS,
+            deadline_ms=now_ms + allowed_ms,
+            objective_ms=now_ms - age_ms + (req.objective_ms or OBJECTIVE_MS),
             idempotent=req.idempotent,
             customer=req.caller,
             route=req.route or service,
@@ -232,6 +241,7 @@
         now_ms = self._clock.now_ms()
         if not isinstance(decision, Grant):
             self._in_flight -= 1
+            req.retry_after_ms = decision.error.retry_after_ms
             req.end(decision.error.code, now_ms)
             return
         if req.broken_ms is not None:
--- a/src/standins/simulated_fleet/upstreams.py
+++ b/src/standins/simulated_fleet/upstreams.py
@@ -79,6 +79,7 @@
         self._seed = rng.random()
         self._phase_ms = rng.uniform(0.0, PERIOD_MS)
         self._free_at_ms = [0.0] * SLOTS
+        self._starts_ms: list[float] = []
 
     def slowdown(self) -> float:
         """
@@ -94,12 +95,16 @@
         """
         Return the load as the upstream reports it.
 
-        :return: the load; requests beyond the slots are not counted as waiting
+        :return: the load
         """
         now_ms = self._clock.now_ms()
         running = sum(free_ms > now_ms for free_ms in self._free_at_ms)
+        self._starts_ms = [item for item in self._starts_ms if item > now_ms]
         return UpstreamLoad(
-            running=running, waiting=0, slots=SLOTS, slowdown=self.slowdown()
+            running=running,
+            waiting=len(self._starts_ms),
+            slots=SLOTS,
+            slowdown=self.slowdown(),
         )
 
     def asked_pause_ms(self) -> float | None:
@@ -123,6 +128,8 @@
         now_ms = self._clock.now_ms()
         slot = min(range(SLOTS), key=self._free_at_ms.__getitem__)
         start_ms = max(now_ms, self._free_at_ms[slot])
+        if start_ms > now_ms:
+            self._starts_ms.append(start_ms)
         self._free_at_ms[slot] = start_ms + work_ms * self.slowdown()
         return self._free_at_ms[slot] - now_ms
 
