Let late requests yield to those that can be in time

Cause: after a loss of power the upstreams run two requests each, most of them late already, and each takes 1.7 times as long beside the other. New requests waited about 100 ms only, but ran for 200 ms and missed 313 ms. Change: with late_requests_yield, a late call waits for an upstream that it does not bring under high load. First attempts may differ by a fifth in the time that they allow; groups are those of equal objectives, as few requests of each route reach a host.

--- a/src/mangohatch/core/admission/caller_age.py
+++ b/src/mangohatch/core/admission/caller_age.py
@@ -1,16 +1,20 @@
 """Estimates how long callers have waited before an attempt reaches this host."""
 
+from collections.abc import Hashable
 from dataclasses import dataclass
 
 __all__ = ["CallerAgeTable"]
 
-WINDOW = 100  # requests of a route after which a change of callers' settings is known
+WINDOW = 100  # requests of a group after which a change of callers' settings is known
+# First attempts differ by up to a sixth, as callers choose and spend their time freely.
+MAX_FIRST_SPREAD = 0.2
+MAX_GROUPS = 1_000
 
 
 @dataclass(slots=True, kw_only=True)
 class AllowedTimes:
     """
-    The longest times that callers of a route stated, in milliseconds.
+    The longest times that callers of a group stated, in milliseconds.
 
     ``current_ms`` is the longest one of the window that is being filled, and
     ``previous_ms`` that of the window before it.
@@ -43,33 +47,34 @@
     rejections. Then more requests arrive than upstreams can run for some seconds, and
     those whose objective has passed would delay those that can still be in time.
 
-    First attempts of a route state the time that callers allow in all, and later ones
-    what is left of it, so the age is the difference to the longest time stated.
-    Callers that allow less from the start are taken for older than they are. The
-    estimate is therefore for routes whose callers all allow the same time.
+    First attempts state the time that callers allow in all, and later ones what is left
+    of it. A request whose caller allows much less than the longest time stated counts
+    as repeated, and its age is the difference. Callers that allow less from the start
+    are taken for older than they are. The estimate is therefore for groups of requests
+    whose callers allow about the same time.
     """
 
     def __init__(self) -> None:
-        self._routes: dict[str, AllowedTimes] = {}
+        self._groups: dict[Hashable, AllowedTimes] = {}
 
-    def estimate_ms(self, route: str, allowed_ms: float) -> float:
+    def estimate_ms(self, group: Hashable, allowed_ms: float) -> float:
         """
         Record a request and estimate its age.
 
-        :param route: name of the route
+        :param group: identifies requests whose callers allow about the same time
         :param allowed_ms: milliseconds that the caller still allows
-        :return: milliseconds since the first attempt of the request, 0 if unknown
+        :return: milliseconds since the first attempt of the request, 0 if it may be the
+            first one
         """
-        times = self._routes.get(route)
+        times = self._groups.get(group)
         if times is None:
-            times = self._routes[route] = AllowedTimes()
-        return times.add(allowed_ms) - allowed_ms
-
-    def retain(self, routes: set[str]) -> None:
-        """
-        Forget routes that are gone.
-
-        :param routes: names of the routes in force
-        """
-        for name in self._routes.keys() - routes:
-            del self._routes[name]
+            self._evict_oldest()
+            times = self._groups[group] = AllowedTimes()
+        longest_ms = times.add(allowed_ms)
+        if allowed_ms >= (1.0 - MAX_FIRST_SPREAD) * longest_ms:
+            return 0.0
+        return longest_ms - allowed_ms
+
+    def _evict_oldest(self) -> None:
+        if len(self._groups) >= MAX_GROUPS:
+            del self._groups[next(iter(self._groups))]
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -250,6 +250,8 @@
             return math.inf
         cfg = self._cfg
         if (occupancy + 1) / slots > cfg.high_load_share:
+            if cfg.late_requests_yield and now_ms > call.start_by_ms:
+                return math.inf
             work_ms *= cfg.high_load_slowdown
         # The work of requests varies, so the estimate is the mean over a typical
         # request and one that takes long.
--- a/src/mangohatch/core/choice/placement.py
+++ b/src/mangohatch/core/choice/placement.py
@@ -61,7 +61,9 @@
     ``max_wait_for_faster_ms``, while every free upstream would take at least
     ``slow_threshold`` times as long as at the typical speed. An upstream with more
     than ``high_load_share`` of its slots in use is assumed to take
-    ``high_load_slowdown`` times as long.
+    ``high_load_slowdown`` times as long. With ``late_requests_yield``, a call that is
+    late does not bring an upstream under such load, as it would delay the others there
+    and its own response has lost most of its value.
     """
 
     tie_tolerance: float = 0.1
@@ -71,6 +73,7 @@
     max_wait_for_faster_ms: float = 300.0  # an upstream's speed changes as often
     high_load_share: float = 0.8
     high_load_slowdown: float = 1.7
+    late_requests_yield: bool = False
 
     def useful_slots(self, slots: int) -> int:
         """
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -8,6 +8,7 @@
 from mangohatch.core.call import Grant
 from mangohatch.core.choice.base import Chooser
 from mangohatch.core.choice.expected import ExpectedTimeChooser
+from mangohatch.core.choice.placement import PlacementSettings
 from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
 from mangohatch.core.contention import ContentionOrder
 from mangohatch.core.health import OutlierHealth
@@ -118,6 +119,7 @@
             timers=timers,
             estimator=estimator,
             zone=cfg.zone,
+            cfg=PlacementSettings(late_requests_yield=cfg.late_requests_yield),
             listener=placement_updates,
             contention=contention,
             limits=limits,
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -33,8 +33,8 @@
     Identity, addresses and bounds of one host.
 
     ``first_start`` is set while the whole fleet starts for the first time. With
-    ``estimates_caller_age``, requests that callers repeat count as late from the first
-    attempt on, by the time that the callers still allow.
+    ``late_requests_yield``, the objective of requests that callers repeat counts from
+    their first attempt, and late requests do not bring upstreams under high load.
     """
 
     host_id: str
@@ -47,4 +47,4 @@
     store: Address
     bounds: FleetBounds
     first_start: bool = False
-    estimates_caller_age: bool = False
+    late_requests_yield: bool = False
--- a/src/mangohatch/platform/environment.py
+++ b/src/mangohatch/platform/environment.py
@@ -6,9 +6,9 @@
 from mangohatch.errors import SettingsError
 from mangohatch.fleet.settings import FleetSettings
 
-__all__ = ["CALLER_AGE_VARIABLE", "apply_environment"]
+__all__ = ["LATE_REQUESTS_VARIABLE", "apply_environment"]
 
-CALLER_AGE_VARIABLE = "MANGOHATCH_ESTIMATE_CALLER_AGE"
+LATE_REQUESTS_VARIABLE = "MANGOHATCH_LATE_REQUESTS_YIELD"
 SWITCHES = {"true": True, "false": False}
 
 
@@ -24,7 +24,7 @@
     :raises SettingsError: if a value is invalid; names variable, value and expectation
     """
     return replace(
-        cfg, estimates_caller_age=read_switch(environment, CALLER_AGE_VARIABLE)
+        cfg, late_requests_yield=read_switch(environment, LATE_REQUESTS_VARIABLE)
     )
 
 
@@ -34,10 +34,10 @@
 
     :param environment: environment variables by name
     :param name: name of the variable
-    :return: its value, False if it is not set
+    :return: its value, False if it is not set or empty
     :raises SettingsError: if the value is neither true nor false
     """
-    text = environment.get(name, "false")
+    text = environment.get(name) or "false"  # a template leaves it empty
     if text not in SWITCHES:
         problem = f"{name} is {text!r}, expected 'true' or 'false'"
         raise SettingsError(file="environment", problems=[problem])
--- a/src/mangohatch/platform/host.py
+++ b/src/mangohatch/platform/host.py
@@ -38,7 +38,7 @@
     """
     clock = SystemClock()
     rng = random.Random()
-    caller_ages = CallerAgeTable() if cfg.estimates_caller_age else None
+    caller_ages = CallerAgeTable() if cfg.late_requests_yield else None
     store = PlatformStore(address=cfg.store, timeout_ms=STORE_TIMEOUT_MS)
     components = FleetComponents(
         protocol=PlatformProtocol(rng=rng, caller_ages=caller_ages),
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -93,7 +93,10 @@
         budget_ms = min(allowed_ms, route.timeout_ms)
         age_ms = 0.0
         if self._caller_ages is not None:
-            age_ms = self._caller_ages.estimate_ms(route.name, allowed_ms)
+            # Few requests of each route reach a host. Those with the same objective
+            # come from callers of the same kind.
+            group = route.objective_ms
+            age_ms = self._caller_ages.estimate_ms(group, allowed_ms)
         return Call(
             request_id=request_id,
             service=route.choose(self._rng),
--- a/tests/core/choice/test_expected.py
+++ b/tests/core/choice/test_expected.py
@@ -154,6 +154,29 @@
     assert [item.call.request_id for item in bench.decisions] == ["urgent"]
 
 
+def ask_late_beside_running_requests(bench):
+    for name in bench.rows:
+        bench.report(name, running=1)
+    now_ms = bench.clock.now_ms()
+    bench.ask(request_id="late", objective_ms=now_ms - 1.0)
+    bench.ask(request_id="in time", objective_ms=now_ms + WORK_MS + 1.0)
+    bench.clock.advance(1.0)
+    bench.router.serve(SERVICE)
+    return [item.call.request_id for item in bench.decisions]
+
+
+def test_late_call_does_not_bring_an_upstream_under_high_load(bench):
+    bench.chooser._cfg = PlacementSettings(late_requests_yield=True)
+    assert ask_late_beside_running_requests(bench) == ["in time"]
+    bench.report(min(bench.rows), running=0)
+    bench.router.serve(SERVICE)
+    assert len(bench.decisions) == 2
+
+
+def test_late_call_takes_any_slot_unless_late_requests_yield(bench):
+    assert ask_late_beside_running_requests(bench) == ["late", "in time"]
+
+
 def test_isolated_call_needs_an_empty_upstream(bench):
     for name in bench.rows:
         bench.report(name, running=1)
