--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -32,7 +32,9 @@
     """
     Identity, addresses and bounds of one host.
 
-    ``first_start`` is set while the whole fleet starts for the first time.
+    ``first_start`` is set while the whole fleet starts for the first time. With
+    ``late_requests_yield``, the objective of requests that callers repeat counts from
+    their first attempt, and late requests do not bring upstreams under high load.
     """
 
     host_id: str
@@ -45,3 +47,4 @@
     store: Address
     bounds: FleetBounds
     first_start: bool = False
+    late_requests_yield: bool = False
