Choose free ports on the address of the host of a test

Cause: free_ports looked for free ports on 127.0.0.1, but the hosts of a cut site listen on addresses of their own, where closed connections through peers in the TIME_WAIT state may hold the same port. A host then failed to start with EADDRINUSE, and its callers were refused. Change: free_ports takes the address.

--- a/src/standins/processes.py
+++ b/src/standins/processes.py
@@ -32,17 +32,21 @@
     return free_ports(1)[0]
 
 
-def free_ports(count: int) -> list[int]:
+def free_ports(count: int, *, address: str = LOOPBACK) -> list[int]:
     """
     Find different free TCP ports on loopback.
 
+    A port may be free on one address and in use on another, for example by a closed
+    connection in the TIME_WAIT state.
+
     :param count: number of ports
+    :param address: IP address on which the ports are free
     :return: the ports
     """
     with contextlib.ExitStack() as stack:
         socks = [stack.enter_context(socket.socket()) for _ in range(count)]
         for sock in socks:
-            sock.bind((LOOPBACK, 0))
+            sock.bind((address, 0))
         return [sock.getsockname()[1] for sock in socks]
 
 
--- a/tests/fleet/cut_site.py
+++ b/tests/fleet/cut_site.py
@@ -131,7 +131,7 @@
     def start_host(self, number):
         process = os.getpid()
         address = f"127.{2 + number}.{process // 250 % 250}.{1 + process % 250}"
-        ports = free_ports(4)
+        ports = free_ports(4, address=address)
         cfg = FleetSettings(
             host_id=f"h{number}",
             zone=ZONE,
