Close the stream that wins when its opening is cancelled

Cause: RelayDialer.open awaited the end of the losing attempts after the race was won. A caller whose timeout expired in these iterations of the loop was cancelled there, and the stream that had won was neither returned nor closed: the peer kept relaying it. Change: the losing attempts close what they open in callbacks, and nothing is awaited between the win and the return. This also ends an await in a finally block, which failed when a task was collected after its loop had closed. Result: a test that cancels the opening after 0 to 7 iterations fails before (the stream is open) and passes after; it uses a socket pair and no network.

--- a/src/mangohatch/relay/dialer.py
+++ b/src/mangohatch/relay/dialer.py
@@ -63,7 +63,7 @@
                 race.start(self._open_direct(upstream, stream))
             opened = await self._run_race(race, upstream, stream, lost=lost)
         finally:
-            await race.cancel()
+            race.cancel()
         if opened.relay:
             stream.close()
             self._chooser.record_opened(opened.relay)
@@ -221,10 +221,23 @@
             return []
         return [peer for peer in self.tasks.values() if peer]
 
-    async def cancel(self) -> None:
-        """Cancel the attempts that are left, and close what they opened."""
+    def cancel(self) -> None:
+        """
+        Cancel the attempts that are left, and close what they opened.
+
+        Nothing is awaited here: a caller that is cancelled meanwhile would lose the
+        stream that has won, which would then stay open.
+        """
         for task in self.tasks:
             task.cancel()
-        for result in await asyncio.gather(*self.tasks, return_exceptions=True):
-            if isinstance(result, OpenedStream):
-                result.stream.close()
+            task.add_done_callback(close_opened)
+
+
+def close_opened(attempt: Attempt) -> None:
+    """
+    Close what an attempt opened that is not needed.
+
+    :param attempt: an attempt that has ended
+    """
+    if not attempt.cancelled() and attempt.exception() is None:
+        attempt.result().stream.close()
--- a/tests/relay/test_race.py
+++ b/tests/relay/test_race.py
@@ -5,12 +5,18 @@
 
 from tornado.iostream import IOStream
 
-from mangohatch.relay.dialer import Race
-from mangohatch.upstream.dialer import OpenedStream
+from mangohatch.clock import SystemClock
+from mangohatch.core.paths import PathTable
+from mangohatch.core.tables import Tables
+from mangohatch.relay.dialer import Race, RelayDialer
+from mangohatch.upstream.dialer import OpenedStream, open_stream
+from tests.fixtures import make_service
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
 
+ITERATIONS = 8  # of the event loop, from the answer of a peer to the end of the race
+
 
 async def test_stream_of_an_attempt_that_succeeds_beside_the_winner_is_closed():
     pairs = [socket.socketpair() for _ in range(2)]
@@ -26,9 +32,91 @@
     ended = await race.wait(1.0)
     assert len(ended) == len(opened)
     winner = race.win(ended[0][0])
-    await race.cancel()
+    race.cancel()
+    await asyncio.sleep(0)
     assert [item.stream.closed() for item in opened] == [
         item is not winner for item in opened
     ]
     for _, far in pairs:
         far.close()
+
+
+class OnePeer:
+    """Offers one peer, and counts its connections."""
+
+    def __init__(self):
+        self.open = 0
+
+    def candidates(self):
+        return iter(["h1"])
+
+    def record_opened(self, host_id):
+        self.open += 1
+
+    def record_refused(self, host_id, cause):
+        return None
+
+
+class SilentPathDialer(RelayDialer):
+    """A dialer whose direct path neither opens nor fails."""
+
+    async def _open_directly(self, upstream, stream):
+        await asyncio.Event().wait()
+
+
+class PairClient:
+    """Opens socket pairs once it may."""
+
+    def __init__(self):
+        self.proceed = asyncio.Event()
+        self.asked = asyncio.Event()
+        self.near, self.far = socket.socketpair()
+        self.stream = IOStream(self.near)
+
+    async def open(self, peer, upstream):
+        self.asked.set()
+        await self.proceed.wait()
+        return self.stream
+
+
+async def open_and_cancel(iterations):
+    """Cancel the opening of a connection some iterations after a peer has opened it."""
+    tables = Tables()
+    tables.apply(make_service("desk", upstreams=1), revision=1)
+    row = tables.services["desk"].upstreams["u1"]
+    client = PairClient()
+    chooser = OnePeer()
+    dialer = SilentPathDialer(
+        paths=PathTable(clock=SystemClock(), tables=tables),
+        chooser=chooser,
+        client=client,
+        clock=SystemClock(),
+    )
+    task = asyncio.create_task(dialer.open(row, open_stream()))
+    await client.asked.wait()
+    client.proceed.set()
+    for _ in range(iterations):
+        await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.wait([task])
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    client.far.close()
+    return task, client, chooser
+
+
+async def test_opening_that_is_cancelled_at_any_time_leaves_no_stream_open():
+    # A probe that times out while the losing attempts end must not leave a connection
+    # at the peer that nothing closes.
+    ends = set()
+    for iterations in range(ITERATIONS):
+        task, client, chooser = await open_and_cancel(iterations)
+        ends.add(task.cancelled())
+        if task.cancelled():
+            assert client.stream.closed()
+            assert not chooser.open
+        else:
+            assert task.result().stream is client.stream
+            assert chooser.open == 1
+            client.stream.close()
+    assert ends == {True, False}
