Close the probe connections of upstreams that another host has taken over

Cause: HttpLoadProbe.send made a task, and the task took the connection when it first ran. If the owner of the upstream changed in the same iteration of the loop, retain ran in between and did not find the connection, which was then opened for an upstream that this host no longer probes: nothing judged or closed it any more. Through a peer it stayed relayed after the direct path was back, which failed test_relays_end_with_the_cut. Load puts the timer of a probe and the tick that applies new members (every 250 ms) into one iteration. Shown by a log of calls in two failed runs: 'send i-0, i-1, i-2, i-3', 'retain i-2', 'acquire i-0, i-1, i-3' within 1 ms, and after 15 s these three held open, via h1, by the probe of h0. A second way to the same state: a probe that ended removed the entry of its row, even if that entry was already the connection of the next probe. Change: send takes the connection itself; a connection given up is not opened; a probe removes only its own entry.

--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -173,10 +173,11 @@
 
         :raises UpstreamUnreachable: when the upstream does not accept it
         """
-        opened = await self._dialer.open(self.upstream, self.stream)
-        self.stream = opened.stream
-        self.relay = opened.relay
-        self._relay_open = bool(opened.relay)
+        if not self._given_up:
+            opened = await self._dialer.open(self.upstream, self.stream)
+            self.stream = opened.stream
+            self.relay = opened.relay
+            self._relay_open = bool(opened.relay)
         if self._given_up:
             self.close()
             raise UpstreamUnreachable(f"upstream {self.upstream.name}: given up")
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -48,7 +48,10 @@
     def send(
         self, row: UpstreamRow, path: str, done: Callable[[ProbeResult], None]
     ) -> None:
-        task = asyncio.get_running_loop().create_task(self._run(row, path, done))
+        # Acquired before the task runs, so that :meth:`retain` finds it in between.
+        # Nothing would close a connection that is acquired for a row given up.
+        conn = self._acquire(row)
+        task = asyncio.get_running_loop().create_task(self._run(conn, path, done))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -58,10 +61,12 @@
             self._conns.pop(key).close()
 
     async def _run(
-        self, row: UpstreamRow, path: str, done: Callable[[ProbeResult], None]
+        self,
+        conn: UpstreamConnection,
+        path: str,
+        done: Callable[[ProbeResult], None],
     ) -> None:
         statement, instance, refused = UpstreamStatement(), "", False
-        conn = self._acquire(row)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 statement, instance = await self._exchange(conn, path)
@@ -71,8 +76,9 @@
         except (RequestError, TimeoutError):
             # Placement keeps the previous report, whose weight decreases with its age.
             conn.close()
-        if conn.closed:
-            self._conns.pop(id(row), None)
+        key = id(conn.upstream)
+        if conn.closed and self._conns.get(key) is conn:
+            del self._conns[key]
         # The send time is a lower bound for the time at which the report was made.
         done(
             ProbeResult(
