End the tasks of probes, checks and relays when a host stops

Cause: HttpLoadProbe closed its connections but neither cancelled nor awaited its tasks, the crash probe of a host was never closed at all, timers went on to start probes of a stopped host, and RelayDialer and RelayServer left their checks and handlers behind. Tasks that were collected after their loop had closed printed 'Exception ignored in: <coroutine object HttpLoadProbe._run>' with 'Event loop is closed', from the await in the finally block of RelayDialer.open. Change: LoadProbe.close is a coroutine that ends the probes in progress; the routing part closes the crash probe; the dialer and the relay server end their tasks. cancel_all in loop_tasks does it in one place. A test of the probe fails before and passes after.

--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -43,7 +43,7 @@
     ``health`` is the health of the upstreams. ``should_move`` returns whether a request
     should move to another upstream; it is None if the placement policy never moves
     requests. ``limits`` keeps the limits that upstreams name, and ``signs`` which of
-    them leave or ask for a pause.
+    them leave or ask for a pause. ``crash_probe`` sends the checks of ``gate``.
     """
 
     router: Router
@@ -52,6 +52,7 @@
     limits: PermitTable
     signs: SignSystem
     should_move: Callable[[Grant], bool] | None
+    crash_probe: LoadProbe
 
 
 def make_decisions(
@@ -169,4 +170,5 @@
         limits=limits,
         signs=signs,
         should_move=should_move,
+        crash_probe=crash_probe,
     )
--- a/src/mangohatch/fleet/parts/probing.py
+++ b/src/mangohatch/fleet/parts/probing.py
@@ -85,7 +85,7 @@
         )
 
     async def stop(self) -> None:
-        self._probe.close()
+        await self._probe.close()
 
     def tick(self) -> None:
         if self._enabled:
--- a/src/mangohatch/fleet/parts/relays.py
+++ b/src/mangohatch/fleet/parts/relays.py
@@ -89,7 +89,8 @@
         self.server.listen(port, address)
 
     async def stop(self) -> None:
-        self.server.close()
+        await self.server.close()
+        await self.dialer.close()
 
     def leave(self) -> None:
         self.server.leave()
--- a/src/mangohatch/fleet/parts/routing.py
+++ b/src/mangohatch/fleet/parts/routing.py
@@ -60,6 +60,9 @@
             ),
         )
 
+    async def stop(self) -> None:
+        await self._decisions.crash_probe.close()
+
     def tick(self) -> None:
         core = self._decisions
         self._guard.run("router", core.gate.tick)
--- a/src/mangohatch/probing/probe.py
+++ b/src/mangohatch/probing/probe.py
@@ -56,6 +56,6 @@
         :param rows: upstreams that will be probed again
         """
 
-    def close(self) -> None:
-        """Close all connections."""
+    async def close(self) -> None:
+        """Close all connections, and end probes in progress without a result."""
         self.retain([])
--- a/src/mangohatch/relay/dialer.py
+++ b/src/mangohatch/relay/dialer.py
@@ -10,6 +10,7 @@
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.core.upstream_path import ConnectFailure
 from mangohatch.errors import HostCutOff, UpstreamUnreachable
+from mangohatch.loop_tasks import cancel_all
 from mangohatch.relay.client import RelayClient, RelayFailed
 from mangohatch.upstream.dialer import Dialer, OpenedStream, Reuse, open_stream
 
@@ -101,6 +102,10 @@
             self._checks.add(task)
             task.add_done_callback(self._checks.discard)
 
+    async def close(self) -> None:
+        """End the checks in progress."""
+        await cancel_all(self._checks)
+
     async def _check(self, upstream: UpstreamRow) -> None:
         stream = open_stream()
         try:
--- a/src/mangohatch/relay/server.py
+++ b/src/mangohatch/relay/server.py
@@ -12,6 +12,7 @@
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.core.upstream_path import ConnectFailure
 from mangohatch.errors import PeerProtocolError, UpstreamUnreachable
+from mangohatch.loop_tasks import cancel_all
 from mangohatch.peer.codec import decode_body
 from mangohatch.peer.datagram import DatagramPeerBus
 from mangohatch.peer.messages.relay import RelayAnswer, RelayRequest
@@ -56,7 +57,7 @@
         self._admission = admission
         self._paths = paths
         self._dialer = Dialer(paths=paths)
-        self._streams: set[IOStream] = set()
+        self._serving: set[asyncio.Task[None]] = set()
 
     @property
     def active(self) -> int:
@@ -67,11 +68,10 @@
         """Relay no further connections; those that are open go on."""
         self._admission.leaving = True
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Stop listening and break all connections."""
         self.stop()
-        for stream in [*self._streams]:
-            stream.close()
+        await cancel_all(self._serving)
 
     async def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """
@@ -80,7 +80,9 @@
         :param stream: the accepted connection
         :param address: remote address of the connection
         """
-        self._streams.add(stream)
+        handler = asyncio.current_task()
+        assert handler is not None
+        self._serving.add(handler)
         stream.set_nodelay(True)
         set_keepalive(stream)
         try:
@@ -94,7 +96,7 @@
             self.refused += 1
         finally:
             stream.close()
-            self._streams.discard(stream)
+            self._serving.discard(handler)
 
     async def _read_request(
         self, stream: IOStream, address: str
@@ -117,7 +119,6 @@
             return
         self._admission.open += 1
         connection = open_stream()
-        self._streams.add(connection)
         try:
             if not await self._connect(upstream, connection):
                 cut_off = self._paths.suspects_itself()
@@ -135,7 +136,6 @@
             await relay(stream, connection)
         finally:
             self._admission.open -= 1
-            self._streams.discard(connection)
             connection.close()
 
     async def _connect(self, upstream: UpstreamRow, connection: IOStream) -> bool:
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -9,6 +9,7 @@
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import HostCutOff, RequestError, UpstreamUnreachable
+from mangohatch.loop_tasks import cancel_all
 from mangohatch.probing import LoadProbe, ProbeResult
 from mangohatch.upstream.connection import (
     ResponseHead,
@@ -43,11 +44,14 @@
         self._read = read
         self._conns: dict[int, UpstreamConnection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
         self.connections = 0
 
     def send(
         self, row: UpstreamRow, path: str, done: Callable[[ProbeResult], None]
     ) -> None:
+        if self._closed:
+            return  # by a timer that was set before
         # Acquired before the task runs, so that :meth:`retain` finds it in between.
         # Nothing would close a connection that is acquired for a row given up.
         conn = self._acquire(row)
@@ -60,6 +64,11 @@
         for key in [key for key in self._conns if key not in wanted]:
             self._conns.pop(key).close()
 
+    async def close(self) -> None:
+        self._closed = True
+        await super().close()
+        await cancel_all(self._tasks)
+
     async def _run(
         self,
         conn: UpstreamConnection,
--- a/tests/upstream/test_load_probe.py
+++ b/tests/upstream/test_load_probe.py
@@ -154,3 +154,16 @@
     assert [stream.closed() for stream in dialer.opened] == [True, False]
     probe.retain([])
     assert all(stream.closed() for stream in dialer.opened)
+
+
+async def test_closed_probe_leaves_no_task_behind():
+    # A task that is collected after the loop has ended prints a traceback.
+    probe, dialer = make_probe()
+    probe.send(make_row(), "/", lambda result: None)
+    await asyncio.sleep(0)
+    before = asyncio.all_tasks()
+    assert len(before) == 2
+    await probe.close()
+    assert asyncio.all_tasks() == {asyncio.current_task()}
+    probe.send(make_row(), "/", lambda result: None)
+    assert asyncio.all_tasks() == {asyncio.current_task()}
