--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 HOLD ?= 0
 SOURCES := src tests bench demo tooling
 
-.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak
+.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak released
 
 all: lint test
 
@@ -63,6 +63,11 @@
 	thrift --gen py:slots -out build/thrift src/mangohatch/peer/peer.thrift
 	cp build/thrift/mangohatch/peer/gen/*.py src/mangohatch/peer/gen/
 
+# Writes tests/peer/released/$(RELEASE) from the code in $(RELEASED_SRC), once a release.
+RELEASED_SRC ?= src
+released: setup
+	PYTHONPATH=$(RELEASED_SRC) $(BIN)/python tooling/released_frames.py tests/peer/released/$(RELEASE)
+
 demo: setup
 	$(BIN)/python -m demo --seed $(SEED) --hold $(HOLD)
 
