Do not count time in which the loop of a host stood still as silence of others

Cause: time-outs ran over time in which this host's own loop stood still. The tick that follows gave up a connection (300 ms) or called a reused one silent (100 ms and more) before the loop had read what had arrived, and a relaying peer (100 ms) refused as unreachable an upstream that had accepted. A host that has just started gets no permit for a retry (3 s), and one whose second attempt is refused by its only peer has no further one: the caller got 503 or 502.

--- a/src/mangohatch/entry/monitor.py
+++ b/src/mangohatch/entry/monitor.py
@@ -9,6 +9,7 @@
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.continuation import can_continue
 from mangohatch.entry.events import RequestEvents
+from mangohatch.entry.late_ticks import LateTicks
 from mangohatch.errors import (
     AttemptMoved,
     ConnectionSilent,
@@ -26,6 +27,8 @@
 CONTINUABLE_STALL_MS = 1_500.0
 MIN_TRANSFER_BYTES_PER_MS = 10.0
 BODY_STALL_MS = 30_000.0
+# Keeps a host that is always late from waiting for a dead upstream until the deadline.
+MAX_LATE_MS = 500.0
 
 
 class RequestMonitor:
@@ -66,6 +69,7 @@
         self._pool = pool
         self._events = events
         self._may_retry = may_retry
+        self._late_ticks = LateTicks()
 
     def tick(self, requests: Iterable[ActiveRequest]) -> None:
         """
@@ -74,6 +78,7 @@
         :param requests: requests in flight
         """
         now_ms = self._clock.now_ms()
+        self._late_ticks.record(now_ms)
         for req in requests:
             if req.sink.sent:
                 self._check_progress(req, now_ms)
@@ -107,10 +112,15 @@
     def _check_connecting(
         self, req: ActiveRequest, conn: UpstreamConnection, now_ms: float
     ) -> None:
-        if now_ms - conn.last_read_ms > CONNECT_TIMEOUT_MS:
+        late_ms = self._late_ms(conn.last_read_ms)
+        if now_ms - conn.last_read_ms > CONNECT_TIMEOUT_MS + late_ms:
             detail = f"upstream {conn.upstream.name} did not accept in time"
             req.abort_attempt(UpstreamUnreachable(detail))
 
+    def _late_ms(self, start_ms: float) -> float:
+        """Return for how long this host could not see what arrived since a time."""
+        return min(self._late_ticks.since(start_ms), MAX_LATE_MS)
+
     def _check_placement(self, req: ActiveRequest) -> None:
         if self._should_move is None or self._spend_retry is None:
             return
@@ -126,7 +136,8 @@
         conn = req.conn
         if conn is None:
             return
-        silent = now_ms - conn.sent_ms > req.silence_limit_ms
+        late_ms = self._late_ms(conn.sent_ms)
+        silent = now_ms - conn.sent_ms > req.silence_limit_ms + late_ms
         if not silent and not self._pool.is_dead(conn):
             return
         req.silent = True
--- a/src/mangohatch/relay/server.py
+++ b/src/mangohatch/relay/server.py
@@ -12,7 +12,7 @@
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.core.upstream_path import ConnectFailure
 from mangohatch.errors import PeerProtocolError, UpstreamUnreachable
-from mangohatch.loop_tasks import cancel_all
+from mangohatch.loop_tasks import cancel_all, ends_within
 from mangohatch.peer.codec import decode_body
 from mangohatch.peer.datagram import DatagramPeerBus
 from mangohatch.peer.messages.relay import RelayAnswer, RelayRequest
@@ -139,14 +139,16 @@
             connection.close()
 
     async def _connect(self, upstream: UpstreamRow, connection: IOStream) -> bool:
+        opening = asyncio.create_task(self._dialer.open(upstream, connection))
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await self._dialer.open(upstream, connection)
-        except TimeoutError:
-            self._paths.record_failed(upstream, ConnectFailure.TIMED_OUT)
-            return False
+            if not await ends_within(opening, CONNECT_TIMEOUT_S):
+                self._paths.record_failed(upstream, ConnectFailure.TIMED_OUT)
+                return False
+            await opening
         except UpstreamUnreachable:
             return False
+        finally:
+            opening.cancel()
         return True
 
     async def _refuse(
