Count and bound the log of messages that a version does not understand

Cause: a message of an unknown kind counted as malformed and wrote a warning each, so that a host of an older version would fill its log during an upgrade. Unknown fields were not seen at all. An entry of a member in an unknown state raised in the handler, with a traceback, and the probe that carried it was not answered: its sender would suspect the host. Entries in unknown states are dropped alone and counted. An envelope without a kind is malformed. mangohatch_peer_messages_unreadable_total and peer_entries_unknown show the numbers.

--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -40,7 +40,7 @@
     OrderVotedDown,
     OrderVotesMissing,
 )
-from mangohatch.errors.peer import PeerProtocolError
+from mangohatch.errors.peer import PeerProtocolError, UnknownMessageKind
 from mangohatch.errors.request import (
     BadRequest,
     DeadlineExceeded,
@@ -122,6 +122,7 @@
     "StoreUnavailable",
     "StoreWriteUnknown",
     "TargetTooLong",
+    "UnknownMessageKind",
     "UnsupportedCoding",
     "UnsupportedVersion",
     "UpstreamAborted",
--- a/src/mangohatch/errors/peer.py
+++ b/src/mangohatch/errors/peer.py
@@ -2,7 +2,7 @@
 
 from mangohatch.errors.base import ExitCode, MangohatchError
 
-__all__ = ["PeerProtocolError"]
+__all__ = ["PeerProtocolError", "UnknownMessageKind"]
 
 
 class PeerProtocolError(MangohatchError):
@@ -10,3 +10,7 @@
 
     code = "peer_protocol"
     exit_code = ExitCode.UNREACHABLE
+
+
+class UnknownMessageKind(PeerProtocolError):
+    """A peer sent a message of a kind that this version does not have."""
--- a/src/mangohatch/fleet/parts/peers.py
+++ b/src/mangohatch/fleet/parts/peers.py
@@ -1,11 +1,12 @@
 """Messages between this host and its peers."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from mangohatch.clock import Clock
 from mangohatch.fleet.part import Counter, HostPart
 from mangohatch.fleet.settings import FleetSettings
+from mangohatch.metrics import Sample, make_counter
 from mangohatch.peer.datagram import DatagramPeerBus
 from mangohatch.timeline import HybridClock
 
@@ -55,8 +56,23 @@
                 "Datagrams that were malformed or whose handling failed.",
                 self.bus.failed,
             ),
+            (
+                "peer_entries_unknown",
+                "Received entries of members in states that this version lacks.",
+                self.bus.membership.unknown_states,
+            ),
         )
 
+    def samples(self) -> Iterator[Sample]:
+        yield from super().samples()
+        for cause, count in self.bus.counters.unreadable.items():
+            yield make_counter(
+                "mangohatch_peer_messages_unreadable",
+                "Messages of peers not understood, or not entirely, by cause.",
+                count,
+                cause=cause,
+            )
+
     async def start(self) -> None:
         await self.bus.start()
 
--- a/src/mangohatch/peer/codec.py
+++ b/src/mangohatch/peer/codec.py
@@ -8,7 +8,7 @@
 from thrift.Thrift import TException, TType
 from thrift.transport.TTransport import TMemoryBuffer
 
-from mangohatch.errors import PeerProtocolError
+from mangohatch.errors import PeerProtocolError, UnknownMessageKind
 from mangohatch.peer.gen import ttypes
 from mangohatch.peer.messages import KINDS, message
 
@@ -125,13 +125,13 @@
     :param data: the encoded struct
     :param kind: name of the struct
     :return: an instance of the data class of the struct
-    :raises PeerProtocolError: if the kind is unknown or the bytes do not form the
-        struct
+    :raises UnknownMessageKind: if this version has no such kind
+    :raises PeerProtocolError: if the bytes do not form the struct
     """
     try:
         binding = find_binding(kind)
     except KeyError as exc:
-        raise PeerProtocolError(f"unknown message kind {kind!r}") from exc
+        raise UnknownMessageKind(f"unknown message kind {kind!r}") from exc
     protocol = TCompactProtocolAccelerated(
         TMemoryBuffer(data),
         fallback=False,
@@ -161,9 +161,13 @@
 
     :param envelope: a decoded envelope
     :return: an instance of a class of :mod:`mangohatch.peer.messages`
-    :raises PeerProtocolError: if the body does not form a message of the kind that
-        the envelope names
+    :raises UnknownMessageKind: if this version has no message of the kind that the
+        envelope names
+    :raises PeerProtocolError: if the body does not form a message of that kind
     """
+    if not envelope.kind:
+        # Bytes of another protocol may read like an envelope without fields.
+        raise PeerProtocolError("the envelope names no message kind")
     if envelope.kind == "Envelope":
         raise PeerProtocolError("an envelope cannot contain another envelope")
     return decode(envelope.body, envelope.kind)
--- a/src/mangohatch/peer/counters.py
+++ b/src/mangohatch/peer/counters.py
@@ -18,6 +18,8 @@
 
     Byte counters hold frame sizes without TCP and IP headers. ``dropped`` is keyed by
     the reason for dropping messages; ``handler_failures`` counts handlers that raised.
+    ``unreadable`` counts messages that this version does not understand, or not
+    entirely, by cause.
     """
 
     messages_sent: Counter[str] = field(default_factory=Counter)
@@ -25,6 +27,7 @@
     messages_received: Counter[str] = field(default_factory=Counter)
     bytes_received: Counter[str] = field(default_factory=Counter)
     dropped: Counter[str] = field(default_factory=Counter)
+    unreadable: Counter[str] = field(default_factory=Counter)
     handler_failures: int = 0
 
     def record_sent(self, kind: str, size: int) -> None:
@@ -59,6 +62,11 @@
             ("messages_received", "Messages of peers.", self.messages_received),
             ("bytes_received", "Bytes of frames of peers.", self.bytes_received),
             ("messages_dropped", "Messages dropped, by reason.", self.dropped),
+            (
+                "messages_unreadable",
+                "Messages not understood, or not entirely, by cause.",
+                self.unreadable,
+            ),
         )
         for name, text, counter in families:
             for kind, value in counter.items():
--- a/src/mangohatch/peer/datagram.py
+++ b/src/mangohatch/peer/datagram.py
@@ -23,6 +23,7 @@
     MemberTransport,
 )
 from mangohatch.peer.messages.membership import MEMBERSHIP_MESSAGES, MemberSync
+from mangohatch.peer.unreadable import UnreadableMessages
 from mangohatch.timeline.recorder import HybridClock, Recorder
 
 __all__ = ["DatagramPeerBus", "PeerAddress"]
@@ -92,7 +93,10 @@
         )
         self._views.set_own(self.membership.own)
         self._inbox = Inbox(
-            membership=self.membership, clock=hybrid, counters=self.counters
+            membership=self.membership,
+            clock=hybrid,
+            counters=self.counters,
+            unreadable=UnreadableMessages(clock=clock, counters=self.counters),
         )
         for message_type in MEMBERSHIP_MESSAGES:
             self._inbox.subscribe(message_type, self.membership.receive)
--- a/src/mangohatch/peer/inbox.py
+++ b/src/mangohatch/peer/inbox.py
@@ -4,11 +4,12 @@
 
 import structlog
 
-from mangohatch.errors import PeerProtocolError
+from mangohatch.errors import PeerProtocolError, UnknownMessageKind
 from mangohatch.peer.bus import Handler
 from mangohatch.peer.codec import Envelope, decode_body, decode_envelope
 from mangohatch.peer.counters import PeerCounters
 from mangohatch.peer.membership import Membership
+from mangohatch.peer.unreadable import UnreadableCause, UnreadableMessages
 from mangohatch.timeline.recorder import HybridClock
 
 __all__ = ["Inbox"]
@@ -26,14 +27,21 @@
     :param membership: provides the newest known incarnation of each sender
     :param clock: hybrid clock that merges the reading in each message
     :param counters: counters of received and dropped messages
+    :param unreadable: counts and logs what this version does not understand
     """
 
     def __init__(
-        self, *, membership: Membership, clock: HybridClock, counters: PeerCounters
+        self,
+        *,
+        membership: Membership,
+        clock: HybridClock,
+        counters: PeerCounters,
+        unreadable: UnreadableMessages,
     ) -> None:
         self._membership = membership
         self._clock = clock
         self._counters = counters
+        self._unreadable = unreadable
         self._handlers: dict[type, list[Handler]] = {}
 
     def subscribe(self, message_type: type, handler: Handler) -> None:
@@ -61,13 +69,19 @@
                 return
             message = decode_body(envelope)
         except PeerProtocolError as exc:
-            self._counters.dropped["malformed"] += 1
-            log.warning("peer_message_malformed", peer=peer, cause=str(exc))
+            self._drop(exc, peer)
             return
+        self._unreadable.search(envelope.kind, envelope.body, peer=peer)
         self._clock.merge(envelope.sent_wall_us / US_PER_MS, envelope.sent_count)
         self._counters.record_received(envelope.kind, len(frame))
         self.dispatch(envelope.sender, message)
 
+    def _drop(self, error: PeerProtocolError, peer: str) -> None:
+        known = not isinstance(error, UnknownMessageKind)
+        cause = UnreadableCause.MALFORMED if known else UnreadableCause.UNKNOWN_KIND
+        self._counters.dropped[cause] += 1
+        self._unreadable.record(cause, peer=peer, detail=str(error))
+
     def is_outdated(self, envelope: Envelope) -> bool:
         """
         Return whether to drop a message because a newer host replaced its sender.
--- a/src/mangohatch/peer/membership/service.py
+++ b/src/mangohatch/peer/membership/service.py
@@ -41,6 +41,8 @@
 
 __all__ = ["Membership"]
 
+KNOWN_STATES = frozenset(MemberState)
+
 MemberCallback = Callable[[MemberRow, MemberRow | None], None]
 
 
@@ -70,6 +72,9 @@
     It does no I/O: it sends messages through the transport, received messages are
     passed to :meth:`receive`, and :meth:`tick` advances timers. Each host sends a
     constant number of messages a period, whatever the size of the fleet.
+
+    ``unknown_states`` counts received entries in states that this version does not
+    have.
     """
 
     def __init__(
@@ -88,6 +93,7 @@
         on_change: Callable[[], None] = lambda: None,
         on_member: MemberCallback = ignore_member,
     ) -> None:
+        self.unknown_states = 0
         self._clock = clock
         self._transport = transport
         self._recorder = recorder
@@ -273,6 +279,7 @@
         self.handle_stall(now_ms)
         self._last_received_ms = now_ms
         if isinstance(message, Ping | Ack | MemberSync):
+            self._drop_unknown_states(message)
             gossip = self._cfg.gossip_tables or not is_table(message)
             count = self.apply_updates(message.members, gossip=gossip)
             self._sync.on_joins(count, now_ms)
@@ -296,6 +303,12 @@
             endpoint = reply_endpoint(row, message.members)
             self._sync.on_sync(row, endpoint, message, now_ms)
 
+    def _drop_unknown_states(self, message: Ping | Ack | MemberSync) -> None:
+        """Drop entries in states of a newer version, so that the others apply."""
+        known = [one for one in message.members if one.state in KNOWN_STATES]
+        self.unknown_states += len(message.members) - len(known)
+        message.members = known
+
     def answer_ping(self, row: MemberRow, message: Ping) -> None:
         """
         Acknowledge a ping.
--- a/src/mangohatch/peer/tcp.py
+++ b/src/mangohatch/peer/tcp.py
@@ -24,6 +24,7 @@
     MemberTransport,
 )
 from mangohatch.peer.messages.membership import MEMBERSHIP_MESSAGES
+from mangohatch.peer.unreadable import UnreadableMessages
 from mangohatch.timeline.event import EventKind
 from mangohatch.timeline.recorder import Recorder
 
@@ -95,7 +96,10 @@
             on_change=self.on_change,
         )
         self._inbox = Inbox(
-            membership=self.membership, clock=recorder.clock, counters=self.counters
+            membership=self.membership,
+            clock=recorder.clock,
+            counters=self.counters,
+            unreadable=UnreadableMessages(clock=clock, counters=self.counters),
         )
         for message_type in MEMBERSHIP_MESSAGES:
             self._inbox.subscribe(message_type, self.membership.receive)
