--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -9,6 +9,7 @@
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.errors import HostCutOff, RequestError, UpstreamUnreachable
+from mangohatch.loop_tasks import cancel_all
 from mangohatch.probing import LoadProbe, ProbeResult
 from mangohatch.upstream.connection import (
     ResponseHead,
@@ -43,12 +44,18 @@
         self._read = read
         self._conns: dict[int, UpstreamConnection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
         self.connections = 0
 
     def send(
         self, row: UpstreamRow, path: str, done: Callable[[ProbeResult], None]
     ) -> None:
-        task = asyncio.get_running_loop().create_task(self._run(row, path, done))
+        if self._closed:
+            return  # by a timer that was set before
+        # Acquired before the task runs, so that :meth:`retain` finds it in between.
+        # Nothing would close a connection that is acquired for a row given up.
+        conn = self._acquire(row)
+        task = asyncio.get_running_loop().create_task(self._run(conn, path, done))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -57,11 +64,18 @@
         for key in [key for key in self._conns if key not in wanted]:
             self._conns.pop(key).close()
 
+    async def close(self) -> None:
+        self._closed = True
+        await super().close()
+        await cancel_all(self._tasks)
+
     async def _run(
-        self, row: UpstreamRow, path: str, done: Callable[[ProbeResult], None]
+        self,
+        conn: UpstreamConnection,
+        path: str,
+        done: Callable[[ProbeResult], None],
     ) -> None:
         statement, instance, refused = UpstreamStatement(), "", False
-        conn = self._acquire(row)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 statement, instance = await self._exchange(conn, path)
@@ -71,8 +85,9 @@
         except (RequestError, TimeoutError):
             # Placement keeps the previous report, whose weight decreases with its age.
             conn.close()
-        if conn.closed:
-            self._conns.pop(id(row), None)
+        key = id(conn.upstream)
+        if conn.closed and self._conns.get(key) is conn:
+            del self._conns[key]
         # The send time is a lower bound for the time at which the report was made.
         done(
             ProbeResult(
