Review a configuration before it is submitted

Cause: an error in a configuration, an entry that never matches or limits that contradict each other show only once hosts have it.

--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -81,6 +81,42 @@
     assert "entry.port: " in err and "colour: " in err
 
 
+def test_check_exits_with_the_worst_finding(folder):
+    services = [{"name": name, "path_prefix": "/a"} for name in ("a", "b")]
+    path = write_settings(folder, services=services)
+    status, out, _, _ = run_main("check", path)
+    assert status == 2
+    assert "error route_hidden services[0].prefix" in out
+    status, out, _, _ = run_main("check", path, "--as-json")
+    assert (status, json.loads(out)[0]["code"]) == (2, "route_hidden")
+
+
+def test_check_reads_the_format_of_an_adapter(folder):
+    path = folder / "config.json"
+    path.write_text('{"version": "r3", "resources": []}', encoding="utf-8")
+    status, out, _, _ = run_main("check", str(path), "--adapter", "platform")
+    assert (status, out) == (0, f"{path}: version 3, 0 services, no problem\n")
+    status, _, err, _ = run_main("check", str(path), "--adapter", "none")
+    assert status == 3
+    assert "adapter 'none' has no configurations to check" in err
+
+
+def test_check_lists_what_changes(folder):
+    path, before = folder / "new.json", folder / "old.json"
+    path.write_text('{"version": "r4", "resources": []}', encoding="utf-8")
+    service = {
+        "type": "services",
+        "metadata": {"name": "desk"},
+        "spec": {"health_check_path": "/h", "max_connections": 5},
+    }
+    document = {"version": "r3", "resources": [service]}
+    before.write_text(json.dumps(document), encoding="utf-8")
+    options = ["--adapter", "platform", "--in-force", str(before)]
+    status, out, _, _ = run_main("check", str(path), *options)
+    assert status == 0
+    assert "change service_removed resources[0]: 'desk'" in out
+
+
 def test_check_rejects_a_missing_file(folder):
     status, _, err, _ = run_main("check", str(folder / "none.json"))
     assert status == 3
