Exclude evacuated zones and other regions from the choice of upstreams

Requests must reach no upstream of an evacuated zone, and restricted ones none outside their regions.

ZoneTable holds both; the rows of a host share it, and the choosers and the broker consult it. A call whose upstreams are all excluded is refused at once with a time to return, also while it waits. Upstreams of evacuated zones do not count in the assignment to hosts, and hosts of these zones get as many upstreams as others.

--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -38,7 +38,8 @@
     response after ``objective_ms`` is late, and a response to an attempt that starts
     after ``start_by_ms`` is likely to be late. An attempt that starts after
     ``latest_start_ms`` is not expected to end before ``deadline_ms``.
-    ``response_bytes`` is the typical response size of the route.
+    ``response_bytes`` is the typical response size of the route. Only upstreams in
+    ``allowed_regions`` may run the call; None means that there is no restriction.
     """
 
     request_id: str
@@ -60,6 +61,7 @@
     start_by_ms: float = math.inf
     latest_start_ms: float = math.inf
     response_bytes: float = 0.0
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -9,12 +9,13 @@
 from mangohatch.core.call import Call, Grant, Report
 from mangohatch.core.health import Health
 from mangohatch.core.tables import ServiceRow, UpstreamRow, UpstreamState
-from mangohatch.errors import NoUpstream
+from mangohatch.errors import NoUpstream, RegionExcluded, ZoneEvacuated
 
 __all__ = [
     "AvailableCallback",
     "Chooser",
     "ImmediateChooser",
+    "describe_withheld",
     "ignore_service",
     "return_zero",
 ]
@@ -23,6 +24,9 @@
 CountWaiting = Callable[[str], int]
 GetUrgency = Callable[[str], float]
 
+# An evacuation takes minutes, and its end reaches all hosts within a second.
+EXCLUDED_RETRY_AFTER_MS = (1_000.0, 2_000.0)
+
 OPEN_STATES = frozenset({UpstreamState.ACTIVE, UpstreamState.WARMING})
 
 
@@ -140,6 +144,8 @@
             return False
         if call is not None and row.name in call.avoid:
             return False
+        if row.zones.excludes(row.zone, call.allowed_regions if call else None):
+            return False
         return self._health.eligible(row, call)
 
     def opens_ms(self, service: ServiceRow) -> float:
@@ -169,7 +175,7 @@
         """
         rows = [row for row in service.upstreams.values() if self.is_open(row, call)]
         if not rows:
-            raise no_upstream(call)
+            raise self._no_upstream(service, call)
         return rows
 
     def require_candidate(self, service: ServiceRow, call: Call) -> None:
@@ -182,7 +188,33 @@
         """
         rows = service.upstreams.values()
         if not any(self._is_open_but_for_pause(row, call) for row in rows):
-            raise no_upstream(call)
+            raise self._no_upstream(service, call)
+
+    def find_exclusion(self, service: ServiceRow, call: Call) -> NoUpstream | None:
+        """
+        Return why all upstreams of a service are excluded by their zones, if they are.
+
+        :param service: the service of the call
+        :param call: the call
+        :return: the error of the call, None if some upstream is in a zone that may
+            receive it
+        """
+        allowed = call.allowed_regions
+        rows = service.upstreams.values()
+        if not rows or not all(row.zones.excludes(row.zone, allowed) for row in rows):
+            return None
+        # Callers that are refused together do not return together.
+        retry_after_ms = self._rng.uniform(*EXCLUDED_RETRY_AFTER_MS)
+        reasons = sorted({row.zones.describe(row.zone, allowed) for row in rows})
+        detail = f"no upstream of {call.service} may run it: {', '.join(reasons)}"
+        if any(row.zones.is_evacuated(row.zone) for row in rows):
+            return ZoneEvacuated(detail, retry_after_ms=retry_after_ms)
+        return RegionExcluded(detail, retry_after_ms=retry_after_ms)
+
+    def _no_upstream(self, service: ServiceRow, call: Call) -> NoUpstream:
+        excluded = self.find_exclusion(service, call)
+        detail = f"service {call.service} has no upstream for new work"
+        return excluded or NoUpstream(detail)
 
     def has_room(self, service: ServiceRow) -> bool:
         """
@@ -226,16 +258,6 @@
         """
 
 
-def no_upstream(call: Call) -> NoUpstream:
-    """
-    Make the error of a call that no upstream accepts.
-
-    :param call: the call
-    :return: the error
-    """
-    return NoUpstream(f"service {call.service} has no upstream for new work")
-
-
 def return_zero(service: str) -> int:
     """
     Return 0; the default until the chooser is bound to the queues of a router.
@@ -252,3 +274,16 @@
 
     :param service: name of a service
     """
+
+
+def describe_withheld(row: UpstreamRow, call: Call, now_ms: float) -> str:
+    """
+    Describe why an upstream is passed over whatever its load, for the log.
+
+    :param row: the upstream
+    :param call: the call
+    :param now_ms: monotonic time, in milliseconds
+    :return: the reason, empty if there is none
+    """
+    reason = row.signs.describe(now_ms)
+    return reason or row.zones.describe(row.zone, call.allowed_regions)
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -4,7 +4,7 @@
 import math
 
 from mangohatch.core.call import Call, Grant, GrantBasis, Report, Result
-from mangohatch.core.choice.base import Chooser
+from mangohatch.core.choice.base import Chooser, describe_withheld
 from mangohatch.core.choice.placement import (
     NoPlacementListener,
     PlacementListener,
@@ -95,7 +95,7 @@
         ]
         row = self._rng.choice(near_best)
         grant = self.make_grant(call, row)
-        grant.basis = self._basis(service, row, work_ms, len(estimates))
+        grant.basis = self._basis(service, row, call, work_ms, len(estimates))
         grant.token = next(self._tokens)
         self._limits.take(row)
         row.load.begin(grant.granted_ms)
@@ -109,7 +109,10 @@
     def has_room(self, service: ServiceRow) -> bool:
         now_ms = self._clock.now_ms()
         rows = service.upstreams.values()
-        if any(self._is_free(row, now_ms) for row in rows):
+        if any(
+            self._is_free(row, now_ms) and not row.zones.is_evacuated(row.zone)
+            for row in rows
+        ):
             return True
         return not any(self.is_open(row, None) for row in rows)
 
@@ -183,13 +186,18 @@
         return min(share_ms, cfg.max_wait_for_faster_ms)
 
     def _basis(
-        self, service: ServiceRow, row: UpstreamRow, work_ms: float, free: int
+        self,
+        service: ServiceRow,
+        row: UpstreamRow,
+        call: Call,
+        work_ms: float,
+        free: int,
     ) -> GrantBasis:
         now_ms = self._clock.now_ms()
         withheld = (
             f"{item.name} {reason}"
             for item in service.upstreams.values()
-            if (reason := item.signs.describe(now_ms))
+            if (reason := describe_withheld(item, call, now_ms))
         )
         slowdown, until_ms = self._estimator.speed(row, now_ms)
         return GrantBasis(
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 
 from mangohatch.clock import Clock
 from mangohatch.core.admission import WaitingCall, WaitQueue
@@ -61,6 +62,10 @@
         :param deliver: receives exactly one grant or refusal
         """
         service = self._tables.services[call.service]
+        excluded = self._find_exclusion(service, call)
+        if excluded is not None:
+            deliver(Refusal(call=call, error=excluded))
+            return
         self._chooser.record_request(service)
         typical_ms = self._chooser.typical_ms(call)
         call.start_by_ms = call.objective_ms - typical_ms
@@ -140,6 +145,25 @@
             if queue:
                 self._serve_queue(service, queue)
 
+    def apply_zones(self) -> None:
+        """Refuse the waiting calls whose zones are now all excluded; serve the rest."""
+        for (name, _), queue in self._queues.items():
+            service = self._tables.services.get(name)
+            if service is None:
+                continue
+            for waiting in queue.ordered(self._clock.now_ms()):
+                excluded = self._find_exclusion(service, waiting.call)
+                if excluded is not None:
+                    queue.take(waiting)
+                    self._refuse(waiting, excluded)
+            self.serve_soon(name)
+
+    def _find_exclusion(self, service: ServiceRow, call: Call) -> NoUpstream | None:
+        zones = self._tables.zones
+        if not zones.evacuated and not zones.unknown and call.allowed_regions is None:
+            return None
+        return self._chooser.find_exclusion(service, call)
+
     def serve_soon(self, name: str) -> None:
         """
         Call :meth:`serve` once in the next iteration of the event loop.
@@ -167,14 +191,16 @@
             return
         if self._refuse_beyond_pauses(service, queue):
             return
-        failed_grants = 0
+        # Calls that are restricted to full regions must not hold up the others.
+        failed_grants: Counter[frozenset[str] | None] = Counter()
         for waiting in queue.ordered(self._clock.now_ms()):
-            if waiting not in queue:
+            regions = waiting.call.allowed_regions
+            if waiting not in queue or failed_grants[regions] >= MAX_FAILED_GRANTS:
                 continue
             if self._grant(service, waiting, queue):
                 continue
-            failed_grants += 1
-            if failed_grants >= MAX_FAILED_GRANTS:
+            failed_grants[regions] += 1
+            if failed_grants[None] >= MAX_FAILED_GRANTS:
                 return
 
     def count_waiting(self, name: str) -> int:
--- a/src/mangohatch/core/routes.py
+++ b/src/mangohatch/core/routes.py
@@ -21,6 +21,7 @@
 
     ``prefix`` begins and ends with a slash. ``timeout_ms`` limits the total time of a
     request at this host. A response that takes longer than ``objective_ms`` is late.
+    Only upstreams in ``allowed_regions`` receive requests; None means no restriction.
     """
 
     name: str
@@ -32,6 +33,7 @@
     objective_ms: float
     priority: int
     max_attempts: int
+    allowed_regions: frozenset[str] | None = None
 
     def choose(self, rng: random.Random) -> str:
         """
--- a/src/mangohatch/core/slots/broker.py
+++ b/src/mangohatch/core/slots/broker.py
@@ -286,4 +286,6 @@
     def _is_open(self, row: UpstreamRow) -> bool:
         if row.state not in (UpstreamState.ACTIVE, UpstreamState.WARMING):
             return False
+        if row.zones.is_evacuated(row.zone):
+            return False
         return self._health.eligible(row, None)
--- a/src/mangohatch/core/subset.py
+++ b/src/mangohatch/core/subset.py
@@ -5,6 +5,7 @@
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+from mangohatch.core.subset_places import SubsetPlaces
 from mangohatch.core.subset_rows import (
     Ranked,
     ServiceSubsets,
@@ -47,6 +48,7 @@
         self.host_id = host_id
         self.version = 0
         self._cfg = cfg or SubsetSettings()
+        self._places = SubsetPlaces()
         self._leaving = {host_id: False}
         self._everyone = frozenset(self._leaving)
         self._live = 1
@@ -92,6 +94,27 @@
             for name, ranking in service.rankings.items():
                 change(service, name, ranking, hosts)
 
+    def set_places(self, places: SubsetPlaces) -> bool:
+        """
+        Replace the zones that receive no requests, and the regions of zones.
+
+        :param places: zones and regions
+        :return: whether anything changed
+        """
+        if places == self._places:
+            return False
+        changed = places.closed ^ self._places.closed
+        moved = sorted(
+            host for host, zone in self._host_zones.items() if zone in changed
+        )
+        self._change_rankings(self._remove, moved)
+        self._places = places
+        for service in self._services.values():
+            self._resize(service)
+        self._change_rankings(self._insert, moved)
+        self.version += 1
+        return True
+
     def set_upstreams(
         self,
         service: str,
@@ -222,20 +245,23 @@
             for name, ranking in names.items()
             if self.host_id in self._prefix(subsets, name, ranking)
         }
-        missing = min(len(names), self._cfg.min_upstreams) - len(assigned)
-        if missing > 0:
-            assigned.update(
-                heapq.nsmallest(
-                    missing,
-                    names.keys() - assigned,
-                    key=lambda name: rendezvous_hash(self.host_id, name),
+        for group in self._places.groups(subsets):
+            needed = min(len(group), self._cfg.min_upstreams)
+            missing = needed - len(assigned.intersection(group))
+            if missing > 0:
+                assigned.update(
+                    heapq.nsmallest(
+                        missing,
+                        set(group) - assigned,
+                        key=lambda name: rendezvous_hash(self.host_id, name),
+                    )
                 )
-            )
         return frozenset(assigned)
 
     def _resize(self, subsets: ServiceSubsets) -> None:
         cfg = self._cfg
-        per_upstream = cfg.upstreams_per_host * self._live / len(subsets.rankings)
+        upstreams = self._places.count_open(subsets)
+        per_upstream = cfg.upstreams_per_host * self._live / upstreams
         subsets.size = min(self._live, max(cfg.min_users, math.ceil(per_upstream)))
         subsets.assigned = None
         subsets.audiences = None
@@ -259,7 +285,7 @@
         """Compute the position of a host in the ranking; the lowest comes first."""
         position = rendezvous_hash(name, host)
         zone = subsets.zones.get(name)
-        if zone is not None and zone == self._host_zones.get(host):
+        if self._places.is_near(zone, self._host_zones.get(host)):
             position //= self._cfg.zone_weight
         return position, host
 
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -11,6 +11,7 @@
 from mangohatch.core.spec import UpstreamSpec
 from mangohatch.core.upstream_path import UpstreamPath
 from mangohatch.core.upstream_signs import InstanceKey, UpstreamSigns
+from mangohatch.core.zones import ZoneTable
 
 __all__ = ["DrainCause", "ServiceRow", "Tables", "UpstreamRow", "UpstreamState"]
 
@@ -44,6 +45,7 @@
     that the upstream runs at once. ``started_ms`` distinguishes processes started under
     the same name. Until ``warm_at_ms`` on the monotonic clock, a new upstream is slow.
     ``reported`` is whether other hosts send this host the upstream's load reports.
+    ``zones`` is the table of this host, which all of its rows share.
     """
 
     service: str
@@ -62,6 +64,7 @@
     limit: NamedLimit = field(default_factory=NamedLimit)
     signs: UpstreamSigns = field(default_factory=UpstreamSigns)
     path: UpstreamPath = field(default_factory=UpstreamPath)
+    zones: ZoneTable = field(default_factory=ZoneTable)
     drain_causes: set[DrainCause] = field(default_factory=set)
 
     @property
@@ -119,11 +122,13 @@
     All tables of one host.
 
     ``signs`` holds what upstream processes asked for, also of those without a row.
+    ``zones`` decides which availability zones receive requests.
     """
 
     def __init__(self) -> None:
         self.services: dict[str, ServiceRow] = {}
         self.routes = RouteTable()
+        self.zones = ZoneTable()
         self.response_bytes: dict[str, float] = {}
         self.signs: dict[InstanceKey, UpstreamSigns] = {}
         self._removed: dict[tuple[str, str], UpstreamRow] = {}
@@ -154,6 +159,7 @@
                 row.upstreams[upstream.name] = update_row(old, upstream)
             else:
                 made = make_row(spec.name, upstream)
+                made.zones = self.zones
                 self._restore_signs(made)
                 row.upstreams[upstream.name] = made
         self.services[spec.name] = row
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -50,6 +50,7 @@
     NoUpstream,
     Outcome,
     Overloaded,
+    RegionExcluded,
     RequestError,
     RequestQuarantined,
     Stopping,
@@ -57,6 +58,7 @@
     UpstreamRefused,
     UpstreamUnreachable,
     UpstreamWithdrawn,
+    ZoneEvacuated,
 )
 from mangohatch.errors.settings import SettingsError
 from mangohatch.errors.store import (
@@ -104,6 +106,7 @@
     "OutcomeUnknown",
     "Overloaded",
     "PeerProtocolError",
+    "RegionExcluded",
     "RequestError",
     "RequestInProgress",
     "RequestQuarantined",
@@ -129,4 +132,5 @@
     "UpstreamRefused",
     "UpstreamWithdrawn",
     "UpstreamUnreachable",
+    "ZoneEvacuated",
 ]
--- a/src/mangohatch/errors/request.py
+++ b/src/mangohatch/errors/request.py
@@ -15,12 +15,14 @@
     "Outcome",
     "Overloaded",
     "RequestError",
+    "RegionExcluded",
     "RequestQuarantined",
     "Stopping",
     "UpstreamAborted",
     "UpstreamRefused",
     "UpstreamWithdrawn",
     "UpstreamUnreachable",
+    "ZoneEvacuated",
 ]
 
 
@@ -87,6 +89,18 @@
     status = 503
 
 
+class ZoneEvacuated(NoUpstream):
+    """All upstreams that could run the request are in evacuated zones."""
+
+    code = "zone_evacuated"
+
+
+class RegionExcluded(NoUpstream):
+    """No upstream is in a region that may run the request."""
+
+    code = "region_excluded"
+
+
 class Overloaded(RequestError):
     """Admission control refused the request before it was sent."""
 
