Follow evacuations of zones as a watched part of the directory

The first two hosts of the ranking keep a long poll open; what it returns is read and spread like the configuration. Requests are checked again when they are sent, and relays take no new request for an evacuated zone. The part Zones counts and logs.

--- a/src/mangohatch/core/paths/relays.py
+++ b/src/mangohatch/core/paths/relays.py
@@ -18,12 +18,17 @@
 
     BUSY = "busy"
     CUT_OFF = "cut_off"
+    EVACUATED = "evacuated"
     LEAVING = "leaving"
     NOT_A_MEMBER = "not_a_member"
     UNKNOWN_UPSTREAM = "unknown_upstream"
     UNREACHABLE = "unreachable"
 
 
+# What a peer says about the upstream, which is no reason to avoid the peer.
+UPSTREAM_REFUSALS = frozenset({RelayRefusal.EVACUATED, RelayRefusal.UNREACHABLE})
+
+
 class RelayChooser:
     """
     Orders the peers by the connections that this host has through them.
@@ -92,6 +97,17 @@
             for member in self._bus.members()
         )
 
+    def zone_of(self, host_id: str) -> str:
+        """
+        Return the availability zone of a peer.
+
+        :param host_id: id of the peer
+        :return: name of the zone, empty if the peer is not a member
+        """
+        members = self._bus.members()
+        zones = (item.zone for item in members if item.host_id == host_id)
+        return next(zones, "")
+
     def record_opened(self, host_id: str) -> None:
         """
         Record a new connection through a peer.
@@ -121,5 +137,5 @@
         self.refused[cause or "unanswered"] += 1
         if cause is None:
             self._late_until_ms[host_id] = self._clock.now_ms() + AVOID_MS
-        elif cause is not RelayRefusal.UNREACHABLE:
+        elif cause not in UPSTREAM_REFUSALS:
             self._avoid_until_ms[host_id] = self._clock.now_ms() + AVOID_MS
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -26,7 +26,8 @@
     Assigns calls to upstreams by the tables of this host.
 
     The router does no I/O. It passes its decision to ``deliver``, either immediately or
-    later from :meth:`release`, from :meth:`tick` or from a timer.
+    later from :meth:`release`, from :meth:`tick` or from a timer. ``excluded`` counts
+    the calls whose upstreams were all in excluded zones.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self._chooser.bind(self.serve, self.count_waiting, self.urgency)
         self._queues: dict[tuple[str, bool], WaitQueue] = {}
         self._due: set[str] = set()
+        self.excluded = 0
 
     def request(self, call: Call, deliver: Deliver) -> None:
         """
@@ -162,7 +164,9 @@
         zones = self._tables.zones
         if not zones.evacuated and not zones.unknown and call.allowed_regions is None:
             return None
-        return self._chooser.find_exclusion(service, call)
+        excluded = self._chooser.find_exclusion(service, call)
+        self.excluded += excluded is not None
+        return excluded
 
     def serve_soon(self, name: str) -> None:
         """
--- a/src/mangohatch/core/zones.py
+++ b/src/mangohatch/core/zones.py
@@ -80,9 +80,17 @@
         """
         if self.unknown or zone in self.evacuated:
             return True
-        if allowed_regions is None:
-            return False
-        return self.regions.get(zone) not in allowed_regions
+        return not self.allows_region(zone, allowed_regions)
+
+    def allows_region(self, zone: str, allowed_regions: frozenset[str] | None) -> bool:
+        """
+        Return whether a zone is in a region that may receive a request.
+
+        :param zone: name of the zone
+        :param allowed_regions: the regions that may receive the request, None for all
+        :return: False also if the region of the zone is not known
+        """
+        return allowed_regions is None or self.regions.get(zone) in allowed_regions
 
     def describe(self, zone: str, allowed_regions: frozenset[str] | None) -> str:
         """
@@ -96,7 +104,7 @@
             return "evacuations are unknown"
         if zone in self.evacuated:
             return f"zone {zone} is evacuated"
-        if self.excludes(zone, allowed_regions):
+        if not self.allows_region(zone, allowed_regions):
             region = self.regions.get(zone, "unknown")
             return f"region {region} of zone {zone} is not allowed"
         return ""
--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -19,6 +19,7 @@
 from mangohatch.directory.sender import PieceSender
 from mangohatch.directory.settings import FollowerSettings
 from mangohatch.directory.source import DirectorySource, PartReading
+from mangohatch.directory.watch import READING_BITS, PartWatches
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages.directory import (
     DirectoryMark,
@@ -30,7 +31,6 @@
 __all__ = ["DirectoryFollower"]
 
 MAX_AGE_MS = 2**31 - 1
-READING_BITS = 31
 
 log = structlog.get_logger()
 
@@ -102,6 +102,16 @@
             source=source,
             schedule=self._schedule,
             on_reading=self._apply_reading,
+            on_failure=lambda: self._watches.close(),
+        )
+        self._watches = PartWatches(
+            clock=clock,
+            rng=rng,
+            source=source,
+            ranking=ranking,
+            states=[item.state for item in self._parts.values()],
+            cfg=self._cfg,
+            on_return=self._reader.read_now,
         )
         self._gossip = MarkGossip(
             clock=clock,
@@ -134,12 +144,12 @@
     @property
     def calls(self) -> int:
         """Number of calls to the store."""
-        return self._reader.calls
+        return self._reader.calls + self._watches.calls
 
     @property
     def failed_calls(self) -> int:
         """Number of calls to the store without a usable answer."""
-        return self._reader.failed_calls
+        return self._reader.failed_calls + self._watches.failed_calls
 
     @property
     def known(self) -> bool:
@@ -181,11 +191,13 @@
         for item in self._parts.values():
             item.puller.tick()
         self._reader.start_due([item.state for item in self._parts.values()])
+        self._watches.tick()
         self._sender.tick()
         self._gossip.tick(known=self.known)
 
     async def stop(self) -> None:
         """Cancel readings in progress."""
+        self._watches.close()
         await self._reader.stop()
 
     def _apply_reading(
@@ -195,7 +207,7 @@
         self._schedule.record_gap(state, read_ms)
         items = list(reading.items)
         revision = reading.revision
-        if self._clock.now_ms() < state.retain_until_ms:
+        if self._clock.now_ms() < state.retain_until_ms and not state.watched:
             kept = self._expired_items(part, items)
             items += kept
             if kept:
@@ -208,10 +220,11 @@
             reading=self._rng.getrandbits(READING_BITS),
         )
         behind_ms = self._schedule.end_behind(state)
+        self._watches.record_reading(part.name, read_ms)
         if not changed:
             self._gossip.spread_refresh()
         else:
-            self._gossip.spread_change()
+            self._gossip.spread_change(urgent=state.watched)
             log.info(
                 "directory_changed",
                 part=part.name,
@@ -317,7 +330,11 @@
         if not part.known:
             self._schedule.record_learned(item.state)
         changed = part.update(
-            items, revision=mark.revision, read_ms=read_ms, reading=mark.reading
+            items,
+            revision=mark.revision,
+            read_ms=read_ms,
+            reading=mark.reading,
+            peer=sender,
         )
         behind_ms = self._schedule.end_behind(item.state)
         if changed:
@@ -329,5 +346,5 @@
                 items=len(items),
                 behind_ms=behind_ms,
             )
-            self._gossip.spread_change()
+            self._gossip.spread_change(urgent=item.state.watched)
             self._publish(item, payload)
--- a/src/mangohatch/directory/gossip.py
+++ b/src/mangohatch/directory/gossip.py
@@ -59,10 +59,17 @@
         self._cfg = cfg
         self._delay = delay
         self._refresh_pending = False
+        self._repeats = 0
         self._next_exchange_ms = 0.0
 
-    def spread_change(self) -> None:
-        """Send the marks at once, after a change of content."""
+    def spread_change(self, *, urgent: bool = False) -> None:
+        """
+        Send the marks at once, after a change of content.
+
+        :param urgent: whether to send them to other members again with the next ticks
+        """
+        if urgent:
+            self._repeats = self._cfg.change_repeats
         self._send_news(self._cfg.fan_out)
 
     def spread_refresh(self) -> None:
@@ -78,6 +85,9 @@
         now_ms = self._clock.now_ms()
         if not self._ranking.others:
             return
+        if self._repeats:
+            self._repeats -= 1
+            self._send_news(self._cfg.fan_out)
         if self._refresh_pending:
             self._send_news(self._cfg.refresh_fan_out)
         if now_ms >= self._next_exchange_ms:
--- a/src/mangohatch/directory/part.py
+++ b/src/mangohatch/directory/part.py
@@ -32,6 +32,7 @@
     ``revision`` is the revision of the store at the latest reading; ``read_ms`` is the
     time of that reading on the monotonic clock of this host, in milliseconds;
     ``reading`` is its random number, and ``seen`` holds those of the latest readings.
+    ``peer`` is the host that sent the content, empty if this host read it.
     """
 
     name: str
@@ -39,6 +40,7 @@
     read_ms: float = 0.0
     digest: int = 0
     reading: int = 0
+    peer: str = ""
     items: dict[str, PartItem] = field(default_factory=dict)
     seen: deque[int] = field(default_factory=lambda: deque(maxlen=SEEN_READINGS))
 
@@ -48,7 +50,13 @@
         return self.revision > 0
 
     def update(
-        self, items: Sequence[PartItem], *, revision: int, read_ms: float, reading: int
+        self,
+        items: Sequence[PartItem],
+        *,
+        revision: int,
+        read_ms: float,
+        reading: int,
+        peer: str = "",
     ) -> bool:
         """
         Replace the content by that of a complete reading.
@@ -60,6 +68,7 @@
         :param revision: revision of the store at the reading
         :param read_ms: time of the reading in milliseconds
         :param reading: number of the reading
+        :param peer: the host that sent the content, empty if this host read it
         :return: whether the content has changed
         """
         if revision < self.revision:
@@ -71,6 +80,7 @@
         if not changed or digest == self.digest:
             return False
         self.digest = digest
+        self.peer = peer
         self.items = {item.name: item for item in items}
         return True
 
--- a/src/mangohatch/directory/reader.py
+++ b/src/mangohatch/directory/reader.py
@@ -28,6 +28,7 @@
     :param schedule: decides when a part is due
     :param on_reading: called with the state of the part, the reading, and the time at
         which it began, in milliseconds
+    :param on_failure: called after a reading that failed
     """
 
     def __init__(
@@ -37,11 +38,13 @@
         source: DirectorySource,
         schedule: ReadingSchedule,
         on_reading: OnReading,
+        on_failure: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._source = source
         self._schedule = schedule
         self._on_reading = on_reading
+        self._on_failure = on_failure
         self._tasks: set[asyncio.Task[None]] = set()
         self.calls = 0
         self.failed_calls = 0
@@ -64,12 +67,24 @@
         if not any(wait_ms <= 0.0 for wait_ms, _ in waits_ms):
             return
         for wait_ms, state in waits_ms:
-            spaced = state.failures or not state.part.known
+            spaced = state.failures or not state.part.known or state.watched
             if wait_ms <= (0.0 if spaced else ALIGN_MS):
                 self._start(state)
 
+    def read_now(self, state: PartState) -> None:
+        """
+        Read a part that may have changed.
+
+        :param state: state of the part; a reading in progress is followed by another
+        """
+        if state.read_in_progress:
+            state.read_again = True
+        else:
+            self._start(state)
+
     def _start(self, state: PartState) -> None:
         state.read_in_progress = True
+        state.read_again = False
         task = asyncio.get_running_loop().create_task(self._read(state))
         self._tasks.add(task)
         task.add_done_callback(self._end_task)
@@ -106,10 +121,13 @@
         state.failures = 0
         state.retry_at_ms = 0.0
         self._on_reading(state, reading, started_ms)
+        if state.read_again:
+            self._start(state)
 
     def _record_failure(self, state: PartState, *, cause: str, detail: str) -> None:
         self.failed_calls += 1
         self._schedule.record_failure(state)
+        self._on_failure()
         if state.failures == 1:
             log.warning(
                 "store_lost",
--- a/src/mangohatch/directory/schedule.py
+++ b/src/mangohatch/directory/schedule.py
@@ -20,10 +20,15 @@
 
     ``behind_since_ms`` is the time at which a peer first announced newer content than
     this host's copy, None while no peer has; ``catch_up_at_ms`` is the time of the
-    reading that follows from it.
+    reading that follows from it. Of a ``watched`` part, ``watch_open`` is whether a
+    call at the store waits for changes, and ``read_again`` whether one came during a
+    reading.
     """
 
     part: DirectoryPart
+    watched: bool = False
+    watch_open: bool = False
+    read_again: bool = False
     read_in_progress: bool = False
     retry_at_ms: float = 0.0
     failures: int = 0
@@ -144,10 +149,11 @@
         :return: time on the monotonic clock in milliseconds
         """
         cfg = self._cfg
-        due_ms = min(self._turn_ms(state), state.catch_up_at_ms)
+        grace_ms = cfg.watch_grace_ms if state.watch_open else 0.0
+        due_ms = min(self._turn_ms(state) + grace_ms, state.catch_up_at_ms)
         if state.part.known and self._ranking.others:
             informed_ms = max(self._heard_ms, state.part.read_ms)
-            due_ms = min(due_ms, informed_ms + cfg.isolation_ms)
+            due_ms = min(due_ms, informed_ms + cfg.isolation_ms + grace_ms)
         return max(due_ms, state.retry_at_ms)
 
     def _isolated(self, now_ms: float) -> bool:
--- a/src/mangohatch/directory/settings.py
+++ b/src/mangohatch/directory/settings.py
@@ -29,6 +29,10 @@
     after a reading without change, one that is ``refresh_ms`` younger; every
     ``exchange_ms`` a host exchanges marks with a random member, every
     ``first_exchange_ms`` until it has all parts.
+
+    Of watched parts, ``watchers`` hosts keep a call open, and open no two within
+    ``watch_spacing_ms``. Such a part is read ``watch_grace_ms`` later than another one
+    that nobody reads. A change of it is spread ``change_repeats`` times more.
     """
 
     interval_ms: float = 500.0  # a quarter of the 2 s in which a change must be applied
@@ -51,3 +55,8 @@
     refresh_ms: float = 200.0
     fan_out: int = 5
     refresh_fan_out: int = 3
+    watchers: int = 2  # one may lose its connection without a sign
+    watch_spacing_ms: float = 200.0  # an entry that flaps causes 5 readings a second
+    # A reading of another part confirms an open call; a slow store takes 250 ms for it.
+    watch_grace_ms: float = 400.0
+    change_repeats: int = 2  # 5 receivers once leave out 1 host in 150
--- a/src/mangohatch/directory/source.py
+++ b/src/mangohatch/directory/source.py
@@ -18,9 +18,14 @@
 
 
 class DirectorySource(ABC):
-    """Reads parts of the directory; ``parts`` lists their names."""
+    """
+    Reads parts of the directory; ``parts`` lists their names.
+
+    Changes of the ``watched`` parts can be waited for.
+    """
 
     parts: Sequence[str] = ()
+    watched: frozenset[str] = frozenset()
 
     @abstractmethod
     async def read(self, part: str, known: Mapping[str, PartItem]) -> PartReading:
@@ -33,3 +38,13 @@
         :return: the reading
         :raises StoreError: if the store does not respond or rejects the call
         """
+
+    async def watch(self, part: str, revision: int) -> None:
+        """
+        Wait until a part may have changed, or until the longest wait is over.
+
+        :param part: name of one of the watched parts
+        :param revision: revision of the store as of which the part is known
+        :raises StoreError: if the store does not respond or rejects the call
+        """
+        raise NotImplementedError
--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -9,6 +9,7 @@
 from mangohatch.clock import Clock
 from mangohatch.core.spec import DiscoveredService, DiscoveredUpstream
 from mangohatch.core.subset import SubsetTable
+from mangohatch.core.subset_places import SubsetPlaces
 from mangohatch.core.tables import ServiceRow, Tables
 from mangohatch.directory.assignment_log import AssignmentLog
 from mangohatch.directory.content import Configuration, RegisteredUpstream
@@ -20,6 +21,9 @@
 MAX_QUEUE_WAIT_MS = 5_000.0  # shares of deadlines bound most calls earlier
 MAX_WARM_UP_MS = 10_000.0  # cold starts last for some seconds
 MEMBERS_INTERVAL_MS = 250.0  # joins at the start of a site are applied together
+# A changed assignment costs a hash for each upstream and each host of the zone. One
+# that follows an entry that flaps ten times a second would use a whole core.
+REOPEN_MS = 5_000.0
 
 log = structlog.get_logger()
 
@@ -64,6 +68,7 @@
         self._config: Configuration | None = None
         self._upstreams: Mapping[str, Sequence[RegisteredUpstream]] = {}
         self._revision = 0
+        self._reopens_ms: dict[str, float] = {}
 
     def apply_configuration(self, config: Configuration, *, revision: int) -> None:
         """
@@ -87,6 +92,7 @@
         self._limits.body_bytes = config.limits.body_bytes
         self._limits.head_timeout_ms = config.limits.head_timeout_ms
         self._limits.idle_timeout_ms = config.limits.idle_timeout_ms
+        self._set_places(self._tables.zones.evacuated)
         self._apply()
 
     def apply_upstreams(self, upstreams: Sequence[RegisteredUpstream]) -> None:
@@ -106,9 +112,60 @@
         self._upstreams = by_service
         self._apply()
 
+    def apply_evacuations(
+        self, zones: frozenset[str], *, revision: int, peer: str
+    ) -> None:
+        """
+        Replace the evacuated zones.
+
+        :param zones: names of all evacuated zones
+        :param revision: revision of the store at which they were read
+        :param peer: the host that sent them, empty if this host read the store
+        """
+        # The choice of upstreams follows at once, so the other ones come first.
+        for zone in zones:
+            self._reopens_ms.pop(zone, None)
+        for zone in self._tables.zones.evacuated - zones:
+            self._reopens_ms[zone] = self._clock.now_ms() + REOPEN_MS
+        self._set_places(zones)
+        self._tables.zones.set_evacuated(zones, revision=revision, peer=peer)
+
+    def apply_regions(self, regions: Mapping[str, str]) -> None:
+        """
+        Replace the regions of zones.
+
+        :param regions: regions by zone
+        """
+        self._tables.zones.regions = regions
+        self._set_places(self._tables.zones.evacuated)
+
+    def zones(self) -> set[str]:
+        """
+        List the zones that are known.
+
+        :return: zones with a region, and those of registered upstreams
+        """
+        registered = (item.zone for items in self._upstreams.values() for item in items)
+        return {*self._tables.zones.regions, *registered}
+
+    def _set_places(self, evacuated: frozenset[str]) -> None:
+        routes = self._config.routes if self._config is not None else ()
+        restricted = any(route.allowed_regions is not None for route in routes)
+        places = SubsetPlaces(
+            closed=evacuated | self._reopens_ms.keys(),
+            regions=self._tables.zones.regions if restricted else {},
+        )
+        if self._subset.set_places(places):
+            self._assign()
+
     def tick(self) -> None:
-        """Apply changes of the members."""
+        """Apply changes of the members, and the ends of evacuations."""
         now_ms = self._clock.now_ms()
+        reopened = [zone for zone, at_ms in self._reopens_ms.items() if now_ms >= at_ms]
+        if reopened:
+            for zone in reopened:
+                del self._reopens_ms[zone]
+            self._set_places(self._tables.zones.evacuated)
         members = self._members()
         if members != self._known_members and now_ms >= self._members_due_ms:
             self._known_members = members
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -12,6 +12,7 @@
 from mangohatch.entry.protocol import ProtocolAdapter
 from mangohatch.entry.retry import is_server_failure, result_of_status
 from mangohatch.errors import (
+    HostCutOff,
     UpstreamAborted,
     UpstreamFailed,
     UpstreamRefused,
@@ -83,10 +84,7 @@
             req.relay = conn.relay
             if req.failure is not None:
                 raise req.failure
-            if not grant.upstream.signs.allows(self._clock.now_ms(), 0):
-                raise UpstreamWithdrawn(
-                    f"upstream {grant.upstream.name} leaves or asks for a pause"
-                )
+            self._check_withdrawn(grant, conn)
             reusable = await self._exchange(req, conn, report)
         finally:
             req.cut_off = self._pool.is_cut_off(conn)
@@ -94,6 +92,19 @@
             req.awaits_head = False
             self._pool.release(conn, reusable=reusable)
 
+    def _check_withdrawn(self, grant: Grant, conn: UpstreamConnection) -> None:
+        """Check again what may have changed while a connection was opened."""
+        row = grant.upstream
+        allowed = grant.call.allowed_regions
+        if not row.signs.allows(self._clock.now_ms(), 0):
+            raise UpstreamWithdrawn(f"upstream {row.name} leaves or asks for a pause")
+        excluded = row.zones.describe(row.zone, allowed)
+        if excluded:
+            raise UpstreamWithdrawn(f"upstream {row.name}: {excluded}")
+        if conn.relay and allowed is not None:
+            if not row.zones.allows_region(self._pool.relay_zone(conn), allowed):
+                raise HostCutOff(f"only another region reaches upstream {row.name}")
+
     async def _exchange(
         self,
         req: ActiveRequest,
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Iterator, Sequence
-from dataclasses import replace
 from functools import partial
 
 import structlog
@@ -30,6 +29,7 @@
     Routing,
     TableUpdates,
     TextPages,
+    Zones,
 )
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.settings import FleetSettings
@@ -161,7 +161,7 @@
         self.forwarder = entry.forwarder
         self.entry = entry.server
         relays.has_requests = lambda: bool(self.forwarder.active)
-        self._table_updater = TableUpdater(
+        self._table_updater = updater = TableUpdater(
             clock=clock,
             tables=self.tables,
             limits=entry.limits,
@@ -172,7 +172,10 @@
         self.parts: Sequence[HostPart] = (
             peers,
             directory,
-            TableUpdates(updater=self._table_updater, tables=self.tables),
+            TableUpdates(updater=updater, tables=self.tables),
+            Zones(
+                cfg=cfg, tables=self.tables, updater=updater, router=decisions.router
+            ),
             probing,
             Routing(decisions=decisions, guard=self._guard),
             retries,
@@ -268,8 +271,7 @@
         cfg = settings.read_if_changed()
         if cfg is None:
             return
-        # Addresses and the host's identity can't change while the process runs.
-        self.cfg = replace(self.cfg, seeds=cfg.seeds, bounds=cfg.bounds)
+        self.cfg = self.cfg.update(cfg)
         for part in self.parts:
             part.reload(self.cfg)
         log.info("settings_in_force", seeds=len(cfg.seeds))
--- a/src/mangohatch/fleet/parts/__init__.py
+++ b/src/mangohatch/fleet/parts/__init__.py
@@ -8,6 +8,7 @@
 from mangohatch.fleet.parts.relays import Relays
 from mangohatch.fleet.parts.retries import Retries
 from mangohatch.fleet.parts.routing import Routing
+from mangohatch.fleet.parts.zones import Zones
 
 __all__ = [
     "CallerEntry",
@@ -19,4 +20,5 @@
     "Routing",
     "TableUpdates",
     "TextPages",
+    "Zones",
 ]
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -1,6 +1,7 @@
 """Settings of a host in a fleet that shares a directory in a store."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 from mangohatch.core.signs.settings import MAX_PAUSE_MS
 
@@ -17,7 +18,9 @@
     A process must end within ``grace_ms`` of SIGTERM. The retry limits apply to the
     fleet as a whole: in any period of ``retry_window_ms``, the repeated attempts for a
     service are at most ``retry_ratio`` times its requests, plus ``retry_slack``. Longer
-    pauses than ``max_pause_ms`` that upstreams ask for are cut to it.
+    pauses than ``max_pause_ms`` that upstreams ask for are cut to it. Evacuations of
+    zones are followed only where ``evacuate_ms`` is set; it is the time within which
+    they have to be in force on all hosts.
     """
 
     grace_ms: float
@@ -25,6 +28,7 @@
     retry_slack: float
     retry_window_ms: float
     max_pause_ms: float = MAX_PAUSE_MS
+    evacuate_ms: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -32,7 +36,8 @@
     """
     Identity, addresses and bounds of one host.
 
-    ``first_start`` is set while the whole fleet starts for the first time.
+    ``first_start`` is set while the whole fleet starts for the first time. ``regions``
+    maps availability zones to regions.
     """
 
     host_id: str
@@ -45,3 +50,13 @@
     store: Address
     bounds: FleetBounds
     first_start: bool = False
+    regions: Mapping[str, str] = field(default_factory=dict)
+
+    def update(self, cfg: "FleetSettings") -> "FleetSettings":
+        """
+        Apply the changes that can take effect while the process runs.
+
+        :param cfg: the new settings; their addresses and identity are not used
+        :return: the settings to use
+        """
+        return replace(self, seeds=cfg.seeds, bounds=cfg.bounds, regions=cfg.regions)
--- a/src/mangohatch/platform/documents.py
+++ b/src/mangohatch/platform/documents.py
@@ -17,6 +17,7 @@
     DocumentError,
     parse_address,
     parse_duration_ms,
+    parse_names,
     parse_version,
     require_field,
 )
@@ -109,6 +110,7 @@
         objective_ms=parse_duration_ms(spec.get("target_latency")),
         priority=require_field(spec, "priority", int),
         max_attempts=require_field(spec, "max_attempts", int),
+        allowed_regions=parse_names(spec, "allowed_regions"),
     )
 
 
--- a/src/mangohatch/platform/host.py
+++ b/src/mangohatch/platform/host.py
@@ -13,7 +13,7 @@
 from mangohatch.fleet.settings import FleetSettings
 from mangohatch.platform.documents import read_configuration, read_upstream
 from mangohatch.platform.protocol import PlatformProtocol
-from mangohatch.platform.source import CONFIGURATION, PlatformSource
+from mangohatch.platform.source import CONFIGURATION, EVACUATIONS, PlatformSource
 from mangohatch.platform.statement import read_probe
 from mangohatch.platform.store import PlatformStore
 from mangohatch.platform.values import DocumentError
@@ -40,7 +40,9 @@
     store = PlatformStore(address=cfg.store, timeout_ms=STORE_TIMEOUT_MS)
     components = FleetComponents(
         protocol=PlatformProtocol(rng=rng),
-        source=PlatformSource(store=store, clock=clock),
+        source=PlatformSource(
+            store=store, clock=clock, evacuations=cfg.bounds.evacuate_ms is not None
+        ),
         apply_part=apply_part,
         read_probe=read_probe,
         readiness_path=READINESS_PATH,
@@ -58,6 +60,11 @@
     :param part: the part that changed
     :param updater: applies the decoded content of the part
     """
+    if part.name == EVACUATIONS:
+        updater.apply_evacuations(
+            frozenset(part.items), revision=part.revision, peer=part.peer
+        )
+        return
     if part.name != CONFIGURATION:
         updater.apply_upstreams(
             [read_upstream(item.name, item.json) for item in part.items.values()]
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -95,6 +95,7 @@
             max_attempts=route.max_attempts,
             objective_ms=now_ms + route.objective_ms,
             response_bytes=tables.response_bytes.get(route.name, 0.0),
+            allowed_regions=route.allowed_regions,
         )
 
     def prepare_headers(self, req: ActiveRequest) -> None:
--- a/src/mangohatch/platform/settings.py
+++ b/src/mangohatch/platform/settings.py
@@ -67,8 +67,10 @@
             retry_slack=require_field(bounds, "budget_slack", (int, float)),
             retry_window_ms=parse_duration_ms(bounds.get("budget_window")),
             max_pause_ms=read_max_pause_ms(bounds),
+            evacuate_ms=read_evacuate_ms(bounds),
         ),
         first_start=fields.get("bootstrap") is True,
+        regions=read_regions(fields),
     )
 
 
@@ -93,3 +95,48 @@
             " as '120s'"
         )
     return pause_ms
+
+
+def read_evacuate_ms(bounds: dict[str, Any]) -> float | None:
+    """
+    Read the time within which evacuations of zones have to be in force.
+
+    :param bounds: the decoded table of bounds
+    :return: milliseconds, None if the deployment evacuates no zones
+    :raises DocumentError: if the value is not a duration above 0
+    """
+    text = bounds.get("evacuate")
+    if text is None:
+        return None
+    try:
+        evacuate_ms = parse_duration_ms(text)
+    except DocumentError:
+        evacuate_ms = 0.0
+    if evacuate_ms <= 0.0:
+        raise DocumentError(
+            f"field 'bounds.evacuate' is {text!r}, expected a duration above 0 such as"
+            " '5000ms'"
+        )
+    return evacuate_ms
+
+
+def read_regions(fields: dict[str, Any]) -> dict[str, str]:
+    """
+    Read the regions of availability zones, which the platform need not set.
+
+    :param fields: the decoded file
+    :return: regions by zone, with that of this host
+    :raises DocumentError: if a region is not a text
+    """
+    regions = fields.get("zones", {})
+    if not isinstance(regions, dict):
+        raise DocumentError(f"field 'zones' is {regions!r}, expected a table")
+    for zone, region in regions.items():
+        if not isinstance(region, str) or not region:
+            raise DocumentError(
+                f"field 'zones.{zone}' is {region!r}, expected the name of a region"
+            )
+    region = fields.get("region")
+    if isinstance(region, str) and region:
+        regions = {require_field(fields, "zone", str): region} | regions
+    return regions
--- a/src/mangohatch/platform/source.py
+++ b/src/mangohatch/platform/source.py
@@ -1,21 +1,27 @@
 """Reads the directory from the platform's store."""
 
 import json
-from collections.abc import Mapping, Sequence
+import re
+from collections.abc import Mapping
 
 import structlog
 
 from mangohatch.clock import Clock
 from mangohatch.directory import DirectorySource, PartItem, PartReading
 from mangohatch.platform.documents import normalize_upstream
+from mangohatch.platform.store import PlatformStore
 from mangohatch.platform.values import DocumentError
-from mangohatch.store import ObjectReader, StoredObject
+from mangohatch.store import StoredObject
 
-__all__ = ["CONFIGURATION", "UPSTREAMS", "PlatformSource"]
+__all__ = ["CONFIGURATION", "EVACUATIONS", "UPSTREAMS", "PlatformSource"]
 
 CONFIGURATION = "config"
 CONFIGURATION_NAME = "main"
 UPSTREAMS = "servers"
+EVACUATIONS = "evacuations"
+ZONE_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._\-]{0,127}")
+MAX_LOGGED_VALUE = 200  # characters
+EMPTY = "{}"
 
 log = structlog.get_logger()
 
@@ -26,11 +32,16 @@
 
     :param store: the platform's store
     :param clock: source of the time of day
+    :param evacuations: whether to read the evacuations of zones too
     """
 
-    parts: Sequence[str] = (CONFIGURATION, UPSTREAMS)
-
-    def __init__(self, *, store: ObjectReader, clock: Clock) -> None:
+    def __init__(
+        self, *, store: PlatformStore, clock: Clock, evacuations: bool = False
+    ) -> None:
+        self.parts = (CONFIGURATION, UPSTREAMS)
+        if evacuations:
+            self.parts += (EVACUATIONS,)
+            self.watched = frozenset({EVACUATIONS})
         self._store = store
         self._clock = clock
         self._logged_revisions: dict[str, int] = {}
@@ -47,11 +58,50 @@
                 for item in listing.items
                 if item.name == CONFIGURATION_NAME
             ]
+        elif part == EVACUATIONS:
+            items = [
+                PartItem(name=item.name, revision=item.revision, json=EMPTY)
+                for item in listing.items
+                if self._is_zone(item)
+            ]
         else:
             normalized = (self._normalize(item, known) for item in listing.items)
             items = [item for item in normalized if item is not None]
         return PartReading(items=items, revision=listing.revision)
 
+    async def watch(self, part: str, revision: int) -> None:
+        await self._store.watch(part, revision)
+
+    def _is_zone(self, item: StoredObject) -> bool:
+        """Return whether the name of an evacuation may be that of a zone."""
+        if ZONE_PATTERN.fullmatch(item.name) is None:
+            self._log_evacuation(item, "name", item.name, ZONE_PATTERN.pattern)
+            return False
+        if item.value != {}:
+            # Its presence counts; operators would not expect traffic in the zone.
+            self._log_evacuation(item, "content", item.value, EMPTY)
+        return True
+
+    def _log_evacuation(
+        self, item: StoredObject, key: str, value: object, expected: str
+    ) -> None:
+        if not self._is_news(f"{EVACUATIONS}/{item.name}", item.revision):
+            return
+        log.warning(
+            "evacuation_malformed",
+            zone=item.name[:MAX_LOGGED_VALUE],
+            revision=item.revision,
+            key=key,
+            value=repr(value)[:MAX_LOGGED_VALUE],
+            expected=expected,
+        )
+
+    def _is_news(self, name: str, revision: int) -> bool:
+        if self._logged_revisions.get(name) == revision:
+            return False
+        self._logged_revisions[name] = revision
+        return True
+
     def _normalize(
         self, item: StoredObject, known: Mapping[str, PartItem]
     ) -> PartItem | None:
@@ -70,9 +120,8 @@
         return PartItem(name=item.name, revision=item.revision, json=text)
 
     def _log_unreadable(self, item: StoredObject, exc: DocumentError) -> None:
-        if self._logged_revisions.get(item.name) == item.revision:
+        if not self._is_news(item.name, item.revision):
             return
-        self._logged_revisions[item.name] = item.revision
         log.warning(
             "upstream_entry_unreadable",
             upstream=item.name,
--- a/src/mangohatch/platform/store.py
+++ b/src/mangohatch/platform/store.py
@@ -11,8 +11,12 @@
 __all__ = ["PlatformStore"]
 
 OK = 200
+BAD_REQUEST = 400
 NOT_FOUND = 404
 OBJECTS = "/mangohatch/objects"
+# The names of objects of these kinds say everything, so they need no content.
+EMPTY_KINDS = frozenset({"evacuations"})
+WATCH_WAIT_MS = 30_000  # the longest that the platform allows
 
 
 class PlatformStore(ObjectReader):
@@ -26,6 +30,9 @@
     def __init__(self, *, address: tuple[str, int], timeout_ms: float) -> None:
         host, port = address
         self._caller = HttpCaller(address=host, port=port, timeout_ms=timeout_ms)
+        self._watcher = HttpCaller(
+            address=host, port=port, timeout_ms=WATCH_WAIT_MS + timeout_ms
+        )
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         path = f"{OBJECTS}/{quote(kind, safe='')}/{quote(name, safe='')}"
@@ -55,6 +62,20 @@
                 return Listing(items=items, revision=revision)
             query = f"?after={quote(items[-1].name, safe='')}"
 
+    async def watch(self, kind: str, revision: int) -> None:
+        """
+        Wait until an object of a kind may have changed, for 30 s at most.
+
+        :param kind: kind of object
+        :param revision: revision of the store after which changes count
+        :raises StoreError: if the call failed
+        """
+        path = f"{OBJECTS}/{quote(kind, safe='')}"
+        query = f"?watch={revision}&wait_ms={WATCH_WAIT_MS}"
+        reply = await self._watcher.call("GET", path + query)
+        if reply.status >= BAD_REQUEST:
+            raise StoreRejected(f"status {reply.status}")
+
 
 def read_body(status: int, body: bytes) -> Any:
     """
@@ -90,5 +111,5 @@
         kind=kind,
         name=metadata["name"],
         revision=metadata["revision"],
-        value=fields["spec"],
+        value=fields.get("spec") if kind in EMPTY_KINDS else fields["spec"],
     )
--- a/src/mangohatch/platform/values.py
+++ b/src/mangohatch/platform/values.py
@@ -9,6 +9,7 @@
     "DocumentError",
     "parse_address",
     "parse_duration_ms",
+    "parse_names",
     "parse_version",
     "require_field",
 ]
@@ -86,3 +87,22 @@
     if not colon or not host or not port.isdigit() or int(port) > MAX_PORT:
         raise DocumentError(f"{text!r} is not an address with a port")
     return host, int(port)
+
+
+def parse_names(fields: dict[str, Any], key: str) -> frozenset[str] | None:
+    """
+    Parse a list of names that restricts something.
+
+    :param fields: the decoded object
+    :param key: name of the field
+    :return: the names; None without a restriction, if the list is missing or empty
+    :raises DocumentError: if the value is not a list of names
+    """
+    value = fields.get(key)
+    if value is None or value == []:
+        return None
+    if not isinstance(value, list) or not all(
+        isinstance(name, str) and name for name in value
+    ):
+        raise DocumentError(f"field {key!r} is {value!r}, expected a list of names")
+    return frozenset(value)
--- a/src/mangohatch/relay/admission.py
+++ b/src/mangohatch/relay/admission.py
@@ -41,6 +41,8 @@
         row = service.upstreams.get(request.upstream) if service else None
         if row is None or row.instance != make_instance(request):
             return RelayRefusal.UNKNOWN_UPSTREAM
+        if row.zones.is_evacuated(row.zone):
+            return RelayRefusal.EVACUATED
         if self._paths.is_lost(row):
             return RelayRefusal.CUT_OFF
         return row
--- a/src/mangohatch/relay/dialer.py
+++ b/src/mangohatch/relay/dialer.py
@@ -86,6 +86,9 @@
             return Reuse.USE
         return Reuse.KEEP
 
+    def relay_zone(self, relay: str) -> str:
+        return self._chooser.zone_of(relay)
+
     def record_closed(self, relay: str) -> None:
         if relay:
             self._chooser.record_closed(relay)
@@ -159,6 +162,8 @@
                 if isinstance(exc, RelayFailed):
                     self._chooser.record_refused(asked, exc.refusal)
                     unreachable += exc.refusal is RelayRefusal.UNREACHABLE
+                    if exc.refusal is RelayRefusal.EVACUATED:
+                        peers = iter(())  # the others know it too, or soon will
                     if unreachable >= MAX_UNREACHABLE and self._is_down(upstream):
                         self.paths.record_detour_failed(upstream)
                         peers = iter(())
--- a/src/mangohatch/relay/server.py
+++ b/src/mangohatch/relay/server.py
@@ -132,7 +132,12 @@
                 upstream=upstream.name,
             )
             await self._send_answer(stream, "")
-            await relay(stream, connection)
+            zones = upstream.zones
+            await relay(
+                stream,
+                connection,
+                is_closed=lambda: zones.is_evacuated(upstream.zone),
+            )
         finally:
             self._admission.open -= 1
             self._streams.discard(connection)
@@ -184,16 +189,34 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
-async def relay(peer: IOStream, upstream: IOStream) -> None:
+async def relay(
+    peer: IOStream, upstream: IOStream, *, is_closed: Callable[[], bool]
+) -> None:
     """
     Copy bytes both ways until either side ends.
 
     :param peer: connection of the peer, which sends plain bytes and receives frames
     :param upstream: connection to the upstream
+    :param is_closed: returns whether the upstream receives no new requests; a request
+        in progress goes on, and the next one ends the connection
     """
+    idle = True
+
+    def frame_request(piece: bytes) -> bytes:
+        nonlocal idle
+        if idle and is_closed():
+            raise StreamClosedError
+        idle = False
+        return piece
+
+    def frame_response(piece: bytes) -> bytes:
+        nonlocal idle
+        idle = True
+        return make_frame(piece)
+
     tasks = [
-        asyncio.create_task(copy(peer, upstream, frame=lambda piece: piece)),
-        asyncio.create_task(copy(upstream, peer, frame=make_frame)),
+        asyncio.create_task(copy(peer, upstream, frame=frame_request)),
+        asyncio.create_task(copy(upstream, peer, frame=frame_response)),
     ]
     try:
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -215,7 +238,8 @@
 
     :param source: stream to read
     :param target: stream to write
-    :param frame: converts each piece to what is written
+    :param frame: converts each piece to what is written, or ends the copying by
+        raising StreamClosedError
     """
     try:
         while True:
--- a/src/mangohatch/upstream/dialer.py
+++ b/src/mangohatch/upstream/dialer.py
@@ -70,6 +70,15 @@
         """
         return Reuse.USE
 
+    def relay_zone(self, relay: str) -> str:
+        """
+        Return the availability zone of a peer that connections pass.
+
+        :param relay: id of the peer
+        :return: name of the zone, empty if it is not known
+        """
+        return ""
+
     def record_closed(self, relay: str) -> None:
         """
         Record the end of a connection.
--- a/src/mangohatch/upstream/pool.py
+++ b/src/mangohatch/upstream/pool.py
@@ -124,6 +124,15 @@
         """
         return not conn.relay and self._dialer.paths.is_lost(conn.upstream)
 
+    def relay_zone(self, conn: UpstreamConnection) -> str:
+        """
+        Return the availability zone of the peer that a connection passes.
+
+        :param conn: a connection through a peer
+        :return: name of the zone, empty if it is not known
+        """
+        return self._dialer.relay_zone(conn.relay)
+
     def is_dead(self, conn: UpstreamConnection) -> bool:
         """
         Return whether nothing can arrive on a connection in use.
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -64,6 +64,12 @@
     assert admission.admit(make_request(row)) is RelayRefusal.CUT_OFF
 
 
+def test_evacuated_zone_gets_no_connection_for_a_peer(admission, row, tables):
+    """Guards against requests of peers that have not learnt of the evacuation."""
+    tables.zones.set_evacuated(frozenset({row.zone}), revision=1)
+    assert admission.admit(make_request(row)) is RelayRefusal.EVACUATED
+
+
 def test_leaving_host_relays_no_new_connection(admission, row):
     admission.leaving = True
     assert admission.admit(make_request(row)) is RelayRefusal.LEAVING
