Play evacuations of zones in the simulated fleet

Evacuations have to be tried on whole fleets, with hosts that are cut off from the store, replaced or started, and a store that goes away.

The store holds evacuations and answers long polls; a judge counts requests that reach an evacuated zone later than a second after the acknowledgement.

--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -204,6 +204,7 @@
         self, state: PartState, reading: PartReading, read_ms: float
     ) -> None:
         part = state.part
+        first = not part.known
         self._schedule.record_gap(state, read_ms)
         items = list(reading.items)
         revision = reading.revision
@@ -220,7 +221,7 @@
             reading=self._rng.getrandbits(READING_BITS),
         )
         behind_ms = self._schedule.end_behind(state)
-        self._watches.record_reading(part.name, read_ms)
+        self._watches.record_reading(part.name, read_ms, first=first)
         if not changed:
             self._gossip.spread_refresh()
         else:
--- a/src/mangohatch/directory/watch.py
+++ b/src/mangohatch/directory/watch.py
@@ -28,8 +28,8 @@
 
     Designed for parts that change rarely and must be in force on all hosts within a
     second, for which reading twice a second is both too slow and too expensive. The
-    first ``watchers`` hosts of the ranking keep a call open, and so does the host that
-    made the latest reading, which is another one when the first ones are cut off.
+    first ``watchers`` hosts of the ranking keep a call open, and so does a host that
+    took over the readings because those of the first ones stopped arriving.
 
     A call that returned says only that there may be a change; the part is then read.
     A connection may break without a sign, so an open call is taken for a current
@@ -75,13 +75,14 @@
         self._own_reading = 0
 
     def tick(self) -> None:
-        """Open the call if this host should and none is open."""
+        """Open or close the call by the rank of this host."""
         part = self._state.part
         now_ms = self._clock.now_ms()
-        if self._task is not None or not part.known or now_ms < self._due_ms:
-            return
         first = self._ranking.rank < self._cfg.watchers
         if not first and part.reading != self._own_reading:
+            self.close()
+            return
+        if self._task is not None or not part.known or now_ms < self._due_ms:
             return
         self._opened_ms = now_ms
         self._opened_digest = part.digest
@@ -90,10 +91,16 @@
         self._state.watch_open = True
         self._task = asyncio.get_running_loop().create_task(self._wait(part.revision))
 
-    def record_reading(self) -> None:
-        """Open the call anew after a reading of the part by this host."""
+    def record_reading(self, *, first: bool) -> None:
+        """
+        Open the call anew after a reading of the part by this host.
+
+        :param first: whether the part was unknown before, so that the reading does not
+            show that others have stopped
+        """
         part = self._state.part
-        self._own_reading = part.reading
+        if not first:
+            self._own_reading = part.reading
         if part.digest != self._opened_digest:
             self._quick_returns = 0
         self.close()
@@ -211,16 +218,17 @@
         """Number of calls that ended without an answer."""
         return sum(watch.failed_calls for watch in self._watches.values())
 
-    def record_reading(self, part: str, read_ms: float) -> None:
+    def record_reading(self, part: str, read_ms: float, *, first: bool) -> None:
         """
         Record that this host has read a part.
 
         :param part: name of the part
+        :param first: whether the part was unknown before
         :param read_ms: time at which the reading began, in milliseconds
         """
         own = self._watches.get(part)
         if own is not None:
-            own.record_reading()
+            own.record_reading(first=first)
             return
         for watch in self._watches.values():
             watch.confirm(read_ms)
--- a/src/standins/platform_site.py
+++ b/src/standins/platform_site.py
@@ -5,12 +5,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
-from urllib.parse import urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 __all__ = ["PlatformSite", "SiteUpstream"]
 
 LOOPBACK = "127.0.0.1"
 PAGE_SIZE = 50
+WATCH_POLL_MS = 10.0
+MS_PER_S = 1000.0
 
 Headers = dict[str, str]
 Response = tuple[int, Headers, bytes]
@@ -136,8 +138,10 @@
     def __init__(self, *, upstreams: list[SiteUpstream]) -> None:
         self.upstreams = upstreams
         self.revision = 1
+        self.calls: list[str] = []
         self.objects: dict[str, dict[str, tuple[int, Any]]] = {}
         self.store = StubHttpServer(handler=self.answer)
+        self._changed: dict[str, int] = {}
 
     async def start(self) -> None:
         """Start the store and the upstreams, and register the upstreams."""
@@ -163,6 +167,7 @@
         """
         self.revision += 1
         self.objects.setdefault(kind, {})[name] = (self.revision, spec)
+        self._changed[kind] = self.revision
 
     def delete(self, kind: str, name: str) -> None:
         """
@@ -173,6 +178,7 @@
         """
         self.revision += 1
         del self.objects[kind][name]
+        self._changed[kind] = self.revision
 
     async def answer(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -188,7 +194,11 @@
         """
         parts = urlsplit(target)
         kind = parts.path.rpartition("/")[2]
-        after = parts.query.removeprefix("after=")
+        self.calls.append(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if "watch" in query:
+            await self._wait(kind, int(query["watch"]), float(query["wait_ms"]))
+        after = query.get("after", "")
         names = sorted(name for name in self.objects.get(kind, {}) if name > after)
         items = [self._object(kind, name) for name in names[:PAGE_SIZE]]
         content = {
@@ -198,6 +208,12 @@
         }
         return 200, {}, json.dumps(content).encode()
 
+    async def _wait(self, kind: str, revision: int, wait_ms: float) -> None:
+        waited_ms = 0.0
+        while self._changed.get(kind, 0) <= revision and waited_ms < wait_ms:
+            await asyncio.sleep(WATCH_POLL_MS / MS_PER_S)
+            waited_ms += WATCH_POLL_MS
+
     def _object(self, kind: str, name: str) -> dict[str, Any]:
         revision, spec = self.objects[kind][name]
         metadata = {"name": name, "revision": revision}
--- a/src/standins/simulated_fleet/__init__.py
+++ b/src/standins/simulated_fleet/__init__.py
@@ -6,6 +6,11 @@
     CrashTraffic,
     CrashVerdict,
 )
+from standins.simulated_fleet.evacuation_traffic import (
+    EvacuationPlan,
+    EvacuationTraffic,
+    EvacuationVerdict,
+)
 from standins.simulated_fleet.fleet import FleetPlan, SimulatedFleet
 from standins.simulated_fleet.host import SimulatedHost
 from standins.simulated_fleet.limit_traffic import (
@@ -22,6 +27,9 @@
     "CrashPlan",
     "CrashTraffic",
     "CrashVerdict",
+    "EvacuationPlan",
+    "EvacuationTraffic",
+    "EvacuationVerdict",
     "FleetPlan",
     "HostLimits",
     "LimitPlan",
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -13,7 +13,7 @@
 from standins.simulated_fleet.usage import Usage
 from standins.virtual_loop import LoopClock, VirtualLoop
 
-__all__ = ["FleetPlan", "SimulatedFleet"]
+__all__ = ["FleetPlan", "SimulatedFleet", "zone_name"]
 
 MS_PER_S = 1000.0
 START_MS = 1_000.0
@@ -41,6 +41,7 @@
 
     ``requests_per_s`` is the rate at each upstream while requests are sent. ``limits``
     hold for each host. With two ``services`` the second has a tenth of the upstreams.
+    With ``evacuations``, the hosts follow evacuations of zones.
     """
 
     hosts: int
@@ -51,6 +52,7 @@
     limits: HostLimits | None = None
     configuration_bytes: int = CONFIGURATION_BYTES
     services: tuple[str, ...] = SERVICES
+    evacuations: bool = False
 
 
 class SimulatedFleet:
@@ -156,6 +158,7 @@
                 upstreams=self._upstreams,
                 limits=self.plan.limits,
                 rng=random.Random(f"{self.plan.seed}/host-{number}"),
+                evacuations=self.plan.evacuations,
             )
         )
 
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -19,14 +19,14 @@
 from mangohatch.platform.protocol import PlatformProtocol
 from mangohatch.platform.statement import read_probe
 from mangohatch.upstream.connection import ResponseHead
+from standins.simulated_fleet.documents import apply_part, read_configuration
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
 from standins.simulated_fleet.requests import SimulatedRequest
 from standins.simulated_fleet.store import (
     CONFIGURATION,
+    EVACUATIONS,
     SimulatedSource,
     SimulatedStore,
-    apply_part,
-    read_configuration,
 )
 from standins.simulated_fleet.upstreams import SimulatedProbe, SimulatedUpstream
 from standins.virtual_loop import LoopClock, VirtualLoop
@@ -43,6 +43,7 @@
 NOT_RUN = frozenset({Result.UNREACHABLE, Result.REFUSED})
 PERCENT = 100.0
 MS_PER_S = 1000.0
+EVACUATE_MS = 5_000.0
 UNUSED = ("127.0.0.1", 0)
 BOUNDS = FleetBounds(
     grace_ms=6_000.0, retry_ratio=0.1, retry_slack=200.0, retry_window_ms=10_000.0
@@ -57,7 +58,8 @@
     into force on this host, and ``told_ms`` the time at which it passed on the first
     answer with each limit of an upstream. ``leaving_ms`` holds the same for the answers
     by which upstreams leave, and ``pauses`` lists the upstreams that asked for a pause,
-    with its begin and end.
+    with its begin and end. ``evacuated_ms`` holds the times at which the evacuations of
+    a zone came into force, by the revision of their entries.
 
     :param host_id: id of the host
     :param zone: its availability zone
@@ -69,6 +71,7 @@
     :param upstreams: upstreams by name
     :param limits: limits of the host, none if None
     :param rng: source of random numbers
+    :param evacuations: whether it follows evacuations of zones
     """
 
     def __init__(
@@ -84,8 +87,10 @@
         upstreams: dict[str, SimulatedUpstream],
         limits: HostLimits | None,
         rng: random.Random,
+        evacuations: bool = False,
     ) -> None:
         self.host_id = host_id
+        self.evacuated_ms: dict[str, dict[int, float]] = {}
         self.in_force_ms: dict[int, float] = {}
         self.told_ms: dict[tuple[str, float], float] = {}
         self.leaving_ms: dict[str, float] = {}
@@ -99,7 +104,9 @@
         self._upstreams = upstreams
         self._in_flight = 0
         self.port = network.add(address, self._receive, limits)
-        source = SimulatedSource(store=store, clock=self._clock, port=self.port)
+        source = SimulatedSource(
+            store=store, clock=self._clock, port=self.port, evacuations=evacuations
+        )
         self._protocol = PlatformProtocol(rng=rng)
         components = FleetComponents(
             protocol=self._protocol,
@@ -118,7 +125,7 @@
             metrics=UNUSED,
             seeds=seeds,
             store=UNUSED,
-            bounds=BOUNDS,
+            bounds=replace(BOUNDS, evacuate_ms=EVACUATE_MS if evacuations else None),
         )
         probe = SimulatedProbe(loop=loop, clock=self._clock, upstreams=upstreams)
         self.fleet_host = FleetHost(
@@ -342,6 +349,10 @@
 
     def _apply_part(self, part: DirectoryPart, updater: TableUpdater) -> None:
         apply_part(part, updater)
+        if part.name == EVACUATIONS:
+            for item in part.items.values():
+                times_ms = self.evacuated_ms.setdefault(item.name, {})
+                times_ms.setdefault(item.revision, self._clock.now_ms())
         if part.name != CONFIGURATION:
             return
         for item in part.items.values():
--- a/src/standins/simulated_fleet/network.py
+++ b/src/standins/simulated_fleet/network.py
@@ -209,6 +209,7 @@
         self, *, loop: VirtualLoop, rng: random.Random, loss: float = 0.0
     ) -> None:
         self.loss = loss
+        self.cut: set[PeerAddress] = set()
         self._loop = loop
         self._rng = rng
         self._ports: dict[PeerAddress, PeerPort] = {}
@@ -261,6 +262,8 @@
             sender.usage.dropped[kind] += 1
             return
         receiver = self._ports.get(address)
+        if self.cut and (sender.address in self.cut or address in self.cut):
+            return
         if receiver is None or self._rng.random() < self.loss:
             return
         delay_ms = DELAY_MIN_MS + (DELAY_MAX_MS - DELAY_MIN_MS) * self._rng.random()
--- a/src/standins/simulated_fleet/store.py
+++ b/src/standins/simulated_fleet/store.py
@@ -1,40 +1,34 @@
 """Simulated store with the directory of a fleet, and its documents."""
 
 import asyncio
+import contextlib
 import json
 import random
 from collections.abc import Mapping, Sequence
-from functools import lru_cache
 
-from mangohatch.core.routes import Route, Target
 from mangohatch.directory import (
-    DirectoryPart,
     DirectorySource,
     PartItem,
     PartReading,
 )
-from mangohatch.directory.content import (
-    Configuration,
-    RegisteredUpstream,
-    ServiceOptions,
-)
-from mangohatch.directory.table_updater import TableUpdater
-from mangohatch.entry.limits import CallerLimits
+from mangohatch.directory.content import RegisteredUpstream
 from mangohatch.errors import StoreUnavailable
+from mangohatch.peer.datagram import PeerAddress
 from standins.simulated_fleet.network import PeerPort
 from standins.virtual_loop import LoopClock
 
 __all__ = [
     "CONFIGURATION",
+    "EVACUATIONS",
     "UPSTREAMS",
     "SimulatedSource",
     "SimulatedStore",
-    "apply_part",
-    "read_configuration",
 ]
 
 CONFIGURATION = "config"
 UPSTREAMS = "upstreams"
+EVACUATIONS = "evacuations"
+WATCH_MS = 30_000.0
 CONFIGURATION_NAME = "main"
 HEARTBEAT_MS = 1_500.0  # of each upstream; raises the revision of the store
 CALL_MIN_MS = 5.0
@@ -48,7 +42,9 @@
 
 class SimulatedStore:
     """
-    Holds the configuration and the entries of the upstreams.
+    Holds the configuration, the entries of the upstreams and the evacuations of zones.
+
+    Hosts whose address is in ``cut`` do not reach it.
 
     :param clock: source of time
     :param rng: source of random numbers
@@ -57,11 +53,16 @@
     def __init__(self, *, clock: LoopClock, rng: random.Random) -> None:
         self.calls = 0
         self.down = False
+        self.cut: set[PeerAddress] = set()
         self.version = 0
         self._clock = clock
         self._rng = rng
         self._writes = 1
-        self._items: dict[str, dict[str, PartItem]] = {CONFIGURATION: {}, UPSTREAMS: {}}
+        self._items: dict[str, dict[str, PartItem]] = {
+            part: {} for part in (CONFIGURATION, UPSTREAMS, EVACUATIONS)
+        }
+        self._changed = asyncio.Event()
+        self._evacuations_revision = 0
 
     @property
     def revision(self) -> int:
@@ -116,6 +117,43 @@
         self._writes += 1
         self._items[UPSTREAMS].pop(name, None)
 
+    def set_evacuated(self, zone: str, evacuated: bool) -> None:
+        """
+        Write or delete the evacuation of a zone.
+
+        :param zone: name of the zone
+        :param evacuated: whether its evacuation is in force
+        """
+        if evacuated:
+            self._put(EVACUATIONS, zone, "{}")
+        else:
+            self._writes += 1
+            self._items[EVACUATIONS].pop(zone, None)
+        self._evacuations_revision = self.revision
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def read_revision(self, zone: str) -> int:
+        """
+        Return the revision of the evacuation of a zone.
+
+        :param zone: name of an evacuated zone
+        :return: revision of its entry
+        """
+        return self._items[EVACUATIONS][zone].revision
+
+    async def wait_for_evacuations(self, revision: int) -> None:
+        """
+        Wait until the evacuations have changed since a revision.
+
+        :param revision: the revision; a change of it or after it ends the wait
+        """
+        if self._evacuations_revision > revision:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WATCH_MS / MS_PER_S):
+                await self._changed.wait()
+
     def _put(self, part: str, name: str, text: str) -> None:
         self._writes += 1
         self._items[part][name] = PartItem(name=name, revision=self.revision, json=text)
@@ -147,13 +185,22 @@
     :param store: the store
     :param clock: source of time
     :param port: port of the host; its link also carries the calls
+    :param evacuations: whether to read evacuations of zones too
     """
 
-    parts = (CONFIGURATION, UPSTREAMS)
+    parts: Sequence[str] = (CONFIGURATION, UPSTREAMS)
 
     def __init__(
-        self, *, store: SimulatedStore, clock: LoopClock, port: PeerPort
+        self,
+        *,
+        store: SimulatedStore,
+        clock: LoopClock,
+        port: PeerPort,
+        evacuations: bool = False,
     ) -> None:
+        if evacuations:
+            self.parts = (*self.parts, EVACUATIONS)
+            self.watched = frozenset({EVACUATIONS})
         self._store = store
         self._clock = clock
         self._port = port
@@ -162,7 +209,7 @@
         self._store.calls += 1
         now_ms = self._clock.now_ms()
         sent_ms = self._port.leave_link_ms(REQUEST_BYTES, now_ms)
-        if sent_ms is None or sent_ms - now_ms > TIMEOUT_MS or self._store.down:
+        if sent_ms is None or sent_ms - now_ms > TIMEOUT_MS or self._unreachable():
             await asyncio.sleep(TIMEOUT_MS / MS_PER_S)
             raise StoreUnavailable("the store did not respond")
         await asyncio.sleep((sent_ms - now_ms + self._store.answer_ms()) / MS_PER_S)
@@ -176,65 +223,14 @@
         await asyncio.sleep((arrived_ms - now_ms) / MS_PER_S)
         return reading
 
+    async def watch(self, part: str, revision: int) -> None:
+        self._store.calls += 1
+        if not self._unreachable():
+            await self._store.wait_for_evacuations(revision)
+            await asyncio.sleep(self._store.answer_ms() / MS_PER_S)
+        if self._unreachable():
+            await asyncio.sleep(TIMEOUT_MS / MS_PER_S)
+            raise StoreUnavailable("the store did not respond")
 
-def apply_part(part: DirectoryPart, updater: TableUpdater) -> None:
-    """
-    Apply a part of the directory to the tables of a host.
-
-    :param part: the part
-    :param updater: updates the tables
-    """
-    if part.name == UPSTREAMS:
-        updater.apply_upstreams(
-            [read_upstream(item.json) for item in part.items.values()]
-        )
-        return
-    for item in part.items.values():
-        updater.apply_configuration(
-            read_configuration(item.json), revision=item.revision
-        )
-
-
-# All hosts decode the same documents.
-@lru_cache(maxsize=2_000)
-def read_upstream(text: str) -> RegisteredUpstream:
-    """
-    Decode the entry of an upstream.
-
-    :param text: the entry as JSON
-    :return: the entry
-    """
-    return RegisteredUpstream(**json.loads(text))
-
-
-@lru_cache(maxsize=20)
-def read_configuration(text: str) -> Configuration:
-    """
-    Decode a configuration.
-
-    :param text: the configuration as JSON
-    :return: the configuration
-    """
-    document = json.loads(text)
-    return Configuration(
-        version=document["version"],
-        routes=tuple(
-            Route(
-                name=entry["name"],
-                host="site.example",
-                prefix=entry["prefix"],
-                targets=(Target(service=entry["service"]),),
-                idempotent=True,
-                timeout_ms=1_500.0,
-                objective_ms=400.0,
-                priority=1,
-                max_attempts=2,
-            )
-            for entry in document["routes"]
-        ),
-        services={
-            name: ServiceOptions(health_path="/healthz", connections=1_000)
-            for name in document["services"]
-        },
-        limits=CallerLimits(),
-    )
+    def _unreachable(self) -> bool:
+        return self._store.down or self._port.address in self._store.cut
