Rely on an open long poll only after a reading since the last failure

A long poll opened during an outage of the store may never return, yet the next reading of another part confirmed it: a change was missed for as long as the call was open (test_change_is_noticed_after_the_connection_of_an_open_call_broke failed).

The part is read again after a failed reading before its long poll counts.

--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -102,7 +102,7 @@
             source=source,
             schedule=self._schedule,
             on_reading=self._apply_reading,
-            on_failure=lambda: self._watches.close(),
+            on_failure=lambda: self._watches.record_failure(),
         )
         self._watches = PartWatches(
             clock=clock,
--- a/src/mangohatch/directory/watch.py
+++ b/src/mangohatch/directory/watch.py
@@ -33,9 +33,10 @@
 
     A call that returned says only that there may be a change; the part is then read.
     A connection may break without a sign, so an open call is taken for a current
-    reading only while other readings of this host succeed, and it is opened anew after
-    a failed one. A store that returns at once without a change is asked ever less
-    often, as the part is then read like any other.
+    reading only while other readings of this host succeed. After a failed one it is
+    opened anew, and is not relied on until this host has read the part. A store that
+    returns at once without a change is asked ever less often, as the part is then read
+    like any other.
 
     :param clock: source of time
     :param rng: numbers readings, and spreads retries
@@ -73,6 +74,7 @@
         self._quick_returns = 0
         self._opened_digest = 0
         self._own_reading = 0
+        self._reliable = True
 
     def tick(self) -> None:
         """Open or close the call by the rank of this host."""
@@ -99,6 +101,7 @@
             show that others have stopped
         """
         part = self._state.part
+        self._reliable = True
         if not first:
             self._own_reading = part.reading
         if part.digest != self._opened_digest:
@@ -113,7 +116,9 @@
         :param read_ms: time at which the other reading began, in milliseconds
         """
         part = self._state.part
-        if not self._state.watch_open or self._opened_ms >= read_ms:
+        if not self._state.watch_open or not self._reliable:
+            return
+        if self._opened_ms >= read_ms:
             return
         # The revision stays: a change before the other reading may be on its way.
         reading = self._rng.getrandbits(READING_BITS)
@@ -129,6 +134,11 @@
         if task is not None:
             task.cancel()
 
+    def record_failure(self) -> None:
+        """Give up the open call after a reading that failed."""
+        self._reliable = False
+        self.close()
+
     async def _wait(self, revision: int) -> None:
         name = self._state.part.name
         try:
@@ -238,6 +248,11 @@
         for watch in self._watches.values():
             watch.tick()
 
+    def record_failure(self) -> None:
+        """Give up all open calls after a reading that failed."""
+        for watch in self._watches.values():
+            watch.record_failure()
+
     def close(self) -> None:
         """Give up all open calls."""
         for watch in self._watches.values():
