--- a/src/mangohatch/core/zones.py
+++ b/src/mangohatch/core/zones.py
@@ -1,10 +1,15 @@
 """Evacuated availability zones, and the regions of zones."""
 
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 __all__ = ["EvacuationChange", "ZoneTable"]
 
+# A host runs every 50 ms. Evacuations may be in force a second later than this host
+# knows, so a shorter pause changes little.
+MAX_PAUSE_MS = 1_000.0
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class EvacuationChange:
@@ -28,12 +33,18 @@
     ``evacuated`` holds the zones that receive none. While ``unknown`` is set, this host
     has to follow evacuations and has not received them yet, so no zone receives any.
     ``regions`` maps zones to regions. ``on_change`` is called after each change.
+
+    A host that was paused may have missed an evacuation: from ``paused_ms`` on, the
+    time at which it noticed the pause, the evacuations are unknown until it has read
+    them again. ``awake_ms`` is when it ran last, infinite where it follows none.
     """
 
     evacuated: frozenset[str] = frozenset()
     unknown: bool = False
     regions: Mapping[str, str] = field(default_factory=dict)
     on_change: Callable[[EvacuationChange], None] | None = None
+    awake_ms: float = math.inf
+    paused_ms: float | None = None
 
     def set_evacuated(
         self, zones: frozenset[str], *, revision: int, peer: str = ""
@@ -54,12 +65,27 @@
         )
         if not self.unknown and not change.begun and not change.ended:
             return False
-        self.unknown = False
+        self.unknown = self.paused_ms is not None
         self.evacuated = zones
         if self.on_change is not None:
             self.on_change(change)
         return True
 
+    def check_pause(self, now_ms: float) -> None:
+        """
+        Distrust the evacuations if this host has not run for a while.
+
+        :param now_ms: monotonic time in milliseconds
+        """
+        if now_ms - self.awake_ms > MAX_PAUSE_MS and self.paused_ms is None:
+            self.paused_ms = now_ms
+            self.unknown = True
+
+    def end_pause(self) -> None:
+        """Trust the evacuations again, after they were read."""
+        self.paused_ms = None
+        self.unknown = False
+
     def is_evacuated(self, zone: str) -> bool:
         """
         Return whether a zone receives no requests at all.
--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -62,6 +62,8 @@
     Messages and calls of a host do not grow with the number of hosts: see
     :class:`MarkGossip`, :class:`PieceSender` and :class:`ReadingSchedule`.
 
+    ``watches`` are the calls that wait for changes of watched parts.
+
     :param clock: source of time
     :param rng: source of random numbers, spreads retries and selects members
     :param source: reads the store
@@ -102,9 +104,9 @@
             source=source,
             schedule=self._schedule,
             on_reading=self._apply_reading,
-            on_failure=lambda: self._watches.record_failure(),
+            on_failure=lambda: self.watches.record_failure(),
         )
-        self._watches = PartWatches(
+        self.watches = PartWatches(
             clock=clock,
             rng=rng,
             source=source,
@@ -144,12 +146,12 @@
     @property
     def calls(self) -> int:
         """Number of calls to the store."""
-        return self._reader.calls + self._watches.calls
+        return self._reader.calls + self.watches.calls
 
     @property
     def failed_calls(self) -> int:
         """Number of calls to the store without a usable answer."""
-        return self._reader.failed_calls + self._watches.failed_calls
+        return self._reader.failed_calls + self.watches.failed_calls
 
     @property
     def known(self) -> bool:
@@ -191,13 +193,13 @@
         for item in self._parts.values():
             item.puller.tick()
         self._reader.start_due([item.state for item in self._parts.values()])
-        self._watches.tick()
+        self.watches.tick()
         self._sender.tick()
         self._gossip.tick(known=self.known)
 
     async def stop(self) -> None:
         """Cancel readings in progress."""
-        self._watches.close()
+        self.watches.close()
         await self._reader.stop()
 
     def _apply_reading(
@@ -221,7 +223,7 @@
             reading=self._rng.getrandbits(READING_BITS),
         )
         behind_ms = self._schedule.end_behind(state)
-        self._watches.record_reading(part.name, read_ms, first=first)
+        self.watches.record_reading(part.name, read_ms, first=first)
         if not changed:
             self._gossip.spread_refresh()
         else:
--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -34,7 +34,7 @@
 
     The tables hold the upstreams that are assigned to this host. Changes of members
     are applied at most every ``MEMBERS_INTERVAL_MS``, because hundreds of hosts may
-    join within a second.
+    join within a second. ``zone_table`` holds evacuations and the regions of zones.
 
     :param clock: source of time
     :param tables: services, upstreams and routes; updated in place
@@ -56,6 +56,7 @@
         on_unused: Callable[[str, frozenset[str]], None],
     ) -> None:
         self._clock = clock
+        self.zone_table = tables.zones
         self._tables = tables
         self._limits = limits
         self._subset = subset
@@ -139,7 +140,7 @@
         self._tables.zones.regions = regions
         self._set_places(self._tables.zones.evacuated)
 
-    def zones(self) -> set[str]:
+    def known_zones(self) -> set[str]:
         """
         List the zones that are known.
 
--- a/src/mangohatch/directory/watch.py
+++ b/src/mangohatch/directory/watch.py
@@ -1,6 +1,7 @@
 """Waits at the store for changes of a part."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -38,6 +39,8 @@
     returns at once without a change is asked ever less often, as the part is then read
     like any other.
 
+    ``read_ms`` is when the latest reading of the part by this host began.
+
     :param clock: source of time
     :param rng: numbers readings, and spreads retries
     :param source: reads the store
@@ -75,6 +78,7 @@
         self._opened_digest = 0
         self._own_reading = 0
         self._reliable = True
+        self.read_ms = -math.inf
 
     def tick(self) -> None:
         """Open or close the call by the rank of this host."""
@@ -93,14 +97,16 @@
         self._state.watch_open = True
         self._task = asyncio.get_running_loop().create_task(self._wait(part.revision))
 
-    def record_reading(self, *, first: bool) -> None:
+    def record_reading(self, read_ms: float, *, first: bool) -> None:
         """
         Open the call anew after a reading of the part by this host.
 
+        :param read_ms: time at which the reading began, in milliseconds
         :param first: whether the part was unknown before, so that the reading does not
             show that others have stopped
         """
         part = self._state.part
+        self.read_ms = read_ms
         self._reliable = True
         if not first:
             self._own_reading = part.reading
@@ -203,10 +209,12 @@
         cfg: FollowerSettings,
         on_return: Callable[[PartState], None],
     ) -> None:
+        self._clock = clock
+        self._on_return = on_return
+        self._failed_ms = -math.inf
+        self._states = [state for state in states if state.part.name in source.watched]
         self._watches: dict[str, PartWatch] = {}
-        for state in states:
-            if state.part.name not in source.watched:
-                continue
+        for state in self._states:
             state.watched = True
             self._watches[state.part.name] = PartWatch(
                 clock=clock,
@@ -238,11 +246,28 @@
         """
         own = self._watches.get(part)
         if own is not None:
-            own.record_reading(first=first)
+            own.record_reading(read_ms, first=first)
             return
         for watch in self._watches.values():
             watch.confirm(read_ms)
 
+    def read_again(self) -> None:
+        """Read all watched parts, as this host may have missed changes of them."""
+        for state in self._states:
+            self._on_return(state)
+
+    def has_read_since(self, since_ms: float) -> bool:
+        """
+        Return whether this host has tried to read all watched parts since a time.
+
+        :param since_ms: monotonic time in milliseconds
+        :return: True also after a failed reading, as nothing newer can be known then
+        """
+        read_ms = (watch.read_ms for watch in self._watches.values())
+        return self._failed_ms >= since_ms or all(
+            at_ms >= since_ms for at_ms in read_ms
+        )
+
     def tick(self) -> None:
         """Open the calls that are due."""
         for watch in self._watches.values():
@@ -250,6 +275,7 @@
 
     def record_failure(self) -> None:
         """Give up all open calls after a reading that failed."""
+        self._failed_ms = self._clock.now_ms()
         for watch in self._watches.values():
             watch.record_failure()
 
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -98,6 +98,7 @@
         allowed = grant.call.allowed_regions
         if not row.signs.allows(self._clock.now_ms(), 0):
             raise UpstreamWithdrawn(f"upstream {row.name} leaves or asks for a pause")
+        row.zones.check_pause(self._clock.now_ms())
         excluded = row.zones.describe(row.zone, allowed)
         if excluded:
             raise UpstreamWithdrawn(f"upstream {row.name}: {excluded}")
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -52,9 +52,7 @@
 
 class FleetHost:
     """
-    One host with all its parts.
-
-    ``parts`` lists them in the order in which they start and run.
+    One host with all its ``parts``, in the order in which they start and run.
 
     :param cfg: validated settings
     :param clock: source of time
@@ -169,12 +167,13 @@
             members=self.bus.members,
             on_unused=decisions.health.set_unused,
         )
+        router, watches = decisions.router, self.follower.watches
         self.parts: Sequence[HostPart] = (
             peers,
             directory,
             TableUpdates(updater=updater, tables=self.tables),
             Zones(
-                cfg=cfg, tables=self.tables, updater=updater, router=decisions.router
+                cfg=cfg, clock=clock, updater=updater, router=router, watches=watches
             ),
             probing,
             Routing(decisions=decisions, guard=self._guard),
--- a/src/mangohatch/fleet/parts/zones.py
+++ b/src/mangohatch/fleet/parts/zones.py
@@ -4,10 +4,11 @@
 
 import structlog
 
+from mangohatch.clock import Clock
 from mangohatch.core.router import Router
-from mangohatch.core.tables import Tables
 from mangohatch.core.zones import EvacuationChange
 from mangohatch.directory.table_updater import TableUpdater
+from mangohatch.directory.watch import PartWatches
 from mangohatch.fleet.part import Counter, HostPart
 from mangohatch.fleet.settings import FleetSettings
 from mangohatch.metrics import Sample, SampleKind
@@ -16,6 +17,8 @@
 
 UNKNOWN_ZONE_TICKS = 100  # 2 to 5 s, by which the upstreams of a new zone are known
 MAX_LOGGED_ZONES = 64
+# After a pause; by then the peers have told what they know, twice an exchange later.
+MAX_READING_MS = 1_000.0
 
 log = structlog.get_logger()
 
@@ -25,9 +28,10 @@
     Keeps requests out of evacuated zones and out of regions that they must not use.
 
     :param cfg: validated settings
-    :param tables: knows the zones
     :param updater: applies evacuations and regions to the tables
     :param router: holds the calls that wait for upstreams
+    :param clock: source of time
+    :param watches: reads the evacuations
     """
 
     name = "zones"
@@ -36,20 +40,24 @@
         self,
         *,
         cfg: FleetSettings,
-        tables: Tables,
         updater: TableUpdater,
         router: Router,
+        clock: Clock,
+        watches: PartWatches,
     ) -> None:
-        self._tables = tables
+        self._zones = updater.zone_table
         self._updater = updater
         self._router = router
+        self._clock = clock
+        self._watches = watches
+        self._reading_since_ms: float | None = None
         self._follows = cfg.bounds.evacuate_ms is not None
         self._begun = 0
         self._ended = 0
         self._unchecked: dict[str, int] = {}
         self._logged: set[str] = set()
-        tables.zones.unknown = self._follows
-        tables.zones.on_change = self._apply
+        self._zones.unknown = self._follows
+        self._zones.on_change = self._apply
         updater.apply_regions(cfg.regions)
 
     def counters(self) -> Iterable[Counter]:
@@ -76,7 +84,7 @@
 
     def samples(self) -> Iterator[Sample]:
         yield from super().samples()
-        for zone in sorted(self._tables.zones.evacuated):
+        for zone in sorted(self._zones.evacuated):
             yield Sample(
                 name="mangohatch_zone_evacuated",
                 help="Zones that receive no requests of this host.",
@@ -86,12 +94,35 @@
             )
 
     def not_ready(self) -> str | None:
-        return "evacuations unknown" if self._tables.zones.unknown else None
+        return "evacuations unknown" if self._zones.unknown else None
 
     def tick(self) -> None:
-        if not self._unchecked:
+        if self._follows:
+            self._check_pause()
+        if self._unchecked:
+            self._check_unknown()
+
+    def _check_pause(self) -> None:
+        zones = self._zones
+        now_ms = self._clock.now_ms()
+        zones.check_pause(now_ms)
+        zones.awake_ms = now_ms
+        if zones.paused_ms is None:
             return
-        known = self._updater.zones()
+        if self._reading_since_ms is None:
+            self._reading_since_ms = now_ms
+            log.info("evacuations_read_again", cause="this host was paused")
+            self._watches.read_again()
+            return
+        waited_ms = now_ms - self._reading_since_ms
+        read = self._watches.has_read_since(self._reading_since_ms)
+        if read or waited_ms >= MAX_READING_MS:
+            self._reading_since_ms = None
+            zones.end_pause()
+            self._router.apply_zones()
+
+    def _check_unknown(self) -> None:
+        known = self._updater.known_zones()
         for zone, ticks in [*self._unchecked.items()]:
             if zone in known:
                 del self._unchecked[zone]
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -103,6 +103,7 @@
         self.started_ms = self._clock.now_ms()
         self._upstreams = upstreams
         self._in_flight = 0
+        self._paused_until_ms = 0.0
         self.port = network.add(address, self._receive, limits)
         source = SimulatedSource(
             store=store, clock=self._clock, port=self.port, evacuations=evacuations
@@ -140,7 +141,19 @@
         self.fleet_host.bus.attach(self.port)
         loop.call_soon(self._tick)
 
+    def pause(self, span_ms: float) -> None:
+        """
+        Let the host not run for a time; what arrives is handled afterwards.
+
+        :param span_ms: milliseconds
+        """
+        self._paused_until_ms = self._clock.now_ms() + span_ms
+
     def _receive(self, data: bytes, sender: PeerAddress) -> None:
+        rest_ms = self._paused_until_ms - self._clock.now_ms()
+        if rest_ms > 0.0:
+            self._loop.call_later(rest_ms / MS_PER_S, self._receive, data, sender)
+            return
         self.fleet_host.bus.handle_datagram(data, sender)
 
     def member_ids(self) -> set[str]:
@@ -363,6 +376,10 @@
     def _tick(self) -> None:
         if not self.running:
             return
+        rest_ms = self._paused_until_ms - self._clock.now_ms()
+        if rest_ms > 0.0:
+            self._loop.call_later(rest_ms / MS_PER_S, self._tick)
+            return
         self.fleet_host.tick()
         delay_ms = BUSY_TICK_MS if self._in_flight else IDLE_TICK_MS
         self._loop.call_later(delay_ms / MS_PER_S, self._tick)
