--- a/src/standins/simulated_fleet/evacuation_traffic.py
+++ b/src/standins/simulated_fleet/evacuation_traffic.py
@@ -74,6 +74,17 @@
     revision: int
     end_ms: float | None = None
 
+    def follows(self, other: "Evacuation") -> bool:
+        """
+        Return whether another evacuation of the zone ended shortly before.
+
+        :param other: an evacuation
+        :return: whether it ended within ``IN_FORCE_MS`` before this one began
+        """
+        if other.zone != self.zone or other.end_ms is None:
+            return False
+        return 0.0 <= self.begin_ms - other.end_ms < IN_FORCE_MS
+
     def covers(self, from_ms: float, at_ms: float) -> bool:
         """
         Return whether a time is after another one and before the end.
@@ -251,6 +262,8 @@
             return 0.0  # may have ended before all hosts learnt of it
         if item.begin_ms + IN_FORCE_MS > self._away_ms:
             return 0.0
+        if any(item.follows(other) for other in self.evacuations):
+            return 0.0  # hosts may have missed the time between the two
         return max(
             (known_at_ms(host, item) or self._fleet.clock.now_ms()) - item.begin_ms
             for host in self._fleet.running()
--- a/tests/core/test_zones.py
+++ b/tests/core/test_zones.py
@@ -158,6 +158,22 @@
     assert all(isinstance(grant, Grant) for grant in grants)
 
 
+def test_waiting_call_is_refused_when_its_last_region_is_evacuated(desk):
+    """Guards against a wait for a region that is closed while others are full."""
+    for _ in ZONES:
+        desk.ask()
+    waiting = desk.ask(allowed_regions=frozenset({"south"}))
+    desk.evacuate("puno", "tacna")
+    assert isinstance(waiting[0].error, ZoneEvacuated)
+
+
+def test_trial_of_a_suspected_request_goes_elsewhere(desk):
+    desk.evacuate("puno", "tacna")
+    assert desk.zones_of([desk.ask(isolated=True)]) == ["ica"]
+    desk.evacuate(*ALL)
+    assert isinstance(desk.ask(isolated=True)[0].error, ZoneEvacuated)
+
+
 def test_waiting_call_does_not_take_a_slot_that_an_evacuated_zone_frees(desk):
     grants = {grant.upstream.name: grant for grant in (desk.ask()[0] for _ in ZONES)}
     waiting = desk.ask()
--- a/tests/relay/test_evacuated.py
+++ b/tests/relay/test_evacuated.py
@@ -11,6 +11,8 @@
 
 load_tests = function_tests(__name__)
 
+END_S = 5.0
+
 
 async def exchange(*, evacuated_in_flight):
     """Relay a request and another one; return what the upstream received."""
@@ -28,7 +30,8 @@
     assert await caller.read_bytes(6) == b"answer"
     evacuated = True
     await caller.write(b"two")
-    await relaying
+    async with asyncio.timeout(END_S):
+        await relaying
     connection.close()
     try:
         received += await upstream.read_until_close()
