Check zones of passed-over upstreams only where any may be excluded

The reasons for passing upstreams over were collected for each placed request with one more call per upstream, also on deployments without evacuations and regions.

One check for each placement decides whether zones are described at all.

--- a/src/mangohatch/core/choice/base.py
+++ b/src/mangohatch/core/choice/base.py
@@ -15,7 +15,6 @@
     "AvailableCallback",
     "Chooser",
     "ImmediateChooser",
-    "describe_withheld",
     "ignore_service",
     "return_zero",
 ]
@@ -274,16 +273,3 @@
 
     :param service: name of a service
     """
-
-
-def describe_withheld(row: UpstreamRow, call: Call, now_ms: float) -> str:
-    """
-    Describe why an upstream is passed over whatever its load, for the log.
-
-    :param row: the upstream
-    :param call: the call
-    :param now_ms: monotonic time, in milliseconds
-    :return: the reason, empty if there is none
-    """
-    reason = row.signs.describe(now_ms)
-    return reason or row.zones.describe(row.zone, call.allowed_regions)
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -4,7 +4,7 @@
 import math
 
 from mangohatch.core.call import Call, Grant, GrantBasis, Report, Result
-from mangohatch.core.choice.base import Chooser, describe_withheld
+from mangohatch.core.choice.base import Chooser
 from mangohatch.core.choice.placement import (
     NoPlacementListener,
     PlacementListener,
@@ -194,10 +194,13 @@
         free: int,
     ) -> GrantBasis:
         now_ms = self._clock.now_ms()
+        allowed = call.allowed_regions
+        zoned = row.zones.restricts(allowed)
         withheld = (
             f"{item.name} {reason}"
             for item in service.upstreams.values()
-            if (reason := describe_withheld(item, call, now_ms))
+            if (reason := item.signs.describe(now_ms))
+            or (zoned and (reason := item.zones.describe(item.zone, allowed)))
         )
         slowdown, until_ms = self._estimator.speed(row, now_ms)
         return GrantBasis(
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -161,8 +161,7 @@
             self.serve_soon(name)
 
     def _find_exclusion(self, service: ServiceRow, call: Call) -> NoUpstream | None:
-        zones = self._tables.zones
-        if not zones.evacuated and not zones.unknown and call.allowed_regions is None:
+        if not self._tables.zones.restricts(call.allowed_regions):
             return None
         excluded = self._chooser.find_exclusion(service, call)
         self.excluded += excluded is not None
--- a/src/mangohatch/core/zones.py
+++ b/src/mangohatch/core/zones.py
@@ -86,6 +86,15 @@
         self.paused_ms = None
         self.unknown = False
 
+    def restricts(self, allowed_regions: frozenset[str] | None) -> bool:
+        """
+        Return whether any zone may be excluded from a request.
+
+        :param allowed_regions: the regions that may receive the request, None for all
+        :return: False if no zone has to be checked
+        """
+        return self.unknown or bool(self.evacuated) or allowed_regions is not None
+
     def is_evacuated(self, zone: str) -> bool:
         """
         Return whether a zone receives no requests at all.
@@ -106,7 +115,9 @@
         """
         if self.unknown or zone in self.evacuated:
             return True
-        return not self.allows_region(zone, allowed_regions)
+        if allowed_regions is None:
+            return False
+        return self.regions.get(zone) not in allowed_regions
 
     def allows_region(self, zone: str, allowed_regions: frozenset[str] | None) -> bool:
         """
