--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -19,6 +19,7 @@
 from mangohatch.directory.sender import PieceSender
 from mangohatch.directory.settings import FollowerSettings
 from mangohatch.directory.source import DirectorySource, PartReading
+from mangohatch.directory.watch import READING_BITS, PartWatches
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages.directory import (
     DirectoryMark,
@@ -30,7 +31,6 @@
 __all__ = ["DirectoryFollower"]
 
 MAX_AGE_MS = 2**31 - 1
-READING_BITS = 31
 
 log = structlog.get_logger()
 
@@ -62,6 +62,8 @@
     Messages and calls of a host do not grow with the number of hosts: see
     :class:`MarkGossip`, :class:`PieceSender` and :class:`ReadingSchedule`.
 
+    ``watches`` are the calls that wait for changes of watched parts.
+
     :param clock: source of time
     :param rng: source of random numbers, spreads retries and selects members
     :param source: reads the store
@@ -102,6 +104,16 @@
             source=source,
             schedule=self._schedule,
             on_reading=self._apply_reading,
+            on_failure=lambda: self.watches.record_failure(),
+        )
+        self.watches = PartWatches(
+            clock=clock,
+            rng=rng,
+            source=source,
+            ranking=ranking,
+            states=[item.state for item in self._parts.values()],
+            cfg=self._cfg,
+            on_return=self._reader.read_now,
         )
         self._gossip = MarkGossip(
             clock=clock,
@@ -134,12 +146,12 @@
     @property
     def calls(self) -> int:
         """Number of calls to the store."""
-        return self._reader.calls
+        return self._reader.calls + self.watches.calls
 
     @property
     def failed_calls(self) -> int:
         """Number of calls to the store without a usable answer."""
-        return self._reader.failed_calls
+        return self._reader.failed_calls + self.watches.failed_calls
 
     @property
     def known(self) -> bool:
@@ -181,21 +193,24 @@
         for item in self._parts.values():
             item.puller.tick()
         self._reader.start_due([item.state for item in self._parts.values()])
+        self.watches.tick()
         self._sender.tick()
         self._gossip.tick(known=self.known)
 
     async def stop(self) -> None:
         """Cancel readings in progress."""
+        self.watches.close()
         await self._reader.stop()
 
     def _apply_reading(
         self, state: PartState, reading: PartReading, read_ms: float
     ) -> None:
         part = state.part
+        first = not part.known
         self._schedule.record_gap(state, read_ms)
         items = list(reading.items)
         revision = reading.revision
-        if self._clock.now_ms() < state.retain_until_ms:
+        if self._clock.now_ms() < state.retain_until_ms and not state.watched:
             kept = self._expired_items(part, items)
             items += kept
             if kept:
@@ -208,10 +223,11 @@
             reading=self._rng.getrandbits(READING_BITS),
         )
         behind_ms = self._schedule.end_behind(state)
+        self.watches.record_reading(part.name, read_ms, first=first)
         if not changed:
             self._gossip.spread_refresh()
         else:
-            self._gossip.spread_change()
+            self._gossip.spread_change(urgent=state.watched)
             log.info(
                 "directory_changed",
                 part=part.name,
@@ -317,7 +333,11 @@
         if not part.known:
             self._schedule.record_learned(item.state)
         changed = part.update(
-            items, revision=mark.revision, read_ms=read_ms, reading=mark.reading
+            items,
+            revision=mark.revision,
+            read_ms=read_ms,
+            reading=mark.reading,
+            peer=sender,
         )
         behind_ms = self._schedule.end_behind(item.state)
         if changed:
@@ -329,5 +349,5 @@
                 items=len(items),
                 behind_ms=behind_ms,
             )
-            self._gossip.spread_change()
+            self._gossip.spread_change(urgent=item.state.watched)
             self._publish(item, payload)
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Iterator, Sequence
-from dataclasses import replace
 from functools import partial
 
 import structlog
@@ -30,6 +29,7 @@
     Routing,
     TableUpdates,
     TextPages,
+    Zones,
 )
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.settings import FleetSettings
@@ -52,9 +52,7 @@
 
 class FleetHost:
     """
-    One host with all its parts.
-
-    ``parts`` lists them in the order in which they start and run.
+    One host with all its ``parts``, in the order in which they start and run.
 
     :param cfg: validated settings
     :param clock: source of time
@@ -161,7 +159,7 @@
         self.forwarder = entry.forwarder
         self.entry = entry.server
         relays.has_requests = lambda: bool(self.forwarder.active)
-        self._table_updater = TableUpdater(
+        self._table_updater = updater = TableUpdater(
             clock=clock,
             tables=self.tables,
             limits=entry.limits,
@@ -169,10 +167,14 @@
             members=self.bus.members,
             on_unused=decisions.health.set_unused,
         )
+        router, watches = decisions.router, self.follower.watches
         self.parts: Sequence[HostPart] = (
             peers,
             directory,
-            TableUpdates(updater=self._table_updater, tables=self.tables),
+            TableUpdates(updater=updater, tables=self.tables),
+            Zones(
+                cfg=cfg, clock=clock, updater=updater, router=router, watches=watches
+            ),
             probing,
             Routing(decisions=decisions, guard=self._guard),
             retries,
@@ -268,8 +270,7 @@
         cfg = settings.read_if_changed()
         if cfg is None:
             return
-        # Addresses and the host's identity can't change while the process runs.
-        self.cfg = replace(self.cfg, seeds=cfg.seeds, bounds=cfg.bounds)
+        self.cfg = self.cfg.update(cfg)
         for part in self.parts:
             part.reload(self.cfg)
         log.info("settings_in_force", seeds=len(cfg.seeds))
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -20,14 +20,14 @@
 from mangohatch.platform.protocol import PlatformProtocol
 from mangohatch.platform.statement import read_probe
 from mangohatch.upstream.connection import ResponseHead
+from standins.simulated_fleet.documents import apply_part, read_configuration
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
 from standins.simulated_fleet.requests import SimulatedRequest
 from standins.simulated_fleet.store import (
     CONFIGURATION,
+    EVACUATIONS,
     SimulatedSource,
     SimulatedStore,
-    apply_part,
-    read_configuration,
 )
 from standins.simulated_fleet.upstreams import SimulatedProbe, SimulatedUpstream
 from standins.virtual_loop import LoopClock, VirtualLoop
@@ -44,6 +44,7 @@
 NOT_RUN = frozenset({Result.UNREACHABLE, Result.REFUSED})
 PERCENT = 100.0
 MS_PER_S = 1000.0
+EVACUATE_MS = 5_000.0
 UNUSED = ("127.0.0.1", 0)
 BOUNDS = FleetBounds(
     grace_ms=6_000.0, retry_ratio=0.1, retry_slack=200.0, retry_window_ms=10_000.0
@@ -58,7 +59,8 @@
     into force on this host, and ``told_ms`` the time at which it passed on the first
     answer with each limit of an upstream. ``leaving_ms`` holds the same for the answers
     by which upstreams leave, and ``pauses`` lists the upstreams that asked for a pause,
-    with its begin and end.
+    with its begin and end. ``evacuated_ms`` holds the times at which the evacuations of
+    a zone came into force, by the revision of their entries.
 
     :param host_id: id of the host
     :param zone: its availability zone
@@ -72,6 +74,7 @@
     :param rng: source of random numbers
     :param caller_ages: estimates the age of requests; None to take each for a first
         attempt
+    :param evacuations: whether it follows evacuations of zones
     """
 
     def __init__(
@@ -88,9 +91,11 @@
         limits: HostLimits | None,
         rng: random.Random,
         caller_ages: CallerAgeTable | None = None,
+        evacuations: bool = False,
     ) -> None:
         self.host_id = host_id
         self._caller_ages = caller_ages
+        self.evacuated_ms: dict[str, dict[int, float]] = {}
         self.in_force_ms: dict[int, float] = {}
         self.told_ms: dict[tuple[str, float], float] = {}
         self.leaving_ms: dict[str, float] = {}
@@ -103,8 +108,11 @@
         self.started_ms = self._clock.now_ms()
         self._upstreams = upstreams
         self._in_flight = 0
+        self._paused_until_ms = 0.0
         self.port = network.add(address, self._receive, limits)
-        source = SimulatedSource(store=store, clock=self._clock, port=self.port)
+        source = SimulatedSource(
+            store=store, clock=self._clock, port=self.port, evacuations=evacuations
+        )
         self._protocol = PlatformProtocol(rng=rng)
         components = FleetComponents(
             protocol=self._protocol,
@@ -123,7 +131,7 @@
             metrics=UNUSED,
             seeds=seeds,
             store=UNUSED,
-            bounds=BOUNDS,
+            bounds=replace(BOUNDS, evacuate_ms=EVACUATE_MS if evacuations else None),
         )
         probe = SimulatedProbe(loop=loop, clock=self._clock, upstreams=upstreams)
         self.fleet_host = FleetHost(
@@ -138,7 +146,19 @@
         self.fleet_host.bus.attach(self.port)
         loop.call_soon(self._tick)
 
+    def pause(self, span_ms: float) -> None:
+        """
+        Let the host not run for a time; what arrives is handled afterwards.
+
+        :param span_ms: milliseconds
+        """
+        self._paused_until_ms = self._clock.now_ms() + span_ms
+
     def _receive(self, data: bytes, sender: PeerAddress) -> None:
+        rest_ms = self._paused_until_ms - self._clock.now_ms()
+        if rest_ms > 0.0:
+            self._loop.call_later(rest_ms / MS_PER_S, self._receive, data, sender)
+            return
         self.fleet_host.bus.handle_datagram(data, sender)
 
     def member_ids(self) -> set[str]:
@@ -352,6 +372,10 @@
 
     def _apply_part(self, part: DirectoryPart, updater: TableUpdater) -> None:
         apply_part(part, updater)
+        if part.name == EVACUATIONS:
+            for item in part.items.values():
+                times_ms = self.evacuated_ms.setdefault(item.name, {})
+                times_ms.setdefault(item.revision, self._clock.now_ms())
         if part.name != CONFIGURATION:
             return
         for item in part.items.values():
@@ -362,6 +386,10 @@
     def _tick(self) -> None:
         if not self.running:
             return
+        rest_ms = self._paused_until_ms - self._clock.now_ms()
+        if rest_ms > 0.0:
+            self._loop.call_later(rest_ms / MS_PER_S, self._tick)
+            return
         self.fleet_host.tick()
         delay_ms = BUSY_TICK_MS if self._in_flight else IDLE_TICK_MS
         self._loop.call_later(delay_ms / MS_PER_S, self._tick)
