Extract the ownership of fleet-wide limits from retry permits

Cause: quotas of client accounts and other limits that hold for all hosts need the same owner, share and settle time as the retry budget. Change: LimitOwnership in core/limits/ownership.py with owner, owns, share and settled; RetryPermits uses it. No behaviour changes. Two tests refer to the moved settle time and owner.

--- a/src/mangohatch/core/limits/retry_permits.py
+++ b/src/mangohatch/core/limits/retry_permits.py
@@ -1,28 +1,26 @@
 """Permits for retries beyond a host's own share, from one place for all hosts."""
 
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import structlog
 
 from mangohatch.clock import Clock
 from mangohatch.core.limits.bucket import TokenBucket
+from mangohatch.core.limits.ownership import LimitOwnership
 from mangohatch.core.timers import Timers
-from mangohatch.peer.bus import MemberView, PeerBus
+from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages.permits import PermitGrant, PermitRequest
-from mangohatch.ranking import rendezvous_hash
 
 __all__ = ["RetryPermits"]
 
 ANSWER_MS = 30.0  # a round trip between zones, plus two event loop iterations
-SETTLE_MS = 3_000.0  # until a process that has just started knows its peers
 # Half of what may be given out in a window is kept for a burst, and half accrues.
 BURST_SHARE = 0.45
 MS_PER_S = 1000.0
 COLLECT_INTERVAL_MS = 1_000.0
 LOG_INTERVAL_MS = 1_000.0
-MIN_MEMBERS = 2  # a host that hears no peer may be one of many
 ALL_UPSTREAMS = ""
 
 log = structlog.get_logger()
@@ -73,10 +71,7 @@
         self._timers = timers
         self._services = services
         self._window_ms = window_ms
-        self._started_ms = clock.now_ms()
-        self._members: Sequence[MemberView] = ()
-        self._most_members = 1
-        self._owners: dict[str, str] = {}
+        self._ownership = LimitOwnership(clock=clock, bus=bus)
         self._buckets: dict[str, TokenBucket] = {}
         self._pending: dict[str, deque[PendingRetry]] = {}
         self._collect_due_ms = 0.0
@@ -102,10 +97,10 @@
         :param service: name of the service
         :param deliver: called exactly once, with whether the retry is permitted
         """
-        if self._owns(service):
+        if self._ownership.owns(service):
             deliver(self._take(service))
             return
-        owner = self._owner(service)
+        owner = self._ownership.owner(service)
         if not owner:
             deliver(False)
             return
@@ -122,29 +117,12 @@
         if now_ms < self._collect_due_ms:
             return
         self._collect_due_ms = now_ms + COLLECT_INTERVAL_MS
-        owned = {name for name in self._services() if self._owns(name)}
+        owned = {name for name in self._services() if self._ownership.owns(name)}
         for name in self._buckets.keys() - owned:
             del self._buckets[name]
         for name in owned:
             self._count(name)
 
-    def _owner(self, service: str) -> str:
-        members = self._bus.members()
-        if members is not self._members:
-            self._members = members
-            self._most_members = max(self._most_members, len(members))
-            self._owners.clear()
-        owner = self._owners.get(service)
-        if owner is None:
-            hosts = [item.host_id for item in members if not item.leaving]
-            owner = self._owners[service] = min(
-                hosts, key=lambda host: rendezvous_hash(service, host), default=""
-            )
-        return owner
-
-    def _owns(self, service: str) -> bool:
-        return self._owner(service) == self._bus.host_id
-
     def _count(self, service: str) -> int:
         """Count the tokens of a service that this host owns."""
         bucket = self._buckets.get(service)
@@ -152,11 +130,10 @@
             bucket = self._buckets[service] = TokenBucket(
                 clock=self._clock, burst_s=self._window_ms / MS_PER_S
             )
-        return bucket.count(self._per_s * len(self._members) / self._most_members)
+        return bucket.count(self._per_s * self._ownership.share())
 
     def _take(self, service: str) -> bool:
-        settled = self._clock.now_ms() - self._started_ms >= SETTLE_MS
-        if not self._count(service) or not settled or len(self._members) < MIN_MEMBERS:
+        if not self._count(service) or not self._ownership.settled():
             return False
         self._buckets[service].take(1)
         self.granted += 1
@@ -178,7 +155,7 @@
         log.info(
             "retry_permits_unanswered",
             service=service,
-            owner=self._owner(service),
+            owner=self._ownership.owner(service),
             count=self._unanswered,
         )
         self._unanswered = 0
@@ -187,7 +164,7 @@
         if message.upstream != ALL_UPSTREAMS:
             return
         service = message.service_name
-        count = int(self._owns(service) and self._take(service))
+        count = int(self._ownership.owns(service) and self._take(service))
         answer = PermitGrant(service_name=service, upstream=ALL_UPSTREAMS, count=count)
         self._bus.send(sender, answer)
 
--- a/tests/core/test_fleet_budget.py
+++ b/tests/core/test_fleet_budget.py
@@ -1,7 +1,8 @@
 """Tests of the retry budget that hosts share."""
 
 from mangohatch.core.call import Call
-from mangohatch.core.limits.retry_permits import ANSWER_MS, SETTLE_MS, RetryPermits
+from mangohatch.core.limits.ownership import SETTLE_MS
+from mangohatch.core.limits.retry_permits import ANSWER_MS, RetryPermits
 from mangohatch.core.retry import FleetRetryBudget
 from mangohatch.core.timers import NoTimers
 from tests.functions import function_tests
@@ -165,7 +166,9 @@
 def test_answer_that_comes_late_permits_nothing(clock):
     fleet = Fleet(clock, hosts=2)
     fleet.run(12.0, retries=False)
-    asking = next(host for host in fleet.hosts if not host.permits._owns("desk"))
+    asking = next(
+        host for host in fleet.hosts if not host.permits._ownership.owns("desk")
+    )
     answers = []
     asking.budget.request(make_call(), answers.append)
     clock.advance(ANSWER_MS + 1.0)
