--- a/src/mangohatch/config/service.py
+++ b/src/mangohatch/config/service.py
@@ -37,6 +37,11 @@
         """End of the warm-up; 0 because the declaration does not state it."""
         return 0.0
 
+    @property
+    def warm_up(self) -> None:
+        """Warm-up rate; None because the declaration does not state it."""
+        return None
+
 
 class MeasuringBudget(StrictModel):
     """Limits on what one entry host spends on measuring a service."""
--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -5,6 +5,7 @@
 
 from mangohatch.core.call import Call, Grant, GrantBasis, Report, Result
 from mangohatch.core.choice.base import Chooser
+from mangohatch.core.choice.cold import prefer_warm
 from mangohatch.core.choice.placement import (
     NoPlacementListener,
     PlacementListener,
@@ -71,6 +72,7 @@
 
     def choose(self, service: ServiceRow, call: Call) -> Grant | None:
         now_ms = self._clock.now_ms()
+        self._limits.detect_pause()
         work_ms = self._estimator.work_ms(call.route)
         estimates = [
             (time_ms, row)
@@ -80,6 +82,7 @@
         if not estimates:
             self.require_candidate(service, call)
             return None
+        estimates = prefer_warm(estimates, self._cfg.slow_threshold * work_ms)
         if now_ms - call.arrived_ms < self._max_wait_for_faster_ms(call, work_ms):
             quickest_ms = min(time_ms for time_ms, _ in estimates)
             if quickest_ms >= self._cfg.slow_threshold * work_ms:
@@ -119,7 +122,7 @@
     def expected_wait_ms(self, service: ServiceRow, call: Call) -> float:
         # Any upstream without a limit may become free at any moment.
         for row in service.upstreams.values():
-            if not row.limit.named and self.is_open(row, call):
+            if self.is_open(row, call) and not (row.limited and row.cold.known):
                 return 0.0
         return self._limits.expected_wait_ms(service.spec.name)
 
@@ -243,7 +246,7 @@
         if call.isolated and occupancy or not self.is_open(row, call):
             return math.inf
         slots = count_slots(row)
-        if row.limit.named and not self._limits.may_send(row):
+        if row.limited and not self._limits.may_send(row):
             return math.inf
         share = self._health.capacity(row)
         if occupancy >= max(1, round(slots * share)):
--- a/src/mangohatch/core/limits/base.py
+++ b/src/mangohatch/core/limits/base.py
@@ -53,6 +53,9 @@
         :param per_s: requests a second, infinite if it names none
         """
 
+    def detect_pause(self) -> None:  # noqa: B027
+        """Forget what may have changed while this process was paused."""
+
 
 class NoSendLimits(SendLimits):
     """Permits all requests."""
--- a/src/mangohatch/core/limits/broker.py
+++ b/src/mangohatch/core/limits/broker.py
@@ -6,6 +6,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.limits.bucket import TokenBucket
+from mangohatch.core.limits.cold import BURST_S, ColdStates
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import UpstreamRow
 from mangohatch.core.timers import Timers
@@ -18,18 +19,24 @@
 
 @dataclass(slots=True, kw_only=True)
 class Wanted:
-    """Permits that a host asked for until ``until_ms``."""
+    """Permits that a host asked for until ``until_ms``, by a numbered request."""
 
     count: int
     until_ms: float
+    number: int | None
 
 
 @dataclass(slots=True, kw_only=True)
 class LimitedUpstream:
-    """Tokens of an upstream, and the hosts that ask for them, longest wait first."""
+    """
+    Tokens of an upstream, and the hosts that ask for them, longest wait first.
+
+    ``cold`` is whether the tokens are those of a cold upstream.
+    """
 
     row: UpstreamRow
     bucket: TokenBucket
+    cold: bool = False
     wanted: OrderedDict[str, Wanted] = field(default_factory=OrderedDict)
     timed: bool = False
 
@@ -47,7 +54,9 @@
     :param clock: source of time
     :param subset: the owner of each upstream
     :param timers: gives out the next token
-    :param grant: gives permits to a host: its id, the upstream and their number
+    :param grant: gives permits to a host: its id, the upstream, how many and the number
+        of the request
+    :param cold: rates of cold upstreams; None if no upstream is ever cold
     """
 
     def __init__(
@@ -56,8 +65,10 @@
         clock: Clock,
         subset: SubsetTable,
         timers: Timers,
-        grant: Callable[[str, UpstreamRow, int], None],
+        grant: Callable[[str, UpstreamRow, int, int | None], None],
+        cold: ColdStates | None = None,
     ) -> None:
+        self._cold = cold
         self._clock = clock
         self._subset = subset
         self._timers = timers
@@ -95,21 +106,24 @@
         """
         item = self._find(row)
         self._drop_expired(item)
-        return not item.wanted and item.bucket.count(rate(row)) > 0
+        return not item.wanted and self._count(item) > 0
 
-    def request(self, host_id: str, row: UpstreamRow, count: int) -> None:
+    def request(
+        self, host_id: str, row: UpstreamRow, count: int, number: int | None = None
+    ) -> None:
         """
         Give permits to a host, now or when there are tokens.
 
         :param host_id: id of the host, which may be this one
         :param row: the upstream
         :param count: number of permits
+        :param number: number of the request, which the answer repeats
         """
-        if not row.limit.named or not self.owns(row):
+        if not row.limited or not self.owns(row):
             return
         item = self._find(row)
         until_ms = self._clock.now_ms() + REQUEST_TTL_MS
-        item.wanted[host_id] = Wanted(count=count, until_ms=until_ms)
+        item.wanted[host_id] = Wanted(count=count, until_ms=until_ms, number=number)
         self._serve(item)
 
     def put_back(self, row: UpstreamRow, count: int) -> None:
@@ -128,7 +142,7 @@
         """
         Keep tokens of the limited upstreams that this host owns.
 
-        :param limited: all upstreams of this host that name a limit
+        :param limited: all upstreams of this host that have a limit
         """
         owned = [row for row in limited if self.owns(row)]
         for row in owned:
@@ -141,8 +155,28 @@
         if item is None:
             item = LimitedUpstream(row=row, bucket=TokenBucket(clock=self._clock))
             self._limited[id(row)] = item
+        if item.cold != row.cold.cold:
+            item.cold = row.cold.cold
+            self._empty(item)
         return item
 
+    def _empty(self, item: LimitedUpstream) -> None:
+        if item.cold:
+            item.bucket = TokenBucket(clock=self._clock, burst_s=BURST_S)
+        else:
+            item.bucket = TokenBucket(clock=self._clock)
+
+    def _per_s(self, item: LimitedUpstream) -> float:
+        if not item.cold or self._cold is None:
+            return rate(item.row)
+        return min(rate(item.row), self._cold.per_s(item.row))
+
+    def _count(self, item: LimitedUpstream) -> int:
+        per_s = self._per_s(item)
+        if per_s <= 0.0:
+            self._empty(item)
+        return item.bucket.count(per_s)
+
     def _drop_expired(self, item: LimitedUpstream) -> None:
         now_ms = self._clock.now_ms()
         expired = [
@@ -153,32 +187,31 @@
 
     def _serve(self, item: LimitedUpstream) -> None:
         self._drop_expired(item)
-        per_s = rate(item.row)
-        tokens = item.bucket.count(per_s)
+        tokens = self._count(item)
         while tokens and item.wanted:
             host, wanted = item.wanted.popitem(last=False)
             count = min(tokens, wanted.count)
             tokens -= count
             item.bucket.take(count)
             self.granted += count
-            self._grant(host, item.row, count)
+            self._grant(host, item.row, count, wanted.number)
         if item.wanted and not item.timed:
             item.timed = True
-            self._timers.call_later(
-                item.bucket.next_ms(per_s), lambda: self._serve_later(item)
-            )
+            per_s = self._per_s(item)
+            delay_ms = item.bucket.next_ms(per_s) if per_s > 0.0 else REQUEST_TTL_MS
+            self._timers.call_later(delay_ms, lambda: self._serve_later(item))
 
     def _serve_later(self, item: LimitedUpstream) -> None:
         item.timed = False
         if self._limited.get(id(item.row)) is item:
-            self._serve(item)
+            self._serve(self._find(item.row))
 
 
 def rate(row: UpstreamRow) -> float:
     """
     Return the rate at which an upstream takes requests.
 
-    :param row: an upstream that names a limit
+    :param row: an upstream that has a limit
     :return: requests a second
     """
-    return max(row.limit.per_s, MIN_PER_S)
+    return max(row.limit_per_s, MIN_PER_S)
--- a/src/mangohatch/core/limits/ownership.py
+++ b/src/mangohatch/core/limits/ownership.py
@@ -1,5 +1,6 @@
 """Ownership of named limits that hold for all hosts together."""
 
+import math
 from collections.abc import Sequence
 
 from mangohatch.clock import Clock
@@ -24,6 +25,8 @@
     :param bus: the members
     :param settle_ms: time after the start before this host gives out anything
     :param min_members: members, including this host, below which it gives out nothing
+    :param expected: members of which the settings tell, known or not
+    :param rise_ms: time for which a larger share must hold before it is returned
     """
 
     def __init__(
@@ -33,13 +36,18 @@
         bus: PeerBus,
         settle_ms: float = SETTLE_MS,
         min_members: int = MIN_MEMBERS,
+        expected: int = 1,
+        rise_ms: float = 0.0,
     ) -> None:
         self._clock = clock
         self._bus = bus
         self._settled_ms = clock.now_ms() + settle_ms
         self._min_members = min_members
         self._members: Sequence[MemberView] = ()
-        self._most_members = 1
+        self._most_members = expected
+        self._rise_ms = rise_ms
+        self._share = math.inf
+        self._rises_ms = -math.inf
         self._owners: dict[str, str] = {}
 
     def owner(self, name: str) -> str:
@@ -73,7 +81,14 @@
 
         :return: members now by the most members seen so far, at most 1
         """
-        return len(self._refresh()) / self._most_members
+        share = len(self._refresh()) / self._most_members
+        now_ms = self._clock.now_ms()
+        if share <= self._share:
+            self._share = share
+            self._rises_ms = now_ms + self._rise_ms
+        elif now_ms >= self._rises_ms:
+            self._share = share
+        return self._share
 
     def settled(self) -> bool:
         """
--- a/src/mangohatch/core/spec.py
+++ b/src/mangohatch/core/spec.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from mangohatch.core.cold_state import WarmUp
+
 __all__ = [
     "DiscoveredService",
     "DiscoveredUpstream",
@@ -16,7 +18,7 @@
 
     ``started_ms`` distinguishes processes started under the same name; it is 0 when
     the start time is not known. The upstream is slow until ``warm_at_ms`` on the
-    monotonic clock.
+    monotonic clock. ``warm_up`` is None unless its service has a warm-up rate.
     """
 
     @property
@@ -46,10 +48,18 @@
     @property
     def warm_at_ms(self) -> float: ...
 
+    @property
+    def warm_up(self) -> WarmUp | None: ...
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class DiscoveredUpstream:
-    """An upstream that registers itself."""
+    """
+    An upstream that registers itself.
+
+    ``warm_wall_ms`` is the time of day from which ``warm_at_ms`` was computed, where
+    ``warm_up`` is set.
+    """
 
     name: str
     address: str
@@ -60,6 +70,8 @@
     draining: bool = False
     started_ms: float = 0.0
     warm_at_ms: float = 0.0
+    warm_wall_ms: float = 0.0
+    warm_up: WarmUp | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/core/statement.py
+++ b/src/mangohatch/core/statement.py
@@ -18,6 +18,7 @@
     whether the upstream takes no new work because it is about to end. ``pause_ms`` is
     the time for which it wants nothing from this host. ``replaced`` is whether another
     upstream uses the address. ``accepted`` is whether the upstream took the request.
+    ``cold_ms`` is the time for which it remains cold, None if it does not say.
     """
 
     in_flight: int | None = None
@@ -27,3 +28,4 @@
     pause_ms: float | None = None
     replaced: bool = False
     accepted: bool = True
+    cold_ms: float | None = None
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Any
 
+from mangohatch.core.cold_state import ColdState
 from mangohatch.core.load import LoadView
 from mangohatch.core.named_limit import NamedLimit
 from mangohatch.core.routes import RouteTable
@@ -60,6 +61,7 @@
     reported: bool = True
     load: LoadView = field(default_factory=LoadView)
     limit: NamedLimit = field(default_factory=NamedLimit)
+    cold: ColdState = field(default_factory=ColdState)
     signs: UpstreamSigns = field(default_factory=UpstreamSigns)
     path: UpstreamPath = field(default_factory=UpstreamPath)
     drain_causes: set[DrainCause] = field(default_factory=set)
@@ -69,6 +71,16 @@
         """The process of the upstream."""
         return (self.service, self.name, self.address, self.port, self.started_ms)
 
+    @property
+    def limited(self) -> bool:
+        """Whether requests need a permit: the upstream names a limit, or is cold."""
+        return self.cold.cold or self.limit.named
+
+    @property
+    def limit_per_s(self) -> float:
+        """Requests a second that the upstream takes, the lower one of both limits."""
+        return min(self.limit.per_s, self.cold.limit_per_s)
+
     def start_drain(self, cause: DrainCause) -> bool:
         """
         Stop sending new requests to the upstream.
@@ -239,6 +251,7 @@
         started_ms=spec.started_ms,
         warm_at_ms=spec.warm_at_ms,
     )
+    row.cold.set_warm_up(spec.warm_up)
     if spec.draining:
         row.start_drain(DrainCause.ORDER)
     return row
@@ -267,6 +280,9 @@
     row.zone = spec.zone
     row.slots = spec.slots
     row.connections = spec.connections
+    row.cold.set_warm_up(spec.warm_up)
+    if spec.warm_up is not None:
+        row.warm_at_ms = spec.warm_at_ms
     if spec.draining:
         row.start_drain(DrainCause.ORDER)
     else:
--- a/src/mangohatch/directory/content.py
+++ b/src/mangohatch/directory/content.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from mangohatch.core.cold_state import WarmUp
 from mangohatch.core.routes import Route
 from mangohatch.entry.limits import CallerLimits
 
@@ -15,11 +16,13 @@
     Options for the upstreams of a service.
 
     ``health_path`` is the path of health checks; ``connections`` is the maximum number
-    of connections to an upstream.
+    of connections to an upstream. ``warm_up`` is None unless cold upstreams have a
+    rate.
     """
 
     health_path: str
     connections: int
+    warm_up: WarmUp | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -11,7 +11,11 @@
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import ServiceRow, Tables
 from mangohatch.directory.assignment_log import AssignmentLog
-from mangohatch.directory.content import Configuration, RegisteredUpstream
+from mangohatch.directory.content import (
+    Configuration,
+    RegisteredUpstream,
+    ServiceOptions,
+)
 from mangohatch.entry.limits import CallerLimits
 from mangohatch.peer.bus import MemberView
 
@@ -126,7 +130,7 @@
                 name=name,
                 max_queue_wait_ms=MAX_QUEUE_WAIT_MS,
                 health_path=options.health_path,
-                upstreams=self._make_upstreams(name, options.connections, previous),
+                upstreams=self._make_upstreams(name, options, previous),
             )
             if spec != previous:
                 self._log_changes(spec, previous)
@@ -167,38 +171,46 @@
                 row.reported = self._subset.host_id in users
 
     def _make_upstreams(
-        self, service: str, connections: int, previous: DiscoveredService | None
+        self, service: str, options: ServiceOptions, previous: DiscoveredService | None
     ) -> tuple[DiscoveredUpstream, ...]:
         known = {item.name: item for item in previous.upstreams} if previous else {}
         return tuple(
-            self._make_upstream(item, connections, known.get(item.name))
+            self._make_upstream(item, options, known.get(item.name))
             for item in self._upstreams.get(service, ())
         )
 
     def _make_upstream(
         self,
         item: RegisteredUpstream,
-        connections: int,
+        options: ServiceOptions,
         known: DiscoveredUpstream | None,
     ) -> DiscoveredUpstream:
         # The offset between the clocks varies slightly. The known value is kept, so
         # that an unchanged entry gives an equal specification.
         offset_ms = self._clock.wall_ms() - self._clock.now_ms()
         # The time of day of this host, or of the one that read the entry, may be wrong.
-        latest_ms = self._clock.now_ms() + MAX_WARM_UP_MS
+        warm_up = options.warm_up
+        longest_ms = max(MAX_WARM_UP_MS, warm_up.duration_ms if warm_up else 0.0)
+        latest_ms = self._clock.now_ms() + longest_ms
         warm_at_ms = min(item.warm_wall_ms - offset_ms, latest_ms)
+        # Where cold upstreams have a rate, an entry may name another cold state of the
+        # same process.
+        warm_wall_ms = item.warm_wall_ms if warm_up else 0.0
         if known is not None and known.started_ms == item.started_ms:
-            warm_at_ms = known.warm_at_ms
+            if warm_wall_ms == known.warm_wall_ms:
+                warm_at_ms = known.warm_at_ms
         return DiscoveredUpstream(
             name=item.name,
             address=item.address,
             port=item.port,
             zone=item.zone,
             slots=item.slots,
-            connections=connections,
+            connections=options.connections,
             draining=item.draining,
             started_ms=item.started_ms,
             warm_at_ms=warm_at_ms,
+            warm_wall_ms=warm_wall_ms,
+            warm_up=warm_up,
         )
 
     @staticmethod
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -11,7 +11,7 @@
 from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
 from mangohatch.core.contention import ContentionOrder
 from mangohatch.core.health import OutlierHealth
-from mangohatch.core.limits import PermitTable
+from mangohatch.core.limits import ColdStates, LimitOwnership, PermitTable
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.moving import MovePolicy
 from mangohatch.core.quarantine import (
@@ -34,6 +34,8 @@
 
 __all__ = ["Decisions", "make_decisions"]
 
+SHARE_RISE_MS = 2_000.0  # until both parts of a fleet know that they have joined
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Decisions:
@@ -42,14 +44,15 @@
 
     ``health`` is the health of the upstreams. ``should_move`` returns whether a request
     should move to another upstream; it is None if the placement policy never moves
-    requests. ``limits`` keeps the limits that upstreams name, and ``signs`` which of
-    them leave or ask for a pause.
+    requests. ``limits`` keeps the limits that upstreams name, ``cold`` which of them
+    are cold, and ``signs`` which of them leave or ask for a pause.
     """
 
     router: Router
     health: OutlierHealth
     gate: QuarantineGate
     limits: PermitTable
+    cold: ColdStates
     signs: SignSystem
     should_move: Callable[[Grant], bool] | None
 
@@ -84,8 +87,21 @@
     :param crash_probe: checks whether upstreams have crashed
     :return: the components of the decision core
     """
+    cold = ColdStates(
+        clock=clock,
+        tables=tables,
+        subset=subset,
+        ownership=LimitOwnership(
+            clock=clock,
+            bus=bus,
+            # Cut off from its start, a host must not take itself for the whole fleet.
+            expected=1 + sum(seed != cfg.peers for seed in cfg.seeds),
+            rise_ms=SHARE_RISE_MS,
+        ),
+        bounds=cfg.bounds.cold,
+    )
     limits = PermitTable(
-        clock=clock, tables=tables, subset=subset, bus=bus, timers=timers
+        clock=clock, tables=tables, subset=subset, bus=bus, timers=timers, cold=cold
     )
     signs = SignSystem(
         clock=clock,
@@ -141,6 +157,7 @@
     if placement is not Placement.POWER_OF_TWO:
         placement_updates.on_service_freed = router.serve_soon
         placement_updates.urgency = router.urgency
+    cold.on_change = router.serve_soon
     limits.on_permit = router.serve_soon
     limits.count_waiting = router.count_waiting
     evidence = None
@@ -167,6 +184,7 @@
         health=health,
         gate=gate,
         limits=limits,
+        cold=cold,
         signs=signs,
         should_move=should_move,
     )
--- a/src/mangohatch/fleet/parts/probing.py
+++ b/src/mangohatch/fleet/parts/probing.py
@@ -56,6 +56,7 @@
             estimator=estimator,
             on_load=decisions.router.serve_soon,
             signs=decisions.signs,
+            cold=decisions.cold,
         )
         decisions.limits.on_limit = self.reports.add
         self.system = ProbingSystem(
@@ -68,6 +69,7 @@
             estimator=estimator,
             on_load=decisions.router.serve_soon,
             signs=decisions.signs,
+            cold=decisions.cold,
         )
 
     def counters(self) -> Iterable[Counter]:
--- a/src/mangohatch/fleet/parts/routing.py
+++ b/src/mangohatch/fleet/parts/routing.py
@@ -48,6 +48,21 @@
                 "Requests sent to upstreams that name a limit.",
                 core.limits.used,
             ),
+            (
+                "cold_requests",
+                "Requests sent to cold upstreams.",
+                core.limits.cold_used,
+            ),
+            (
+                "upstreams_cold",
+                "Cold states of upstreams that this host learned of.",
+                core.cold.colds,
+            ),
+            (
+                "upstreams_warm",
+                "Ends of cold states of upstreams that this host learned of.",
+                core.cold.warms,
+            ),
             (
                 "upstreams_leaving",
                 "Upstreams that this host knew to leave.",
@@ -68,3 +83,5 @@
 
     def reload(self, cfg: FleetSettings) -> None:
         self._decisions.signs.cfg = SignSettings(max_pause_ms=cfg.bounds.max_pause_ms)
+        if cfg.bounds.cold is not None and self._decisions.cold.bounds is not None:
+            self._decisions.cold.bounds = cfg.bounds.cold
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -3378,6 +3378,8 @@
      - limit_per_s
      - limit_age_ms
      - leaving
+     - cold_ms
+     - cold_age_ms
 
     """
 
@@ -3392,10 +3394,12 @@
         'limit_per_s',
         'limit_age_ms',
         'leaving',
+        'cold_ms',
+        'cold_age_ms',
     )
 
 
-    def __init__(self, upstream=None, running=None, waiting=None, slots=None, slowdown_percent=None, age_ms=None, healthy=None, limit_per_s=None, limit_age_ms=None, leaving=None,):
+    def __init__(self, upstream=None, running=None, waiting=None, slots=None, slowdown_percent=None, age_ms=None, healthy=None, limit_per_s=None, limit_age_ms=None, leaving=None, cold_ms=None, cold_age_ms=None,):
         self.upstream = upstream
         self.running = running
         self.waiting = waiting
@@ -3406,6 +3410,8 @@
         self.limit_per_s = limit_per_s
         self.limit_age_ms = limit_age_ms
         self.leaving = leaving
+        self.cold_ms = cold_ms
+        self.cold_age_ms = cold_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3466,6 +3472,16 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.cold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.cold_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3516,6 +3532,14 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 10)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I32, 11)
+            oprot.writeI32(self.cold_ms)
+            oprot.writeFieldEnd()
+        if self.cold_age_ms is not None:
+            oprot.writeFieldBegin('cold_age_ms', TType.I32, 12)
+            oprot.writeI32(self.cold_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3809,6 +3833,7 @@
      - service_name
      - upstream
      - count
+     - number
 
     """
 
@@ -3816,13 +3841,15 @@
         'service_name',
         'upstream',
         'count',
+        'number',
     )
 
 
-    def __init__(self, service_name=None, upstream=None, count=None,):
+    def __init__(self, service_name=None, upstream=None, count=None, number=None,):
         self.service_name = service_name
         self.upstream = upstream
         self.count = count
+        self.number = number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3848,6 +3875,11 @@
                     self.count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3870,6 +3902,10 @@
             oprot.writeFieldBegin('count', TType.I32, 3)
             oprot.writeI32(self.count)
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 4)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3903,6 +3939,7 @@
      - service_name
      - upstream
      - count
+     - number
 
     """
 
@@ -3910,13 +3947,15 @@
         'service_name',
         'upstream',
         'count',
+        'number',
     )
 
 
-    def __init__(self, service_name=None, upstream=None, count=None,):
+    def __init__(self, service_name=None, upstream=None, count=None, number=None,):
         self.service_name = service_name
         self.upstream = upstream
         self.count = count
+        self.number = number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3942,6 +3981,11 @@
                     self.count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3964,6 +4008,10 @@
             oprot.writeFieldBegin('count', TType.I32, 3)
             oprot.writeI32(self.count)
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 4)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4789,6 +4837,8 @@
     (8, TType.DOUBLE, 'limit_per_s', None, None, ),  # 8
     (9, TType.I32, 'limit_age_ms', None, None, ),  # 9
     (10, TType.BOOL, 'leaving', None, None, ),  # 10
+    (11, TType.I32, 'cold_ms', None, None, ),  # 11
+    (12, TType.I32, 'cold_age_ms', None, None, ),  # 12
 )
 all_structs.append(LeavingNotice)
 LeavingNotice.thrift_spec = (
@@ -4816,6 +4866,7 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
     (3, TType.I32, 'count', None, None, ),  # 3
+    (4, TType.I64, 'number', None, None, ),  # 4
 )
 all_structs.append(PermitGrant)
 PermitGrant.thrift_spec = (
@@ -4823,6 +4874,7 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
     (3, TType.I32, 'count', None, None, ),  # 3
+    (4, TType.I64, 'number', None, None, ),  # 4
 )
 all_structs.append(PermitReturn)
 PermitReturn.thrift_spec = (
--- a/src/mangohatch/peer/messages/load.py
+++ b/src/mangohatch/peer/messages/load.py
@@ -15,7 +15,9 @@
     ``slowdown_percent`` is 100 if work takes the typical time. ``limit_per_s`` is the
     limit that the upstream named in a response ``limit_age_ms`` ago, negative if that
     response named none. A negative age means that no response is known. ``leaving`` is
-    whether the upstream said that it leaves.
+    whether the upstream said that it leaves. The upstream remains cold for ``cold_ms``
+    from now on, 0 if it is warm, by a statement ``cold_age_ms`` ago; None if the sender
+    has no statement, or its service no warm-up rate.
     """
 
     upstream: str = ""
@@ -28,6 +30,8 @@
     limit_per_s: float = -1.0
     limit_age_ms: int = -1
     leaving: bool = False
+    cold_ms: int | None = None
+    cold_age_ms: int | None = None
 
 
 @message
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -241,6 +241,8 @@
   8: double limit_per_s,
   9: i32 limit_age_ms,
   10: bool leaving,
+  11: i32 cold_ms,
+  12: i32 cold_age_ms,
 }
 
 /** An upstream process said age_ms ago that it leaves. */
@@ -268,6 +270,7 @@
   1: string service_name,
   2: string upstream,
   3: i32 count,
+  4: i64 number,
 }
 
 /** The owner permits requests to a limited upstream. */
@@ -275,6 +278,7 @@
   1: string service_name,
   2: string upstream,
   3: i32 count,
+  4: i64 number,
 }
 
 /** A host returns permits that it did not use. */
--- a/src/mangohatch/platform/documents.py
+++ b/src/mangohatch/platform/documents.py
@@ -13,6 +13,7 @@
     ServiceOptions,
 )
 from mangohatch.entry.limits import CallerLimits
+from mangohatch.platform.cold import read_cold_ms, read_warm_up
 from mangohatch.platform.values import (
     DocumentError,
     parse_address,
@@ -27,6 +28,8 @@
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 KNOWN_KINDS = IDEMPOTENT_KINDS | {"unsafe", "upload"}
 MAX_LOGGED_KINDS = 64
+# An entry is up to one heartbeat of 1.5 s old when it is read.
+RENEWAL_MS = 2_000.0
 DRAINING = "draining"
 STATES = frozenset({"ready", DRAINING})
 NUMBER = (int, float)
@@ -34,11 +37,12 @@
 log = structlog.get_logger()
 
 
-def read_configuration(text: str) -> Configuration:
+def read_configuration(text: str, *, follow_cold: bool = False) -> Configuration:
     """
     Read the configuration.
 
     :param text: content of the configuration object, as JSON
+    :param follow_cold: whether cold upstreams are limited
     :return: the configuration
     :raises DocumentError: if a field is missing or has the wrong type
     """
@@ -52,9 +56,11 @@
         if kind == "routes":
             routes.append(read_route(read_name(entry), spec))
         elif kind == "services":
-            services[read_name(entry)] = ServiceOptions(
+            name = read_name(entry)
+            services[name] = ServiceOptions(
                 health_path=require_field(spec, "health_check_path", str),
                 connections=require_field(spec, "max_connections", int),
+                warm_up=read_warm_up(name, spec) if follow_cold else None,
             )
         elif kind == "limits":
             limits = read_limits(spec)
@@ -138,7 +144,14 @@
     )
 
 
-def normalize_upstream(spec: Any, *, wall_ms: float, previous_json: str | None) -> str:
+def normalize_upstream(
+    spec: Any,
+    *,
+    wall_ms: float,
+    previous_json: str | None,
+    name: str = "",
+    follow_cold: bool = False,
+) -> str:
     """
     Reduce an upstream's entry to the fields that affect how the upstream is used.
 
@@ -149,6 +162,9 @@
     :param wall_ms: current time of day in milliseconds
     :param previous_json: result for an earlier reading of the entry, None if there is
         none
+    :param name: id of the upstream, for the log
+    :param follow_cold: whether cold upstreams are limited; an upstream may then become
+        cold again, and an invalid time counts as 0
     :return: JSON for :func:`read_upstream`
     :raises DocumentError: if a field is missing or has the wrong type
     """
@@ -169,11 +185,28 @@
     # ``cold_remaining`` shrinks with each heartbeat, so the end of the warm-up is
     # computed once per start and then kept. It does not depend on the time of the
     # reading once the upstream is warm, so that all readers get the same content.
-    cold_ms = parse_duration_ms(status.get("cold_remaining", "0ms"))
+    remaining = status.get("cold_remaining", "0ms")
+    if follow_cold:
+        cold_ms = read_cold_ms(name, "cold_remaining", remaining) or 0.0
+    else:
+        cold_ms = parse_duration_ms(remaining)
     warm_wall_ms = int(wall_ms + cold_ms) if cold_ms > 0.0 else 0
     previous = json.loads(previous_json) if previous_json else {}
     is_same_start = previous.get("born") == fields["born"]
-    fields["warm_wall_ms"] = previous["warm_wall_ms"] if is_same_start else warm_wall_ms
+    known_wall_ms = previous["warm_wall_ms"] if is_same_start else 0
+    sequence = status.get("sequence")
+    if follow_cold:
+        # A later end in another heartbeat is another cold state of the same process.
+        is_renewed = (
+            sequence != previous.get("cold_sequence")
+            and warm_wall_ms > known_wall_ms + RENEWAL_MS
+        )
+        is_same_start = is_same_start and not is_renewed
+        if cold_ms > 0.0:
+            fields["cold_sequence"] = sequence
+        if is_same_start:
+            fields["cold_sequence"] = previous.get("cold_sequence")
+    fields["warm_wall_ms"] = known_wall_ms if is_same_start else warm_wall_ms
     return json.dumps(fields, separators=(",", ":"), sort_keys=True)
 
 
--- a/src/mangohatch/platform/host.py
+++ b/src/mangohatch/platform/host.py
@@ -1,6 +1,7 @@
 """Assembles a fleet host from the components of the platform adapter."""
 
 import random
+from functools import partial
 
 import structlog
 
@@ -38,11 +39,12 @@
     clock = SystemClock()
     rng = random.Random()
     store = PlatformStore(address=cfg.store, timeout_ms=STORE_TIMEOUT_MS)
+    follow_cold = cfg.bounds.cold is not None
     components = FleetComponents(
         protocol=PlatformProtocol(rng=rng),
-        source=PlatformSource(store=store, clock=clock),
-        apply_part=apply_part,
-        read_probe=read_probe,
+        source=PlatformSource(store=store, clock=clock, follow_cold=follow_cold),
+        apply_part=partial(apply_part, follow_cold=follow_cold),
+        read_probe=partial(read_probe, follow_cold=follow_cold),
         readiness_path=READINESS_PATH,
         metrics_path=METRICS_PATH,
     )
@@ -51,12 +53,15 @@
     )
 
 
-def apply_part(part: DirectoryPart, updater: TableUpdater) -> None:
+def apply_part(
+    part: DirectoryPart, updater: TableUpdater, *, follow_cold: bool = False
+) -> None:
     """
     Apply a changed part of the directory to the tables of this host.
 
     :param part: the part that changed
     :param updater: applies the decoded content of the part
+    :param follow_cold: whether cold upstreams are limited
     """
     if part.name != CONFIGURATION:
         updater.apply_upstreams(
@@ -65,7 +70,7 @@
         return
     for item in part.items.values():
         try:
-            config = read_configuration(item.json)
+            config = read_configuration(item.json, follow_cold=follow_cold)
         except DocumentError as exc:
             # Keep the active configuration; the operator's next version may be
             # readable.
--- a/src/mangohatch/platform/settings.py
+++ b/src/mangohatch/platform/settings.py
@@ -1,9 +1,11 @@
 """Reads the settings file of the platform."""
 
 import tomllib
+from math import inf
 from pathlib import Path
 from typing import Any
 
+from mangohatch.core.limits.cold import ColdBounds
 from mangohatch.core.signs.settings import MAX_PAUSE_MS
 from mangohatch.errors import SettingsError
 from mangohatch.fleet.settings import FleetBounds, FleetSettings
@@ -67,11 +69,34 @@
             retry_slack=require_field(bounds, "budget_slack", (int, float)),
             retry_window_ms=parse_duration_ms(bounds.get("budget_window")),
             max_pause_ms=read_max_pause_ms(bounds),
+            cold=read_cold_bounds(bounds),
         ),
         first_start=fields.get("bootstrap") is True,
     )
 
 
+def read_cold_bounds(bounds: dict[str, Any]) -> ColdBounds | None:
+    """
+    Read what cold upstreams may get.
+
+    :param bounds: the decoded table of bounds
+    :return: the bounds, None if the deployment does not limit cold upstreams
+    :raises DocumentError: if a value is not a number of at least 0
+    """
+    if "cold_over" not in bounds:
+        return None
+    values = {"cold_slack": 0.0} | bounds
+    for name in ("cold_over", "cold_slack"):
+        value = require_field(values, name, (int, float))
+        if not 0.0 <= value < inf:
+            raise DocumentError(
+                f"field 'bounds.{name}' is {value!r}, expected a number of at least 0"
+            )
+    return ColdBounds(
+        over=float(values["cold_over"]), slack=float(values["cold_slack"])
+    )
+
+
 def read_max_pause_ms(bounds: dict[str, Any]) -> float:
     """
     Read the longest pause that is obeyed, which the platform need not set.
--- a/src/mangohatch/platform/source.py
+++ b/src/mangohatch/platform/source.py
@@ -26,11 +26,15 @@
 
     :param store: the platform's store
     :param clock: source of the time of day
+    :param follow_cold: whether cold upstreams are limited
     """
 
     parts: Sequence[str] = (CONFIGURATION, UPSTREAMS)
 
-    def __init__(self, *, store: ObjectReader, clock: Clock) -> None:
+    def __init__(
+        self, *, store: ObjectReader, clock: Clock, follow_cold: bool = False
+    ) -> None:
+        self._follow_cold = follow_cold
         self._store = store
         self._clock = clock
         self._logged_revisions: dict[str, int] = {}
@@ -61,6 +65,8 @@
                 item.value,
                 wall_ms=self._clock.wall_ms(),
                 previous_json=previous.json if previous else None,
+                name=item.name,
+                follow_cold=self._follow_cold,
             )
         except DocumentError as exc:
             self._log_unreadable(item, exc)
--- a/src/mangohatch/platform/statement.py
+++ b/src/mangohatch/platform/statement.py
@@ -9,6 +9,7 @@
 
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.statement import UpstreamStatement
+from mangohatch.platform.values import MAX_COLD_MS
 from mangohatch.upstream.connection import ResponseHead
 
 __all__ = [
@@ -28,6 +29,7 @@
 LIMIT = "Server-Limit"
 INSTANCE = "Upstream-Instance"
 LEAVING = "Server-Leaving"
+COLD = "Cold-Ms"
 # Fields whose names begin so say something of the upstream itself.
 SIGN_PREFIXES = ("Upstream-", "Server-")
 KNOWN_FIELDS = frozenset({SIGNATURE, LOAD, LIMIT, INSTANCE, LEAVING})
@@ -42,6 +44,7 @@
 MIN_LOAD_FIELDS = 3
 PERCENT = 100.0
 SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+MILLISECONDS = re.compile(r"[0-9]{1,9}")
 MS_PER_SECOND = 1000.0
 
 log = structlog.get_logger()
@@ -207,15 +210,38 @@
     )
 
 
-def read_probe(head: ResponseHead) -> tuple[UpstreamStatement, str]:
+def read_cold_ms(head: ResponseHead, upstream: str) -> float | None:
+    """
+    Read for how long an upstream remains cold.
+
+    :param head: head of the response to a health check
+    :param upstream: name of the upstream, for the log
+    :return: milliseconds, 0 if it is warm; None if it does not say or can't be read
+    """
+    text = head.headers.get(COLD)
+    if text is None:
+        return None
+    if MILLISECONDS.fullmatch(text) and int(text) <= MAX_COLD_MS:
+        return float(text)
+    expected = "whole milliseconds from 0 to one hour"
+    log_unreadable_sign(upstream, COLD, text[:MAX_LOGGED_CHARACTERS], expected)
+    return None
+
+
+def read_probe(
+    head: ResponseHead, *, follow_cold: bool = False
+) -> tuple[UpstreamStatement, str]:
     """
     Read the response to a health check.
 
     :param head: head of the response
+    :param follow_cold: whether cold upstreams are limited
     :return: what the upstream says of itself, and its id
     """
     instance = head.headers.get(INSTANCE, "")
     statement = read_statement(head, instance)
+    if follow_cold and not statement.replaced:
+        statement = replace(statement, cold_ms=read_cold_ms(head, instance))
     if statement.load is not None and head.line.code != OK:
         load = replace(statement.load, healthy=False)
         statement = replace(statement, load=load)
--- a/src/mangohatch/platform/values.py
+++ b/src/mangohatch/platform/values.py
@@ -6,6 +6,7 @@
 from mangohatch.errors import MangohatchError
 
 __all__ = [
+    "MAX_COLD_MS",
     "DocumentError",
     "parse_address",
     "parse_duration_ms",
@@ -17,6 +18,7 @@
 VERSION_PATTERN = re.compile(r"r([0-9]{1,18})")
 MS_PER_UNIT = {"ms": 1.0, "s": 1000.0}
 MAX_PORT = 65_535
+MAX_COLD_MS = 3_600_000.0  # the longest cold state that counts as valid
 
 
 class DocumentError(MangohatchError):
--- a/src/mangohatch/probing/probe.py
+++ b/src/mangohatch/probing/probe.py
@@ -19,7 +19,8 @@
     monotonic time at which the probe was sent; the upstream made its report later.
     ``instance`` is the instance id in the response, empty when it contains none.
     ``refused`` is whether the upstream accepted no connection, and ``leaving`` whether
-    its response says that it leaves.
+    its response says that it leaves. ``cold_ms`` is
+    the time for which the upstream says that it remains cold, None if it says nothing.
     """
 
     load: UpstreamLoad | None
@@ -27,6 +28,7 @@
     instance: str = ""
     refused: bool = False
     leaving: bool = False
+    cold_ms: float | None = None
 
 
 class LoadProbe(ABC):
--- a/src/mangohatch/probing/reports.py
+++ b/src/mangohatch/probing/reports.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from mangohatch.clock import Clock
+from mangohatch.core.limits.cold import ColdStates
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.signs import SignSystem
@@ -43,6 +44,7 @@
     :param estimator: receives the reports of peers
     :param on_load: called with the service name after a report was applied
     :param signs: learns from reports which upstreams still leave
+    :param cold: learns from reports which upstreams are cold; None if none ever is
     """
 
     def __init__(
@@ -56,7 +58,9 @@
         estimator: LoadEstimator,
         on_load: Callable[[str], None],
         signs: SignSystem,
+        cold: ColdStates | None = None,
     ) -> None:
+        self._cold = cold
         self._clock = clock
         self._estimator = estimator
         self._timers = timers
@@ -123,6 +127,7 @@
         load = row.load.load
         if load is None:
             return None
+        cold_ms = self._cold.remaining_ms(row) if self._cold is not None else None
         return LoadSample(
             upstream=row.name,
             running=load.running,
@@ -134,8 +139,22 @@
             leaving=row.signs.leaving_ms >= row.load.measured_ms,
             limit_per_s=row.limit.per_s if row.limit.named else NO_LIMIT,
             limit_age_ms=self._limit_age_ms(row),
+            cold_ms=cold_ms,
+            cold_age_ms=self._cold_age_ms(row) if cold_ms is not None else None,
         )
 
+    def _cold_age_ms(self, row: UpstreamRow) -> int:
+        age_ms = self._clock.now_ms() - row.cold.seen_ms
+        return math.ceil(min(age_ms, MAX_LIMIT_AGE_MS))
+
+    def _observe_cold(self, row: UpstreamRow, sample: LoadSample) -> None:
+        if self._cold is None or sample.cold_ms is None or sample.cold_age_ms is None:
+            return
+        # The statement named this end, whatever the age of the statement.
+        cold_ms = sample.cold_ms + sample.cold_age_ms if sample.cold_ms else 0
+        seen_ms = self._clock.now_ms() - sample.cold_age_ms
+        self._cold.observe(row, cold_ms, seen_ms=seen_ms)
+
     def _limit_age_ms(self, row: UpstreamRow) -> int:
         age_ms = self._clock.now_ms() - row.limit.seen_ms
         return int(age_ms) if age_ms < MAX_LIMIT_AGE_MS else UNKNOWN_AGE_MS
@@ -163,6 +182,7 @@
                     sample.limit_per_s if sample.limit_per_s >= 0.0 else math.inf,
                     seen_ms=now_ms - sample.limit_age_ms,
                 )
+            self._observe_cold(row, sample)
             self._signs.observe_report(
                 row,
                 leaving=sample.leaving,
--- a/src/mangohatch/probing/system.py
+++ b/src/mangohatch/probing/system.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from mangohatch.clock import Clock
+from mangohatch.core.limits.cold import ColdStates
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.signs import SignSystem
 from mangohatch.core.statement import UpstreamStatement
@@ -74,6 +75,7 @@
     :param on_load: called with the service name of each upstream that was probed
     :param signs: receives what responses say of their upstream
     :param cfg: intervals and numbers of load probes
+    :param cold: receives for how long upstreams remain cold; None if none ever is
     """
 
     def __init__(
@@ -89,7 +91,9 @@
         on_load: Callable[[str], None],
         signs: SignSystem,
         cfg: ProbeSettings | None = None,
+        cold: ColdStates | None = None,
     ) -> None:
+        self._cold = cold
         self._clock = clock
         self._tables = tables
         self._subset = subset
@@ -186,6 +190,8 @@
             return
         if result.leaving:
             self._signs.observe(row, UpstreamStatement(leaving=True))
+        if result.cold_ms is not None and self._cold is not None:
+            self._cold.observe(row, result.cold_ms, seen_ms=result.measured_ms)
         if result.load is None:
             return
         self._signs.observe_report(
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -78,6 +78,7 @@
             ProbeResult(
                 load=statement.load,
                 leaving=statement.leaving,
+                cold_ms=statement.cold_ms,
                 measured_ms=conn.sent_ms,
                 instance=instance,
                 refused=refused,
--- a/src/standins/simulated_fleet/__init__.py
+++ b/src/standins/simulated_fleet/__init__.py
@@ -1,5 +1,6 @@
 """Whole fleets of hosts in virtual time, without sockets and processes."""
 
+from standins.simulated_fleet.cold_traffic import ColdPlan, ColdTraffic, ColdVerdict
 from standins.simulated_fleet.crash_traffic import (
     COPY_VARIANTS,
     CrashPlan,
@@ -18,6 +19,9 @@
 from standins.simulated_fleet.usage import Usage
 
 __all__ = [
+    "ColdPlan",
+    "ColdTraffic",
+    "ColdVerdict",
     "COPY_VARIANTS",
     "CrashPlan",
     "CrashTraffic",
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -2,8 +2,10 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from mangohatch.core.cold_state import WarmUp
+from mangohatch.core.limits import ColdBounds
 from mangohatch.directory.content import RegisteredUpstream
 from mangohatch.peer.datagram import PeerAddress
 from standins.simulated_fleet.host import SimulatedHost
@@ -41,6 +43,8 @@
 
     ``requests_per_s`` is the rate at each upstream while requests are sent. ``limits``
     hold for each host. With two ``services`` the second has a tenth of the upstreams.
+    Cold upstreams take what ``warm_up`` and ``cold`` allow; they are not limited if
+    these are None.
     """
 
     hosts: int
@@ -51,6 +55,8 @@
     limits: HostLimits | None = None
     configuration_bytes: int = CONFIGURATION_BYTES
     services: tuple[str, ...] = SERVICES
+    warm_up: WarmUp | None = None
+    cold: ColdBounds | None = None
 
 
 class SimulatedFleet:
@@ -75,6 +81,7 @@
         self.store = SimulatedStore(
             clock=self.clock, rng=random.Random(f"{plan.seed}/store")
         )
+        self.store.warm_up = plan.warm_up
         self.store.put_configuration(plan.services, plan.configuration_bytes)
         self._upstreams: dict[str, SimulatedUpstream] = {}
         self._entries: dict[str, RegisteredUpstream] = {}
@@ -126,6 +133,19 @@
         entry = self._entries[name]
         self.loop.call_later(LAPSED_MS / MS_PER_S, self.store.put_upstream, entry)
 
+    def start_cold(self, name: str, cold_ms: float) -> None:
+        """
+        Let an upstream say in its responses and its entry that it is cold.
+
+        :param name: name of the upstream
+        :param cold_ms: time for which it remains cold
+        """
+        until_ms = self.clock.now_ms() + cold_ms
+        self._upstreams[name].cold_until_ms = until_ms
+        entry = replace(self._entries[name], warm_wall_ms=until_ms)
+        self._entries[name] = entry
+        self.store.put_upstream(entry)
+
     def _replace_crashed(self, name: str, number: int) -> None:
         """Start a crashed upstream under a new name; its old entry lapses later."""
         self.crashed += 1
@@ -144,21 +164,31 @@
         self.run(START_MS + START_SPAN_MS)
 
     def _start_host(self, number: int) -> None:
+        self.loop.context(f"host-{number}").run(self._make_host, number)
+
+    def _make_host(self, number: int) -> None:
         self.hosts.append(
             SimulatedHost(
                 host_id=f"host-{number}",
                 zone=zone_name(number),
                 address=host_address(number),
-                seeds=(*(host_address(seed) for seed in range(SEEDS)), DOWN_SEED),
+                seeds=self._seeds(),
                 loop=self.loop,
                 network=self.network,
                 store=self.store,
                 upstreams=self._upstreams,
                 limits=self.plan.limits,
                 rng=random.Random(f"{self.plan.seed}/host-{number}"),
+                cold=self.plan.cold,
             )
         )
 
+    def _seeds(self) -> tuple[PeerAddress, ...]:
+        # The settings of a host that is alone name no other.
+        if self.plan.hosts == 1 and self.plan.cold is not None:
+            return ()
+        return (*(host_address(seed) for seed in range(SEEDS)), DOWN_SEED)
+
     def start_host(self) -> None:
         """Start a further host."""
         self._start_host(len(self.hosts))
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -1,11 +1,13 @@
 """One host of a simulated fleet: a fleet host with simulated surroundings."""
 
 import random
+from contextvars import copy_context
 from dataclasses import replace
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
 from mangohatch.core.call import Call, Decision, Grant, Report, Result
+from mangohatch.core.limits import ColdBounds
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.table_updater import TableUpdater
@@ -69,6 +71,7 @@
     :param upstreams: upstreams by name
     :param limits: limits of the host, none if None
     :param rng: source of random numbers
+    :param cold: bounds of what cold upstreams get, None if they are not limited
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         upstreams: dict[str, SimulatedUpstream],
         limits: HostLimits | None,
         rng: random.Random,
+        cold: ColdBounds | None = None,
     ) -> None:
         self.host_id = host_id
         self.in_force_ms: dict[int, float] = {}
@@ -93,6 +97,8 @@
         self.granted = 0
         self.refused = 0
         self.running = True
+        self._context = copy_context()
+        self._held: list[tuple[bytes, PeerAddress]] | None = None
         self._loop = loop
         self._clock = LoopClock(loop=loop)
         self.started_ms = self._clock.now_ms()
@@ -118,9 +124,14 @@
             metrics=UNUSED,
             seeds=seeds,
             store=UNUSED,
-            bounds=BOUNDS,
+            bounds=replace(BOUNDS, cold=cold),
+        )
+        probe = SimulatedProbe(
+            loop=loop,
+            clock=self._clock,
+            upstreams=upstreams,
+            tells_cold=cold is not None,
         )
-        probe = SimulatedProbe(loop=loop, clock=self._clock, upstreams=upstreams)
         self.fleet_host = FleetHost(
             cfg=cfg,
             clock=self._clock,
@@ -134,7 +145,28 @@
         loop.call_soon(self._tick)
 
     def _receive(self, data: bytes, sender: PeerAddress) -> None:
-        self.fleet_host.bus.handle_datagram(data, sender)
+        if self._held is not None:
+            self._held.append((data, sender))
+        else:
+            handle = self.fleet_host.bus.handle_datagram
+            self._context.run(handle, data, sender)
+
+    def pause(self) -> None:
+        """Pause the process; its datagrams wait in the socket."""
+        self._held = []
+        self._loop.pause(self.host_id)
+
+    def resume(self) -> None:
+        """Resume the process."""
+        held, self._held = self._held or [], None
+        for data, sender in held:
+            self._receive(data, sender)
+        self._loop.resume(self.host_id)
+
+    @property
+    def paused(self) -> bool:
+        """Whether the process is paused."""
+        return self._held is not None
 
     def member_ids(self) -> set[str]:
         """
@@ -189,6 +221,9 @@
         :param req: the request
         :param service: name of its service
         """
+        self._context.run(self._submit, req, service)
+
+    def _submit(self, req: SimulatedRequest, service: str) -> None:
         now_ms = self._clock.now_ms()
         req.arrived_ms = now_ms
         req.host_started_ms = self.started_ms
--- a/src/standins/simulated_fleet/network.py
+++ b/src/standins/simulated_fleet/network.py
@@ -198,7 +198,8 @@
     Delivers datagrams between the ports of a fleet.
 
     Each datagram takes 0.3 to 1.5 ms besides the time on slow links, and the share
-    ``loss`` is lost at random.
+    ``loss`` is lost at random. Addresses in different ``groups`` do not reach each
+    other; those without an entry are in group 0.
 
     :param loop: event loop in virtual time
     :param rng: source of delays and losses
@@ -209,6 +210,7 @@
         self, *, loop: VirtualLoop, rng: random.Random, loss: float = 0.0
     ) -> None:
         self.loss = loss
+        self.groups: dict[PeerAddress, int] = {}
         self._loop = loop
         self._rng = rng
         self._ports: dict[PeerAddress, PeerPort] = {}
@@ -263,6 +265,8 @@
         receiver = self._ports.get(address)
         if receiver is None or self._rng.random() < self.loss:
             return
+        if self.groups.get(sender.address, 0) != self.groups.get(address, 0):
+            return
         delay_ms = DELAY_MIN_MS + (DELAY_MAX_MS - DELAY_MIN_MS) * self._rng.random()
         due_ms = receiver.reach_host_ms(size, left_ms + delay_ms)
         if due_ms is None:
--- a/src/standins/simulated_fleet/store.py
+++ b/src/standins/simulated_fleet/store.py
@@ -4,8 +4,10 @@
 import json
 import random
 from collections.abc import Mapping, Sequence
+from dataclasses import asdict
 from functools import lru_cache
 
+from mangohatch.core.cold_state import WarmUp
 from mangohatch.core.routes import Route, Target
 from mangohatch.directory import (
     DirectoryPart,
@@ -60,6 +62,7 @@
         self.version = 0
         self._clock = clock
         self._rng = rng
+        self.warm_up: WarmUp | None = None
         self._writes = 1
         self._items: dict[str, dict[str, PartItem]] = {CONFIGURATION: {}, UPSTREAMS: {}}
 
@@ -95,6 +98,8 @@
             "services": list(services),
             "routes": routes,
         }
+        if self.warm_up is not None:
+            document["warm_up"] = asdict(self.warm_up)
         self._put(CONFIGURATION, CONFIGURATION_NAME, json.dumps(document))
         return self.version
 
@@ -216,6 +221,7 @@
     :return: the configuration
     """
     document = json.loads(text)
+    warm_up = WarmUp(**document["warm_up"]) if "warm_up" in document else None
     return Configuration(
         version=document["version"],
         routes=tuple(
@@ -233,7 +239,9 @@
             for entry in document["routes"]
         ),
         services={
-            name: ServiceOptions(health_path="/healthz", connections=1_000)
+            name: ServiceOptions(
+                health_path="/healthz", connections=1_000, warm_up=warm_up
+            )
             for name in document["services"]
         },
         limits=CallerLimits(),
--- a/src/standins/simulated_fleet/upstreams.py
+++ b/src/standins/simulated_fleet/upstreams.py
@@ -48,6 +48,7 @@
     requests away until ``pauses_until_ms``, and asks for a pause of ``pause_ms``, of
     the rest of this time if None. ``arrivals`` lists when requests arrived, and from
     which hosts.
+    It is cold until ``cold_until_ms``.
 
     :param name: name of the upstream
     :param clock: source of time
@@ -71,6 +72,7 @@
         self.leaving = False
         self.pauses_until_ms = 0.0
         self.pause_ms: float | None = None
+        self.cold_until_ms = 0.0
         self.arrivals: list[tuple[float, str]] = []
         self._clock = clock
         self._loop = loop
@@ -102,6 +104,14 @@
             running=running, waiting=0, slots=SLOTS, slowdown=self.slowdown()
         )
 
+    def cold_ms(self) -> float:
+        """
+        Return for how long the upstream remains cold.
+
+        :return: milliseconds, 0 if it is warm
+        """
+        return max(0.0, self.cold_until_ms - self._clock.now_ms())
+
     def asked_pause_ms(self) -> float | None:
         """
         Return for how long the upstream wants no request of a host.
@@ -189,6 +199,7 @@
     :param loop: event loop in virtual time
     :param clock: source of time
     :param upstreams: upstreams by name
+    :param tells_cold: whether responses say for how long an upstream remains cold
     """
 
     def __init__(
@@ -197,7 +208,9 @@
         loop: VirtualLoop,
         clock: LoopClock,
         upstreams: dict[str, SimulatedUpstream],
+        tells_cold: bool = False,
     ) -> None:
+        self._tells_cold = tells_cold
         self._loop = loop
         self._clock = clock
         self._upstreams = upstreams
@@ -217,6 +230,7 @@
                         measured_ms=sent_ms,
                         instance=row.name,
                         leaving=upstream.leaving,
+                        cold_ms=upstream.cold_ms() if self._tells_cold else None,
                     )
                 )
             else:
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -27,7 +27,14 @@
     )
 
 
-VALUES = {int: 7, float: 2.5, str: "puno", bool: True, bytes: b"\x00puno"}
+VALUES = {
+    int: 7,
+    int | None: 7,
+    float: 2.5,
+    str: "puno",
+    bool: True,
+    bytes: b"\x00puno",
+}
 
 
 def make_value(hint):
