Check permits of cold upstreams by random histories and soaks

Cause: starts, owner changes, partitions, pauses and lost, repeated and late messages may each add permits. Change: a state machine over hosts that want to send all the time, run by make history, with two planted faults that it must find; tests of simulated fleets whose zones return cold; make cold-soak. A broker no longer counts the tokens of an upstream whose limit ended before its timer ran, which failed with an OverflowError in a trial of this soak.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 HOLD ?= 0
 SOURCES := src tests bench demo tooling
 
-.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak
+.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak cold-soak
 
 all: lint test
 
@@ -27,6 +27,7 @@
 	$(BIN)/python -m tests.state.machine --seed $(SEED)
 	$(BIN)/python -m tests.peer.membership.machine --seed $(SEED)
 	$(BIN)/python -m tests.orders.machine --seed $(SEED)
+	$(BIN)/python -m tests.core.limits.cold_machine --seed $(SEED)
 
 # Crashing requests on simulated fleets, 50 seeds from SEED on.
 crash-soak: setup
@@ -36,6 +37,10 @@
 sign-soak: setup
 	$(BIN)/python -m tests.fleet.sign_soak --first $(SEED)
 
+# Upstreams that return cold on simulated fleets, 50 seeds from SEED on.
+cold-soak: setup
+	$(BIN)/python -m tests.fleet.cold_soak --first $(SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/isort --check-only --quiet $(SOURCES)
--- a/src/mangohatch/core/limits/broker.py
+++ b/src/mangohatch/core/limits/broker.py
@@ -186,6 +186,8 @@
             del item.wanted[host]
 
     def _serve(self, item: LimitedUpstream) -> None:
+        if not item.row.limited:
+            return
         self._drop_expired(item)
         tokens = self._count(item)
         while tokens and item.wanted:
