--- a/tests/core/limits/cold_machine.py
+++ b/tests/core/limits/cold_machine.py
@@ -27,6 +27,7 @@
 from mangohatch.fleet.decisions import SHARE_RISE_MS
 from standins.memory_bus import MemoryNetwork
 from standins.virtual_loop import LoopClock, VirtualLoop
+from tests.fleet.soak import silence_logs
 from tests.peer.membership.machine import run_machine
 
 __all__ = ["ColdMachine"]
@@ -271,6 +272,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--examples", type=int, default=300)
     arguments = parser.parse_args()
+    silence_logs()
     run_machine(
         ColdMachine, examples=arguments.examples, steps=30, seed_number=arguments.seed
     )
--- a/tests/fleet/soak.py
+++ b/tests/fleet/soak.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-__all__ = ["run_soak"]
+__all__ = ["run_soak", "silence_logs"]
 
 
 def silence_logs() -> None:
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -16,6 +16,7 @@
 PLATFORM_NAMES = re.compile(
     r"Upstream-Signature|Expected-Instance|Not-Executed|(?<!X-)Deadline-Ms"
     r"|Upstream-Instance|MANGOHATCH_SETTINGS|cold_remaining|traffic_split"
+    r"|Cold-Ms|warmup_per_s|slow_start|cold_over"
     r"|/mangohatch/|health_check_path|node_name|internal_ports"
 )
 # Libraries that only the native interface needs.
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -3,7 +3,7 @@
 import json
 from unittest.mock import patch
 
-from mangohatch.platform import documents
+from mangohatch.platform import cold, documents
 from mangohatch.platform.documents import (
     normalize_upstream,
     read_configuration,
@@ -155,6 +155,59 @@
         raise AssertionError(spec)
 
 
+def read_warm_up(**fields):
+    spec = {"health_check_path": "/", "max_connections": 1} | fields
+    service = {"type": "services", "metadata": {"name": "s"}, "spec": spec}
+    base = json.loads(document(route("r")))
+    text = json.dumps(base | {"resources": [*base["resources"], service]})
+    assert read_configuration(text).services["s"].warm_up is None
+    return read_configuration(text, follow_cold=True).services["s"].warm_up
+
+
+def test_warm_up_of_a_service_is_read_where_cold_upstreams_are_limited():
+    warm_up = read_warm_up(slow_start="3s", warmup_per_s=6.3)
+    assert (warm_up.duration_ms, warm_up.per_s) == (3_000.0, 6.3)
+
+
+def test_service_with_an_invalid_warm_up_has_none():
+    assert read_warm_up() is None
+    for rate in (0, -1, "6", None, True, float("inf")):
+        assert read_warm_up(slow_start="3s", warmup_per_s=rate) is None, rate
+    for duration in ("-1s", 3, "soon", "3601s", None):
+        assert read_warm_up(slow_start=duration, warmup_per_s=6.3) is None, duration
+
+
+def read_end(entry, after_ms=0.0, previous=None):
+    text = normalize_upstream(
+        entry,
+        wall_ms=WALL_MS + after_ms,
+        previous_json=previous,
+        name="i-1",
+        follow_cold=True,
+    )
+    return text, read_upstream("i-1", text).warm_wall_ms
+
+
+def test_entry_names_another_cold_state_of_the_same_process(entry):
+    first, _ = read_end(entry)
+    entry["status"] |= {"sequence": 9, "cold_remaining": "3s"}
+    second, end_ms = read_end(entry, 20_000.0, first)
+    assert end_ms == WALL_MS + 23_000.0
+    assert read_end(entry, 24_000.0, second) == (second, end_ms)
+    entry["status"] |= {"sequence": 10, "cold_remaining": "1500ms"}
+    assert read_end(entry, 22_900.0, second) == (second, end_ms)
+
+
+def test_invalid_cold_time_counts_as_warm_and_is_logged_once(entry):
+    """Without the entry, its upstream would be lost for a wrong value."""
+    for value in ("-5ms", "soon", 5, "3601s", None):
+        entry["status"]["cold_remaining"] = value
+        with patch.object(cold.log, "warning") as warning:
+            assert read_end(entry)[1] == 0.0, value
+            read_end(entry)
+        assert warning.call_count == 1, value
+
+
 def test_duration_requires_a_number_and_a_unit():
     assert parse_duration_ms("1500ms") == 1500.0
     assert parse_duration_ms("2.5s") == 2500.0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -46,6 +46,23 @@
     assert cfg.bounds.retry_window_ms == 10_000.0
 
 
+def test_cold_upstreams_are_limited_only_with_their_bound():
+    assert load(TEXT).bounds.cold is None
+    assert (
+        load(TEXT.replace("[platform]", "cold_slack = 8\n[platform]")).bounds.cold
+        is None
+    )
+    lines = "cold_over = 1.5\ncold_slack = 8\n[platform]"
+    cold = load(TEXT.replace("[platform]", lines)).bounds.cold
+    assert (cold.over, cold.slack) == (1.5, 8.0)
+    for line in ("cold_over = -1", 'cold_over = "1.5"', "cold_over = inf"):
+        try:
+            load(TEXT.replace("[platform]", f"{line}\n[platform]"))
+        except SettingsError:
+            continue
+        raise AssertionError(line)
+
+
 def test_only_bootstrap_means_the_first_start_of_the_fleet():
     assert not load(TEXT).first_start
     assert load("bootstrap = true" + TEXT).first_start
--- a/tests/platform/test_statement.py
+++ b/tests/platform/test_statement.py
@@ -35,6 +35,24 @@
     assert statement.pause_ms is None
 
 
+def read_cold(status=200, **headers):
+    return read_probe(make_head(status, **headers), follow_cold=True)[0].cold_ms
+
+
+def test_cold_state_is_read_from_health_checks_where_it_is_limited():
+    assert read_cold(Cold_Ms="2500") == 2_500.0
+    assert read_cold(Cold_Ms="0") == 0.0
+    assert read_cold() is None
+    assert read_cold(421, Cold_Ms="2500") is None
+    assert read_probe(make_head(200, Cold_Ms="2500"))[0].cold_ms is None
+    assert read(Cold_Ms="2500").cold_ms is None
+
+
+def test_invalid_cold_state_says_nothing():
+    for text in ("-1", "2.5", "2500ms", "", "3600001", "1, 2", "nan"):
+        assert read_cold(Cold_Ms=text) is None, text
+
+
 def test_leaving_is_read_from_answers_of_any_status():
     for status in (200, 404, 429, 500, 503):
         assert read(status, Server_Leaving="1").leaving, status
