--- a/src/mangohatch/core/choice/expected.py
+++ b/src/mangohatch/core/choice/expected.py
@@ -122,7 +122,7 @@
     def expected_wait_ms(self, service: ServiceRow, call: Call) -> float:
         # Any upstream without a limit may become free at any moment.
         for row in service.upstreams.values():
-            if self.is_open(row, call) and not (row.limited and row.cold.known):
+            if not (row.limited and row.cold.known) and self.is_open(row, call):
                 return 0.0
         return self._limits.expected_wait_ms(service.spec.name)
 
--- a/src/mangohatch/core/limits/cold.py
+++ b/src/mangohatch/core/limits/cold.py
@@ -193,6 +193,8 @@
             if row.warm_at_ms > now_ms:
                 self.observe(row, row.warm_at_ms - now_ms, seen_ms=now_ms)
         if state.cold and now_ms >= state.until_ms:
+            if not state.known:
+                state.seen_ms = -math.inf  # nothing to tell peers
             self._set_warm(row, "end" if state.known else "no statement")
 
     def _set_cold(self, row: UpstreamRow) -> None:
--- a/tests/core/limits/test_cold.py
+++ b/tests/core/limits/test_cold.py
@@ -85,12 +85,14 @@
 
 
 def test_upstream_of_an_unknown_state_is_cold_for_a_limited_time(host):
+    assert host.states.remaining_ms(host.row) is None
     assert host.row.limited
     assert host.row.limit_per_s == 6.3
     host.run(UNKNOWN_MS - 50.0)
     assert host.row.cold.cold
     host.run(50.0)
     assert not host.row.limited
+    assert host.states.remaining_ms(host.row) is None
 
 
 def test_statement_ends_the_unknown_state(host):
--- a/tests/core/limits/test_ownership.py
+++ b/tests/core/limits/test_ownership.py
@@ -61,6 +61,25 @@
     assert not view.settled()
 
 
+def test_share_falls_at_once_and_rises_after_a_time(clock):
+    """While two parts of a fleet join, both owners may take themselves for the only."""
+    bus = FixedBus("a", ["a", "b", "c", "d"])
+    view = LimitOwnership(clock=clock, bus=bus, rise_ms=2_000.0)
+    assert view.share() == 1.0
+    bus.set(["a", "b"])
+    assert view.share() == 0.5
+    bus.set(["a", "b", "c", "d"])
+    clock.advance(1_900.0)
+    assert view.share() == 0.5
+    clock.advance(100.0)
+    assert view.share() == 1.0
+
+
+def test_host_that_hears_no_peer_counts_those_that_it_expects(clock):
+    view = LimitOwnership(clock=clock, bus=FixedBus("a", ["a"]), expected=4)
+    assert view.share() == 0.25
+
+
 def test_part_of_a_partitioned_fleet_has_the_share_of_its_hosts(clock):
     bus = FixedBus("a", ["a", "b", "c", "d"])
     view = LimitOwnership(clock=clock, bus=bus)
--- a/tests/fleet/test_cold_upstreams.py
+++ b/tests/fleet/test_cold_upstreams.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from standins.simulated_fleet import ColdPlan, ColdTraffic, SimulatedFleet
+from standins.simulated_fleet import ColdPlan, ColdTraffic, SimulatedFleet, Usage
 from tests.fleet import cold_soak
 from tests.fleet.cold_soak import make_plan
 from tests.functions import function_tests
@@ -37,6 +37,8 @@
     traffic = ColdPlan(requests_per_s=300.0)
     verdict = Unlimited(fleet=fleet, plan=traffic).run(3_000.0)
     assert verdict.beyond > 0, str(verdict)
+    sent = Usage.total(host.port.usage for host in fleet.hosts).sent
+    assert not sent["PermitRequest"], "a message of a feature that is not in use"
 
 
 def test_cold_upstreams_are_used_where_the_warm_ones_are_full(loop):
