--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -35,8 +35,8 @@
     return {"type": "routes", "metadata": {"name": name}, "spec": spec | fields}
 
 
-def configuration(version, *routes):
-    service = {"health_check_path": "/healthz", "max_connections": 220}
+def configuration(version, *routes, **options):
+    service = {"health_check_path": "/healthz", "max_connections": 220} | options
     limits = {
         "max_header_bytes": 16384,
         "max_body_bytes": 67108864,
@@ -58,10 +58,12 @@
     The process of a host, with requests as callers and the balancer send them.
 
     :param site: the stand-in of the platform
+    :param bounds: further lines of the bounds in the settings
     """
 
-    def __init__(self, site):
+    def __init__(self, site, bounds=""):
         self.site = site
+        self.bounds = bounds
         # The port for metrics is fixed, and tests may run in several processes.
         number = os.getpid()
         self.address = f"127.1.{number // 250 % 250}.{1 + number % 250}"
@@ -82,6 +84,7 @@
 retry_budget_ratio = 0.2
 budget_window = "10s"
 budget_slack = 56
+{self.bounds}
 [platform]
 address = "{LOOPBACK}:{self.site.store.port}"
 """
@@ -124,12 +127,16 @@
 
 
 @contextlib.asynccontextmanager
-async def open_host(*, upstreams=2, work_s=0.0, **start) -> AsyncIterator[PlatformHost]:
+async def open_host(
+    *, upstreams=2, work_s=0.0, options=None, bounds="", **start
+) -> AsyncIterator[PlatformHost]:
     """
     Start a stand-in of the platform and a host in front of it.
 
     :param upstreams: number of upstreams
     :param work_s: processing time of a request in seconds
+    :param options: further fields of the service
+    :param bounds: further lines of the bounds in the settings
     :param start: arguments of :meth:`PlatformHost.start`
     """
     made = [
@@ -138,8 +145,9 @@
     ]
     site = PlatformSite(upstreams=made)
     await site.start()
-    site.put("config", "main", configuration(1, route("r1", "/a/")))
-    host = PlatformHost(site)
+    content = configuration(1, route("r1", "/a/"), **(options or {}))
+    site.put("config", "main", content)
+    host = PlatformHost(site, bounds)
     with tempfile.TemporaryDirectory() as folder:
         await host.start(Path(folder) / "local.toml", **start)
         try:
