Let owners permit requests to an upstream that has just registered

Cause: an owner waited a second for each new upstream, a third of the time for which it is cold, although nobody had owned it before. Change: the wait counts from the change of members, the start or a pause.

--- a/src/mangohatch/core/limits/cold.py
+++ b/src/mangohatch/core/limits/cold.py
@@ -53,9 +53,10 @@
     ``UNKNOWN_MS``. After a pause of this process all states are unknown. A cold state
     lasts for a limited time, and only a statement that names a later end renews it.
 
-    An owner gives out nothing before it has owned an upstream for ``TAKEOVER_MS``, so
-    that a previous owner has learned of the change, and then the share of its part of
-    a partitioned fleet.
+    An owner gives out nothing within ``TAKEOVER_MS`` of the change of members that made
+    it the owner, so that a previous owner has learned of the change, and then the share
+    of its part of a partitioned fleet. An upstream that has just registered has no
+    previous owner.
 
     ``on_change`` is called with the name of a service when an upstream becomes cold or
     warm. ``colds`` and ``warms`` count these changes.
@@ -85,6 +86,7 @@
         self._subset = subset
         self._ownership = ownership
         self._owned_since_ms: dict[tuple[str, str], float] = {}
+        self._resumed_ms = clock.now_ms()
         self._ticked_ms = math.inf
         self._ignore_until_ms = -math.inf
 
@@ -159,6 +161,7 @@
         paused_ms = now_ms - self._ticked_ms
         self._ticked_ms = now_ms
         self._ignore_until_ms = now_ms + STALE_REPORTS_MS
+        self._resumed_ms = now_ms
         self._owned_since_ms.clear()
         log.info("cold_states_unknown", paused_ms=round(paused_ms))
         for row in self._tables.upstreams():
@@ -173,6 +176,8 @@
             return
         self.detect_pause()
         now_ms = self._ticked_ms = self._clock.now_ms()
+        self._ownership.share()
+        since_ms = max(self._resumed_ms, self._ownership.changed_ms)
         owned = {}
         for row in self._tables.upstreams():
             if row.cold.warm_up is None:
@@ -180,9 +185,8 @@
             self._update(row, now_ms)
             if self._subset.owner(row.service, row.name) == self._subset.host_id:
                 key = (row.service, row.name)
-                owned[key] = self._owned_since_ms.get(key, now_ms)
+                owned[key] = self._owned_since_ms.get(key, since_ms)
         self._owned_since_ms = owned
-        self._ownership.share()
 
     def _update(self, row: UpstreamRow, now_ms: float) -> None:
         state = row.cold
--- a/src/mangohatch/core/limits/ownership.py
+++ b/src/mangohatch/core/limits/ownership.py
@@ -21,6 +21,8 @@
     their member lists differ, several hosts may consider themselves the owner; the
     share of members that each of them sees bounds what they give out together.
 
+    ``changed_ms`` is the monotonic time at which this host last saw other members.
+
     :param clock: source of time
     :param bus: the members
     :param settle_ms: time after the start before this host gives out anything
@@ -49,6 +51,7 @@
         self._share = math.inf
         self._rises_ms = -math.inf
         self._owners: dict[str, str] = {}
+        self.changed_ms = clock.now_ms()
 
     def owner(self, name: str) -> str:
         """
@@ -106,4 +109,5 @@
             self._members = members
             self._most_members = max(self._most_members, len(members))
             self._owners.clear()
+            self.changed_ms = self._clock.now_ms()
         return members
--- a/tests/core/limits/test_cold.py
+++ b/tests/core/limits/test_cold.py
@@ -45,6 +45,8 @@
         self.revision = 0
         self.tables = Tables()
         self.bus = ManualPeerBus(network=network, name="h1")
+        members = self.bus.members()
+        self.bus.members = lambda: members
         self.subset = SubsetTable(host_id="h1")
         self.subset.set_upstreams(SERVICE, ["u1"])
         self.states = ColdStates(
@@ -178,6 +180,15 @@
     assert host.states.per_s(host.row) == 6.3
 
 
+def test_upstream_that_has_just_registered_need_not_wait(host):
+    """A second of three cold ones would be lost, although no other host owned it."""
+    host.run(TAKEOVER_MS)
+    del host.tables.services[SERVICE]
+    host.states.tick()
+    host.apply()
+    assert host.states.per_s(host.row) == 6.3
+
+
 def test_rate_stays_below_narrow_bounds(clock, network):
     narrow = Host(clock, network, ColdBounds(over=1.0, slack=0.0))
     narrow.run(TAKEOVER_MS)
