--- a/tests/core/limits/cold_machine.py
+++ b/tests/core/limits/cold_machine.py
@@ -13,20 +13,24 @@
     rule,
 )
 
-from mangohatch.core.cold_state import WarmUp
 from mangohatch.core.limits import (
-    ColdBounds,
     ColdStates,
     LimitOwnership,
     PermitTable,
 )
-from mangohatch.core.spec import DiscoveredService, DiscoveredUpstream
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables
 from mangohatch.core.timers import Timers
 from mangohatch.fleet.decisions import SHARE_RISE_MS
 from standins.memory_bus import MemoryNetwork
 from standins.virtual_loop import LoopClock, VirtualLoop
+from tests.core.limits.cold_service import (
+    BOUNDS,
+    SERVICE,
+    UPSTREAM,
+    WARM_UP,
+    make_cold_service,
+)
 from tests.fleet.soak import silence_logs
 from tests.peer.membership.machine import run_machine
 
@@ -34,10 +38,7 @@
 
 LEAST = 2
 MOST = 6
-SERVICE = "desk"
-UPSTREAM = "u1"
-PER_S = 6.3
-BOUNDS = ColdBounds(over=1.5, slack=8.0)
+PER_S = WARM_UP.per_s
 WINDOW_MS = 1_000.0
 COLD_MS = 3_000.0
 TICK_MS = 20.0
@@ -76,23 +77,7 @@
         self.subset = SubsetTable(host_id=host_id)
         self.subset.set_upstreams(SERVICE, [UPSTREAM])
         self.tables = Tables()
-        warm_up = WarmUp(duration_ms=COLD_MS, per_s=PER_S)
-        upstream = DiscoveredUpstream(
-            name=UPSTREAM,
-            address="10.0.0.1",
-            port=1,
-            zone="z",
-            slots=2,
-            connections=10,
-            warm_up=warm_up,
-        )
-        spec = DiscoveredService(
-            name=SERVICE,
-            max_queue_wait_ms=1.0,
-            health_path="/",
-            upstreams=(upstream,),
-        )
-        self.tables.apply(spec, revision=1)
+        self.tables.apply(make_cold_service(), revision=1)
         self.row = self.tables.services[SERVICE].upstreams[UPSTREAM]
         self.ownership = LimitOwnership(
             clock=self.clock, bus=self.bus, expected=EXPECTED, rise_ms=SHARE_RISE_MS
--- a/tests/core/limits/test_cold.py
+++ b/tests/core/limits/test_cold.py
@@ -3,40 +3,23 @@
 import math
 
 from mangohatch.core.choice.cold import prefer_warm
-from mangohatch.core.cold_state import WarmUp
 from mangohatch.core.limits import ColdBounds, ColdStates, LimitOwnership
 from mangohatch.core.limits.cold import TAKEOVER_MS, UNKNOWN_MS
 from mangohatch.core.limits.held import HeldPermits
-from mangohatch.core.spec import DiscoveredService, DiscoveredUpstream
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.tables import Tables
 from mangohatch.core.timers import NoTimers
 from mangohatch.peer.messages.load import LoadReport, LoadSample
 from mangohatch.probing import LoadReports
+from tests.core.limits.cold_service import BOUNDS, SERVICE, make_cold_service
 from tests.functions import fixture, function_tests
 from tests.network import ManualPeerBus
 
 load_tests = function_tests(__name__)
 
-SERVICE = "desk"
-WARM_UP = WarmUp(duration_ms=3_000.0, per_s=6.3)
-BOUNDS = ColdBounds(over=1.5, slack=8.0)
 HOUR_MS = 3_600_000.0
 
 
-def make_upstream(warm_at_ms=0.0, warm_up=WARM_UP):
-    return DiscoveredUpstream(
-        name="u1",
-        address="10.0.0.1",
-        port=1,
-        zone="z",
-        slots=2,
-        connections=10,
-        warm_at_ms=warm_at_ms,
-        warm_up=warm_up,
-    )
-
-
 class Host:
     """The cold states of one host with one upstream."""
 
@@ -60,13 +43,7 @@
 
     def apply(self, **fields):
         self.revision += 1
-        spec = DiscoveredService(
-            name=SERVICE,
-            max_queue_wait_ms=1.0,
-            health_path="/",
-            upstreams=(make_upstream(**fields),),
-        )
-        self.tables.apply(spec, revision=self.revision)
+        self.tables.apply(make_cold_service(**fields), revision=self.revision)
         self.row = self.tables.services[SERVICE].upstreams["u1"]
         self.states.tick()
 
@@ -248,13 +225,7 @@
     cold = host.row
     host.state(3_000.0)
     warm = Tables()
-    spec = DiscoveredService(
-        name=SERVICE,
-        max_queue_wait_ms=1.0,
-        health_path="/",
-        upstreams=(make_upstream(warm_up=None),),
-    )
-    warm.apply(spec, revision=1)
+    warm.apply(make_cold_service(warm_up=None), revision=1)
     row = warm.services[SERVICE].upstreams["u1"]
     assert prefer_warm([(50.0, cold), (90.0, row)], 200.0) == [(90.0, row)]
     assert len(prefer_warm([(50.0, cold), (400.0, row)], 200.0)) == 2
--- a/tests/fleet/cold_soak.py
+++ b/tests/fleet/cold_soak.py
@@ -3,8 +3,6 @@
 import random
 import sys
 
-from mangohatch.core.cold_state import WarmUp
-from mangohatch.core.limits import ColdBounds
 from standins.simulated_fleet import (
     ColdPlan,
     ColdTraffic,
@@ -13,13 +11,12 @@
     SimulatedFleet,
 )
 from standins.virtual_loop import VirtualLoop
+from tests.core.limits.cold_service import BOUNDS, WARM_UP
 from tests.fleet.soak import run_soak
 
-__all__ = ["WARM_UP", "draw", "find_faults", "make_plan", "play"]
+__all__ = ["draw", "find_faults", "make_plan", "play"]
 
 SIZES = ((1, 8), (13, 22), (126, 103), (311, 206))  # hosts and upstreams
-WARM_UP = WarmUp(duration_ms=3_000.0, per_s=6.3)
-BOUNDS = ColdBounds(over=1.5, slack=8.0)
 PER_UPSTREAM_AT_CAPACITY = 11.0  # requests a second; a quarter of the time it is slow
 SETTLE_MS = 4_000.0
 RUN_MS = 12_000.0
@@ -39,12 +36,7 @@
 
 
 def draw(seed: int) -> tuple[FleetPlan, ColdPlan]:
-    """
-    Draw the fleet and the traffic of a seed; each fourth seed has the same size.
-
-    :param seed: the seed
-    :return: both plans
-    """
+    """Draw the fleet and the traffic of a seed; each fourth seed has the same size."""
     rng = random.Random(seed)
     hosts, upstreams = SIZES[seed % len(SIZES)]
     plan = make_plan(hosts, upstreams, seed, rng.choice((0.0, 0.01, 0.1)))
@@ -60,14 +52,7 @@
 
 
 def play(plan: FleetPlan, traffic: ColdPlan, *, span_ms: float = RUN_MS) -> ColdVerdict:
-    """
-    Run a fleet whose upstreams become cold.
-
-    :param plan: the fleet
-    :param traffic: the requests and the failures
-    :param span_ms: virtual time of the traffic in milliseconds
-    :return: what the run showed
-    """
+    """Run a fleet whose upstreams become cold."""
     loop = VirtualLoop()
     try:
         fleet = SimulatedFleet(plan=plan, loop=loop)
@@ -78,34 +63,19 @@
 
 
 def find_faults(verdict: ColdVerdict) -> list[str]:
-    """
-    List how the bound was broken in a run.
-
-    :param verdict: what the run showed
-    :return: descriptions, none if it was kept
-    """
+    """List how the bound was broken in a run."""
     if not verdict.beyond:
         return []
     return [f"{verdict.beyond} requests beyond the bound, {verdict.most} in a second"]
 
 
 def run_seed(seed: int) -> tuple[int, ColdVerdict]:
-    """
-    Play one seed.
-
-    :param seed: the seed
-    :return: the seed and what its run showed
-    """
+    """Play one seed."""
     return seed, play(*draw(seed))
 
 
 def describe(verdict: ColdVerdict) -> str:
-    """
-    Describe what a run showed.
-
-    :param verdict: what it showed
-    :return: the description
-    """
+    """Describe what a run showed."""
     return (
         f"at most {verdict.most} in a second, {verdict.used:.2f} of the rate used;"
         f" {verdict.failed} of {verdict.requests} failed"
@@ -113,11 +83,7 @@
 
 
 def main() -> int:
-    """
-    Play some seeds and print what they show.
-
-    :return: exit status, 1 if the bound was broken
-    """
+    """Play some seeds and print what they show."""
     return run_soak(
         description=str(__doc__),
         run_seed=run_seed,
