Keep cold states and entries over a pause of the process

Cause: a pause cut the rest of a known cold state to two seconds, and an entry that changed during the pause was taken as read although it was ignored. Change: a pause forgets the stated end, and entries are read once reports count again.

--- a/src/mangohatch/core/cold_state.py
+++ b/src/mangohatch/core/cold_state.py
@@ -64,3 +64,4 @@
         self.cold = True
         self.known = False
         self.until_ms = math.inf
+        self.stated_until_ms = -math.inf
--- a/src/mangohatch/core/limits/cold.py
+++ b/src/mangohatch/core/limits/cold.py
@@ -192,7 +192,7 @@
         state = row.cold
         if state.until_ms == math.inf:
             state.until_ms = now_ms + UNKNOWN_MS
-        if row.warm_at_ms != state.entry_until_ms:
+        if row.warm_at_ms != state.entry_until_ms and now_ms >= self._ignore_until_ms:
             state.entry_until_ms = row.warm_at_ms
             if row.warm_at_ms > now_ms:
                 self.observe(row, row.warm_at_ms - now_ms, seen_ms=now_ms)
--- a/tests/core/limits/test_cold.py
+++ b/tests/core/limits/test_cold.py
@@ -151,6 +151,23 @@
     assert not host.row.cold.cold
 
 
+def test_pause_does_not_shorten_a_cold_state(host):
+    host.state(4_000.0)
+    host.clock.advance(600.0)
+    host.run(150.0)
+    host.state(3_250.0)
+    host.run(3_200.0)
+    assert host.row.cold.cold
+
+
+def test_entry_that_changed_during_a_pause_is_read(host):
+    host.state(0.0)
+    host.clock.advance(600.0)
+    host.apply(warm_at_ms=host.clock.now_ms() + 5_000.0)
+    host.run(3_000.0)
+    assert host.row.cold.cold
+
+
 def test_new_owner_gives_out_nothing_at_first(host):
     assert host.states.per_s(host.row) == 0.0
     host.run(TAKEOVER_MS)
