--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
+from mangohatch.core.limits.cold import ColdBounds
 from mangohatch.core.signs.settings import MAX_PAUSE_MS
 
 __all__ = ["FleetBounds", "FleetSettings"]
@@ -21,6 +22,7 @@
     pauses than ``max_pause_ms`` that upstreams ask for are cut to it. Evacuations of
     zones are followed only where ``evacuate_ms`` is set; it is the time within which
     they have to be in force on all hosts.
+    ``cold`` bounds what cold upstreams get; None unless the deployment limits them.
     """
 
     grace_ms: float
@@ -29,6 +31,7 @@
     retry_window_ms: float
     max_pause_ms: float = MAX_PAUSE_MS
     evacuate_ms: float | None = None
+    cold: ColdBounds | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/platform/source.py
+++ b/src/mangohatch/platform/source.py
@@ -33,15 +33,22 @@
     :param store: the platform's store
     :param clock: source of the time of day
     :param evacuations: whether to read the evacuations of zones too
+    :param follow_cold: whether cold upstreams are limited
     """
 
     def __init__(
-        self, *, store: PlatformStore, clock: Clock, evacuations: bool = False
+        self,
+        *,
+        store: PlatformStore,
+        clock: Clock,
+        evacuations: bool = False,
+        follow_cold: bool = False,
     ) -> None:
         self.parts = (CONFIGURATION, UPSTREAMS)
         if evacuations:
             self.parts += (EVACUATIONS,)
             self.watched = frozenset({EVACUATIONS})
+        self._follow_cold = follow_cold
         self._store = store
         self._clock = clock
         self._logged_revisions: dict[str, int] = {}
@@ -111,6 +118,8 @@
                 item.value,
                 wall_ms=self._clock.wall_ms(),
                 previous_json=previous.json if previous else None,
+                name=item.name,
+                follow_cold=self._follow_cold,
             )
         except DocumentError as exc:
             self._log_unreadable(item, exc)
--- a/src/standins/simulated_fleet/documents.py
+++ b/src/standins/simulated_fleet/documents.py
@@ -3,6 +3,7 @@
 import json
 from functools import lru_cache
 
+from mangohatch.core.cold_state import WarmUp
 from mangohatch.core.routes import Route, Target
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.content import (
@@ -61,6 +62,7 @@
     :return: the configuration
     """
     document = json.loads(text)
+    warm_up = WarmUp(**document["warm_up"]) if "warm_up" in document else None
     return Configuration(
         version=document["version"],
         routes=tuple(
@@ -78,7 +80,9 @@
             for entry in document["routes"]
         ),
         services={
-            name: ServiceOptions(health_path="/healthz", connections=1_000)
+            name: ServiceOptions(
+                health_path="/healthz", connections=1_000, warm_up=warm_up
+            )
             for name in document["services"]
         },
         limits=CallerLimits(),
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -1,12 +1,14 @@
 """One host of a simulated fleet: a fleet host with simulated surroundings."""
 
 import random
+from contextvars import copy_context
 from dataclasses import replace
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
 from mangohatch.core.admission.caller_age import CallerAgeTable
 from mangohatch.core.call import Call, Decision, Grant, Report, Result
+from mangohatch.core.limits import ColdBounds
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.table_updater import TableUpdater
@@ -75,6 +77,7 @@
     :param caller_ages: estimates the age of requests; None to take each for a first
         attempt
     :param evacuations: whether it follows evacuations of zones
+    :param cold: bounds of what cold upstreams get, None if they are not limited
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         rng: random.Random,
         caller_ages: CallerAgeTable | None = None,
         evacuations: bool = False,
+        cold: ColdBounds | None = None,
     ) -> None:
         self.host_id = host_id
         self._caller_ages = caller_ages
@@ -103,12 +107,13 @@
         self.granted = 0
         self.refused = 0
         self.running = True
+        self._context = copy_context()
+        self._held: list[tuple[bytes, PeerAddress]] | None = None
         self._loop = loop
         self._clock = LoopClock(loop=loop)
         self.started_ms = self._clock.now_ms()
         self._upstreams = upstreams
         self._in_flight = 0
-        self._paused_until_ms = 0.0
         self.port = network.add(address, self._receive, limits)
         source = SimulatedSource(
             store=store, clock=self._clock, port=self.port, evacuations=evacuations
@@ -131,9 +136,18 @@
             metrics=UNUSED,
             seeds=seeds,
             store=UNUSED,
-            bounds=replace(BOUNDS, evacuate_ms=EVACUATE_MS if evacuations else None),
+            bounds=replace(
+                BOUNDS,
+                evacuate_ms=EVACUATE_MS if evacuations else None,
+                cold=cold,
+            ),
+        )
+        probe = SimulatedProbe(
+            loop=loop,
+            clock=self._clock,
+            upstreams=upstreams,
+            tells_cold=cold is not None,
         )
-        probe = SimulatedProbe(loop=loop, clock=self._clock, upstreams=upstreams)
         self.fleet_host = FleetHost(
             cfg=cfg,
             clock=self._clock,
@@ -146,20 +160,38 @@
         self.fleet_host.bus.attach(self.port)
         loop.call_soon(self._tick)
 
-    def pause(self, span_ms: float) -> None:
+    def pause_for(self, span_ms: float) -> None:
         """
         Let the host not run for a time; what arrives is handled afterwards.
 
         :param span_ms: milliseconds
         """
-        self._paused_until_ms = self._clock.now_ms() + span_ms
+        self.pause()
+        self._loop.call_later(span_ms / MS_PER_S, self.resume)
 
     def _receive(self, data: bytes, sender: PeerAddress) -> None:
-        rest_ms = self._paused_until_ms - self._clock.now_ms()
-        if rest_ms > 0.0:
-            self._loop.call_later(rest_ms / MS_PER_S, self._receive, data, sender)
-            return
-        self.fleet_host.bus.handle_datagram(data, sender)
+        if self._held is not None:
+            self._held.append((data, sender))
+        else:
+            handle = self.fleet_host.bus.handle_datagram
+            self._context.run(handle, data, sender)
+
+    def pause(self) -> None:
+        """Pause the process; its datagrams wait in the socket."""
+        self._held = []
+        self._loop.pause(self.host_id)
+
+    def resume(self) -> None:
+        """Resume the process."""
+        held, self._held = self._held or [], None
+        for data, sender in held:
+            self._receive(data, sender)
+        self._loop.resume(self.host_id)
+
+    @property
+    def paused(self) -> bool:
+        """Whether the process is paused."""
+        return self._held is not None
 
     def member_ids(self) -> set[str]:
         """
@@ -214,6 +246,9 @@
         :param req: the request
         :param service: name of its service
         """
+        self._context.run(self._submit, req, service)
+
+    def _submit(self, req: SimulatedRequest, service: str) -> None:
         now_ms = self._clock.now_ms()
         req.arrived_ms = now_ms
         req.host_started_ms = self.started_ms
@@ -386,10 +421,6 @@
     def _tick(self) -> None:
         if not self.running:
             return
-        rest_ms = self._paused_until_ms - self._clock.now_ms()
-        if rest_ms > 0.0:
-            self._loop.call_later(rest_ms / MS_PER_S, self._tick)
-            return
         self.fleet_host.tick()
         delay_ms = BUSY_TICK_MS if self._in_flight else IDLE_TICK_MS
         self._loop.call_later(delay_ms / MS_PER_S, self._tick)
--- a/src/standins/simulated_fleet/store.py
+++ b/src/standins/simulated_fleet/store.py
@@ -5,7 +5,9 @@
 import json
 import random
 from collections.abc import Mapping, Sequence
+from dataclasses import asdict
 
+from mangohatch.core.cold_state import WarmUp
 from mangohatch.directory import (
     DirectorySource,
     PartItem,
@@ -57,6 +59,7 @@
         self.version = 0
         self._clock = clock
         self._rng = rng
+        self.warm_up: WarmUp | None = None
         self._writes = 1
         self._items: dict[str, dict[str, PartItem]] = {
             part: {} for part in (CONFIGURATION, UPSTREAMS, EVACUATIONS)
@@ -96,6 +99,8 @@
             "services": list(services),
             "routes": routes,
         }
+        if self.warm_up is not None:
+            document["warm_up"] = asdict(self.warm_up)
         self._put(CONFIGURATION, CONFIGURATION_NAME, json.dumps(document))
         return self.version
 
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -152,7 +152,7 @@
     fleet = make_fleet(loop)
     host = fleet.hosts[0]
     assert not host.fleet_host.tables.zones.unknown
-    host.pause(4_000.0)
+    host.pause_for(4_000.0)
     fleet.run(1_000.0)
     fleet.network.cut.add(host.port.address)
     fleet.store.set_evacuated("zone-1", True)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -35,8 +35,8 @@
     return {"type": "routes", "metadata": {"name": name}, "spec": spec | fields}
 
 
-def configuration(version, *routes):
-    service = {"health_check_path": "/healthz", "max_connections": 220}
+def configuration(version, *routes, **options):
+    service = {"health_check_path": "/healthz", "max_connections": 220} | options
     limits = {
         "max_header_bytes": 16384,
         "max_body_bytes": 67108864,
@@ -128,14 +128,15 @@
 
 @contextlib.asynccontextmanager
 async def open_host(
-    *, upstreams=2, work_s=0.0, bounds="", **start
+    *, upstreams=2, work_s=0.0, options=None, bounds="", **start
 ) -> AsyncIterator[PlatformHost]:
     """
     Start a stand-in of the platform and a host in front of it.
 
     :param upstreams: number of upstreams
     :param work_s: processing time of a request in seconds
-    :param bounds: further lines of the bounds in the settings of the host
+    :param options: further fields of the service
+    :param bounds: further lines of the bounds in the settings
     :param start: arguments of :meth:`PlatformHost.start`
     """
     made = [
@@ -144,7 +145,8 @@
     ]
     site = PlatformSite(upstreams=made)
     await site.start()
-    site.put("config", "main", configuration(1, route("r1", "/a/")))
+    content = configuration(1, route("r1", "/a/"), **(options or {}))
+    site.put("config", "main", content)
     host = PlatformHost(site, bounds)
     with tempfile.TemporaryDirectory() as folder:
         await host.start(Path(folder) / "local.toml", **start)
