Run a second attempt of a late request beside the first one

Cause: a few requests whose upstream slows down under them set p99, although other upstreams are free. Off unless bounds.hedge_ratio or MANGOHATCH_HEDGE_RATIO is above 0. Result: the tests of tests.entry, tests.core and tests.platform pass; p99 is not measured yet.

--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -38,7 +38,8 @@
     response after ``objective_ms`` is late, and a response to an attempt that starts
     after ``start_by_ms`` is likely to be late. An attempt that starts after
     ``latest_start_ms`` is not expected to end before ``deadline_ms``.
-    ``response_bytes`` is the typical response size of the route.
+    ``response_bytes`` is the typical response size of the route. A ``hedge`` is a
+    second attempt beside one that runs; it is sent at once or not at all.
     """
 
     request_id: str
@@ -60,6 +61,7 @@
     start_by_ms: float = math.inf
     latest_start_ms: float = math.inf
     response_bytes: float = 0.0
+    hedge: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -120,6 +122,7 @@
     TIMEOUT = "timeout"
     CANCELLED = "cancelled"
     SILENT = "silent"
+    SUPERSEDED = "superseded"
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/core/health/outlier.py
+++ b/src/mangohatch/core/health/outlier.py
@@ -33,6 +33,12 @@
         """
         if report.result in NO_EVIDENCE:
             return
+        if report.result is Result.SUPERSEDED:
+            # The time until the other attempt won is a lower bound of the latency. It
+            # shows that an upstream is slower than known, but not that it is faster.
+            if 0.0 < row.latency_ms < report.latency_ms:
+                self._update_latency(row, report.latency_ms, now_ms)
+            return
         failed = report.result in FAILURES
         row.attempts += 1
         row.consecutive_failures = row.consecutive_failures + 1 if failed else 0
--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -76,6 +76,10 @@
         :param call: the call with its fingerprint
         :param deliver: called with exactly one grant or refusal
         """
+        if call.hedge and self.is_suspected(call):
+            error = RequestQuarantined("a suspected request gets no second attempt")
+            deliver(Refusal(call=call, error=error))
+            return
         row = self._find_row(call)
         if row is not None and row.quarantined:
             self._refuse_or_try(row, call, deliver)
@@ -88,6 +92,17 @@
         else:
             self._router.request(call, deliver)
 
+    def is_suspected(self, call: Call) -> bool:
+        """
+        Return whether copies of a request are suspected, or wait until that is known.
+
+        :param call: the call with its fingerprint
+        :return: whether the request has a row that applies to it, or is held
+        """
+        if self._holds.find(self._scope(call)) is not None:
+            return True
+        return self._find_row(call) is not None
+
     def cancel(self, call: Call) -> None:
         """
         Cancel a waiting call; its ``deliver`` is never called.
--- a/src/mangohatch/core/router.py
+++ b/src/mangohatch/core/router.py
@@ -69,6 +69,9 @@
         waiting = WaitingCall(call=call, deliver=deliver)
         if not queue and self._grant(service, waiting):
             return
+        if call.hedge:
+            self._refuse(waiting, NoUpstream("no upstream is free for a hedge"))
+            return
         interval_ms = self._chooser.expected_wait_ms(service, call)
         refused = queue.offer(waiting, self._clock.now_ms(), interval_ms)
         if refused is not None:
--- a/src/mangohatch/entry/active.py
+++ b/src/mangohatch/entry/active.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from mangohatch.core.call import Call, Decision, Grant
+from mangohatch.core.hedging import HedgeRefusal
 from mangohatch.core.quarantine import QuarantineGate
 from mangohatch.core.router import Router
 from mangohatch.core.tables import UpstreamRow
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from mangohatch.entry.continuation import Continuation
+    from mangohatch.entry.race import Race
 
 __all__ = ["ActiveRequest"]
 
@@ -31,6 +33,8 @@
     ``upstream_ms`` is the total duration of all attempts.
     ``relay`` is the peer that the last attempt passed, empty for none; ``cut_off`` is
     true after an attempt that may have failed for this host's own links.
+    ``race`` is set while a second attempt runs beside this one, and ``hedged`` names
+    the upstreams of the last race: of the first attempt, the hedge and the winner.
     """
 
     call: Call
@@ -58,6 +62,9 @@
     relay: str = ""
     silence_limit_ms: float = 0.0
     upstream_ms: float = 0.0
+    race: "Race | None" = None
+    hedged: tuple[str, str, str] | None = None
+    hedge_refusal: HedgeRefusal | None = None
 
     def abort(self, error: RequestError, router: Router | QuarantineGate) -> None:
         """
@@ -76,6 +83,8 @@
             self.body.fail(error)
         if self.conn is not None:
             self.conn.close()
+        if self.race is not None:
+            self.race.abort(error)
 
     def abort_attempt(self, error: RequestError) -> None:
         """
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -10,6 +10,7 @@
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.continuation import ContinuationSink
 from mangohatch.entry.protocol import ProtocolAdapter
+from mangohatch.entry.race import RaceSink
 from mangohatch.entry.retry import is_server_failure, result_of_status
 from mangohatch.errors import (
     UpstreamAborted,
@@ -156,12 +157,15 @@
         if req.continuation is not None:
             req.continuation.check(head)
             return ContinuationSink(sink=req.sink)
-        if not req.call.idempotent or not is_server_failure(head):
+        if req.call.idempotent and is_server_failure(head):
+            beside_other = req.race is not None and not req.race.is_last(req)
+            if beside_other or await self._may_retry(req):
+                req.retry_allowed = not beside_other
+                raise UpstreamFailed(f"the upstream answered {head.line.code}")
+        if req.race is None:
             return req.sink
-        if await self._may_retry(req):
-            req.retry_allowed = True
-            raise UpstreamFailed(f"the upstream answered {head.line.code}")
-        return req.sink
+        req.race.check(req)
+        return RaceSink(sink=req.sink, race=req.race, req=req)
 
 
 def send_request(
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -9,6 +9,7 @@
 from mangohatch.claims import Answer, ClaimRegistry
 from mangohatch.clock import Clock
 from mangohatch.core.call import Decision, Grant, Refusal, Report, Result
+from mangohatch.core.hedging import HedgeSystem
 from mangohatch.core.quarantine import QuarantineGate
 from mangohatch.core.retry import LocalRetryBudget, RetryBudget
 from mangohatch.core.router import Router
@@ -16,6 +17,7 @@
 from mangohatch.entry.attempt import AttemptRunner
 from mangohatch.entry.continuation import can_continue, plan_continuation
 from mangohatch.entry.events import RequestEvents
+from mangohatch.entry.hedging import HedgeRunner
 from mangohatch.entry.keyed import claim, is_keyed, make_answer, replay
 from mangohatch.entry.monitor import RequestMonitor
 from mangohatch.entry.native import NativeProtocol
@@ -73,6 +75,7 @@
     :param observer: notified of the start, retries and end of each request
     :param should_move: returns whether another upstream would finish sooner; None to
         never move requests
+    :param hedges: decides about second attempts beside slow ones; None to send none
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         recorder: Recorder | None = None,
         observer: RequestObserver | None = None,
         should_move: Callable[[Grant], bool] | None = None,
+        hedges: HedgeSystem | None = None,
     ) -> None:
         self.protocol = protocol or NativeProtocol()
         self._clock = clock
@@ -103,6 +107,17 @@
             may_retry=self._request_safe_retry,
             on_statement=router.observe,
         )
+        self.active: set[ActiveRequest] = set()
+        self._hedges: HedgeRunner | None = None
+        if hedges is not None:
+            self._hedges = HedgeRunner(
+                clock=clock,
+                router=router,
+                hedges=hedges,
+                active=self.active,
+                run_attempt=self._run_attempt,
+                spend_retry=self._spend_retry,
+            )
         self._monitor = RequestMonitor(
             clock=clock,
             router=router,
@@ -111,9 +126,9 @@
             may_retry=self._may_retry,
             should_move=should_move,
             spend_retry=self._spend_retry,
+            hedge=self._hedges.try_start if self._hedges is not None else None,
             bounds_transfer=self.protocol.bounds_transfer,
         )
-        self.active: set[ActiveRequest] = set()
 
     async def forward(self, req: ActiveRequest) -> None:
         """
@@ -156,6 +171,8 @@
                 await req.body.prefetch()
             if req.call.attempt == 1:
                 self._budget.earn(req.call)
+                if self._hedges is not None:
+                    self._hedges.earn(req.call)
             while True:
                 error = await self._try_once(req)
                 if error is None:
@@ -171,6 +188,8 @@
             raise self._fail(req, failure) from exc
         finally:
             self.active.discard(req)
+            if req.race is not None:
+                req.race.abort(CallerGone("the request has ended"))
             self._events.record_slow(req)
 
     def abort(self, req: ActiveRequest, error: RequestError) -> None:
@@ -197,6 +216,10 @@
         self._monitor.tick(tuple(self.active))
 
     async def _try_once(self, req: ActiveRequest) -> RequestError | None:
+        error = await self._run_attempt(req)
+        return error if req.race is None else await req.race.settle(error)
+
+    async def _run_attempt(self, req: ActiveRequest) -> RequestError | None:
         grant = await self._admit(req)
         req.attempt_failure = None
         started_ms = self._clock.now_ms()
@@ -342,6 +365,8 @@
     def _fail(self, req: ActiveRequest, error: RequestError) -> RequestError:
         error = req.failure or error
         req.sink.discard()
+        if req.race is not None:
+            req.race.merge()
         error.outcome = Outcome.UNKNOWN if req.may_have_run else Outcome.NOT_RUN
         if not isinstance(error, CallerGone):
             refused = error.outcome is Outcome.NOT_RUN
--- a/src/mangohatch/entry/monitor.py
+++ b/src/mangohatch/entry/monitor.py
@@ -42,6 +42,8 @@
         meet its objective or deadline; None to never move requests
     :param spend_retry: takes one retry of a request from the retry budget; returns
         whether the retry is permitted
+    :param hedge: sends a second attempt beside a slow one if one is permitted; returns
+        whether two attempts run; None to send none
     :param bounds_transfer: whether a response that has begun must end by the deadline,
         apart from the time that a known length takes
     """
@@ -56,11 +58,13 @@
         may_retry: Callable[[ActiveRequest], bool],
         should_move: Callable[[Grant], bool] | None = None,
         spend_retry: Callable[[ActiveRequest], bool] | None = None,
+        hedge: Callable[[ActiveRequest], bool] | None = None,
         bounds_transfer: bool = False,
     ) -> None:
         self._bounds_transfer = bounds_transfer
         self._should_move = should_move
         self._spend_retry = spend_retry
+        self._hedge = hedge
         self._clock = clock
         self._router = router
         self._pool = pool
@@ -80,7 +84,8 @@
                 continue
             if req.awaits_head and not req.silent:
                 self._check_silence(req, now_ms)
-                self._check_placement(req)
+                if self._hedge is None or not self._hedge(req):
+                    self._check_placement(req)
             elif req.conn is not None and not req.conn.connected:
                 self._check_connecting(req, req.conn, now_ms)
             if now_ms >= req.call.deadline_ms:
--- a/src/mangohatch/entry/retry.py
+++ b/src/mangohatch/entry/retry.py
@@ -3,6 +3,7 @@
 from mangohatch.core.call import Call, Result
 from mangohatch.errors import (
     AttemptMoved,
+    AttemptSuperseded,
     CallerGone,
     ConnectionSilent,
     DeadlineExceeded,
@@ -33,6 +34,7 @@
 
 RESULT_BY_ERROR: tuple[tuple[type[RequestError], Result], ...] = (
     (AttemptMoved, Result.CANCELLED),
+    (AttemptSuperseded, Result.SUPERSEDED),
     (ConnectionSilent, Result.SILENT),
     (ResponseLate, Result.TIMEOUT),
     (CallerGone, Result.CANCELLED),
--- a/src/mangohatch/errors/__init__.py
+++ b/src/mangohatch/errors/__init__.py
@@ -3,6 +3,7 @@
 from mangohatch.errors.admin import HostUnanswered
 from mangohatch.errors.attempt import (
     AttemptMoved,
+    AttemptSuperseded,
     CallerGone,
     ConnectionSilent,
     ContinuationFailed,
@@ -73,6 +74,7 @@
 __all__ = [
     "AnswerNotKept",
     "AttemptMoved",
+    "AttemptSuperseded",
     "BadRequest",
     "BodyTooLarge",
     "CallerGone",
--- a/src/mangohatch/errors/attempt.py
+++ b/src/mangohatch/errors/attempt.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AttemptMoved",
+    "AttemptSuperseded",
     "CallerGone",
     "ConnectionSilent",
     "ContinuationFailed",
@@ -40,6 +41,12 @@
     code = "attempt_moved"
 
 
+class AttemptSuperseded(UpstreamAborted):
+    """The other one of two attempts that ran at once received a response first."""
+
+    code = "attempt_superseded"
+
+
 class ResponseUnframed(RequestError):
     """The response had no length, so its end cannot be told from a truncation."""
 
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -11,6 +11,13 @@
 from mangohatch.core.choice.power_of_two import PowerOfTwoChooser
 from mangohatch.core.contention import ContentionOrder
 from mangohatch.core.health import OutlierHealth
+from mangohatch.core.hedging import (
+    HedgePolicy,
+    HedgeShare,
+    HedgeSystem,
+    NoHedges,
+    ReportedSlowness,
+)
 from mangohatch.core.limits import PermitTable
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.moving import MovePolicy
@@ -42,8 +49,8 @@
 
     ``health`` is the health of the upstreams. ``should_move`` returns whether a request
     should move to another upstream; it is None if the placement policy never moves
-    requests. ``limits`` keeps the limits that upstreams name, and ``signs`` which of
-    them leave or ask for a pause.
+    requests. ``hedges`` decides about second attempts. ``limits`` keeps the limits that
+    upstreams name, and ``signs`` which of them leave or ask for a pause.
     """
 
     router: Router
@@ -52,6 +59,7 @@
     limits: PermitTable
     signs: SignSystem
     should_move: Callable[[Grant], bool] | None
+    hedges: HedgeSystem
 
 
 def make_decisions(
@@ -99,10 +107,11 @@
     health = OutlierHealth(clock=clock, rng=rng, listener=HealthLog())
     chooser: Chooser
     should_move = None
+    hedge_policy: HedgePolicy = NoHedges()
+    contention = ContentionOrder(clock=clock, host_id=bus.host_id, subset=subset)
     if placement is Placement.POWER_OF_TWO:
         chooser = PowerOfTwoChooser(clock=clock, rng=rng, health=health)
     else:
-        contention = ContentionOrder(clock=clock, host_id=bus.host_id, subset=subset)
         placement_updates = PlacementUpdates(
             clock=clock,
             tables=tables,
@@ -127,6 +136,9 @@
         should_move = MovePolicy(
             clock=clock, tables=tables, estimator=estimator, chooser=chooser
         ).should_move
+        hedge_policy = ReportedSlowness(
+            clock=clock, tables=tables, estimator=estimator, chooser=chooser
+        )
     router = Router(
         clock=clock,
         rng=rng,
@@ -162,6 +174,14 @@
         recorder=recorder,
         evidence=evidence,
     )
+    hedges = HedgeSystem(
+        policy=hedge_policy,
+        share=HedgeShare(ratio=cfg.bounds.hedge_ratio),
+        is_suspected=gate.is_suspected,
+        has_waiting=lambda name: (
+            router.count_waiting(name) > 0 or contention.is_contested(name)
+        ),
+    )
     return Decisions(
         router=router,
         health=health,
@@ -169,4 +189,5 @@
         limits=limits,
         signs=signs,
         should_move=should_move,
+        hedges=hedges,
     )
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -23,6 +23,7 @@
 from mangohatch.fleet.parts import (
     CallerEntry,
     DirectoryReading,
+    Hedging,
     LoadProbing,
     PeerLink,
     Relays,
@@ -175,6 +176,7 @@
             TableUpdates(updater=self._table_updater, tables=self.tables),
             probing,
             Routing(decisions=decisions, guard=self._guard),
+            Hedging(hedges=decisions.hedges),
             retries,
             relays,
             TextPages(
--- a/src/mangohatch/fleet/parts/__init__.py
+++ b/src/mangohatch/fleet/parts/__init__.py
@@ -2,6 +2,7 @@
 
 from mangohatch.fleet.parts.directory import DirectoryReading, TableUpdates
 from mangohatch.fleet.parts.entry import CallerEntry
+from mangohatch.fleet.parts.hedging import Hedging
 from mangohatch.fleet.parts.pages import TextPages
 from mangohatch.fleet.parts.peers import PeerLink
 from mangohatch.fleet.parts.probing import LoadProbing
@@ -12,6 +13,7 @@
 __all__ = [
     "CallerEntry",
     "DirectoryReading",
+    "Hedging",
     "LoadProbing",
     "PeerLink",
     "Relays",
--- a/src/mangohatch/fleet/parts/entry.py
+++ b/src/mangohatch/fleet/parts/entry.py
@@ -73,6 +73,7 @@
             recorder=recorder,
             observer=ObserverGroup(observers=observers),
             should_move=should_move,
+            hedges=decisions.hedges,
         )
         self.server = EntryServer(
             host_id=cfg.host_id,
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -77,6 +77,9 @@
                 "path_fingerprint": call.path_fingerprint,
             }
             fields |= self._describe_path(req)
+        if req.hedged is not None:
+            first, hedge, winner = req.hedged
+            fields |= {"first": first, "hedge": hedge, "winner": winner}
         if req.relay:
             fields["relay"] = req.relay
         fields |= describe_grant(req)
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -17,7 +17,8 @@
     A process must end within ``grace_ms`` of SIGTERM. The retry limits apply to the
     fleet as a whole: in any period of ``retry_window_ms``, the repeated attempts for a
     service are at most ``retry_ratio`` times its requests, plus ``retry_slack``. Longer
-    pauses than ``max_pause_ms`` that upstreams ask for are cut to it.
+    pauses than ``max_pause_ms`` that upstreams ask for are cut to it. ``hedge_ratio``
+    is the share of the requests that may get a second attempt, 0 for none.
     """
 
     grace_ms: float
@@ -25,6 +26,7 @@
     retry_slack: float
     retry_window_ms: float
     max_pause_ms: float = MAX_PAUSE_MS
+    hedge_ratio: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/platform/run.py
+++ b/src/mangohatch/platform/run.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 
 from mangohatch.errors import MangohatchError, SettingsError
@@ -13,7 +14,11 @@
 from mangohatch.log import configure_logging
 from mangohatch.loop import run_loop
 from mangohatch.platform.host import make_host
-from mangohatch.platform.settings import SETTINGS_VARIABLE, load_fleet_settings
+from mangohatch.platform.settings import (
+    HEDGE_RATIO_VARIABLE,
+    SETTINGS_VARIABLE,
+    load_fleet_settings,
+)
 
 __all__ = ["main"]
 
@@ -30,7 +35,10 @@
     try:
         placement = Placement(arguments[0] if arguments else Placement.EXPECTED_TIME)
         path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-        cfg = load_fleet_settings(path)
+        load = partial(
+            load_fleet_settings, hedge_ratio=os.environ.get(HEDGE_RATIO_VARIABLE, "")
+        )
+        cfg = load(path)
     except ValueError as exc:
         print(f"mangohatch: {exc}", file=sys.stderr)
         return SettingsError.exit_code
@@ -44,7 +52,7 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, leaving.set)
         host = make_host(cfg=cfg, placement=placement)
-        settings = SettingsFile(path=path, read=load_fleet_settings)
+        settings = SettingsFile(path=path, read=load)
         loop.add_signal_handler(signal.SIGHUP, settings.request_reload)
         await host.run(leaving, settings)
 
--- a/src/mangohatch/platform/settings.py
+++ b/src/mangohatch/platform/settings.py
@@ -1,6 +1,8 @@
 """Reads the settings file of the platform."""
 
+import math
 import tomllib
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -14,23 +16,30 @@
     require_field,
 )
 
-__all__ = ["SETTINGS_VARIABLE", "load_fleet_settings"]
+__all__ = ["HEDGE_RATIO_VARIABLE", "SETTINGS_VARIABLE", "load_fleet_settings"]
 
 SETTINGS_VARIABLE = "MANGOHATCH_SETTINGS"
+HEDGE_RATIO_VARIABLE = "MANGOHATCH_HEDGE_RATIO"
 METRICS_PORT = 9464  # same as in deploy/system.toml; no field of the settings file
 
 
-def load_fleet_settings(path: Path) -> FleetSettings:
+def load_fleet_settings(path: Path, *, hedge_ratio: str = "") -> FleetSettings:
     """
     Read and validate the settings of this host.
 
     :param path: the settings file, in TOML
+    :param hedge_ratio: value of ``HEDGE_RATIO_VARIABLE``, which takes precedence over
+        the file; empty if it is not set
     :return: the validated settings
     :raises SettingsError: if the file can't be read or is invalid; names the file and
         the reason
     """
     try:
-        return read_settings(tomllib.loads(path.read_text(encoding="utf-8")))
+        cfg = read_settings(tomllib.loads(path.read_text(encoding="utf-8")))
+        if not hedge_ratio:
+            return cfg
+        ratio = read_environment_ratio(hedge_ratio)
+        return replace(cfg, bounds=replace(cfg.bounds, hedge_ratio=ratio))
     except (OSError, ValueError, DocumentError) as exc:
         raise SettingsError(file=str(path), problems=[str(exc)]) from exc
 
@@ -67,6 +76,7 @@
             retry_slack=require_field(bounds, "budget_slack", (int, float)),
             retry_window_ms=parse_duration_ms(bounds.get("budget_window")),
             max_pause_ms=read_max_pause_ms(bounds),
+            hedge_ratio=read_hedge_ratio(bounds),
         ),
         first_start=fields.get("bootstrap") is True,
     )
@@ -93,3 +103,40 @@
             " as '120s'"
         )
     return pause_ms
+
+
+def read_hedge_ratio(bounds: dict[str, Any]) -> float:
+    """
+    Read the share of the requests that may be hedged, which the platform need not set.
+
+    :param bounds: the decoded table of bounds
+    :return: the share, 0 if the field is missing
+    :raises DocumentError: if the value is not a number from 0 to 1
+    """
+    value = bounds.get("hedge_ratio", 0.0)
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not is_number or not 0.0 <= value <= 1.0:
+        raise DocumentError(
+            f"field 'bounds.hedge_ratio' is {value!r}, expected a number from 0 to 1"
+        )
+    return float(value)
+
+
+def read_environment_ratio(text: str) -> float:
+    """
+    Read the share of the requests that may be hedged from the environment.
+
+    :param text: value of ``HEDGE_RATIO_VARIABLE``
+    :return: the share
+    :raises DocumentError: if the value is not a number from 0 to 1
+    """
+    try:
+        ratio = float(text)
+    except ValueError:
+        ratio = math.nan
+    if not 0.0 <= ratio <= 1.0:
+        raise DocumentError(
+            f"environment variable {HEDGE_RATIO_VARIABLE} is {text!r}, expected a"
+            " number from 0 to 1"
+        )
+    return ratio
