--- a/src/mangohatch/fleet/parts/hedging.py
+++ b/src/mangohatch/fleet/parts/hedging.py
@@ -20,10 +20,10 @@
     name = "hedging"
 
     def __init__(self, *, hedges: HedgeSystem) -> None:
-        self._hedges = hedges
+        self.hedges = hedges
 
     def samples(self) -> Iterator[Sample]:
-        hedges = self._hedges
+        hedges = self.hedges
         if not hedges.enabled and not hedges.sent:
             return
         yield make_counter(
@@ -45,7 +45,7 @@
             )
 
     def leave(self) -> None:
-        self._hedges.leaving = True
+        self.hedges.leaving = True
 
     def reload(self, cfg: FleetSettings) -> None:
-        self._hedges.set_ratio(cfg.bounds.hedge_ratio)
+        self.hedges.set_ratio(cfg.bounds.hedge_ratio)
--- /dev/null
+++ b/tests/core/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of mangohatch.core.hedging."""
--- a/tests/core/quarantine/test_gate.py
+++ b/tests/core/quarantine/test_gate.py
@@ -1,6 +1,7 @@
 """Tests of the quarantine of crashing requests over several entry hosts."""
 
 import random
+from dataclasses import replace
 
 from mangohatch.clock import ManualClock
 from mangohatch.core.call import Call, Grant, Refusal, Report, Result
@@ -115,6 +116,20 @@
     assert refusal.error.retry_after_ms > 0
 
 
+def test_suspected_or_held_request_gets_no_hedge(gates, network, clock):
+    hedge = replace(make_call(clock, POISON), hedge=True)
+    assert not gates[1].is_suspected(hedge)
+    assert isinstance(ask(gates[1], hedge)[0], Grant)
+    run_once(gates[0], clock, POISON, ABORTED)
+    network.deliver()
+    assert isinstance(ask(gates[1], hedge)[0], Refusal)
+    trial = ask(gates[1], make_call(clock, POISON))[0]
+    assert trial.call.isolated
+    assert isinstance(ask(gates[1], hedge)[0], Refusal)
+    gates[1].release(trial, OK)
+    assert isinstance(ask(gates[1], hedge)[0], Grant)
+
+
 def test_innocent_request_beside_a_crash_is_tried_alone_and_cleared(
     gates, network, clock
 ):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -29,11 +29,11 @@
 """
 
 
-def load(text):
+def load(text, **fields):
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "local.toml"
         path.write_text(text)
-        return load_fleet_settings(path)
+        return load_fleet_settings(path, **fields)
 
 
 def test_settings_are_read_into_types():
@@ -85,6 +85,31 @@
         raise AssertionError(value)
 
 
+def test_hedges_are_off_unless_the_file_or_the_environment_permits_them():
+    with_ratio = TEXT.replace("[platform]", "hedge_ratio = 0.05\n[platform]")
+    assert load(TEXT).bounds.hedge_ratio == 0.0
+    assert load(with_ratio).bounds.hedge_ratio == 0.05
+    assert load(TEXT, hedge_ratio="0.1").bounds.hedge_ratio == 0.1
+    assert load(with_ratio, hedge_ratio="0").bounds.hedge_ratio == 0.0
+
+
+def test_invalid_hedge_ratio_is_rejected_with_its_source_and_value():
+    cases = [(value, "") for value in ("-0.1", "1.5", '"0.05"', "true", "nan")]
+    cases += [("0", value) for value in ("-0.1", "1.5", "some", "nan")]
+    for in_file, in_environment in cases:
+        text = TEXT.replace("[platform]", f"hedge_ratio = {in_file}\n[platform]")
+        try:
+            load(text, hedge_ratio=in_environment)
+        except SettingsError as exc:
+            source = "MANGOHATCH_HEDGE_RATIO" if in_environment else "hedge_ratio"
+            value = in_environment or in_file.strip('"').capitalize()
+            assert source in str(exc)
+            assert value.lower() in str(exc).lower()
+            assert "from 0 to 1" in str(exc)
+            continue
+        raise AssertionError((in_file, in_environment))
+
+
 def test_missing_file_raises_settings_error():
     try:
         load_fleet_settings(Path("/nonexistent/local.toml"))
