--- a/bench/virtual/noisy_host.py
+++ b/bench/virtual/noisy_host.py
@@ -135,7 +135,7 @@
             has_waiting=self._has_waiting,
         )
         self.budget = LocalRetryBudget(clock=clock)
-        self.requests: set[Request] = set()
+        self.requests: dict[Request, None] = {}  # in order of arrival
         self.moves = 0
         self.announced = False
 
@@ -153,14 +153,14 @@
         self.budget.earn(call)
         self.hedges.earn(call)
         request = Request(call=call, work_ms=work_ms)
-        self.requests.add(request)
+        self.requests[request] = None
         self._send(request, call)
 
     def _send(self, request: Request, call: Call) -> None:
         def deliver(decision: Decision) -> None:
             if isinstance(decision, Refusal):
                 if not request.attempts:
-                    self.requests.discard(request)
+                    self.requests.pop(request, None)
                 return
             attempt = Attempt(
                 grant=decision,
@@ -198,7 +198,7 @@
             for other in [*request.attempts]:
                 self._cancel(request, other, Result.SUPERSEDED)
             self.hedges.won += attempt.grant.call.hedge
-            self.requests.discard(request)
+            self.requests.pop(request, None)
             self.run.record(request)
         elif not request.attempts:
             self._retry(request, attempt)
@@ -206,7 +206,7 @@
     def _retry(self, request: Request, attempt: Attempt) -> None:
         call = request.call
         if call.attempt >= call.max_attempts or not self.budget.allow(call):
-            self.requests.discard(request)
+            self.requests.pop(request, None)
             return
         name = attempt.grant.upstream.name
         request.call = replace(
@@ -221,7 +221,7 @@
             self.run.tell_waiting(self.index)
         for request in [*self.requests]:
             if self.run.loop.now_ms >= request.call.deadline_ms:
-                self.requests.discard(request)
+                self.requests.pop(request, None)
                 for attempt in [*request.attempts]:
                     self._cancel(request, attempt, Result.TIMEOUT)
             elif len(request.attempts) == 1 and request.call.idempotent:
