--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -39,7 +39,9 @@
     after ``start_by_ms`` is likely to be late. An attempt that starts after
     ``latest_start_ms`` is not expected to end before ``deadline_ms``.
     ``response_bytes`` is the typical response size of the route. Only upstreams in
-    ``allowed_regions`` may run the call; None means that there is no restriction.
+    ``allowed_regions`` may run the call; None means that there is no restriction. A
+    ``hedge`` is a second attempt beside one that runs; it is sent at once or not at
+    all.
     """
 
     request_id: str
@@ -62,6 +64,7 @@
     latest_start_ms: float = math.inf
     response_bytes: float = 0.0
     allowed_regions: frozenset[str] | None = None
+    hedge: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -122,6 +125,7 @@
     TIMEOUT = "timeout"
     CANCELLED = "cancelled"
     SILENT = "silent"
+    SUPERSEDED = "superseded"
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -22,6 +22,7 @@
 from mangohatch.fleet.parts import (
     CallerEntry,
     DirectoryReading,
+    Hedging,
     LoadProbing,
     PeerLink,
     Relays,
@@ -177,6 +178,7 @@
             ),
             probing,
             Routing(decisions=decisions, guard=self._guard),
+            Hedging(hedges=decisions.hedges),
             retries,
             relays,
             TextPages(
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -23,6 +23,8 @@
     zones are followed only where ``evacuate_ms`` is set; it is the time within which
     they have to be in force on all hosts.
     ``cold`` bounds what cold upstreams get; None unless the deployment limits them.
+    ``hedge_ratio`` is the share of the requests that may get a second attempt, 0 for
+    none.
     """
 
     grace_ms: float
@@ -32,6 +34,7 @@
     max_pause_ms: float = MAX_PAUSE_MS
     evacuate_ms: float | None = None
     cold: ColdBounds | None = None
+    hedge_ratio: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/platform/settings.py
+++ b/src/mangohatch/platform/settings.py
@@ -1,7 +1,8 @@
 """Reads the settings file of the platform."""
 
+import math
 import tomllib
-from math import inf
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -16,23 +17,30 @@
     require_field,
 )
 
-__all__ = ["SETTINGS_VARIABLE", "load_fleet_settings"]
+__all__ = ["HEDGE_RATIO_VARIABLE", "SETTINGS_VARIABLE", "load_fleet_settings"]
 
 SETTINGS_VARIABLE = "MANGOHATCH_SETTINGS"
+HEDGE_RATIO_VARIABLE = "MANGOHATCH_HEDGE_RATIO"
 METRICS_PORT = 9464  # same as in deploy/system.toml; no field of the settings file
 
 
-def load_fleet_settings(path: Path) -> FleetSettings:
+def load_fleet_settings(path: Path, *, hedge_ratio: str = "") -> FleetSettings:
     """
     Read and validate the settings of this host.
 
     :param path: the settings file, in TOML
+    :param hedge_ratio: value of ``HEDGE_RATIO_VARIABLE``, which takes precedence over
+        the file; empty if it is not set
     :return: the validated settings
     :raises SettingsError: if the file can't be read or is invalid; names the file and
         the reason
     """
     try:
-        return read_settings(tomllib.loads(path.read_text(encoding="utf-8")))
+        cfg = read_settings(tomllib.loads(path.read_text(encoding="utf-8")))
+        if not hedge_ratio:
+            return cfg
+        ratio = read_environment_ratio(hedge_ratio)
+        return replace(cfg, bounds=replace(cfg.bounds, hedge_ratio=ratio))
     except (OSError, ValueError, DocumentError) as exc:
         raise SettingsError(file=str(path), problems=[str(exc)]) from exc
 
@@ -71,6 +79,7 @@
             max_pause_ms=read_max_pause_ms(bounds),
             evacuate_ms=read_evacuate_ms(bounds),
             cold=read_cold_bounds(bounds),
+            hedge_ratio=read_hedge_ratio(bounds),
         ),
         first_start=fields.get("bootstrap") is True,
         regions=read_regions(fields),
@@ -90,7 +99,7 @@
     values = {"cold_slack": 0.0} | bounds
     for name in ("cold_over", "cold_slack"):
         value = require_field(values, name, (int, float))
-        if not 0.0 <= value < inf:
+        if not 0.0 <= value < math.inf:
             raise DocumentError(
                 f"field 'bounds.{name}' is {value!r}, expected a number of at least 0"
             )
@@ -165,3 +174,40 @@
     if isinstance(region, str) and region:
         regions = {require_field(fields, "zone", str): region} | regions
     return regions
+
+
+def read_hedge_ratio(bounds: dict[str, Any]) -> float:
+    """
+    Read the share of the requests that may be hedged, which the platform need not set.
+
+    :param bounds: the decoded table of bounds
+    :return: the share, 0 if the field is missing
+    :raises DocumentError: if the value is not a number from 0 to 1
+    """
+    value = bounds.get("hedge_ratio", 0.0)
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not is_number or not 0.0 <= value <= 1.0:
+        raise DocumentError(
+            f"field 'bounds.hedge_ratio' is {value!r}, expected a number from 0 to 1"
+        )
+    return float(value)
+
+
+def read_environment_ratio(text: str) -> float:
+    """
+    Read the share of the requests that may be hedged from the environment.
+
+    :param text: value of ``HEDGE_RATIO_VARIABLE``
+    :return: the share
+    :raises DocumentError: if the value is not a number from 0 to 1
+    """
+    try:
+        ratio = float(text)
+    except ValueError:
+        ratio = math.nan
+    if not 0.0 <= ratio <= 1.0:
+        raise DocumentError(
+            f"environment variable {HEDGE_RATIO_VARIABLE} is {text!r}, expected a"
+            " number from 0 to 1"
+        )
+    return ratio
