Identify client accounts by keys on the platform

Cause: deployments under high load name client accounts in their configuration; requests on routes that are not public need a known key, and upstreams learn the name of the account. Change: accounts are read with the routes and replaced with them, so that versions are ordered alike. Errors about malformed header fields no longer show the field, which may hold a key. Calls carry the priority of their account, which the queue puts before that of the route. Without accounts, configuration and header fields pass as before.

--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -45,8 +45,9 @@
     """
     Queue of waiting calls, in the order of service.
 
-    Calls that can still be in time come first. Further criteria are priority,
-    least-served customer and earliest deadline, in this order.
+    Calls that can still be in time come first. Further criteria are the priority of
+    the account, that of the route, least-served customer and earliest deadline, in
+    this order.
 
     Under overload, a queue in order of arrival would make every call late. Calls that
     can no longer be in time therefore wait behind those that can.
@@ -222,10 +223,16 @@
 
     def _rank(
         self, waiting: WaitingCall, now_ms: float
-    ) -> tuple[bool, int, int, float]:
+    ) -> tuple[bool, int, int, int, float]:
         call = waiting.call
         served = self._customers[call.customer].served
-        return now_ms > call.start_by_ms, call.priority, served, call.deadline_ms
+        return (
+            now_ms > call.start_by_ms,
+            call.account_priority,
+            call.priority,
+            served,
+            call.deadline_ms,
+        )
 
     def _count_waiting_call(self, customer: str) -> None:
         row = self._customers.get(customer)
--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -38,7 +38,9 @@
     response after ``objective_ms`` is late, and a response to an attempt that starts
     after ``start_by_ms`` is likely to be late. An attempt that starts after
     ``latest_start_ms`` is not expected to end before ``deadline_ms``.
-    ``response_bytes`` is the typical response size of the route.
+    ``response_bytes`` is the typical response size of the route. ``account`` is the
+    client account that the caller's key identifies, empty for none, and ``key_digest``
+    the digest of that key; ``account_priority`` comes before ``priority``.
     """
 
     request_id: str
@@ -60,6 +62,9 @@
     start_by_ms: float = math.inf
     latest_start_ms: float = math.inf
     response_bytes: float = 0.0
+    account: str = ""
+    key_digest: bytes = b""
+    account_priority: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/core/routes.py
+++ b/src/mangohatch/core/routes.py
@@ -21,6 +21,7 @@
 
     ``prefix`` begins and ends with a slash. ``timeout_ms`` limits the total time of a
     request at this host. A response that takes longer than ``objective_ms`` is late.
+    Where there are client accounts, only a ``public`` route needs no key.
     """
 
     name: str
@@ -32,6 +33,7 @@
     objective_ms: float
     priority: int
     max_attempts: int
+    public: bool = False
 
     def choose(self, rng: random.Random) -> str:
         """
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Any
 
+from mangohatch.core.accounts import AccountTable
 from mangohatch.core.load import LoadView
 from mangohatch.core.named_limit import NamedLimit
 from mangohatch.core.routes import RouteTable
@@ -124,6 +125,7 @@
     def __init__(self) -> None:
         self.services: dict[str, ServiceRow] = {}
         self.routes = RouteTable()
+        self.accounts = AccountTable()
         self.response_bytes: dict[str, float] = {}
         self.signs: dict[InstanceKey, UpstreamSigns] = {}
         self._removed: dict[tuple[str, str], UpstreamRow] = {}
--- a/src/mangohatch/directory/content.py
+++ b/src/mangohatch/directory/content.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from mangohatch.core.accounts import Account
 from mangohatch.core.routes import Route
 from mangohatch.entry.limits import CallerLimits
 
@@ -30,6 +31,7 @@
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceOptions]
     limits: CallerLimits
+    accounts: tuple[Account, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -75,12 +75,14 @@
         """
         if not self._tables.routes.apply(config.routes, revision=revision):
             return
+        self._tables.accounts.replace(config.accounts)
         log.info(
             "configuration_in_force",
             version=config.version,
             revision=revision,
             routes=len(config.routes),
             services=len(config.services),
+            accounts=len(config.accounts),
         )
         self._config = config
         self._limits.head_bytes = config.limits.head_bytes
--- a/src/mangohatch/entry/head.py
+++ b/src/mangohatch/entry/head.py
@@ -59,7 +59,8 @@
     try:
         headers = parse_fields(fields)
     except HTTPInputError as exc:
-        raise BadRequest(f"a header field is malformed: {exc}") from exc
+        # The error of tornado shows the field, which may hold a key.
+        raise BadRequest("a header field is malformed") from exc
     check_host(line, headers)
     check_framing(line, headers)
     expect = headers.get("Expect")
--- a/src/mangohatch/errors/request.py
+++ b/src/mangohatch/errors/request.py
@@ -9,11 +9,14 @@
     "BadRequest",
     "DeadlineExceeded",
     "HostCutOff",
+    "KeyRejected",
     "NoConfiguration",
     "NoRoute",
     "NoUpstream",
     "Outcome",
     "Overloaded",
+    "QuotaExceeded",
+    "QuotaUnanswered",
     "RequestError",
     "RequestQuarantined",
     "Stopping",
@@ -73,6 +76,36 @@
     status = 404
 
 
+class KeyRejected(RequestError):
+    """
+    The request bears no valid key of a client account.
+
+    :param detail: description of the failure, without the key
+    :param cause: one of few causes, for counters
+    """
+
+    code = "key_rejected"
+    status = 401
+
+    def __init__(self, detail: str, *, cause: str) -> None:
+        super().__init__(detail)
+        self.cause = cause
+
+
+class QuotaExceeded(RequestError):
+    """The client account has used up its quota."""
+
+    code = "quota_exceeded"
+    status = 429
+
+
+class QuotaUnanswered(RequestError):
+    """The owner of the client account's quota did not answer in time."""
+
+    code = "quota_unanswered"
+    status = 503
+
+
 class NoConfiguration(RequestError):
     """This host has not received its routes yet."""
 
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -22,6 +22,7 @@
 from mangohatch.fleet.part import HostPart
 from mangohatch.fleet.parts import (
     CallerEntry,
+    ClientAccounts,
     DirectoryReading,
     LoadProbing,
     PeerLink,
@@ -176,6 +177,7 @@
             probing,
             Routing(decisions=decisions, guard=self._guard),
             retries,
+            ClientAccounts(tables=self.tables, request_log=self.request_log),
             relays,
             TextPages(
                 cfg=cfg,
--- a/src/mangohatch/fleet/parts/__init__.py
+++ b/src/mangohatch/fleet/parts/__init__.py
@@ -1,5 +1,6 @@
 """The parts of a fleet host."""
 
+from mangohatch.fleet.parts.accounts import ClientAccounts
 from mangohatch.fleet.parts.directory import DirectoryReading, TableUpdates
 from mangohatch.fleet.parts.entry import CallerEntry
 from mangohatch.fleet.parts.pages import TextPages
@@ -11,6 +12,7 @@
 
 __all__ = [
     "CallerEntry",
+    "ClientAccounts",
     "DirectoryReading",
     "LoadProbing",
     "PeerLink",
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -52,6 +52,17 @@
             **self._describe_path(req),
         )
 
+    def on_key_rejected(self, request_id: str, route: str, cause: str) -> None:
+        """
+        Log a request without a valid key of a client account.
+
+        :param request_id: id of the request
+        :param route: name of its route
+        :param cause: why the key was rejected
+        """
+        if self._take_token(reserve=0.0):
+            log.info("key_rejected", request=request_id, route=route, cause=cause)
+
     def on_ended(self, req: ActiveRequest, error: RequestError | None) -> None:
         reserve = LINES_PER_SECOND / 2 if error is None else 0.0
         if not self._take_token(reserve=reserve):
--- a/src/mangohatch/platform/documents.py
+++ b/src/mangohatch/platform/documents.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from mangohatch.core.accounts import Account
 from mangohatch.core.routes import Route, Target
 from mangohatch.directory.content import (
     Configuration,
@@ -13,6 +14,7 @@
     ServiceOptions,
 )
 from mangohatch.entry.limits import CallerLimits
+from mangohatch.platform.accounts import check_accounts, read_account
 from mangohatch.platform.values import (
     DocumentError,
     parse_address,
@@ -46,6 +48,7 @@
     routes: list[Route] = []
     services: dict[str, ServiceOptions] = {}
     limits = CallerLimits()
+    accounts: list[Account] = []
     for entry in require_field(document, "resources", list):
         kind = require_field(entry, "type", str)
         spec = require_field(entry, "spec", dict)
@@ -58,11 +61,15 @@
             )
         elif kind == "limits":
             limits = read_limits(spec)
+        elif kind == "tenants":
+            accounts.append(read_account(read_name(entry), spec))
+    check_accounts(accounts)
     return Configuration(
         version=parse_version(document.get("version")),
         routes=tuple(routes),
         services=services,
         limits=limits,
+        accounts=tuple(accounts),
     )
 
 
@@ -109,6 +116,7 @@
         objective_ms=parse_duration_ms(spec.get("target_latency")),
         priority=require_field(spec, "priority", int),
         max_attempts=require_field(spec, "max_attempts", int),
+        public="public" in spec and require_field(spec, "public", bool),
     )
 
 
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -4,7 +4,9 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from mangohatch.core.accounts import Account
 from mangohatch.core.call import Call
+from mangohatch.core.routes import Route
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.entry.active import ActiveRequest
@@ -14,12 +16,15 @@
 from mangohatch.errors import (
     BadRequest,
     DeadlineExceeded,
+    KeyRejected,
     NoConfiguration,
     NoRoute,
     Outcome,
+    QuotaExceeded,
     RequestError,
     UpstreamFailed,
 )
+from mangohatch.platform.accounts import TENANT, read_key, remove_identity
 from mangohatch.platform.statement import (
     RETRY_AFTER,
     SIGNATURE,
@@ -37,10 +42,14 @@
 
 OK = 200
 MULTIPLE_CHOICES = 300
+UNAUTHORIZED = 401
+TOO_MANY_REQUESTS = 429
 SERVICE_UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 
+# Errors whose status tells the caller what to do besides sending the request again.
+OWN_STATUS = (BadRequest, KeyRejected, NoRoute, QuotaExceeded)
 DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]+)?")
 MS_PER_SECOND = 1000.0
 # Above the size of nearly all responses. Each caller connection buffers at most one.
@@ -82,6 +91,7 @@
         route = tables.routes.find(host, path)
         if route is None:
             raise NoRoute(f"no route of host {host!r} begins the path")
+        account, digest = self._identify(headers, route, tables, request_id)
         budget_ms = min(read_deadline_ms(headers, route.timeout_ms), route.timeout_ms)
         return Call(
             request_id=request_id,
@@ -89,19 +99,50 @@
             arrived_ms=now_ms,
             deadline_ms=now_ms + budget_ms,
             idempotent=route.idempotent,
-            customer=caller,
+            customer=account.name if account else caller,
             route=route.name,
             priority=route.priority,
             max_attempts=route.max_attempts,
             objective_ms=now_ms + route.objective_ms,
             response_bytes=tables.response_bytes.get(route.name, 0.0),
+            account=account.name if account else "",
+            key_digest=digest,
+            account_priority=(
+                account.priority if account else tables.accounts.lowest_priority
+            ),
         )
 
+    @staticmethod
+    def _identify(
+        headers: HTTPHeaders, route: Route, tables: Tables, request_id: str
+    ) -> tuple[Account | None, bytes]:
+        """Find the account of a request, and remove its key from the request."""
+        if not tables.accounts.enabled:
+            return None, b""
+        try:
+            digest = read_key(headers)
+            account = tables.accounts.find_by_key(digest)
+            if account is None:
+                raise KeyRejected("the request bears an unknown key", cause="unknown")
+        except KeyRejected as exc:
+            if route.public:
+                return None, b""
+            tables.accounts.record_rejection(
+                request_id=request_id, route=route.name, cause=exc.cause
+            )
+            raise
+        finally:
+            remove_identity(headers)
+        return account, digest
+
     def prepare_headers(self, req: ActiveRequest) -> None:
         prepare_framing(req)
         # A request that crashes upstreams is sent again under another id. Routes may be
         # renamed meanwhile.
         call = req.call
+        # Set after the removal of the fields that the caller's ``Connection`` names.
+        if call.account:
+            req.headers[TENANT] = call.account
         path, _, query = req.line.path.partition("?")
         identity = (req.headers.get("Host", ""), req.line.method, path)
         call.path_fingerprint = make_fingerprint(req, identity)
@@ -147,7 +188,9 @@
             }
         )
         status = choose_status(error)
-        if status == SERVICE_UNAVAILABLE:
+        if status == UNAUTHORIZED:
+            headers["WWW-Authenticate"] = "Bearer"
+        if status in (TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE):
             retry_after_ms = error.retry_after_ms or DEFAULT_RETRY_AFTER_MS
             headers[RETRY_AFTER] = f"{retry_after_ms / MS_PER_SECOND:.3f}"
         return ErrorResponse(status=status, headers=headers, body=body)
@@ -158,11 +201,12 @@
     Choose the response status that matches the outcome of a failed request.
 
     :param error: the failure, with its final outcome
-    :return: the error's own status for a bad request or an unknown route that has not
-        run; 503 for any other request that has not run and will not; 504 after the
-        deadline, else 502, for a request that may have run
+    :return: the error's own status for a bad request, an unknown route, a rejected key
+        or an exceeded quota, if the request has not run; 503 for any other request that
+        has not run and will not; 504 after the deadline, else 502, for a request that
+        may have run
     """
-    if isinstance(error, (BadRequest, NoRoute)) and error.outcome is Outcome.NOT_RUN:
+    if isinstance(error, OWN_STATUS) and error.outcome is Outcome.NOT_RUN:
         return error.status
     if error.outcome is Outcome.NOT_RUN:
         return SERVICE_UNAVAILABLE
--- a/src/mangohatch/platform/source.py
+++ b/src/mangohatch/platform/source.py
@@ -7,6 +7,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.directory import DirectorySource, PartItem, PartReading
+from mangohatch.platform.accounts import replace_keys
 from mangohatch.platform.documents import normalize_upstream
 from mangohatch.platform.values import DocumentError
 from mangohatch.store import ObjectReader, StoredObject
@@ -42,7 +43,7 @@
                 PartItem(
                     name=item.name,
                     revision=item.revision,
-                    json=json.dumps(item.value, separators=(",", ":")),
+                    json=json.dumps(replace_keys(item.value), separators=(",", ":")),
                 )
                 for item in listing.items
                 if item.name == CONFIGURATION_NAME
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -86,13 +86,25 @@
 address = "{LOOPBACK}:{self.site.store.port}"
 """
 
-    async def start(self, path, *, root=ROOT, command=COMMAND, **env):
+    async def get_metrics(self, port) -> str:
+        self.ports["metrics"] = port
+        return (await self.get("metrics", "/metrics")).body.decode()
+
+    async def start(
+        self,
+        path,
+        *,
+        root=ROOT,
+        command=COMMAND,
+        stdout=asyncio.subprocess.DEVNULL,
+        **env,
+    ):
         path.write_text(self.settings())
         self.process = await asyncio.create_subprocess_exec(
             *command,
             cwd=root,
             env={"MANGOHATCH_SETTINGS": str(path)} | env,
-            stdout=asyncio.subprocess.DEVNULL,
+            stdout=stdout,
             stderr=asyncio.subprocess.DEVNULL,
         )
 
