Keep the quotas of client accounts on all hosts together

Cause: an account may run rate x window + burst requests, with the tolerance of the settings, over all hosts; requests above that are to be refused at once, also while hosts are lost or partitioned. Change: a gate in front of the router asks the owner of the account for a permit for each attempt. The owner is chosen by rendezvous hashing among hosts that started some seconds ago and keeps a token bucket, of which each side of a partition gives out the share of its hosts. Accounts without a rate, and settings without the bounds, cause no message.

--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -133,7 +133,8 @@
     The result of an attempt.
 
     ``latency_ms`` is the time from sending the request to the end of the response.
-    ``statement`` is what the response says of its upstream.
+    ``statement`` is what the response says of its upstream. ``not_run`` is set if the
+    attempt has certainly not run.
     """
 
     result: Result
@@ -141,3 +142,4 @@
     first_byte_ms: float | None = None
     statement: UpstreamStatement = UpstreamStatement()
     response_bytes: int = 0
+    not_run: bool = False
--- a/src/mangohatch/core/limits/ownership.py
+++ b/src/mangohatch/core/limits/ownership.py
@@ -52,7 +52,7 @@
         members = self._refresh()
         owner = self._owners.get(name)
         if owner is None:
-            hosts = [item.host_id for item in members if not item.leaving]
+            hosts = self._candidates(members)
             owner = self._owners[name] = min(
                 hosts, key=lambda host: rendezvous_hash(name, host), default=""
             )
@@ -85,6 +85,9 @@
             return False
         return len(self._refresh()) >= self._min_members
 
+    def _candidates(self, members: Sequence[MemberView]) -> list[str]:
+        return [item.host_id for item in members if not item.leaving]
+
     def _refresh(self) -> Sequence[MemberView]:
         members = self._bus.members()
         if members is not self._members:
--- a/src/mangohatch/core/quarantine/gate.py
+++ b/src/mangohatch/core/quarantine/gate.py
@@ -6,6 +6,7 @@
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Call, Decision, Deliver, Grant, Refusal, Report, Result
+from mangohatch.core.limits.quota_gate import QuotaGate
 from mangohatch.core.quarantine.answered import AnsweredPaths
 from mangohatch.core.quarantine.evidence import BrokenConnection, CrashEvidence
 from mangohatch.core.quarantine.hold import HoldTable, fingerprints
@@ -49,7 +50,7 @@
         self,
         *,
         clock: Clock,
-        router: Router,
+        router: Router | QuotaGate,
         table: QuarantineTable,
         notices: QuarantineNotices,
         recorder: Recorder,
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -21,7 +21,7 @@
 from mangohatch.entry.native import NativeProtocol
 from mangohatch.entry.observer import NoObserver, RequestObserver
 from mangohatch.entry.protocol import ProtocolAdapter
-from mangohatch.entry.retry import is_retry_safe, result_of
+from mangohatch.entry.retry import is_not_run, is_retry_safe, result_of
 from mangohatch.errors import (
     AttemptMoved,
     CallerGone,
@@ -207,6 +207,7 @@
         except RequestError as exc:
             error = req.failure or req.attempt_failure or exc
             report.result = result_of(error)
+            report.not_run = is_not_run(error)
             if req.silent and report.result is Result.TIMEOUT and req.reuses_connection:
                 report.result = Result.SILENT
             if req.cut_off and report.result in LINK_FAILURES:
@@ -231,7 +232,7 @@
             elif not req.admission.done():
                 req.admission.set_result(answer)
             elif isinstance(answer, Grant):
-                unused = Report(result=Result.CANCELLED, latency_ms=0.0)
+                unused = Report(result=Result.CANCELLED, latency_ms=0.0, not_run=True)
                 self._router.release(answer, unused)
 
         if req.failure is not None:
--- a/src/mangohatch/entry/retry.py
+++ b/src/mangohatch/entry/retry.py
@@ -14,10 +14,12 @@
     UpstreamFailed,
     UpstreamRefused,
     UpstreamUnreachable,
+    UpstreamWithdrawn,
 )
 from mangohatch.upstream.connection import ResponseHead
 
 __all__ = [
+    "is_not_run",
     "is_retry_safe",
     "is_server_failure",
     "result_of",
@@ -46,6 +48,16 @@
 )
 
 
+def is_not_run(error: RequestError) -> bool:
+    """
+    Return whether an attempt has certainly not run.
+
+    :param error: failure of the attempt
+    :return: whether no byte was sent, or the upstream stated that it did not run it
+    """
+    return isinstance(error, (*NOT_RUN_ERRORS, UpstreamWithdrawn))
+
+
 def is_retry_safe(call: Call, error: RequestError) -> bool:
     """
     Return whether a retry can't run a non-idempotent request twice.
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -12,6 +12,8 @@
 from mangohatch.core.contention import ContentionOrder
 from mangohatch.core.health import OutlierHealth
 from mangohatch.core.limits import PermitTable
+from mangohatch.core.limits.quota_gate import QuotaGate
+from mangohatch.core.limits.quotas import QuotaPermits
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.moving import MovePolicy
 from mangohatch.core.quarantine import (
@@ -42,14 +44,15 @@
 
     ``health`` is the health of the upstreams. ``should_move`` returns whether a request
     should move to another upstream; it is None if the placement policy never moves
-    requests. ``limits`` keeps the limits that upstreams name, and ``signs`` which of
-    them leave or ask for a pause.
+    requests. ``limits`` keeps the limits that upstreams name, ``quotas`` those of
+    client accounts, and ``signs`` which upstreams leave or ask for a pause.
     """
 
     router: Router
     health: OutlierHealth
     gate: QuarantineGate
     limits: PermitTable
+    quotas: QuotaPermits
     signs: SignSystem
     should_move: Callable[[Grant], bool] | None
 
@@ -153,10 +156,26 @@
                 row.load.measured_ms > since_ms for row in tables.upstreams()
             ),
         )
+    quotas = QuotaPermits(
+        clock=clock,
+        rng=rng,
+        bus=bus,
+        timers=timers,
+        accounts=tables.accounts,
+        bounds=cfg.bounds.quota,
+        alone=all(seed == cfg.peers for seed in cfg.seeds),
+    )
     quarantine = QuarantineTable(clock=clock)
+    # The order of a request after its route and key: quarantine, quota, queue.
     gate = QuarantineGate(
         clock=clock,
-        router=router,
+        router=QuotaGate(
+            clock=clock,
+            router=router,
+            accounts=tables.accounts,
+            permits=quotas,
+            timers=timers,
+        ),
         table=quarantine,
         notices=QuarantineNotices(clock=clock, rng=rng, bus=bus, table=quarantine),
         recorder=recorder,
@@ -167,6 +186,7 @@
         health=health,
         gate=gate,
         limits=limits,
+        quotas=quotas,
         signs=signs,
         should_move=should_move,
     )
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -177,7 +177,7 @@
             probing,
             Routing(decisions=decisions, guard=self._guard),
             retries,
-            ClientAccounts(tables=self.tables, request_log=self.request_log),
+            ClientAccounts(tables=self.tables, core=decisions, log=entry.request_log),
             relays,
             TextPages(
                 cfg=cfg,
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from mangohatch.core.limits.quota_bounds import QuotaBounds
 from mangohatch.core.signs.settings import MAX_PAUSE_MS
 
 __all__ = ["FleetBounds", "FleetSettings"]
@@ -17,7 +18,8 @@
     A process must end within ``grace_ms`` of SIGTERM. The retry limits apply to the
     fleet as a whole: in any period of ``retry_window_ms``, the repeated attempts for a
     service are at most ``retry_ratio`` times its requests, plus ``retry_slack``. Longer
-    pauses than ``max_pause_ms`` that upstreams ask for are cut to it.
+    pauses than ``max_pause_ms`` that upstreams ask for are cut to it. ``quota`` bounds
+    the requests of client accounts; None unless the deployment limits them.
     """
 
     grace_ms: float
@@ -25,6 +27,7 @@
     retry_slack: float
     retry_window_ms: float
     max_pause_ms: float = MAX_PAUSE_MS
+    quota: QuotaBounds | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -4083,6 +4083,288 @@
         return not (self == other)
 
 
+class QuotaRequest(object):
+    """
+    A host asks the owner of a client account's quota for a permit for one request.
+
+    Attributes:
+     - account
+     - number
+     - members
+
+    """
+
+    __slots__ = (
+        'account',
+        'number',
+        'members',
+    )
+
+
+    def __init__(self, account=None, number=None, members=None,):
+        self.account = account
+        self.number = number
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.members = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaRequest')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.I32, 3)
+            oprot.writeI32(self.members)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaAnswer(object):
+    """
+    The owner permits the request, or tells when there will be a token for it.
+
+    Attributes:
+     - account
+     - number
+     - granted
+     - wait_ms
+     - settling
+
+    """
+
+    __slots__ = (
+        'account',
+        'number',
+        'granted',
+        'wait_ms',
+        'settling',
+    )
+
+
+    def __init__(self, account=None, number=None, granted=None, wait_ms=None, settling=None,):
+        self.account = account
+        self.number = number
+        self.granted = granted
+        self.wait_ms = wait_ms
+        self.settling = settling
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.settling = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaAnswer')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 3)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 4)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.settling is not None:
+            oprot.writeFieldBegin('settling', TType.BOOL, 5)
+            oprot.writeBool(self.settling)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaReturn(object):
+    """
+    A host returns a permit for a request that has certainly not run.
+
+    Attributes:
+     - account
+
+    """
+
+    __slots__ = (
+        'account',
+    )
+
+
+    def __init__(self, account=None,):
+        self.account = account
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaReturn')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -4831,6 +5113,27 @@
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
     (3, TType.I32, 'count', None, None, ),  # 3
 )
+all_structs.append(QuotaRequest)
+QuotaRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.I32, 'members', None, None, ),  # 3
+)
+all_structs.append(QuotaAnswer)
+QuotaAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.BOOL, 'granted', None, None, ),  # 3
+    (4, TType.I32, 'wait_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'settling', None, None, ),  # 5
+)
+all_structs.append(QuotaReturn)
+QuotaReturn.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+)
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
     None,  # 0
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -284,6 +284,27 @@
   3: i32 count,
 }
 
+/** A host asks the owner of a client account's quota for a permit for one request. */
+struct QuotaRequest {
+  1: string account,
+  2: i64 number,
+  3: i32 members,
+}
+
+/** The owner permits the request, or tells when there will be a token for it. */
+struct QuotaAnswer {
+  1: string account,
+  2: i64 number,
+  3: bool granted,
+  4: i32 wait_ms,
+  5: bool settling,
+}
+
+/** A host returns a permit for a request that has certainly not run. */
+struct QuotaReturn {
+  1: string account,
+}
+
 struct LoadReport {
   1: string service_name,
   2: list<LoadSample> samples,
--- a/src/mangohatch/platform/settings.py
+++ b/src/mangohatch/platform/settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+from mangohatch.core.limits.quota_bounds import QuotaBounds
 from mangohatch.core.signs.settings import MAX_PAUSE_MS
 from mangohatch.errors import SettingsError
 from mangohatch.fleet.settings import FleetBounds, FleetSettings
@@ -67,11 +68,34 @@
             retry_slack=require_field(bounds, "budget_slack", (int, float)),
             retry_window_ms=parse_duration_ms(bounds.get("budget_window")),
             max_pause_ms=read_max_pause_ms(bounds),
+            quota=read_quota(bounds),
         ),
         first_start=fields.get("bootstrap") is True,
     )
 
 
+def read_quota(bounds: dict[str, Any]) -> QuotaBounds | None:
+    """
+    Read the bounds of the quotas of client accounts.
+
+    :param bounds: the decoded table of bounds
+    :return: the bounds; None unless all of them are set
+    :raises DocumentError: if a value is negative or of the wrong type
+    """
+    if not {"quota_window", "quota_over", "quota_slack"} <= bounds.keys():
+        return None
+    window_ms = parse_duration_ms(bounds["quota_window"])
+    over = require_field(bounds, "quota_over", (int, float))
+    slack = require_field(bounds, "quota_slack", (int, float))
+    if window_ms <= 0.0 or over < 0.0 or slack < 0.0:
+        raise DocumentError(
+            f"quota_window, quota_over and quota_slack are {bounds['quota_window']!r},"
+            f" {over!r} and {slack!r}, expected a duration above 0 and numbers of 0 or"
+            " more"
+        )
+    return QuotaBounds(window_ms=window_ms, over=over, slack=slack)
+
+
 def read_max_pause_ms(bounds: dict[str, Any]) -> float:
     """
     Read the longest pause that is obeyed, which the platform need not set.
--- a/src/standins/simulated_fleet/__init__.py
+++ b/src/standins/simulated_fleet/__init__.py
@@ -14,6 +14,11 @@
     LimitVerdict,
 )
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
+from standins.simulated_fleet.quota_traffic import (
+    QuotaPlan,
+    QuotaTraffic,
+    QuotaVerdict,
+)
 from standins.simulated_fleet.sign_traffic import SignPlan, SignTraffic, SignVerdict
 from standins.simulated_fleet.usage import Usage
 
@@ -28,6 +33,9 @@
     "LimitTraffic",
     "LimitVerdict",
     "PeerNetwork",
+    "QuotaPlan",
+    "QuotaTraffic",
+    "QuotaVerdict",
     "SignPlan",
     "SignTraffic",
     "SignVerdict",
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from mangohatch.core.accounts import Account
+from mangohatch.core.limits.quota_bounds import QuotaBounds
 from mangohatch.directory.content import RegisteredUpstream
 from mangohatch.peer.datagram import PeerAddress
 from standins.simulated_fleet.host import SimulatedHost
@@ -40,7 +42,9 @@
     Size and surroundings of a fleet.
 
     ``requests_per_s`` is the rate at each upstream while requests are sent. ``limits``
-    hold for each host. With two ``services`` the second has a tenth of the upstreams.
+    hold for each host. ``accounts`` are the client accounts, with ``quota`` as the
+    bounds of their quotas. With two ``services`` the second has a tenth of the
+    upstreams.
     """
 
     hosts: int
@@ -51,6 +55,8 @@
     limits: HostLimits | None = None
     configuration_bytes: int = CONFIGURATION_BYTES
     services: tuple[str, ...] = SERVICES
+    accounts: tuple[Account, ...] = ()
+    quota: QuotaBounds | None = None
 
 
 class SimulatedFleet:
@@ -75,6 +81,7 @@
         self.store = SimulatedStore(
             clock=self.clock, rng=random.Random(f"{plan.seed}/store")
         )
+        self.store.accounts = plan.accounts
         self.store.put_configuration(plan.services, plan.configuration_bytes)
         self._upstreams: dict[str, SimulatedUpstream] = {}
         self._entries: dict[str, RegisteredUpstream] = {}
@@ -144,18 +151,20 @@
         self.run(START_MS + START_SPAN_MS)
 
     def _start_host(self, number: int) -> None:
+        seeds = (*(host_address(seed) for seed in range(SEEDS)), DOWN_SEED)
         self.hosts.append(
             SimulatedHost(
                 host_id=f"host-{number}",
                 zone=zone_name(number),
                 address=host_address(number),
-                seeds=(*(host_address(seed) for seed in range(SEEDS)), DOWN_SEED),
+                seeds=seeds if self.plan.hosts > 1 else (host_address(0),),
                 loop=self.loop,
                 network=self.network,
                 store=self.store,
                 upstreams=self._upstreams,
                 limits=self.plan.limits,
                 rng=random.Random(f"{self.plan.seed}/host-{number}"),
+                quota=self.plan.quota,
             )
         )
 
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -5,7 +5,9 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
+from mangohatch.core.accounts import digest_key
 from mangohatch.core.call import Call, Decision, Grant, Report, Result
+from mangohatch.core.limits.quota_bounds import QuotaBounds
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.table_updater import TableUpdater
@@ -69,6 +71,7 @@
     :param upstreams: upstreams by name
     :param limits: limits of the host, none if None
     :param rng: source of random numbers
+    :param quota: bounds of the quotas of client accounts, None for none
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         upstreams: dict[str, SimulatedUpstream],
         limits: HostLimits | None,
         rng: random.Random,
+        quota: QuotaBounds | None = None,
     ) -> None:
         self.host_id = host_id
         self.in_force_ms: dict[int, float] = {}
@@ -118,7 +122,7 @@
             metrics=UNUSED,
             seeds=seeds,
             store=UNUSED,
-            bounds=BOUNDS,
+            bounds=replace(BOUNDS, quota=quota),
         )
         probe = SimulatedProbe(loop=loop, clock=self._clock, upstreams=upstreams)
         self.fleet_host = FleetHost(
@@ -199,10 +203,12 @@
             request_id=req.request_id,
             service=service,
             arrived_ms=now_ms,
-            deadline_ms=now_ms + DEADLINE_MS,
+            deadline_ms=now_ms + req.deadline_ms,
             objective_ms=now_ms + OBJECTIVE_MS,
             idempotent=req.idempotent,
-            customer=req.caller,
+            customer=req.account or req.caller,
+            account=req.account,
+            key_digest=digest_key(req.account) if req.account else b"",
             route=req.route or service,
             max_attempts=MAX_ATTEMPTS,
             response_bytes=RESPONSE_BYTES,
@@ -252,7 +258,11 @@
             return
         call = grant.call
         now_ms = self._clock.now_ms()
-        report = Report(result=result, latency_ms=now_ms - grant.granted_ms)
+        report = Report(
+            result=result,
+            latency_ms=now_ms - grant.granted_ms,
+            not_run=result in NOT_RUN,
+        )
         if result is Result.ABORTED:
             req.broken_ms = now_ms
         elif result is Result.OK:
--- a/src/standins/simulated_fleet/network.py
+++ b/src/standins/simulated_fleet/network.py
@@ -198,7 +198,8 @@
     Delivers datagrams between the ports of a fleet.
 
     Each datagram takes 0.3 to 1.5 ms besides the time on slow links, and the share
-    ``loss`` is lost at random.
+    ``loss`` is lost at random. ``sides`` assigns hosts to the sides of a partition,
+    between which all are lost.
 
     :param loop: event loop in virtual time
     :param rng: source of delays and losses
@@ -209,6 +210,7 @@
         self, *, loop: VirtualLoop, rng: random.Random, loss: float = 0.0
     ) -> None:
         self.loss = loss
+        self.sides: dict[PeerAddress, int] = {}
         self._loop = loop
         self._rng = rng
         self._ports: dict[PeerAddress, PeerPort] = {}
@@ -261,6 +263,8 @@
             sender.usage.dropped[kind] += 1
             return
         receiver = self._ports.get(address)
+        if self.sides and self.sides.get(sender.address) != self.sides.get(address):
+            return
         if receiver is None or self._rng.random() < self.loss:
             return
         delay_ms = DELAY_MIN_MS + (DELAY_MAX_MS - DELAY_MIN_MS) * self._rng.random()
--- a/src/standins/simulated_fleet/requests.py
+++ b/src/standins/simulated_fleet/requests.py
@@ -13,6 +13,7 @@
     """
     One attempt of a caller.
 
+    ``account`` is the client account whose key it bears, empty for none.
     ``crashes`` is set for a request that crashes the upstreams that run it. With
     ``reset_after_ms``, the connection of the first attempt is reset after that time.
     ``broken_ms`` is when its connection broke last, and ``held_ms`` the longest time
@@ -26,6 +27,8 @@
     work_ms: float
     method: str = "GET"
     caller: str = CALLER
+    account: str = ""
+    deadline_ms: float = 3_000.0
     body: bytes = b""
     route: str = ""
     idempotent: bool = True
--- a/src/standins/simulated_fleet/store.py
+++ b/src/standins/simulated_fleet/store.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 from functools import lru_cache
 
+from mangohatch.core.accounts import Account, digest_key
 from mangohatch.core.routes import Route, Target
 from mangohatch.directory import (
     DirectoryPart,
@@ -50,6 +51,9 @@
     """
     Holds the configuration and the entries of the upstreams.
 
+    ``accounts`` are the client accounts of the next version of the configuration; the
+    key of each is its name.
+
     :param clock: source of time
     :param rng: source of random numbers
     """
@@ -60,6 +64,7 @@
         self.version = 0
         self._clock = clock
         self._rng = rng
+        self.accounts: Sequence[Account] = ()
         self._writes = 1
         self._items: dict[str, dict[str, PartItem]] = {CONFIGURATION: {}, UPSTREAMS: {}}
 
@@ -95,6 +100,11 @@
             "services": list(services),
             "routes": routes,
         }
+        if self.accounts:
+            document["accounts"] = [
+                [item.name, item.priority, item.per_s, item.burst]
+                for item in self.accounts
+            ]
         self._put(CONFIGURATION, CONFIGURATION_NAME, json.dumps(document))
         return self.version
 
@@ -237,4 +247,14 @@
             for name in document["services"]
         },
         limits=CallerLimits(),
+        accounts=tuple(
+            Account(
+                name=name,
+                key_digests=frozenset({digest_key(name)}),
+                priority=priority,
+                per_s=per_s,
+                burst=burst,
+            )
+            for name, priority, per_s, burst in document.get("accounts", ())
+        ),
     )
