--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -53,7 +53,7 @@
     can no longer be in time therefore wait behind those that can.
 
     When a new call would wait too long, the customer with the most waiting calls
-    loses its newest one.
+    loses its newest one; where calls of less urgent accounts wait, one of these.
     """
 
     def __init__(self, *, spec: Any) -> None:
@@ -250,6 +250,17 @@
             del self._customers[name]
 
     def _find_call_to_drop(self, call: Call) -> WaitingCall | None:
+        lowest = max(item.call.account_priority for item in self._calls.values())
+        if lowest > call.account_priority:
+            calls = [
+                item
+                for item in self._calls.values()
+                if item.call.account_priority == lowest
+            ]
+            busiest = max(
+                {item.call.customer: None for item in calls}, key=self._waiting_of
+            )
+            return [item for item in calls if item.call.customer == busiest][-1]
         own = self._customers.get(call.customer)
         limit = (own.waiting if own is not None else 0) + 1
         busiest = max(self._customers, key=self._waiting_of)
