--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -91,3 +91,18 @@
     except SettingsError:
         return
     raise AssertionError("no error")
+
+
+def test_bounds_of_quotas_are_read_only_where_all_are_set():
+    quota = 'quota_window = "5s"\nquota_over = 0.1\n'
+    assert load(TEXT).bounds.quota is None
+    assert load(TEXT.replace("[platform]", quota + "[platform]")).bounds.quota is None
+    quota += "quota_slack = 20\n"
+    bounds = load(TEXT.replace("[platform]", quota + "[platform]")).bounds.quota
+    assert (bounds.window_ms, bounds.over, bounds.slack) == (5_000.0, 0.1, 20)
+    for good, bad in (('"5s"', '"0s"'), ("0.1", "-0.1"), ("20", '"20"')):
+        try:
+            load(TEXT.replace("[platform]", quota.replace(good, bad) + "[platform]"))
+            raise AssertionError(bad)
+        except SettingsError as exc:
+            assert "quota_" in str(exc)
