--- a/src/mangohatch/core/accounts/account.py
+++ b/src/mangohatch/core/accounts/account.py
@@ -29,6 +29,17 @@
         """Whether the account has a limit of requests a second."""
         return self.per_s > 0.0
 
+    def restrict(self, regions: frozenset[str] | None) -> frozenset[str] | None:
+        """
+        Apply the regions of the account to those of a route.
+
+        :param regions: regions in which the route may run, None for all
+        :return: regions in which a request of the account may run, None for all
+        """
+        if self.allowed_regions is None or regions is None:
+            return regions if self.allowed_regions is None else self.allowed_regions
+        return self.allowed_regions & regions
+
 
 def digest_key(key: str) -> bytes:
     """
--- a/tests/platform/test_accounts.py
+++ b/tests/platform/test_accounts.py
@@ -235,6 +235,15 @@
         assert KEY not in str(exc), str(exc)
 
 
+def test_regions_of_account_and_route_both_apply():
+    free = Account(name="a", key_digests=frozenset())
+    bound = Account(name="b", key_digests=frozenset(), allowed_regions=frozenset("xy"))
+    assert free.restrict(None) is None
+    assert free.restrict(frozenset("x")) == bound.restrict(frozenset("xz")) == {"x"}
+    assert bound.restrict(None) == {"x", "y"}
+    assert bound.restrict(frozenset("z")) == frozenset()  # nowhere, not everywhere
+
+
 async def test_peers_get_digests_only():
     misspelt = account("w", api_key=[OTHER_KEY])
     other_type = account("v", api_keys=[OTHER_KEY]) | {"type": "tenant"}
