--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 HOLD ?= 0
 SOURCES := src tests bench demo tooling
 
-.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak
+.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak quota-soak
 
 all: lint test
 
@@ -36,6 +36,10 @@
 sign-soak: setup
 	$(BIN)/python -m tests.fleet.sign_soak --first $(SEED)
 
+# Client accounts with quotas on simulated fleets, 50 seeds from SEED on.
+quota-soak: setup
+	$(BIN)/python -m tests.fleet.quota_soak --first $(SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/isort --check-only --quiet $(SOURCES)
--- a/src/mangohatch/core/limits/quota_broker.py
+++ b/src/mangohatch/core/limits/quota_broker.py
@@ -15,8 +15,8 @@
 SETTLING_MS = 4_000.0  # requests that came while there was no owner are caught up
 PAUSE_MS = 400.0  # ticks are 50 ms apart; another host may have taken over meanwhile
 # Of the capacity: hosts may hold this share, while tokens for others remain.
-HELD_SHARE = 0.5
-FREE_SHARE = 0.25
+HELD_SHARE = 0.75
+FREE_SHARE = 0.125
 MIN_WAIT_MS = 1.0  # above rounding errors
 MS_PER_S = 1000.0
 
--- a/src/mangohatch/core/limits/quota_members.py
+++ b/src/mangohatch/core/limits/quota_members.py
@@ -16,6 +16,7 @@
 # From the first to the last host that notices a change of members.
 STABLE_MS = 1_000.0
 MAX_UNSTABLE_MS = 2_000.0
+FREEZE_MS = 700.0  # 13 hosts noticed a partition within 200 ms of each other
 # Hosts that were lost this long ago count as gone, not as partitioned.
 FORGET_MS = 3_600_000.0
 
@@ -90,7 +91,7 @@
         """
         self._refresh()
         stable_ms = min(
-            self._lost_ms + STABLE_MS, self._unstable_since_ms + MAX_UNSTABLE_MS
+            self._lost_ms + FREEZE_MS, self._unstable_since_ms + MAX_UNSTABLE_MS
         )
         return max(0.0, stable_ms - self._clock.now_ms())
 
