Check that the platform's names of accounts and quotas stay in its adapter

Cause: the test of the boundary knew only the older names. Change: it also looks for the names of accounts, keys, rates and quotas. Result: its 3 tests pass.

--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -17,6 +17,7 @@
     r"Upstream-Signature|Expected-Instance|Not-Executed|(?<!X-)Deadline-Ms"
     r"|Upstream-Instance|MANGOHATCH_SETTINGS|cold_remaining|traffic_split"
     r"|/mangohatch/|health_check_path|node_name|internal_ports"
+    r"|api_keys|rate_per_s|\btenants?\b|\bTenant\b|quota_(window|over)\b"
 )
 # Libraries that only the native interface needs.
 NATIVE_LIBS = (
