--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 HOLD ?= 0
 SOURCES := src tests bench demo tooling
 
-.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak evacuation-soak cold-soak released
+.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak evacuation-soak cold-soak quota-soak released
 
 all: lint test
 
@@ -45,6 +45,10 @@
 cold-soak: setup
 	$(BIN)/python -m tests.fleet.cold_soak --first $(SEED)
 
+# Client accounts with quotas on simulated fleets, 50 seeds from SEED on.
+quota-soak: setup
+	$(BIN)/python -m tests.fleet.quota_soak --first $(SEED)
+
 lint: setup
 	$(BIN)/black --check --quiet $(SOURCES)
 	$(BIN)/isort --check-only --quiet $(SOURCES)
--- a/src/mangohatch/core/admission/queue.py
+++ b/src/mangohatch/core/admission/queue.py
@@ -45,14 +45,15 @@
     """
     Queue of waiting calls, in the order of service.
 
-    Calls that can still be in time come first. Further criteria are priority,
-    least-served customer and earliest deadline, in this order.
+    Calls that can still be in time come first. Further criteria are the priority of
+    the account, that of the route, least-served customer and earliest deadline, in
+    this order.
 
     Under overload, a queue in order of arrival would make every call late. Calls that
     can no longer be in time therefore wait behind those that can.
 
     When a new call would wait too long, the customer with the most waiting calls
-    loses its newest one.
+    loses its newest one; where calls of less urgent accounts wait, one of these.
     """
 
     def __init__(self, *, spec: Any) -> None:
@@ -222,10 +223,16 @@
 
     def _rank(
         self, waiting: WaitingCall, now_ms: float
-    ) -> tuple[bool, int, int, float]:
+    ) -> tuple[bool, int, int, int, float]:
         call = waiting.call
         served = self._customers[call.customer].served
-        return now_ms > call.start_by_ms, call.priority, served, call.deadline_ms
+        return (
+            now_ms > call.start_by_ms,
+            call.account_priority,
+            call.priority,
+            served,
+            call.deadline_ms,
+        )
 
     def _count_waiting_call(self, customer: str) -> None:
         row = self._customers.get(customer)
@@ -243,6 +250,17 @@
             del self._customers[name]
 
     def _find_call_to_drop(self, call: Call) -> WaitingCall | None:
+        lowest = max(item.call.account_priority for item in self._calls.values())
+        if lowest > call.account_priority:
+            calls = [
+                item
+                for item in self._calls.values()
+                if item.call.account_priority == lowest
+            ]
+            busiest = max(
+                {item.call.customer: None for item in calls}, key=self._waiting_of
+            )
+            return [item for item in calls if item.call.customer == busiest][-1]
         own = self._customers.get(call.customer)
         limit = (own.waiting if own is not None else 0) + 1
         busiest = max(self._customers, key=self._waiting_of)
--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -42,6 +42,9 @@
     ``allowed_regions`` may run the call; None means that there is no restriction. A
     ``hedge`` is a second attempt beside one that runs; it is sent at once or not at
     all.
+    ``account`` is the client account that the caller's key identifies, empty for none,
+    and ``key_digest`` the digest of that key; ``account_priority`` comes before
+    ``priority``.
     """
 
     request_id: str
@@ -65,6 +68,9 @@
     response_bytes: float = 0.0
     allowed_regions: frozenset[str] | None = None
     hedge: bool = False
+    account: str = ""
+    key_digest: bytes = b""
+    account_priority: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -134,7 +140,8 @@
     The result of an attempt.
 
     ``latency_ms`` is the time from sending the request to the end of the response.
-    ``statement`` is what the response says of its upstream.
+    ``statement`` is what the response says of its upstream. ``not_run`` is set if the
+    attempt has certainly not run.
     """
 
     result: Result
@@ -142,3 +149,4 @@
     first_byte_ms: float | None = None
     statement: UpstreamStatement = UpstreamStatement()
     response_bytes: int = 0
+    not_run: bool = False
--- a/src/mangohatch/core/routes.py
+++ b/src/mangohatch/core/routes.py
@@ -22,6 +22,7 @@
     ``prefix`` begins and ends with a slash. ``timeout_ms`` limits the total time of a
     request at this host. A response that takes longer than ``objective_ms`` is late.
     Only upstreams in ``allowed_regions`` receive requests; None means no restriction.
+    Where there are client accounts, only a ``public`` route needs no key.
     """
 
     name: str
@@ -34,6 +35,7 @@
     priority: int
     max_attempts: int
     allowed_regions: frozenset[str] | None = None
+    public: bool = False
 
     def choose(self, rng: random.Random) -> str:
         """
--- a/src/mangohatch/core/tables.py
+++ b/src/mangohatch/core/tables.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Any
 
+from mangohatch.core.accounts import AccountTable
 from mangohatch.core.cold_state import ColdState
 from mangohatch.core.load import LoadView
 from mangohatch.core.named_limit import NamedLimit
@@ -141,6 +142,7 @@
         self.services: dict[str, ServiceRow] = {}
         self.routes = RouteTable()
         self.zones = ZoneTable()
+        self.accounts = AccountTable()
         self.response_bytes: dict[str, float] = {}
         self.signs: dict[InstanceKey, UpstreamSigns] = {}
         self._removed: dict[tuple[str, str], UpstreamRow] = {}
--- a/src/mangohatch/fleet/decisions.py
+++ b/src/mangohatch/fleet/decisions.py
@@ -20,6 +20,8 @@
     ReportedSlowness,
 )
 from mangohatch.core.limits import ColdStates, LimitOwnership, PermitTable
+from mangohatch.core.limits.quota_gate import QuotaGate
+from mangohatch.core.limits.quotas import QuotaPermits
 from mangohatch.core.load_estimator import LoadEstimator
 from mangohatch.core.moving import MovePolicy
 from mangohatch.core.quarantine import (
@@ -53,8 +55,9 @@
     ``health`` is the health of the upstreams. ``should_move`` returns whether a request
     should move to another upstream; it is None if the placement policy never moves
     requests. ``hedges`` decides about second attempts. ``limits`` keeps the limits that
-    upstreams name, ``cold`` which of them are cold, and ``signs`` which of them leave
-    or ask for a pause. ``crash_probe`` sends the checks of ``gate``.
+    upstreams name, ``quotas`` those of client accounts, ``cold`` which upstreams are
+    cold, and ``signs`` which of them leave or ask for a pause. ``crash_probe`` sends
+    the checks of ``gate``.
     """
 
     router: Router
@@ -62,6 +65,7 @@
     gate: QuarantineGate
     limits: PermitTable
     cold: ColdStates
+    quotas: QuotaPermits
     signs: SignSystem
     should_move: Callable[[Grant], bool] | None
     crash_probe: LoadProbe
@@ -186,10 +190,26 @@
                 row.load.measured_ms > since_ms for row in tables.upstreams()
             ),
         )
+    quotas = QuotaPermits(
+        clock=clock,
+        rng=rng,
+        bus=bus,
+        timers=timers,
+        accounts=tables.accounts,
+        bounds=cfg.bounds.quota,
+        alone=all(seed == cfg.peers for seed in cfg.seeds),
+    )
     quarantine = QuarantineTable(clock=clock)
+    # The order of a request after its route and key: quarantine, quota, queue.
     gate = QuarantineGate(
         clock=clock,
-        router=router,
+        router=QuotaGate(
+            clock=clock,
+            router=router,
+            accounts=tables.accounts,
+            permits=quotas,
+            timers=timers,
+        ),
         table=quarantine,
         notices=QuarantineNotices(clock=clock, rng=rng, bus=bus, table=quarantine),
         recorder=recorder,
@@ -209,6 +229,7 @@
         gate=gate,
         limits=limits,
         cold=cold,
+        quotas=quotas,
         signs=signs,
         should_move=should_move,
         crash_probe=crash_probe,
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -21,6 +21,7 @@
 from mangohatch.fleet.part import HostPart
 from mangohatch.fleet.parts import (
     CallerEntry,
+    ClientAccounts,
     DirectoryReading,
     Hedging,
     LoadProbing,
@@ -180,6 +181,7 @@
             Routing(decisions=decisions, guard=self._guard),
             Hedging(hedges=decisions.hedges),
             retries,
+            ClientAccounts(tables=self.tables, core=decisions, log=entry.request_log),
             relays,
             TextPages(
                 cfg=cfg,
--- a/src/mangohatch/fleet/parts/__init__.py
+++ b/src/mangohatch/fleet/parts/__init__.py
@@ -1,5 +1,6 @@
 """The parts of a fleet host."""
 
+from mangohatch.fleet.parts.accounts import ClientAccounts
 from mangohatch.fleet.parts.directory import DirectoryReading, TableUpdates
 from mangohatch.fleet.parts.entry import CallerEntry
 from mangohatch.fleet.parts.hedging import Hedging
@@ -13,6 +14,7 @@
 
 __all__ = [
     "CallerEntry",
+    "ClientAccounts",
     "DirectoryReading",
     "Hedging",
     "LoadProbing",
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from mangohatch.core.limits.cold import ColdBounds
+from mangohatch.core.limits.quota_bounds import QuotaBounds
 from mangohatch.core.signs.settings import MAX_PAUSE_MS
 
 __all__ = ["FleetBounds", "FleetSettings"]
@@ -25,6 +26,8 @@
     ``cold`` bounds what cold upstreams get; None unless the deployment limits them.
     ``hedge_ratio`` is the share of the requests that may get a second attempt, 0 for
     none.
+    ``quota`` bounds the requests of client accounts; None unless the deployment
+    limits them.
     """
 
     grace_ms: float
@@ -35,6 +38,7 @@
     evacuate_ms: float | None = None
     cold: ColdBounds | None = None
     hedge_ratio: float = 0.0
+    quota: QuotaBounds | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/platform/documents.py
+++ b/src/mangohatch/platform/documents.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from mangohatch.core.accounts import Account
 from mangohatch.core.routes import Route, Target
 from mangohatch.directory.content import (
     Configuration,
@@ -13,6 +14,7 @@
     ServiceOptions,
 )
 from mangohatch.entry.limits import CallerLimits
+from mangohatch.platform.accounts import check_accounts, read_account
 from mangohatch.platform.cold import read_cold_ms, read_warm_up
 from mangohatch.platform.values import (
     DocumentError,
@@ -51,6 +53,7 @@
     routes: list[Route] = []
     services: dict[str, ServiceOptions] = {}
     limits = CallerLimits()
+    accounts: list[Account] = []
     for entry in require_field(document, "resources", list):
         kind = require_field(entry, "type", str)
         spec = require_field(entry, "spec", dict)
@@ -65,11 +68,15 @@
             )
         elif kind == "limits":
             limits = read_limits(spec)
+        elif kind == "tenants":
+            accounts.append(read_account(read_name(entry), spec))
+    check_accounts(accounts)
     return Configuration(
         version=parse_version(document.get("version")),
         routes=tuple(routes),
         services=services,
         limits=limits,
+        accounts=tuple(accounts),
     )
 
 
@@ -117,6 +124,7 @@
         priority=require_field(spec, "priority", int),
         max_attempts=require_field(spec, "max_attempts", int),
         allowed_regions=parse_names(spec, "allowed_regions"),
+        public="public" in spec and require_field(spec, "public", bool),
     )
 
 
--- a/src/standins/simulated_fleet/documents.py
+++ b/src/standins/simulated_fleet/documents.py
@@ -3,6 +3,7 @@
 import json
 from functools import lru_cache
 
+from mangohatch.core.accounts import Account, digest_key
 from mangohatch.core.cold_state import WarmUp
 from mangohatch.core.routes import Route, Target
 from mangohatch.directory import DirectoryPart
@@ -86,4 +87,14 @@
             for name in document["services"]
         },
         limits=CallerLimits(),
+        accounts=tuple(
+            Account(
+                name=name,
+                key_digests=frozenset({digest_key(name)}),
+                priority=priority,
+                per_s=per_s,
+                burst=burst,
+            )
+            for name, priority, per_s, burst in document.get("accounts", ())
+        ),
     )
--- a/src/standins/simulated_fleet/fleet.py
+++ b/src/standins/simulated_fleet/fleet.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from mangohatch.core.accounts import Account
 from mangohatch.core.admission.caller_age import CallerAgeTable
 from mangohatch.core.cold_state import WarmUp
 from mangohatch.core.limits import ColdBounds
+from mangohatch.core.limits.quota_bounds import QuotaBounds
 from mangohatch.directory.content import RegisteredUpstream
 from mangohatch.peer.datagram import PeerAddress
 from standins.simulated_fleet.host import SimulatedHost
@@ -47,6 +49,7 @@
     With ``evacuations``, the hosts follow evacuations of zones.
     Cold upstreams take what ``warm_up`` and ``cold`` allow; they are not limited if
     these are None.
+    ``accounts`` are the client accounts, with ``quota`` as the bounds of their quotas.
     """
 
     hosts: int
@@ -60,6 +63,8 @@
     evacuations: bool = False
     warm_up: WarmUp | None = None
     cold: ColdBounds | None = None
+    accounts: tuple[Account, ...] = ()
+    quota: QuotaBounds | None = None
 
 
 class SimulatedFleet:
@@ -88,6 +93,7 @@
             clock=self.clock, rng=random.Random(f"{plan.seed}/store")
         )
         self.store.warm_up = plan.warm_up
+        self.store.accounts = plan.accounts
         self.store.put_configuration(plan.services, plan.configuration_bytes)
         self._upstreams: dict[str, SimulatedUpstream] = {}
         self._entries: dict[str, RegisteredUpstream] = {}
@@ -188,6 +194,7 @@
                 caller_ages=self.make_caller_ages(),
                 evacuations=self.plan.evacuations,
                 cold=self.plan.cold,
+                quota=self.plan.quota,
             )
         )
 
@@ -195,6 +202,8 @@
         # The settings of a host that is alone name no other.
         if self.plan.hosts == 1 and self.plan.cold is not None:
             return ()
+        if self.plan.hosts == 1 and self.plan.quota is not None:
+            return (host_address(0),)
         return (*(host_address(seed) for seed in range(SEEDS)), DOWN_SEED)
 
     def restart_hosts(self) -> None:
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -6,9 +6,11 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
+from mangohatch.core.accounts import digest_key
 from mangohatch.core.admission.caller_age import CallerAgeTable
 from mangohatch.core.call import Call, Decision, Grant, Report, Result
 from mangohatch.core.limits import ColdBounds
+from mangohatch.core.limits.quota_bounds import QuotaBounds
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.directory import DirectoryPart
 from mangohatch.directory.table_updater import TableUpdater
@@ -78,6 +80,7 @@
         attempt
     :param evacuations: whether it follows evacuations of zones
     :param cold: bounds of what cold upstreams get, None if they are not limited
+    :param quota: bounds of the quotas of client accounts, None for none
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         caller_ages: CallerAgeTable | None = None,
         evacuations: bool = False,
         cold: ColdBounds | None = None,
+        quota: QuotaBounds | None = None,
     ) -> None:
         self.host_id = host_id
         self._caller_ages = caller_ages
@@ -140,6 +144,7 @@
                 BOUNDS,
                 evacuate_ms=EVACUATE_MS if evacuations else None,
                 cold=cold,
+                quota=quota,
             ),
         )
         probe = SimulatedProbe(
@@ -255,7 +260,7 @@
         if service not in self.fleet_host.tables.services:
             req.end("no_configuration", now_ms)
             return
-        allowed_ms = req.allowed_ms or DEADLINE_MS
+        allowed_ms = req.allowed_ms or req.deadline_ms
         age_ms = 0.0
         if self._caller_ages is not None:
             age_ms = self._caller_ages.estimate_ms(req.route or service, allowed_ms)
@@ -266,7 +271,9 @@
             deadline_ms=now_ms + allowed_ms,
             objective_ms=now_ms - age_ms + (req.objective_ms or OBJECTIVE_MS),
             idempotent=req.idempotent,
-            customer=req.caller,
+            customer=req.account or req.caller,
+            account=req.account,
+            key_digest=digest_key(req.account) if req.account else b"",
             route=req.route or service,
             max_attempts=MAX_ATTEMPTS,
             response_bytes=RESPONSE_BYTES,
@@ -317,7 +324,11 @@
             return
         call = grant.call
         now_ms = self._clock.now_ms()
-        report = Report(result=result, latency_ms=now_ms - grant.granted_ms)
+        report = Report(
+            result=result,
+            latency_ms=now_ms - grant.granted_ms,
+            not_run=result in NOT_RUN,
+        )
         if result is Result.ABORTED:
             req.broken_ms = now_ms
         elif result is Result.OK:
--- a/src/standins/simulated_fleet/store.py
+++ b/src/standins/simulated_fleet/store.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import asdict
 
+from mangohatch.core.accounts import Account
 from mangohatch.core.cold_state import WarmUp
 from mangohatch.directory import (
     DirectorySource,
@@ -48,6 +49,9 @@
 
     Hosts whose address is in ``cut`` do not reach it.
 
+    ``accounts`` are the client accounts of the next version of the configuration; the
+    key of each is its name.
+
     :param clock: source of time
     :param rng: source of random numbers
     """
@@ -60,6 +64,7 @@
         self._clock = clock
         self._rng = rng
         self.warm_up: WarmUp | None = None
+        self.accounts: Sequence[Account] = ()
         self._writes = 1
         self._items: dict[str, dict[str, PartItem]] = {
             part: {} for part in (CONFIGURATION, UPSTREAMS, EVACUATIONS)
@@ -101,6 +106,11 @@
         }
         if self.warm_up is not None:
             document["warm_up"] = asdict(self.warm_up)
+        if self.accounts:
+            document["accounts"] = [
+                [item.name, item.priority, item.per_s, item.burst]
+                for item in self.accounts
+            ]
         self._put(CONFIGURATION, CONFIGURATION_NAME, json.dumps(document))
         return self.version
 
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -18,6 +18,7 @@
     r"|Upstream-Instance|MANGOHATCH_SETTINGS|cold_remaining|traffic_split"
     r"|Cold-Ms|warmup_per_s|slow_start|cold_over"
     r"|/mangohatch/|health_check_path|node_name|internal_ports"
+    r"|api_keys|rate_per_s|\btenants?\b|\bTenant\b|quota_(window|over)\b"
 )
 # Libraries that only the native interface needs.
 NATIVE_LIBS = (
