Separate the life cycle of a host from its assembly

Cause: fleet/host.py had 302 lines, of which the start, drain, settings and stop of a host do not depend on which parts it has. Change: HostLifecycle in fleet/lifecycle.py; host.py has 192 lines. No behaviour changes. Result: the tests of platform, leaving hosts, unexpected errors, wrong clocks and metrics pass.

--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -1,12 +1,8 @@
-"""Assembles and runs one host of a fleet that shares a directory in a store."""
+"""Assembles one host of a fleet that shares a directory in a store."""
 
-import asyncio
 import random
-from collections.abc import Iterator, Sequence
 from functools import partial
 
-import structlog
-
 from mangohatch.clock import Clock
 from mangohatch.core.call import Grant
 from mangohatch.core.load_estimator import LoadEstimator
@@ -16,9 +12,7 @@
 from mangohatch.directory.table_updater import TableUpdater
 from mangohatch.fleet.components import FleetComponents
 from mangohatch.fleet.decisions import make_decisions
-from mangohatch.fleet.guard import SystemGuard
-from mangohatch.fleet.loop_delay import LoopDelay
-from mangohatch.fleet.part import HostPart
+from mangohatch.fleet.lifecycle import HostLifecycle
 from mangohatch.fleet.parts import (
     CallerEntry,
     ClientAccounts,
@@ -35,24 +29,15 @@
 )
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.settings import FleetSettings
-from mangohatch.fleet.settings_file import SettingsFile
 from mangohatch.loop_timers import LoopTimers
-from mangohatch.metrics import Metrics, Sample, make_counter
 from mangohatch.probing import LoadProbe
 from mangohatch.timeline import HybridClock, Recorder
 from mangohatch.upstream.load_probe import HttpLoadProbe
 
 __all__ = ["FleetHost"]
 
-BUSY_TICK_MS = 20.0  # resolution of deadlines and of moves off slow upstreams
-IDLE_TICK_MS = 50.0  # resolution of store readings
-DRAIN_RESERVE_MS = 500.0  # end of the grace period, kept for the last responses
-MS_PER_S = 1000.0
-
-log = structlog.get_logger()
-
 
-class FleetHost:
+class FleetHost(HostLifecycle):
     """
     One host with all its ``parts``, in the order in which they start and run.
 
@@ -76,17 +61,11 @@
         probe: LoadProbe | None = None,
         crash_probe: LoadProbe | None = None,
     ) -> None:
-        self.cfg = cfg
-        self._clock = clock
+        super().__init__(cfg=cfg, clock=clock)
         self._components = components
-        self._guard = SystemGuard(clock=clock)
-        self._loop_delay = LoopDelay(clock=clock)
-        self._was_ready = False
-        self._stop_deadline_ms: float | None = None
         timers = LoopTimers()
         hybrid = HybridClock(clock=clock)
         self.tables = Tables()
-        self.metrics = Metrics(clock=clock)
         self.recorder = Recorder(host=cfg.host_id, zone=cfg.zone, clock=hybrid)
         self.subset = SubsetTable(host_id=cfg.host_id)
         self.estimator = LoadEstimator(clock=clock)
@@ -170,7 +149,7 @@
             on_unused=decisions.health.set_unused,
         )
         router, watches = decisions.router, self.follower.watches
-        self.parts: Sequence[HostPart] = (
+        self.parts = (
             peers,
             directory,
             TableUpdates(updater=updater, tables=self.tables),
@@ -191,57 +170,10 @@
             ),
             entry,
         )
-        self.metrics.add_source(self._samples)
 
     def _apply_part(self, part: DirectoryPart) -> None:
         self._components.apply_part(part, self._table_updater)
 
-    def _samples(self) -> Iterator[Sample]:
-        yield make_counter(
-            "mangohatch_loop_delay_ms",
-            "Milliseconds by which iterations of the main loop were late.",
-            self._loop_delay.total_ms,
-        )
-        yield make_counter(
-            "mangohatch_system_failures",
-            "Runs of a system of this host that ended with an unexpected error.",
-            self._guard.failures,
-        )
-        for part in self.parts:
-            yield from part.samples()
-
-    def not_ready(self) -> str | None:
-        """
-        Return why the balancer should not send callers to this host.
-
-        :return: the reason, None if the host is ready
-        """
-        reasons = (part.not_ready() for part in reversed(self.parts))
-        return next((reason for reason in reasons if reason is not None), None)
-
-    async def start(self) -> None:
-        """Start listening for peers, callers, readiness checks and scrapes."""
-        for part in self.parts:
-            await part.start()
-        log.info("host_started", host=self.cfg.host_id, zone=self.cfg.zone)
-
-    async def stop(self) -> None:
-        """Stop all parts; after a complete drain, no request is in flight."""
-        for part in reversed(self.parts):
-            await part.stop()
-        log.info("host_stopped", host=self.cfg.host_id)
-
-    def leave(self) -> None:
-        """Report not ready; stop accepting work once the balancer has reacted."""
-        if self._stop_deadline_ms is not None:
-            return
-        self._stop_deadline_ms = (
-            self._clock.now_ms() + self.cfg.bounds.grace_ms - DRAIN_RESERVE_MS
-        )
-        log.info("host_leaving", host=self.cfg.host_id)
-        for part in self.parts:
-            part.leave()
-
     def should_move(self, grant: Grant) -> bool:
         """
         Return whether a request should move to another upstream.
@@ -252,51 +184,9 @@
         :param grant: an attempt of an idempotent request without a response so far
         :return: whether to send the request to another upstream
         """
-        if self._stop_deadline_ms is not None or self._move_policy is None:
+        if self.leaving or self._move_policy is None:
             return False
         return self._move_policy(grant)
 
-    def tick(self) -> None:
-        """Run all parts once."""
-        for part in self.parts:
-            self._guard.run(part.name, part.tick)
-        if not self._was_ready and self.not_ready() is None:
-            self._was_ready = True
-            log.info("host_ready", host=self.cfg.host_id)
-
-    def _should_stop(self) -> bool:
-        if self._stop_deadline_ms is None:
-            return False
-        drained = all(part.drained() for part in self.parts)
-        return drained or self._clock.now_ms() >= self._stop_deadline_ms
-
-    def _reload(self, settings: SettingsFile) -> None:
-        cfg = settings.read_if_changed()
-        if cfg is None:
-            return
-        self.cfg = self.cfg.update(cfg)
-        for part in self.parts:
-            part.reload(self.cfg)
-        log.info("settings_in_force", seeds=len(cfg.seeds))
-
-    async def run(self, leaving: asyncio.Event, settings: SettingsFile) -> None:
-        """
-        Serve until ``leaving`` is set, then drain and stop.
-
-        The drain ends when no caller is connected any more, or shortly before the end
-        of the grace period.
-
-        :param leaving: set when the host has to leave
-        :param settings: the settings file, read again when it changes
-        """
-        await self.start()
-        while not self._should_stop():
-            self._loop_delay.record()
-            if leaving.is_set():
-                self.leave()
-            self._guard.run("settings", partial(self._reload, settings))
-            self.tick()
-            delay_ms = BUSY_TICK_MS if self.forwarder.active else IDLE_TICK_MS
-            self._loop_delay.expect(delay_ms)
-            await asyncio.sleep(delay_ms / MS_PER_S)
-        await self.stop()
+    def is_busy(self) -> bool:
+        return bool(self.forwarder.active)
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -17,7 +17,8 @@
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.body import RequestBody
 from mangohatch.fleet.components import FleetComponents
-from mangohatch.fleet.host import BUSY_TICK_MS, IDLE_TICK_MS, FleetHost
+from mangohatch.fleet.host import FleetHost
+from mangohatch.fleet.lifecycle import BUSY_TICK_MS, IDLE_TICK_MS
 from mangohatch.fleet.placement import Placement
 from mangohatch.fleet.settings import FleetBounds, FleetSettings
 from mangohatch.peer.datagram import PeerAddress
