--- a/src/mangohatch/core/limits/quota_gate.py
+++ b/src/mangohatch/core/limits/quota_gate.py
@@ -18,9 +18,8 @@
 __all__ = ["QuotaGate"]
 
 PERMIT_MS = 150.0  # life of a permit; what is given out may run this much later
-MAX_WAIT_SHARE = (
-    0.4  # of the time that the caller allows; the rest is for queue and work
-)
+# Of the time that the caller allows; the rest is for the queue and the work.
+MAX_WAIT_SHARE = 0.4
 MAX_WAIT_MS = 2_500.0  # the loss of an owner is noticed within about 1.5 s
 
 
