Tell callers when a new owner of a quota gives out permits, not that they are above it

Cause: after a loss of power of all hosts each owner has just started and gives out nothing for a second. Change: the owner tells the time that is left, so that more calls wait for it, and the others get 503 with that time, as their quota is not known yet.

--- a/src/mangohatch/core/limits/ownership.py
+++ b/src/mangohatch/core/limits/ownership.py
@@ -106,6 +106,14 @@
     def _candidates(self, members: Sequence[MemberView]) -> list[str]:
         return [item.host_id for item in members if not item.leaving]
 
+    def settle_wait_ms(self) -> float:
+        """
+        Return how long this host gives out nothing after its start.
+
+        :return: milliseconds, 0 once the time is over
+        """
+        return max(0.0, self._settled_ms - self._clock.now_ms())
+
     def _refresh(self) -> Sequence[MemberView]:
         members = self._bus.members()
         if members is not self._members:
--- a/src/mangohatch/core/limits/quota_broker.py
+++ b/src/mangohatch/core/limits/quota_broker.py
@@ -85,7 +85,8 @@
         :return: the decision
         """
         if not self._members.settled():
-            return QuotaDecision(granted=False, wait_ms=START_MS, settling=True)
+            wait_ms = self._members.settle_wait_ms() or START_MS  # or no peer is heard
+            return QuotaDecision(granted=False, wait_ms=wait_ms, settling=True)
         bucket = self._fill(account, bounds)
         now_ms = self._clock.now_ms()
         if bucket.tokens >= 1.0:
--- a/src/mangohatch/core/limits/quotas.py
+++ b/src/mangohatch/core/limits/quotas.py
@@ -209,15 +209,23 @@
             self._ask_later(item, decision.wait_ms)
             return
         self.cancel(item)
-        self.exceeded += 1
         account = item.account
+        jitter = 1.0 + JITTER * self._rng.random()
+        retry_after_ms = decision.wait_ms * jitter
+        if decision.settling:
+            # What the account has used before is not known, so it need not be above.
+            detail = (
+                f"the owner of the quota of account {account.name} has just started"
+            )
+            item.deliver(QuotaUnanswered(detail, retry_after_ms=retry_after_ms))
+            return
+        self.exceeded += 1
         detail = (
             f"account {account.name} is above its quota of {account.per_s:g} requests"
             f" a second and {account.burst:g} at once; the next token comes in"
             f" {decision.wait_ms:.0f} ms"
         )
-        jitter = 1.0 + JITTER * self._rng.random()
-        item.deliver(QuotaExceeded(detail, retry_after_ms=decision.wait_ms * jitter))
+        item.deliver(QuotaExceeded(detail, retry_after_ms=retry_after_ms))
 
     def _give_up(self, item: PendingPermit) -> None:
         self.cancel(item)
--- a/tests/core/limits/test_quotas.py
+++ b/tests/core/limits/test_quotas.py
@@ -291,3 +291,17 @@
     host = Host(network=network, clock=clock, name="h0", bounds=None)
     host.call("r1")
     assert "r1" in host.router.waiting and not network.queue
+
+
+def test_owner_that_has_just_started_refuses_no_call_as_above_the_quota(network, clock):
+    made = [Host(network=network, clock=clock, name=f"h{n}") for n in range(3)]
+    wait(clock, made, 300.0)
+    owner = next(item for item in made if item.permits._members.owns(ACCOUNT.name))
+    now_ms = clock.now_ms()
+    short = replace(owner.call("model"), request_id="r1", deadline_ms=now_ms + 500.0)
+    owner.gate.request(short, lambda item: owner.decisions.__setitem__("r1", item))
+    assert owner.refused_as("r1") is QuotaUnanswered
+    assert 700.0 <= owner.decisions["r1"].error.retry_after_ms <= 850.0
+    # A call that can wait gets its permit as soon as the owner gives them out.
+    wait(clock, made, 750.0)
+    assert "model" in owner.router.waiting
