Check keys and kinds of routes by what hosts accept

Cause: the review of a configuration had its own check of keys, digest and kinds of routes. It passed keys that hosts refuse, and ended with an exception on a kind that is a list and on a key that is no valid text. Change: it calls is_key, digest_key and KNOWN_KINDS of the adapter; a malformed key is named by its number. No check was loosened.

--- a/src/mangohatch/platform/declared.py
+++ b/src/mangohatch/platform/declared.py
@@ -1,12 +1,14 @@
 """Reads a configuration of the platform for a review, with all of its problems."""
 
-import hashlib
 import json
 import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
+from mangohatch.core.accounts import digest_key
+from mangohatch.platform.accounts import KEY_EXPECTED, is_key
+from mangohatch.platform.documents import KNOWN_KINDS
 from mangohatch.platform.values import (
     DocumentError,
     parse_duration_ms,
@@ -25,7 +27,6 @@
 __all__ = ["read_declared"]
 
 NUMBER = (int, float)
-KINDS = frozenset({"safe", "unsafe", "upload", "download"})
 
 
 def read_declared(text: str) -> DeclaredConfiguration:
@@ -84,9 +85,10 @@
             self._add("unknown_type", f"{place}.type", repr(kind), "a known type")
 
     def _read_route(self, place: str, name: str, spec: dict[str, Any]) -> None:
-        if spec.get("kind") not in KINDS:
-            expected = "one of " + ", ".join(sorted(KINDS))
-            self._add("unknown_kind", f"{place}.kind", repr(spec.get("kind")), expected)
+        kind = spec.get("kind")
+        if not isinstance(kind, str) or kind not in KNOWN_KINDS:
+            expected = "one of " + ", ".join(sorted(KNOWN_KINDS))
+            self._add("unknown_kind", f"{place}.kind", repr(kind), expected)
         if "traffic_split" in spec:
             targets = tuple(
                 (
@@ -128,17 +130,15 @@
 
     def _read_account(self, place: str, name: str, spec: dict[str, Any]) -> None:
         keys = require_field(spec, "api_keys", list)
-        if not all(isinstance(key, str) and key for key in keys):
-            self._add("key_malformed", f"{place}.api_keys", "a key", "texts")
+        for number, key in enumerate(keys):
+            if not is_key(key):
+                place_of_key = f"{place}.api_keys[{number}]"
+                self._add("key_malformed", place_of_key, "malformed", KEY_EXPECTED)
         self.config.accounts.append(
             DeclaredAccount(
                 place=place,
                 name=name,
-                digests=tuple(
-                    hashlib.sha256(key.encode()).digest()
-                    for key in keys
-                    if isinstance(key, str)
-                ),
+                digests=tuple(digest_key(key) for key in keys if is_key(key)),
                 per_s=read_number(spec, "rate_per_s"),
                 burst=read_number(spec, "burst"),
                 settings=describe(spec, "priority", "allowed_regions"),
--- a/tests/platform/test_declared.py
+++ b/tests/platform/test_declared.py
@@ -105,6 +105,15 @@
     assert [finding.severity for finding in findings] == [Severity.ERROR]
 
 
+def test_what_hosts_refuse_is_found_by_the_same_check():
+    for key in ("", "two words", "k" * 513, "\ud800", 5):
+        assert find_codes(*SOUND, make_account("other", key)) == [
+            "key_malformed",
+            "account_without_keys",
+        ]
+    assert find_codes(*SOUND, make_route("b", "/b/", kind=["safe"])) == ["unknown_kind"]
+
+
 def test_findings_name_place_value_and_expectation():
     (finding,) = review(read(*SOUND, make_route("b", "/b/", max_attempts=0)))
     assert str(finding) == (
