Keep one allowed time for a simulated request

Cause: the traffic of returning callers and that of quotas each had a field. Change: both set deadline_ms. Behaviour as before.

--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -261,15 +261,15 @@
         if service not in self.fleet_host.tables.services:
             req.end("no_configuration", now_ms)
             return
-        allowed_ms = req.allowed_ms or req.deadline_ms
         age_ms = 0.0
         if self._caller_ages is not None:
-            age_ms = self._caller_ages.estimate_ms(req.route or service, allowed_ms)
+            group = req.route or service
+            age_ms = self._caller_ages.estimate_ms(group, req.deadline_ms)
         call = Call(
             request_id=req.request_id,
             service=service,
             arrived_ms=now_ms,
-            deadline_ms=now_ms + allowed_ms,
+            deadline_ms=now_ms + req.deadline_ms,
             objective_ms=now_ms - age_ms + (req.objective_ms or OBJECTIVE_MS),
             idempotent=req.idempotent,
             customer=req.account or req.caller,
--- a/src/standins/simulated_fleet/requests.py
+++ b/src/standins/simulated_fleet/requests.py
@@ -20,8 +20,8 @@
     from there to the next attempt. ``sent_ms`` holds the times at which it was sent to
     upstreams, and ``reached`` the names of these. ``error`` is empty after a response,
     and otherwise the code of the error or the last result. The caller allows
-    ``allowed_ms`` and wants a response within ``objective_ms``; hosts use their
-    defaults where these are None. A rejection tells it to return after
+    ``deadline_ms`` and wants a response within ``objective_ms``; hosts use their
+    default where that is None. A rejection tells it to return after
     ``retry_after_ms``.
     """
 
@@ -35,7 +35,6 @@
     body: bytes = b""
     route: str = ""
     idempotent: bool = True
-    allowed_ms: float | None = None
     objective_ms: float | None = None
     retry_after_ms: float | None = None
     crashes: bool = False
--- a/src/standins/simulated_fleet/return_traffic.py
+++ b/src/standins/simulated_fleet/return_traffic.py
@@ -117,7 +117,7 @@
             request_id=f"r{number}-{outcome.attempts}",
             target=f"/orders/{number}",
             work_ms=work_ms,
-            allowed_ms=left_ms,
+            deadline_ms=left_ms,
             objective_ms=self._objective_ms,
             on_end=lambda ended: self._end(outcome, replace(ended)),
         )
