Log who read the directory, after which gap and how long it took

Cause: the logs could not tell a reading that was late from content that spread late: neither the rank of the reader nor the gap between readings was logged.

--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -89,7 +89,7 @@
         self._on_change = on_change
         self._cfg = cfg or FollowerSettings()
         self._parts = {name: self._make_part(name, clock, bus) for name in source.parts}
-        ranking = ReaderRanking(bus=bus)
+        ranking = self._ranking = ReaderRanking(bus=bus)
         self._delay = ExchangeDelay(clock=clock)
         self._schedule = ReadingSchedule(
             clock=clock,
@@ -207,6 +207,7 @@
     ) -> None:
         part = state.part
         first = not part.known
+        gap_ms = 0 if first else int(read_ms - part.read_ms)
         self._schedule.record_gap(state, read_ms)
         items = list(reading.items)
         revision = reading.revision
@@ -234,6 +235,9 @@
                 revision=revision,
                 items=len(items),
                 behind_ms=behind_ms,
+                rank=self._ranking.rank,
+                gap_ms=gap_ms,
+                took_ms=int(self._clock.now_ms() - read_ms),
             )
             self._publish(self._parts[part.name], None)
 
@@ -348,6 +352,7 @@
                 revision=mark.revision,
                 items=len(items),
                 behind_ms=behind_ms,
+                age_ms=int(self.age_ms(mark.part)),
             )
             self._gossip.spread_change(urgent=item.state.watched)
             self._publish(item, payload)
--- a/src/mangohatch/directory/reader.py
+++ b/src/mangohatch/directory/reader.py
@@ -134,5 +134,6 @@
                 part=state.part.name,
                 cause=cause,
                 detail=detail,
+                rank=self._schedule.rank,
                 age_ms=int(self._clock.now_ms() - state.part.read_ms),
             )
--- a/src/mangohatch/directory/schedule.py
+++ b/src/mangohatch/directory/schedule.py
@@ -74,6 +74,11 @@
         self._started_ms = clock.now_ms()
         self._heard_ms = self._started_ms
 
+    @property
+    def rank(self) -> int:
+        """Number of hosts that read before this one."""
+        return self._ranking.rank
+
     def record_heard(self) -> None:
         """Record that marks of a peer have arrived."""
         self._heard_ms = self._clock.now_ms()
