Add failing tests: changes come late when the store ignores the first readers

Callers got 404 for a route 2.06 s after its acknowledgement, and requests reached upstreams 2.53 s after they had said that they leave (bounds 2.0 and 2.5 s). Cause: each host of the ranking waits 250 ms for the one before it, so six that get no answer cost 1.5 s beside the interval, the spread and the call.

--- a/tests/directory/fleet.py
+++ b/tests/directory/fleet.py
@@ -22,6 +22,7 @@
 
 PARTS = ("config", "upstreams")
 TICK_MS = 10.0
+SILENCE_MS = 1_000.0  # after which a host gives up a call to the store
 
 
 class FakeSource(DirectorySource):
@@ -55,6 +56,9 @@
 
     async def read(self, part, known):
         self.store.calls += 1
+        if self.host in self.store.silent:
+            await asyncio.sleep(SILENCE_MS / 1000)
+            raise StoreUnavailable("the store does not answer")
         if self.host in self.store.broken:
             raise ValueError("unexpected")
         if self.host in self.store.isolated or self.store.down:
@@ -67,7 +71,11 @@
 
 
 class FakeStore:
-    """The store; a call that watches returns after ``watch_ms`` without a change."""
+    """
+    The store; a call that watches returns after ``watch_ms`` without a change.
+
+    Calls of ``isolated`` hosts are refused, and those of ``silent`` ones not answered.
+    """
 
     def __init__(self, watched=()):
         self.revision = 1
@@ -79,6 +87,7 @@
         self.changed = asyncio.Event()
         self.changed_at = {}
         self.isolated = set()
+        self.silent = set()
         self.broken = set()
         self.down = False
         self.calls = 0
@@ -252,6 +261,10 @@
         del self.followers[name]
         del self.network.buses[name]
 
+    def stop(self):
+        for follower in self.followers.values():
+            self.loop.run_until_complete(follower.stop())
+
     def run(self, span_ms):
         self.loop.run_until_complete(self._run(span_ms))
 
--- /dev/null
+++ b/tests/directory/test_silent_store.py
@@ -0,0 +1,69 @@
+"""Tests of changes while the store answers only some of the hosts."""
+
+import random
+
+from mangohatch.ranking import rendezvous_hash
+from tests.directory.fleet import Followers
+from tests.functions import fixture, function_tests
+
+load_tests = function_tests(__name__)
+
+TICK_MS = 50.0
+LOSS = 0.02
+SETTLING_MS = 2_000.0
+READING_INTERVAL_MS = 500.0
+# Bounds of the users' sites with 17 and with 136 hosts, from the acknowledgement on.
+SMALL_SITE = (17, 2_000.0)
+GROWN_SITE = (136, 2_500.0)
+
+
+@fixture
+def make_fleet(loop):
+    fleets = []
+
+    def make(count, *, seed):
+        fleet = Followers(loop, count=count, tick_ms=TICK_MS)
+        fleets.append(fleet)
+        fleet.network.rng = random.Random(seed)
+        fleet.network.loss = LOSS
+        fleet.store.put("config", "main", "v1")
+        fleet.store.put("upstreams", "u1", "ready")
+        # The change comes at another moment between two readings with each seed.
+        fleet.run(SETTLING_MS + random.Random(seed).uniform(0.0, READING_INTERVAL_MS))
+        return fleet
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+def silence_first_readers(fleet, count):
+    readers = sorted(fleet.followers, key=rendezvous_hash)
+    fleet.store.silent = set(readers[:count])
+
+
+def list_late_hosts(make_fleet, site, *, silent, seeds):
+    hosts, bound_ms = site
+    late = {}
+    for seed in seeds:
+        fleet = make_fleet(hosts, seed=seed)
+        silence_first_readers(fleet, silent)
+        fleet.store.put("config", "main", "v2")
+        fleet.run(bound_ms)
+        late[seed] = fleet.hosts_without("config", "main", "v2")
+    return {seed: hosts for seed, hosts in late.items() if hosts}
+
+
+def test_change_is_in_force_in_time_although_the_store_ignores_the_first_of_17_readers(
+    make_fleet,
+):
+    # A third of the hosts, in the worst order.
+    late = list_late_hosts(make_fleet, SMALL_SITE, silent=6, seeds=range(8))
+    assert not late, late
+
+
+def test_change_is_in_force_in_time_although_the_store_ignores_the_first_of_136_readers(
+    make_fleet,
+):
+    late = list_late_hosts(make_fleet, GROWN_SITE, silent=6, seeds=range(10))
+    assert not late, late
