Let more hosts share a turn to read the store when readings stop

Callers got 404 for a route 2.06 and 2.28 s after its acknowledgement, and two requests reached upstreams 2.53 and 2.61 s after they had said that they leave. Cause: when the store answers only some hosts, each of those first in the ranking costs 250 ms in turn; with six of them the last hosts have a change too late. Change: 1, 1, 2, 3, 4 and 5 hosts share the first turns, so seven hosts have tried after 750 ms instead of 1,500; further turns and rounds have one host each.

--- a/src/mangohatch/directory/schedule.py
+++ b/src/mangohatch/directory/schedule.py
@@ -9,6 +9,7 @@
 from mangohatch.directory.part import DirectoryPart
 from mangohatch.directory.ranking import ReaderRanking
 from mangohatch.directory.settings import FollowerSettings
+from mangohatch.directory.turns import count_first_turns, find_first_turn
 
 __all__ = ["PartState", "ReadingSchedule"]
 
@@ -41,11 +42,12 @@
     """
     Spaces the calls of all hosts to the store.
 
-    While readings arrive, only the host of rank 0 reads. In an outage of the store the
-    hosts try one after the other, ``takeover_ms`` apart, and start again after the
-    last one: four readings a second over the fleet, for any number of hosts. A host
-    that is behind its peers or hears none of them does not wait for its turn, so the
-    age of its copy does not grow with the number of hosts.
+    While readings arrive, only the host of rank 0 reads. When they stop, the hosts try
+    in turns, ``takeover_ms`` apart. The first 16 hosts share six turns, as the store
+    may ignore several of them; later ones have a turn each, and so have all in the
+    rounds that follow: four readings a second over the fleet, for any number of hosts.
+    A host that is behind its peers or hears none of them does not wait for its turn, so
+    the age of its copy does not grow with the number of hosts.
 
     :param clock: source of time
     :param rng: source of random numbers, spreads retries
@@ -169,14 +171,18 @@
         ranking = self._ranking
         if not state.part.known:
             return self._first_ms(state)
-        turn_ms = state.part.read_ms + cfg.interval_ms + ranking.rank * cfg.takeover_ms
+        due_ms = state.part.read_ms + cfg.interval_ms
         if self._delay.late:
             # The readings of this host would look younger than they are.
-            turn_ms += cfg.late_delay_ms
-        if state.failures and state.retry_at_ms > turn_ms:
-            round_ms = ranking.count * cfg.takeover_ms
-            turn_ms += math.ceil((state.retry_at_ms - turn_ms) / round_ms) * round_ms
-        return turn_ms
+            due_ms += cfg.late_delay_ms
+        turn_ms = due_ms + find_first_turn(ranking.rank) * cfg.takeover_ms
+        if not state.failures or state.retry_at_ms <= turn_ms:
+            return turn_ms
+        first_turns = count_first_turns(ranking.count)
+        turn_ms = due_ms + (first_turns + ranking.rank) * cfg.takeover_ms
+        round_ms = ranking.count * cfg.takeover_ms
+        rounds = math.ceil((state.retry_at_ms - turn_ms) / round_ms)
+        return turn_ms + max(0, rounds) * round_ms
 
     def _first_ms(self, state: PartState) -> float:
         """
--- a/src/mangohatch/directory/settings.py
+++ b/src/mangohatch/directory/settings.py
@@ -10,9 +10,9 @@
     """
     Intervals and delays of a follower, in milliseconds, and numbers of receivers.
 
-    The first host in the ranking reads each part every ``interval_ms``. Each further
-    host waits ``takeover_ms`` longer than the host before it, and reads only if it has
-    received no newer reading by then. A host whose own messages arrive late waits
+    The first host in the ranking reads each part every ``interval_ms``. The others
+    follow in turns, ``takeover_ms`` apart, and read only if they have received no newer
+    reading by then. A host whose own messages arrive late waits
     ``late_delay_ms`` longer. After a failed reading a host waits between
     ``backoff_ms`` and ``backoff_limit_ms``, then for its next turn; without a copy it
     retries within ``first_retry_limit_ms``. A gap of more than
