Check again at the moment of sending whether an upstream drains or is gone

Requests reached upstreams 2.53 s after they had said that they leave; one of them 283 ms after its caller had sent it (the users' record). Cause: after a connection was opened, signs and evacuations were checked again, but not what the directory says; a request placed before that reached the host was sent. Change: a drain from any cause withdraws the upstream before the first byte, and an upstream that is gone from the directory counts as draining. The request is placed again and spends no retry. Result: the three tests of withdrawn upstreams fail before with a drain, and so does the one of a gone upstream; all pass.

--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -10,7 +10,7 @@
 from mangohatch.core.spec import DiscoveredService, DiscoveredUpstream
 from mangohatch.core.subset import SubsetTable
 from mangohatch.core.subset_places import SubsetPlaces
-from mangohatch.core.tables import ServiceRow, Tables
+from mangohatch.core.tables import DrainCause, ServiceRow, Tables
 from mangohatch.directory.assignment_log import AssignmentLog
 from mangohatch.directory.content import (
     Configuration,
@@ -211,6 +211,7 @@
             current = self._tables.services.get(name)
             self._mark_reported(name, current)
             registered = frozenset(item.name for item in spec.upstreams)
+            self._drain_gone(current, registered)
             if current is None or current.spec != used:
                 self._tables.apply(used, revision=self._revision)
                 self._mark_reported(name, self._tables.services[name])
@@ -230,6 +231,13 @@
                 users = self._subset.users(service, item.name)
                 row.reported = self._subset.host_id in users
 
+    @staticmethod
+    def _drain_gone(current: ServiceRow | None, registered: frozenset[str]) -> None:
+        # A request that was placed there may still wait for a connection.
+        for name, row in current.upstreams.items() if current else ():
+            if name not in registered:
+                row.start_drain(DrainCause.ORDER)
+
     def _make_upstreams(
         self, service: str, options: ServiceOptions, previous: DiscoveredService | None
     ) -> tuple[DiscoveredUpstream, ...]:
--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -97,6 +97,8 @@
         """Check again what may have changed while a connection was opened."""
         row = grant.upstream
         allowed = grant.call.allowed_regions
+        if row.drain_causes:
+            raise UpstreamWithdrawn(f"upstream {row.name} is draining or gone")
         if not row.signs.allows(self._clock.now_ms(), 0):
             raise UpstreamWithdrawn(f"upstream {row.name} leaves or asks for a pause")
         row.zones.check_pause(self._clock.now_ms())
--- a/tests/directory/test_table_updater.py
+++ b/tests/directory/test_table_updater.py
@@ -122,6 +122,19 @@
     assert not lines.of("upstreams_assigned")
 
 
+def test_upstream_that_is_gone_takes_no_request_placed_before(host):
+    host.set_hosts(8)
+    host.run(500.0)
+    row = host.rows["u3"]
+    row.in_flight = 1
+    host.set_upstreams(UPSTREAMS, without={"u3"})
+    assert "u3" not in host.rows
+    assert row.drain_causes
+    host.set_upstreams(UPSTREAMS)
+    assert host.rows["u3"] is row
+    assert not row.drain_causes
+
+
 def test_warm_up_ends_soon_whatever_the_time_of_day(host):
     wrong_ms = host.clock.wall_ms() + 2_400_000.0
     cold = [
--- a/tests/entry/test_withdrawn.py
+++ b/tests/entry/test_withdrawn.py
@@ -5,6 +5,7 @@
 from unittest.mock import patch
 
 from mangohatch.core.call import Result
+from mangohatch.core.tables import DrainCause
 from mangohatch.upstream.connection import UpstreamConnection
 from tests.entry.harness import fixed, open_entry
 from tests.entry.test_continuation import CONTENT, download, serve_ranges, truncate_at
@@ -21,6 +22,10 @@
     row.signs.paused_until_ms = math.inf
 
 
+def drain(row):
+    row.start_drain(DrainCause.ORDER)
+
+
 def evacuate(row):
     """Evacuate the zone of an upstream, which is alone in it."""
     row.zone = "ica"
@@ -44,7 +49,7 @@
 
 
 async def test_request_goes_elsewhere_without_a_retry():
-    for withdraw in (pause, evacuate):
+    for withdraw in (pause, drain, evacuate):
         async with open_entry(answer, answer) as (entry, upstreams):
             with withdrawn_while_connecting(1, withdraw) as opened:
                 caller = await entry.connect()
@@ -59,7 +64,7 @@
 
 
 async def test_request_without_another_upstream_is_refused_as_not_run():
-    for withdraw in (pause, evacuate):
+    for withdraw in (pause, drain, evacuate):
         async with open_entry(answer) as (entry, upstreams):
             with withdrawn_while_connecting(1, withdraw):
                 caller = await entry.connect()
@@ -70,7 +75,7 @@
 
 
 async def test_download_is_continued_on_another_upstream():
-    for withdraw in (pause, evacuate):
+    for withdraw in (pause, drain, evacuate):
         with withdrawn_while_connecting(2, withdraw) as opened:
             response, upstreams = await download(
                 truncate_at(300_000), serve_ranges(), serve_ranges()
