Answer requests that outlast a planned stop before the process ends

Another operator saw requests that came late in the grace of a planned stop cut with no answer; it could happen here. Cause: at the end of the grace all connections of callers were closed, whatever was in flight; deadlines of 5.6 s and 4.1 s reach beyond a grace of 6 s, and with a grace under 3.5 s a host took new requests until it ended. Change: a leaving host knows when its last answer is due. New requests get no later deadline, nor do upstreams; what is left then is answered, 503 if not run, else 504. A short grace shortens the time in which new requests are accepted.

--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of one request: admission, attempts and the response."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -64,6 +65,8 @@
     """
     Forwards requests from callers to upstreams.
 
+    Requests are answered by ``answer_by_ms``, where this host stops soon after it.
+
     :param clock: source of time
     :param router: selects upstreams
     :param pool: connections to upstreams
@@ -108,6 +111,7 @@
             on_statement=router.observe,
         )
         self.active: set[ActiveRequest] = set()
+        self.answer_by_ms = math.inf
         self._hedges: HedgeRunner | None = None
         if hedges is not None:
             self._hedges = HedgeRunner(
@@ -164,6 +168,7 @@
         await result.finish(req.sink.outcome, make_answer(req.sink))
 
     async def _run(self, req: ActiveRequest) -> None:
+        req.call.deadline_ms = min(req.call.deadline_ms, self.answer_by_ms)
         self.active.add(req)
         self._observer.on_started(req)
         try:
@@ -213,7 +218,7 @@
     def tick(self) -> None:
         """Abort requests past their deadline or on connections considered dead."""
         self._pool.tick()
-        self._monitor.tick(tuple(self.active))
+        self._monitor.tick(tuple(self.active), answer_by_ms=self.answer_by_ms)
 
     async def _try_once(self, req: ActiveRequest) -> RequestError | None:
         error = await self._run_attempt(req)
--- a/src/mangohatch/entry/monitor.py
+++ b/src/mangohatch/entry/monitor.py
@@ -1,5 +1,6 @@
 """Checks requests in flight for passed deadlines and silent connections."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from mangohatch.clock import Clock
@@ -15,6 +16,7 @@
     ConnectionSilent,
     DeadlineExceeded,
     ResponseLate,
+    Stopping,
     UpstreamUnreachable,
 )
 from mangohatch.timeline.event import EventKind
@@ -75,11 +77,15 @@
         self._may_retry = may_retry
         self._late_ticks = LateTicks()
 
-    def tick(self, requests: Iterable[ActiveRequest]) -> None:
+    def tick(
+        self, requests: Iterable[ActiveRequest], *, answer_by_ms: float = math.inf
+    ) -> None:
         """
         Check each request once.
 
         :param requests: requests in flight
+        :param answer_by_ms: time by which each is answered, whatever its deadline, in
+            milliseconds
         """
         now_ms = self._clock.now_ms()
         self._late_ticks.record(now_ms)
@@ -93,7 +99,10 @@
                     self._check_placement(req)
             elif req.conn is not None and not req.conn.connected:
                 self._check_connecting(req, req.conn, now_ms)
-            if now_ms >= req.call.deadline_ms:
+            if now_ms >= answer_by_ms and not req.may_have_run:
+                stopping = Stopping("this host stops before a response can arrive")
+                req.abort(stopping, self._router)
+            elif now_ms >= min(req.call.deadline_ms, answer_by_ms):
                 error = DeadlineExceeded("no answer before the deadline")
                 req.abort(error, self._router)
 
--- a/src/mangohatch/entry/server.py
+++ b/src/mangohatch/entry/server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers."""
 
 import itertools
+import math
 
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
@@ -17,6 +18,7 @@
 MAX_BUFFER_BYTES = 1_048_576
 SESSION_CHECK_MS = 250.0
 DEFAULT_BALANCER_DELAY_MS = 3_000.0
+MAX_ACCEPTING_SHARE = 0.6  # of the time until the last responses
 
 
 class CallerListener(TCPServer):
@@ -123,14 +125,21 @@
         """
         return sum(session.idle for session in self.sessions)
 
-    def begin_drain(self) -> None:
+    def begin_drain(self, *, answer_by_ms: float = math.inf) -> None:
         """
         Start a drain: the host reports that it is not ready.
 
-        New requests are accepted until the balancer delay has passed.
+        New requests are accepted until the balancer delay has passed, where the time
+        until the last responses is long enough for it.
+
+        :param answer_by_ms: time on the monotonic clock in milliseconds by which each
+            request is answered; infinite if the process ends only after the last one
         """
         if self._drain_started_ms is None:
             self._drain_started_ms = self.clock.now_ms()
+            self.forwarder.answer_by_ms = answer_by_ms
+            longest_ms = (answer_by_ms - self._drain_started_ms) * MAX_ACCEPTING_SHARE
+            self._balancer_delay_ms = min(self._balancer_delay_ms, longest_ms)
 
     def drained(self) -> bool:
         """
--- a/src/mangohatch/fleet/lifecycle.py
+++ b/src/mangohatch/fleet/lifecycle.py
@@ -19,7 +19,8 @@
 
 BUSY_TICK_MS = 20.0  # resolution of deadlines and of moves off slow upstreams
 IDLE_TICK_MS = 50.0  # resolution of store readings
-DRAIN_RESERVE_MS = 500.0  # end of the grace period, kept for the last responses
+DRAIN_RESERVE_MS = 500.0  # end of the grace period, kept for the end of the process
+ANSWER_RESERVE_MS = 200.0  # before it, for late ticks and the writing of responses
 MS_PER_S = 1000.0
 
 log = structlog.get_logger()
@@ -101,7 +102,7 @@
         )
         log.info("host_leaving", host=self.cfg.host_id)
         for part in self.parts:
-            part.leave()
+            part.leave(answer_by_ms=self._stop_deadline_ms - ANSWER_RESERVE_MS)
 
     def tick(self) -> None:
         """Run all parts once."""
--- a/src/mangohatch/fleet/part.py
+++ b/src/mangohatch/fleet/part.py
@@ -53,8 +53,13 @@
     async def stop(self) -> None:  # noqa: B027
         """Release sockets and tasks."""
 
-    def leave(self) -> None:  # noqa: B027
-        """Prepare for the end of the process."""
+    def leave(self, *, answer_by_ms: float) -> None:  # noqa: B027
+        """
+        Prepare for the end of the process.
+
+        :param answer_by_ms: time on the monotonic clock in milliseconds by which
+            callers must have their responses
+        """
 
     def drained(self) -> bool:
         """
--- a/src/mangohatch/fleet/parts/entry.py
+++ b/src/mangohatch/fleet/parts/entry.py
@@ -103,8 +103,8 @@
         await self.server.close()
         self.pool.close()
 
-    def leave(self) -> None:
-        self.server.begin_drain()
+    def leave(self, *, answer_by_ms: float) -> None:
+        self.server.begin_drain(answer_by_ms=answer_by_ms)
 
     def drained(self) -> bool:
         return self.server.drained()
--- a/src/mangohatch/fleet/parts/hedging.py
+++ b/src/mangohatch/fleet/parts/hedging.py
@@ -44,7 +44,7 @@
                 cause=cause,
             )
 
-    def leave(self) -> None:
+    def leave(self, *, answer_by_ms: float) -> None:
         self.hedges.leaving = True
 
     def reload(self, cfg: FleetSettings) -> None:
--- a/src/mangohatch/fleet/parts/peers.py
+++ b/src/mangohatch/fleet/parts/peers.py
@@ -79,7 +79,7 @@
     async def stop(self) -> None:
         self.bus.stop()
 
-    def leave(self) -> None:
+    def leave(self, *, answer_by_ms: float) -> None:
         self.bus.set_leaving()
 
     def tick(self) -> None:
--- a/src/mangohatch/fleet/parts/relays.py
+++ b/src/mangohatch/fleet/parts/relays.py
@@ -92,7 +92,7 @@
         await self.server.close()
         await self.dialer.close()
 
-    def leave(self) -> None:
+    def leave(self, *, answer_by_ms: float) -> None:
         self.server.leave()
 
     def drained(self) -> bool:
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -10,6 +10,8 @@
 
 BALANCER_DELAY_MS = 3000.0
 SESSION_CHECK_MS = 250.0
+ANSWER_BY_MS = 5_300.0
+LONG = {"X_Deadline_Ms": "60000"}
 
 
 class GatedResponse:
@@ -112,3 +114,44 @@
 async def wait_until(condition) -> None:
     while not condition():
         await asyncio.sleep(0)
+
+
+async def test_request_that_outlasts_a_planned_stop_is_answered_before_its_end():
+    async def keep_waiting(upstream, message, writer):
+        await asyncio.Event().wait()
+
+    async with open_entry(keep_waiting) as (entry, upstreams):
+        early, late = await entry.connect(), await entry.connect()
+        await early.send(request(method="POST", body=b"1", **LONG))
+        await wait_until(lambda: len(upstreams[0].requests) == 1)
+        entry.server.begin_drain(answer_by_ms=entry.clock.now_ms() + ANSWER_BY_MS)
+        entry.pass_time(BALANCER_DELAY_MS - 1)
+        await late.send(request(method="POST", body=b"2", **LONG))
+        await wait_until(lambda: len(upstreams[0].requests) == 2)
+        # The upstream is told to stop its work by then.
+        left_ms = float(upstreams[0].requests[1].headers["x-deadline-ms"])
+        assert left_ms <= ANSWER_BY_MS - BALANCER_DELAY_MS + 1
+        entry.pass_time(ANSWER_BY_MS - BALANCER_DELAY_MS + 1)
+        for caller in (early, late):
+            response = await caller.read()
+            assert response.status == 504
+            assert response.headers["x-outcome"] == "unknown"
+        await wait_until(entry.server.drained)
+
+
+async def test_request_that_still_waits_at_the_end_of_a_planned_stop_is_refused():
+    async def keep_waiting(upstream, message, writer):
+        await asyncio.Event().wait()
+
+    async with open_entry(keep_waiting) as (entry, upstreams):
+        callers = [await entry.connect() for _ in range(3)]
+        for caller in callers:
+            await caller.send(request(method="POST", body=b"1", **LONG))
+        await wait_until(lambda: len(entry.forwarder.active) == 3)
+        entry.server.begin_drain(answer_by_ms=entry.clock.now_ms() + ANSWER_BY_MS)
+        entry.pass_time(ANSWER_BY_MS)
+        responses = [await caller.read() for caller in callers]
+        not_run = [item for item in responses if item.headers["x-outcome"] == "not_run"]
+        assert len(not_run) == 3 - len(upstreams[0].requests)
+        assert all(item.status == 503 for item in not_run)
+        assert not_run
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -59,11 +59,13 @@
 
     :param site: the stand-in of the platform
     :param bounds: further lines of the bounds in its settings
+    :param grace: time between SIGTERM and the end of the process
     """
 
-    def __init__(self, site, bounds=""):
+    def __init__(self, site, bounds="", grace="6s"):
         self.site = site
         self.bounds = bounds
+        self.grace = grace
         # The port for metrics is fixed, and tests may run in several processes.
         number = os.getpid()
         self.address = f"127.1.{number // 250 % 250}.{1 + number % 250}"
@@ -80,7 +82,7 @@
 front = "{self.address}:{self.ports["front"]}"
 ready = "{self.address}:{self.ports["ready"]}"
 [bounds]
-grace = "6s"
+grace = "{self.grace}"
 retry_budget_ratio = 0.2
 budget_window = "10s"
 budget_slack = 56
@@ -140,7 +142,7 @@
 
 @contextlib.asynccontextmanager
 async def open_host(
-    *, upstreams=2, work_s=0.0, options=None, bounds="", **start
+    *, upstreams=2, work_s=0.0, options=None, bounds="", grace="6s", **start
 ) -> AsyncIterator[PlatformHost]:
     """
     Start a stand-in of the platform and a host in front of it.
@@ -149,6 +151,7 @@
     :param work_s: processing time of a request in seconds
     :param options: further fields of the service
     :param bounds: further lines of the bounds in the settings
+    :param grace: time between SIGTERM and the end of the process
     :param start: arguments of :meth:`PlatformHost.start`
     """
     made = [
@@ -159,7 +162,7 @@
     await site.start()
     content = configuration(1, route("r1", "/a/"), **(options or {}))
     site.put("config", "main", content)
-    host = PlatformHost(site, bounds)
+    host = PlatformHost(site, bounds, grace)
     with tempfile.TemporaryDirectory() as folder:
         await host.start(Path(folder) / "local.toml", **start)
         try:
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -106,6 +106,20 @@
         assert await stopping == 0
 
 
+async def test_stopping_host_answers_a_request_that_outlasts_its_grace():
+    async with open_host(work_s=5.0, grace="1500ms") as host:
+        slow = route("slow", "/slow/", kind="unsafe", timeout="9000ms")
+        host.site.put("config", "main", configuration(2, route("r1", "/a/"), slow))
+        while (await host.get("front", "/slow/x", Deadline_Ms="100")).status == 404:
+            await asyncio.sleep(0.05)
+        fetching = host.get("front", "/slow/x", Deadline_Ms="9000")
+        response_task = asyncio.create_task(fetching)
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(host.stop())
+        assert (await response_task).status == 504
+        assert await stopping == 0
+
+
 async def test_host_keeps_serving_after_sighup():
     async with open_host() as host:
         host.process.send_signal(signal.SIGHUP)
