Take a refusal without request id on a kept connection for no promise

Another operator's faulty upstream wrote an earlier refusal once more on a kept connection: callers were told 'not run' for what ran, or it ran at a second upstream. Whether it can happen here: an earlier refusal with its own Request-Id is skipped, and a connection that carried a refusal is closed (two tests pass before). One that bears no Request-Id was taken for the request in flight: it was answered 503, or ran twice. Cause: a response without an id counted as that of the current request. Change: on a connection that has carried other requests, such a refusal means that the outcome is unknown; on a new one it counts as before. Result: the test of it failed before (503 from one upstream, run again by the second) and passes.

--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -165,7 +165,7 @@
     async def _select_sink(
         self, req: ActiveRequest, head: ResponseHead
     ) -> ResponseSink:
-        if self._protocol.is_not_run(head):
+        if self._protocol.is_not_run(head, kept=req.reuses_connection):
             raise UpstreamRefused("the upstream did not run the request")
         self._protocol.check_response(head)
         if req.continuation is not None:
--- a/src/mangohatch/entry/native.py
+++ b/src/mangohatch/entry/native.py
@@ -71,7 +71,7 @@
     def matches_request(self, head: ResponseHead, request_id: str) -> bool:
         return True
 
-    def is_not_run(self, head: ResponseHead) -> bool:
+    def is_not_run(self, head: ResponseHead, *, kept: bool = False) -> bool:
         reported = head.headers.get(OUTCOME_HEADER)
         return head.line.code == SERVICE_UNAVAILABLE and reported == Outcome.NOT_RUN
 
--- a/src/mangohatch/entry/protocol.py
+++ b/src/mangohatch/entry/protocol.py
@@ -108,12 +108,14 @@
         """
 
     @abstractmethod
-    def is_not_run(self, head: ResponseHead) -> bool:
+    def is_not_run(self, head: ResponseHead, *, kept: bool = False) -> bool:
         """
         Return whether an upstream reports that it did not run the request.
 
-        :param head: head of its response
+        :param head: head of a response that does not belong to another request
+        :param kept: whether the connection has carried other requests before
         :return: whether the request was not run
+        :raises UpstreamAborted: when the report may be about another request
         """
 
     @abstractmethod
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -24,6 +24,7 @@
     Outcome,
     QuotaExceeded,
     RequestError,
+    UpstreamAborted,
     UpstreamFailed,
 )
 from mangohatch.platform.accounts import TENANT, read_key, remove_identity
@@ -177,8 +178,12 @@
     def matches_request(self, head: ResponseHead, request_id: str) -> bool:
         return head.headers.get(REQUEST_ID, request_id) == request_id
 
-    def is_not_run(self, head: ResponseHead) -> bool:
-        return is_not_run(head)
+    def is_not_run(self, head: ResponseHead, *, kept: bool = False) -> bool:
+        if not is_not_run(head):
+            return False
+        if kept and REQUEST_ID not in head.headers:
+            raise UpstreamAborted("a refusal on a kept connection names no request")
+        return True
 
     def check_response(self, head: ResponseHead) -> None:
         if not OK <= head.line.code < MULTIPLE_CHOICES:
