Add a failing test: late messages of the reader keep changes from the fleet

Cause: a mark that arrives late looks as young as when it was sent, so that nobody reads the store in place of a host whose link is full.

--- a/tests/directory/test_silent_store.py
+++ b/tests/directory/test_reader_in_trouble.py
@@ -1,4 +1,4 @@
-"""Tests of changes while the store answers only some of the hosts."""
+"""Tests of changes while the hosts that read the store are in trouble."""
 
 import random
 
@@ -42,6 +42,10 @@
     fleet.store.silent = set(readers[:count])
 
 
+def first_reader(fleet):
+    return min(fleet.followers, key=rendezvous_hash)
+
+
 def list_late_hosts(make_fleet, site, *, silent, seeds):
     hosts, bound_ms = site
     late = {}
@@ -67,3 +71,22 @@
 ):
     late = list_late_hosts(make_fleet, GROWN_SITE, silent=6, seeds=range(10))
     assert not late, late
+
+
+def test_change_is_in_force_in_time_although_messages_of_the_reader_become_late(
+    make_fleet,
+):
+    hosts, bound_ms = GROWN_SITE
+    late = {}
+    for seed in range(4):
+        for delay_ms in (1_500.0, 2_500.0):
+            fleet = make_fleet(hosts, seed=seed)
+            reader = first_reader(fleet)
+            fleet.network.delays_ms = {reader: delay_ms}
+            # From then on marks arrive again, each of another reading.
+            fleet.run(delay_ms)
+            fleet.store.put("config", "main", "v2")
+            fleet.run(bound_ms)
+            behind = set(fleet.hosts_without("config", "main", "v2")) - {reader}
+            late[seed, delay_ms] = len(behind)
+    assert not any(late.values()), late
