Count the time on the way in the age of readings that peers announce

Cause: the age of a reading was that at the time of sending. Late marks of ever new readings of one host kept all others from reading the store in its place. Change: marks carry a number of the process that made the reading and its begin on that host's clock, as optional fields. Hosts of older versions send and get the age as before.

--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -15,6 +15,7 @@
 from mangohatch.directory.puller import PartPuller
 from mangohatch.directory.ranking import ReaderRanking
 from mangohatch.directory.reader import StoreReader
+from mangohatch.directory.reading_age import ReadingAges
 from mangohatch.directory.schedule import PartState, ReadingSchedule
 from mangohatch.directory.sender import PieceSender
 from mangohatch.directory.settings import FollowerSettings
@@ -91,6 +92,8 @@
         self._parts = {name: self._make_part(name, clock, bus) for name in source.parts}
         ranking = self._ranking = ReaderRanking(bus=bus)
         self._delay = ExchangeDelay(clock=clock)
+        self._ages = ReadingAges(clock=clock)
+        self._origin = rng.getrandbits(READING_BITS) or 1
         self._schedule = ReadingSchedule(
             clock=clock,
             rng=rng,
@@ -113,6 +116,7 @@
             ranking=ranking,
             states=[item.state for item in self._parts.values()],
             cfg=self._cfg,
+            origin=self._origin,
             on_return=self._reader.read_now,
         )
         self._gossip = MarkGossip(
@@ -222,6 +226,8 @@
             revision=revision,
             read_ms=read_ms,
             reading=self._rng.getrandbits(READING_BITS),
+            origin=self._origin,
+            origin_ms=int(read_ms),
         )
         behind_ms = self._schedule.end_behind(state)
         self.watches.record_reading(part.name, read_ms, first=first)
@@ -270,6 +276,8 @@
             digest=part.digest,
             age_ms=min(int(age_ms), MAX_AGE_MS),
             reading=part.reading,
+            origin=part.origin,
+            origin_ms=part.origin_ms,
         )
 
     def _on_marks(self, sender: str, message: DirectoryMarks) -> None:
@@ -286,12 +294,14 @@
     def _compare(self, sender: str, mark: DirectoryMark, item: FollowedPart) -> None:
         part = item.state.part
         if part.known and mark.digest == part.digest:
-            read_ms = self._clock.now_ms() - mark.age_ms
+            read_ms = self._clock.now_ms() - self._ages.estimate_ms(mark)
             self._schedule.record_gap(item.state, read_ms)
             refreshed = part.confirm(
                 revision=mark.revision,
                 read_ms=read_ms,
                 reading=mark.reading,
+                origin=mark.origin,
+                origin_ms=mark.origin_ms,
                 refresh_ms=self._cfg.refresh_ms,
             )
             if refreshed:
@@ -332,7 +342,7 @@
             return
         items, payload = received
         part = item.state.part
-        read_ms = self._clock.now_ms() - mark.age_ms
+        read_ms = self._clock.now_ms() - self._ages.estimate_ms(mark)
         self._schedule.record_gap(item.state, read_ms)
         if not part.known:
             self._schedule.record_learned(item.state)
@@ -341,6 +351,8 @@
             revision=mark.revision,
             read_ms=read_ms,
             reading=mark.reading,
+            origin=mark.origin,
+            origin_ms=mark.origin_ms,
             peer=sender,
         )
         behind_ms = self._schedule.end_behind(item.state)
--- a/src/mangohatch/directory/part.py
+++ b/src/mangohatch/directory/part.py
@@ -32,6 +32,8 @@
     ``revision`` is the revision of the store at the latest reading; ``read_ms`` is the
     time of that reading on the monotonic clock of this host, in milliseconds;
     ``reading`` is its random number, and ``seen`` holds those of the latest readings.
+    ``origin`` names the process that made it, 0 if unknown, and ``origin_ms`` is when
+    it began on the clock of that host.
     ``peer`` is the host that sent the content, empty if this host read it.
     """
 
@@ -40,6 +42,8 @@
     read_ms: float = 0.0
     digest: int = 0
     reading: int = 0
+    origin: int = 0
+    origin_ms: int = 0
     peer: str = ""
     items: dict[str, PartItem] = field(default_factory=dict)
     seen: deque[int] = field(default_factory=lambda: deque(maxlen=SEEN_READINGS))
@@ -56,6 +60,8 @@
         revision: int,
         read_ms: float,
         reading: int,
+        origin: int = 0,
+        origin_ms: int = 0,
         peer: str = "",
     ) -> bool:
         """
@@ -68,12 +74,14 @@
         :param revision: revision of the store at the reading
         :param read_ms: time of the reading in milliseconds
         :param reading: number of the reading
+        :param origin: the process that made the reading, 0 if unknown
+        :param origin_ms: its begin on the clock of that host in milliseconds
         :param peer: the host that sent the content, empty if this host read it
         :return: whether the content has changed
         """
         if revision < self.revision:
             return False
-        self._set_reading(read_ms, reading)
+        self._set_reading(read_ms, reading, origin, origin_ms)
         changed = revision > self.revision
         self.revision = revision
         digest = compute_digest(items)
@@ -85,7 +93,14 @@
         return True
 
     def confirm(
-        self, *, revision: int, read_ms: float, reading: int, refresh_ms: float
+        self,
+        *,
+        revision: int,
+        read_ms: float,
+        reading: int,
+        refresh_ms: float,
+        origin: int = 0,
+        origin_ms: int = 0,
     ) -> bool:
         """
         Record that another reading had the same content.
@@ -98,6 +113,8 @@
         :param read_ms: time of that reading in milliseconds
         :param reading: number of that reading
         :param refresh_ms: minimum time in milliseconds by which it has to be younger
+        :param origin: the process that made the reading, 0 if unknown
+        :param origin_ms: its begin on the clock of that host in milliseconds
         :return: whether the reading was taken over
         """
         self.revision = max(self.revision, revision)
@@ -106,15 +123,19 @@
         self.seen.append(reading)
         if read_ms < self.read_ms + refresh_ms:
             return False
-        self._set_reading(read_ms, reading)
+        self._set_reading(read_ms, reading, origin, origin_ms)
         return True
 
-    def _set_reading(self, read_ms: float, reading: int) -> None:
+    def _set_reading(
+        self, read_ms: float, reading: int, origin: int, origin_ms: int
+    ) -> None:
         if reading not in self.seen:
             self.seen.append(reading)
         if read_ms >= self.read_ms:
             self.read_ms = read_ms
             self.reading = reading
+            self.origin = origin
+            self.origin_ms = origin_ms
 
 
 def compute_digest(items: Sequence[PartItem]) -> int:
--- a/src/mangohatch/directory/watch.py
+++ b/src/mangohatch/directory/watch.py
@@ -47,6 +47,7 @@
     :param ranking: rank of this host
     :param state: progress of the part
     :param cfg: intervals and delays
+    :param origin: number of this process in the marks of its readings
     :param on_return: called when the part may have changed
     """
 
@@ -59,6 +60,7 @@
         ranking: ReaderRanking,
         state: PartState,
         cfg: FollowerSettings,
+        origin: int,
         on_return: Callable[[PartState], None],
     ) -> None:
         self.calls = 0
@@ -69,6 +71,7 @@
         self._ranking = ranking
         self._state = state
         self._cfg = cfg
+        self._origin = origin
         self._on_return = on_return
         self._task: asyncio.Task[None] | None = None
         self._opened_ms = 0.0
@@ -129,7 +132,12 @@
         # The revision stays: a change before the other reading may be on its way.
         reading = self._rng.getrandbits(READING_BITS)
         if part.confirm(
-            revision=part.revision, read_ms=read_ms, reading=reading, refresh_ms=0.0
+            revision=part.revision,
+            read_ms=read_ms,
+            reading=reading,
+            origin=self._origin,
+            origin_ms=int(read_ms),
+            refresh_ms=0.0,
         ):
             self._own_reading = reading
 
@@ -195,6 +203,7 @@
     :param ranking: rank of this host
     :param states: progress of all parts
     :param cfg: intervals and delays
+    :param origin: number of this process in the marks of its readings
     :param on_return: called with a part that may have changed
     """
 
@@ -207,6 +216,7 @@
         ranking: ReaderRanking,
         states: Iterable[PartState],
         cfg: FollowerSettings,
+        origin: int,
         on_return: Callable[[PartState], None],
     ) -> None:
         self._clock = clock
@@ -223,6 +233,7 @@
                 ranking=ranking,
                 state=state,
                 cfg=cfg,
+                origin=origin,
                 on_return=on_return,
             )
 
--- a/src/mangohatch/peer/gen/ttypes.py
+++ b/src/mangohatch/peer/gen/ttypes.py
@@ -2913,6 +2913,8 @@
      - digest
      - age_ms
      - reading
+     - origin
+     - origin_ms
 
     """
 
@@ -2922,15 +2924,19 @@
         'digest',
         'age_ms',
         'reading',
+        'origin',
+        'origin_ms',
     )
 
 
-    def __init__(self, part=None, revision=None, digest=None, age_ms=None, reading=None,):
+    def __init__(self, part=None, revision=None, digest=None, age_ms=None, reading=None, origin=None, origin_ms=None,):
         self.part = part
         self.revision = revision
         self.digest = digest
         self.age_ms = age_ms
         self.reading = reading
+        self.origin = origin
+        self.origin_ms = origin_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2966,6 +2972,16 @@
                     self.reading = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.origin = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.origin_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2996,6 +3012,14 @@
             oprot.writeFieldBegin('reading', TType.I32, 5)
             oprot.writeI32(self.reading)
             oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.I32, 6)
+            oprot.writeI32(self.origin)
+            oprot.writeFieldEnd()
+        if self.origin_ms is not None:
+            oprot.writeFieldBegin('origin_ms', TType.I64, 7)
+            oprot.writeI64(self.origin_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5128,6 +5152,8 @@
     (3, TType.I64, 'digest', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
     (5, TType.I32, 'reading', None, None, ),  # 5
+    (6, TType.I32, 'origin', None, None, ),  # 6
+    (7, TType.I64, 'origin_ms', None, None, ),  # 7
 )
 all_structs.append(DirectoryMarks)
 DirectoryMarks.thrift_spec = (
--- a/src/mangohatch/peer/messages/directory.py
+++ b/src/mangohatch/peer/messages/directory.py
@@ -21,6 +21,8 @@
     when the part was read, ``digest`` is a hash of the content, and ``age_ms`` is the
     time since the content was known to be current. ``reading`` is a random number that
     identifies the reading, so that a mark that arrives late does not make it younger.
+    ``origin`` is a random number of the process that made it, 0 if that is not known,
+    and ``origin_ms`` the time at which it began, on the monotonic clock of that host.
     """
 
     part: str = ""
@@ -28,6 +30,8 @@
     digest: int = 0
     age_ms: int = 0
     reading: int = 0
+    origin: int = 0
+    origin_ms: int = 0
 
 
 @message
--- a/src/mangohatch/peer/peer.thrift
+++ b/src/mangohatch/peer/peer.thrift
@@ -205,6 +205,8 @@
   3: i64 digest,
   4: i32 age_ms,
   5: i32 reading,
+  6: i32 origin,
+  7: i64 origin_ms,
 }
 
 struct DirectoryMarks {
--- a/tests/directory/test_spread.py
+++ b/tests/directory/test_spread.py
@@ -68,7 +68,9 @@
     fleet.run(2_000.0)
     for shift_ms in (100.0, 200.0, 300.0, 400.0):
         for follower in fleet.followers.values():
-            follower.part("config").read_ms -= shift_ms
+            part = follower.part("config")
+            part.read_ms -= shift_ms
+            part.origin_ms -= int(shift_ms)
         fleet.run(2_000.0)
         before = sum(fleet.network.messages_sent.values())
         fleet.run(5_000.0)
