Say in the error of a request that its host stops

Cause: requests ended by a planned stop reported a deadline that had not passed. Change: one place makes that error: 'stopping' if not run, else a deadline error that names the stop. Result: 15 tests of drains and of the monitor pass; statuses are as before.

--- a/src/mangohatch/entry/monitor.py
+++ b/src/mangohatch/entry/monitor.py
@@ -15,6 +15,7 @@
     AttemptMoved,
     ConnectionSilent,
     DeadlineExceeded,
+    RequestError,
     ResponseLate,
     Stopping,
     UpstreamUnreachable,
@@ -99,10 +100,9 @@
                     self._check_placement(req)
             elif req.conn is not None and not req.conn.connected:
                 self._check_connecting(req, req.conn, now_ms)
-            if now_ms >= answer_by_ms and not req.may_have_run:
-                stopping = Stopping("this host stops before a response can arrive")
-                req.abort(stopping, self._router)
-            elif now_ms >= min(req.call.deadline_ms, answer_by_ms):
+            if now_ms >= answer_by_ms:
+                req.abort(make_stop_error(req), self._router)
+            elif now_ms >= req.call.deadline_ms:
                 error = DeadlineExceeded("no answer before the deadline")
                 req.abort(error, self._router)
 
@@ -167,6 +167,18 @@
             req.abort_attempt(ResponseLate("the response did not begin in time"))
 
 
+def make_stop_error(req: ActiveRequest) -> RequestError:
+    """
+    Make the error of a request that this host can't finish before it stops.
+
+    :param req: the request
+    :return: the error, by whether an upstream may have run the request
+    """
+    if req.may_have_run:
+        return DeadlineExceeded("this host stops before the end of the response")
+    return Stopping("this host stops before the request can be sent")
+
+
 def transfer_deadline_ms(req: ActiveRequest) -> float:
     """
     Return when a response that has begun must have ended.
