Keep a slow attempt on a kept connection while its retry waits and runs

Callers got 502, or 504 after two runs, although their upstream was at work: on a kept connection an attempt that was silent past its limit ended as soon as its retry was permitted, and then found no upstream free.

Cause: the connection may be dead while its upstream is idle, so the retry did not wait for room elsewhere, and the attempt was given up first.

Change: the retry runs beside the attempt, as a hedge does, and the first valid response wins; a retry that finds no upstream leaves the attempt alone.

test_sole_upstream_is_retried_on_a_new_connection checks the results in the order in which the attempts now end: the retry first.

--- a/src/mangohatch/entry/monitor.py
+++ b/src/mangohatch/entry/monitor.py
@@ -42,8 +42,9 @@
     Aborts requests past their deadline and attempts that make no progress.
 
     A slow attempt whose upstream may be at work ends only once its retry is permitted
-    and, unless its connection may be dead, another upstream has room for it; otherwise
-    it goes on. On a host that stops it goes on in any case.
+    and another upstream has room for it; otherwise it goes on. If it is on a kept
+    connection, which may be dead while its upstream is idle, it goes on beside its
+    retry. On a host that stops it goes on alone.
 
     :param clock: source of time
     :param router: cancels calls that are aborted while they are queued
@@ -53,6 +54,8 @@
         attempt that may run, without regard to the retry budget
     :param may_continue: the same of a request whose response has begun
     :param request_retry: asks for one retry of a request from the retry budget
+    :param retry_beside: sends a request whose retry is permitted again while its
+        attempt goes on; returns whether it did
     :param should_move: returns whether a move to another upstream would make a request
         meet its objective or deadline; None to never move requests
     :param spend_retry: takes one retry of a request from the retry budget; returns
@@ -73,6 +76,7 @@
         may_retry: Callable[[ActiveRequest], bool],
         may_continue: Callable[[ActiveRequest], bool],
         request_retry: RequestRetry,
+        retry_beside: Callable[[ActiveRequest, RequestError], bool],
         should_move: Callable[[Grant], bool] | None = None,
         spend_retry: Callable[[ActiveRequest], bool] | None = None,
         hedge: Callable[[ActiveRequest], bool] | None = None,
@@ -89,6 +93,7 @@
         self._may_retry = may_retry
         self._may_continue = may_continue
         self._request_retry = request_retry
+        self._retry_beside = retry_beside
         self._late_ticks = LateTicks()
 
     def tick(
@@ -155,6 +160,8 @@
     def _check_placement(self, req: ActiveRequest) -> None:
         if self._should_move is None or self._spend_retry is None:
             return
+        if has_other_attempt(req):
+            return
         if req.grant is None or req.retry_allowed:
             return
         if not self._may_retry(req) or not self._should_move(req.grant):
@@ -205,11 +212,12 @@
         asked_ms = self._clock.now_ms()
         if req.asks_retry or asked_ms < req.ask_again_ms or not may_send_again(req):
             return
+        if has_other_attempt(req):
+            return
         dead = self._pool.is_dead(conn)
         if leaving and not dead:
             return
-        # A kept connection may be dead and its upstream idle, also where all others are
-        # full, so the next attempt may wait for its turn.
+        # The retry of an attempt that goes on beside it may wait for its turn.
         if not dead and not req.reuses_connection and not self._has_room(req, conn):
             req.ask_again_ms = asked_ms + RETRY_ASK_INTERVAL_MS
             return
@@ -225,6 +233,8 @@
             if req.sink.sent:
                 self._events.record(EventKind.CONNECTION_SILENT, req, "")
                 self._pool.drop_stale_siblings(conn)
+            elif not dead and req.reuses_connection and self._retry_beside(req, error):
+                return
             req.retry_allowed = True
             req.abort_attempt(error)
 
@@ -236,6 +246,16 @@
         return self._router.has_room(replace(req.call, avoid=avoid))
 
 
+def has_other_attempt(req: ActiveRequest) -> bool:
+    """
+    Return whether another attempt of the same request still runs.
+
+    :param req: an attempt
+    :return: whether the request may end well without it
+    """
+    return req.race is not None and not req.race.is_last(req)
+
+
 def make_stop_error(req: ActiveRequest) -> RequestError:
     """
     Make the error of a request that this host can't finish before it stops.
--- a/src/mangohatch/entry/race.py
+++ b/src/mangohatch/entry/race.py
@@ -18,7 +18,7 @@
 
 class Race:
     """
-    The first attempt of a request and its hedge.
+    The first attempt of a request and a second one beside it, here called its hedge.
 
     Each attempt has an :class:`ActiveRequest` of its own, with the same sink and body.
     Only the winner writes to the sink. The other attempt is cancelled as soon as there
@@ -156,6 +156,12 @@
         self._adopt_hedge()
         return hedge_error
 
+    def dissolve(self) -> None:
+        """Let the first attempt go on alone after a hedge that was not sent."""
+        if not self._first_ended and self.winner is None:
+            self._end()
+            self._first.hedged = None
+
     def merge(self) -> None:
         """Count what the hedge may have run, also if the request ends before it."""
         first, hedge = self._first, self._hedge
--- a/tests/entry/test_attempts_at_work.py
+++ b/tests/entry/test_attempts_at_work.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from mangohatch.core.call import Result
 from mangohatch.core.retry import RetryBudget
 from tests.entry.harness import fixed, open_entry, request
 from tests.entry.test_silence import PAST_LIMIT_MS, WARM_UP_REQUESTS, warm_up
@@ -110,6 +111,43 @@
         assert not budget.asked
 
 
+async def test_attempt_on_a_kept_connection_goes_on_beside_its_retry():
+    """A caller got 502 although its upstream was at work (review/3, real processes)."""
+    retry = Work()
+    retry.slow_after = 0
+    async with open_slow_request(retry) as (entry, work, budget, reading):
+        budget.asked.pop()(True)
+        await retry.begun.wait()
+        work.answer()
+        response = await reading
+        assert (response.status, response.body) == (200, b"done")
+
+
+async def test_attempt_on_a_kept_connection_goes_on_while_its_retry_waits():
+    async with open_slow_request(other) as (entry, work, budget, reading):
+        for row in entry.tables.upstreams():
+            row.in_flight = row.slots
+        budget.asked.pop()(True)
+        for _ in range(3):
+            entry.pass_time(REPEATED_MS)
+            await asyncio.sleep(0)
+        work.answer()
+        response = await reading
+        assert (response.status, response.body) == (200, b"done")
+
+
+async def test_attempt_on_a_kept_connection_ends_once_its_retry_answers():
+    retry = Work()
+    retry.slow_after = 0
+    async with open_slow_request(retry) as (entry, work, budget, reading):
+        budget.asked.pop()(True)
+        await retry.begun.wait()
+        retry.answer()
+        response = await reading
+        assert (response.status, response.body) == (200, b"done")
+        assert Result.SILENT in entry.take_results()
+
+
 async def test_permission_that_comes_after_the_answer_ends_nothing():
     async with open_slow_request(other) as (entry, work, budget, reading):
         work.answer()
--- a/tests/entry/test_monitor.py
+++ b/tests/entry/test_monitor.py
@@ -27,6 +27,7 @@
             may_retry=lambda req: True,
             may_continue=lambda req: True,
             request_retry=lambda req, deliver: deliver(True),
+            retry_beside=lambda req, error: False,
         )
         self.monitor.tick(())
         self.monitor._pool.is_dead.return_value = False
@@ -34,6 +35,7 @@
             sink=SimpleNamespace(sent=False),
             awaits_head=False,
             silent=False,
+            race=None,
             asks_retry=False,
             ask_again_ms=0.0,
             failure=None,
--- a/tests/entry/test_silence.py
+++ b/tests/entry/test_silence.py
@@ -102,7 +102,8 @@
         entry.pass_time(PAST_LIMIT_MS)
         assert (await caller.read()).status == 200
         assert upstreams[0].connections == 2
-        assert entry.take_results() == [Result.SILENT, Result.OK]
+        # The silent attempt goes on until its retry answers.
+        assert entry.take_results() == [Result.OK, Result.SILENT]
 
 
 async def test_silence_of_a_new_connection_counts_against_the_upstream():
