Follow a store that came back from an older copy

Callers got 404 for routes that had been added, and answers of the service that a route had left; upstreams that had left were used on, by all hosts at once, for as long as the store's revisions stayed below those known.

Cause: readings of a lower revision were ignored, marks were ordered by revision alone, and RouteTable.apply refused a new version of the configuration under a lower revision for good.

Change: versions of the directory are an era and a revision. A store that names its era (Store-Era) is believed at once; without it, revisions that stay below a known one for 1.5 s begin the next era. Configurations are ordered by the operator's version first, and an older one is not taken. An ignored reading is repeated after 500 ms, not at each tick.

That the users' store came back from a copy is suspected, not shown.

--- a/src/mangohatch/core/routes.py
+++ b/src/mangohatch/core/routes.py
@@ -59,19 +59,28 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self._order = (0, 0)
         self._by_host: dict[str, dict[str, Route]] = {}
 
-    def apply(self, routes: tuple[Route, ...], *, revision: int) -> bool:
+    def apply(
+        self, routes: tuple[Route, ...], *, revision: int, version: int = 0
+    ) -> bool:
         """
         Replace all routes.
 
+        Of two configurations, the one with the higher version is newer, and of the
+        same version the one with the higher revision: a store that came back from an
+        older copy gives out revisions again, operators never do so with versions.
+
         :param routes: the new routes
-        :param revision: revision of the configuration; ignored unless it is newer than
-            the active revision
-        :return: whether the routes were applied
+        :param revision: revision of the configuration in the store, above 0
+        :param version: version that the operator gave it, 0 if it has none
+        :return: whether the routes were applied, which they are if they are newer
         """
-        if revision <= self.revision:
+        order = (version, revision)
+        if order <= self._order:
             return False
+        self._order = order
         by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             by_host.setdefault(route.host.lower(), {})[route.prefix] = route
--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -21,6 +21,8 @@
 from mangohatch.directory.sender import PieceSender
 from mangohatch.directory.settings import FollowerSettings
 from mangohatch.directory.source import DirectorySource, PartReading
+from mangohatch.directory.store_return import ReadingOrder
+from mangohatch.directory.version import era_of, format_version
 from mangohatch.directory.watch import READING_BITS, PartWatches
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages.directory import (
@@ -47,6 +49,7 @@
     payloads: PayloadCache
     puller: PartPuller
     retention: ItemRetention
+    order: ReadingOrder
 
 
 class DirectoryFollower:
@@ -146,6 +149,7 @@
             payloads=PayloadCache(part=part),
             puller=PartPuller(clock=clock, bus=bus, part=part),
             retention=ItemRetention(clock=clock, cfg=self._cfg),
+            order=ReadingOrder(clock=clock, cfg=self._cfg),
         )
 
     @property
@@ -216,11 +220,20 @@
         self, state: PartState, reading: PartReading, read_ms: float
     ) -> None:
         part = state.part
+        order = self._parts[part.name].order
+        placed = order.place(part, reading, read_ms)
+        if placed is None:
+            self._schedule.record_older(state)
+            return
+        reading = placed
         rank = self._ranking.rank
         first = not part.known
         gap_ms = 0 if first else int(read_ms - part.read_ms)
         retention = self._parts[part.name].retention
-        retention.record_gap(part, read_ms)
+        if not first and era_of(reading.revision) > era_of(part.revision):
+            retention.record_return(order.returned_ms)
+        else:
+            retention.record_gap(part, read_ms, revision=reading.revision)
         kept = [] if state.watched else retention.select(part, reading)
         items = [*reading.items, *kept]
         revision = reading.revision
@@ -236,6 +249,8 @@
             origin_ms=int(read_ms),
         )
         behind_ms = self._schedule.end_behind(state)
+        if kept:
+            state.catch_up_at_ms = retention.until_ms
         self.watches.record_reading(part.name, read_ms, first=first)
         if not changed:
             self._gossip.spread_refresh()
@@ -244,7 +259,7 @@
             log.info(
                 "directory_changed",
                 part=part.name,
-                revision=revision,
+                revision=format_version(revision),
                 items=len(items),
                 behind_ms=behind_ms,
                 rank=rank,
@@ -288,7 +303,7 @@
         part = item.state.part
         if part.known and mark.digest == part.digest:
             read_ms = self._clock.now_ms() - self._ages.estimate_ms(mark)
-            item.retention.record_gap(part, read_ms)
+            item.retention.record_gap(part, read_ms, revision=mark.revision)
             refreshed = part.confirm(
                 revision=mark.revision,
                 read_ms=read_ms,
@@ -306,8 +321,8 @@
                     "directory_behind",
                     part=mark.part,
                     peer=sender,
-                    revision=part.revision,
-                    peer_revision=mark.revision,
+                    revision=format_version(part.revision),
+                    peer_revision=format_version(mark.revision),
                     age_ms=int(self.age_ms(mark.part)),
                 )
             item.puller.offer(sender, mark)
@@ -336,7 +351,7 @@
         items, payload = received
         part = item.state.part
         read_ms = self._clock.now_ms() - self._ages.estimate_ms(mark)
-        item.retention.record_gap(part, read_ms)
+        item.retention.record_gap(part, read_ms, revision=mark.revision)
         if not part.known:
             self._schedule.record_learned(item.state)
         changed = part.update(
@@ -354,7 +369,7 @@
                 "directory_learned",
                 part=mark.part,
                 peer=sender,
-                revision=mark.revision,
+                revision=format_version(mark.revision),
                 items=len(items),
                 behind_ms=behind_ms,
                 age_ms=int(self.age_ms(mark.part)),
--- a/src/mangohatch/directory/schedule.py
+++ b/src/mangohatch/directory/schedule.py
@@ -125,6 +125,14 @@
             delay_ms = max(cfg.takeover_ms, self._rng.uniform(0.0, spread_ms))
         state.retry_at_ms = now_ms + delay_ms
 
+    def record_older(self, state: PartState) -> None:
+        """
+        Set the time of the next reading after one that was older than what is known.
+
+        :param state: state of the part
+        """
+        state.retry_at_ms = self._clock.now_ms() + self._cfg.interval_ms
+
     def record_learned(self, state: PartState) -> None:
         """
         Forget failed readings once the first copy has arrived from a peer.
--- a/src/mangohatch/directory/settings.py
+++ b/src/mangohatch/directory/settings.py
@@ -20,6 +20,9 @@
     expired during an outage are kept for ``expired_retention_ms`` after its end,
     because their owners may still register again.
 
+    A store whose revisions stay below a known one for ``went_back_ms`` came back from
+    an older copy.
+
     A host reads out of turn if it has been behind a peer for ``catch_up_ms``, with up
     to ``catch_up_spread_ms`` added at random, or has heard no peer for
     ``isolation_ms``. At the first start of a fleet a host waits ``first_wait_ms`` for
@@ -44,6 +47,7 @@
     outage_ms: float = 1_800.0
     # The owners of expired items register again about 2 s after an outage of the store.
     expired_retention_ms: float = 2_200.0
+    went_back_ms: float = 1_500.0  # three intervals
     # An interval, this delay with its spread and a reading take less than 2 s.
     catch_up_ms: float = 600.0
     catch_up_spread_ms: float = 300.0
--- a/src/mangohatch/directory/source.py
+++ b/src/mangohatch/directory/source.py
@@ -16,12 +16,14 @@
 
     ``written`` holds the revision at which each item was last written, by its name;
     an item that is renewed is written without a change of its content. It is empty
-    if the source does not know.
+    if the source does not know. ``era`` counts how often the store came back from an
+    older copy, None if it does not say.
     """
 
     items: Sequence[PartItem]
     revision: int
     written: Mapping[str, int] = field(default_factory=dict)
+    era: int | None = None
 
 
 class DirectorySource(ABC):
--- a/src/mangohatch/directory/table_updater.py
+++ b/src/mangohatch/directory/table_updater.py
@@ -83,7 +83,9 @@
         :param revision: its revision in the store; ignored unless newer than the
             active one
         """
-        if not self._tables.routes.apply(config.routes, revision=revision):
+        version = config.version
+        routes = self._tables.routes
+        if not routes.apply(config.routes, revision=revision, version=version):
             return
         self._tables.accounts.replace(config.accounts)
         log.info(
--- a/src/mangohatch/directory/watch.py
+++ b/src/mangohatch/directory/watch.py
@@ -12,6 +12,7 @@
 from mangohatch.directory.schedule import PartState
 from mangohatch.directory.settings import FollowerSettings
 from mangohatch.directory.source import DirectorySource
+from mangohatch.directory.version import revision_of
 from mangohatch.errors import StoreError
 
 __all__ = ["READING_BITS", "PartWatch", "PartWatches"]
@@ -156,7 +157,7 @@
     async def _wait(self, revision: int) -> None:
         name = self._state.part.name
         try:
-            await self._source.watch(name, revision)
+            await self._source.watch(name, revision_of(revision))
         except StoreError as exc:
             self._record_failure(cause=exc.code, detail=str(exc))
             return
--- a/src/mangohatch/platform/source.py
+++ b/src/mangohatch/platform/source.py
@@ -3,6 +3,7 @@
 import json
 import re
 from collections.abc import Mapping
+from functools import lru_cache
 from typing import Any
 
 import structlog
@@ -13,8 +14,9 @@
 from mangohatch.platform.accounts import replace_keys
 from mangohatch.platform.documents import read_configuration
 from mangohatch.platform.entries import normalize_upstream
+from mangohatch.platform.json_text import decode_json
 from mangohatch.platform.store import PlatformStore
-from mangohatch.platform.values import DocumentError, describe
+from mangohatch.platform.values import DocumentError, describe, parse_version
 from mangohatch.store import Listing, StoredObject
 
 __all__ = ["CONFIGURATION", "EVACUATIONS", "UPSTREAMS", "PlatformSource"]
@@ -71,7 +73,9 @@
             normalized = (self._normalize(item, known) for item in listing.items)
             items = [item for item in normalized if item is not None]
         written = {item.name: item.revision for item in listing.items}
-        return PartReading(items=items, revision=listing.revision, written=written)
+        return PartReading(
+            items=items, revision=listing.revision, written=written, era=listing.era
+        )
 
     def _convert_configurations(
         self, listing: Listing, known: Mapping[str, PartItem]
@@ -100,17 +104,27 @@
     def _convert_configuration(
         self, item: StoredObject, previous: PartItem | None
     ) -> PartItem:
-        if previous is not None and previous.revision == item.revision:
+        if previous is not None and is_same_version(previous, item):
             return previous
         try:
             text = encode_configuration(item.value)
-            read_configuration(text, follow_cold=self._follow_cold)
+            config = read_configuration(text, follow_cold=self._follow_cold)
         except DocumentError as exc:
             if self._is_news(f"{CONFIGURATION}/{item.name}", item.revision):
                 log.error(
                     "configuration_unreadable", revision=item.revision, cause=str(exc)
                 )
             raise
+        if previous is not None and config.version < read_version(previous.json):
+            # A store that came back from a copy; the operator writes it again.
+            if self._is_news(f"{CONFIGURATION}/{item.name}", item.revision):
+                log.warning(
+                    "configuration_older",
+                    version=config.version,
+                    known=read_version(previous.json),
+                    revision=item.revision,
+                )
+            return previous
         return PartItem(name=item.name, revision=item.revision, json=text)
 
     async def watch(self, part: str, revision: int) -> None:
@@ -176,6 +190,38 @@
         )
 
 
+@lru_cache(maxsize=2)
+def read_version(text: str) -> int:
+    """
+    Read the version of a configuration.
+
+    :param text: the configuration as JSON, which has been checked
+    :return: its version, -1 if a peer of an earlier release has sent none
+    """
+    try:
+        return parse_version(decode_json(text).get("version"))
+    except (DocumentError, AttributeError):
+        return -1
+
+
+def is_same_version(known: PartItem, item: StoredObject) -> bool:
+    """
+    Return whether the store still has the configuration that is known.
+
+    A store that came back from a copy gives out revisions again.
+
+    :param known: the configuration that is known
+    :param item: the object of the store
+    :return: whether revision and version are the same
+    """
+    if known.revision != item.revision or not isinstance(item.value, dict):
+        return False
+    try:
+        return parse_version(item.value.get("version")) == read_version(known.json)
+    except DocumentError:
+        return False
+
+
 def encode_configuration(value: Any) -> str:
     """
     Encode a configuration for hosts, without the keys of accounts.
--- a/src/mangohatch/platform/store.py
+++ b/src/mangohatch/platform/store.py
@@ -6,6 +6,7 @@
 import structlog
 
 from mangohatch.errors import StoreRejected
+from mangohatch.platform.era import EraReader
 from mangohatch.platform.json_text import decode_json
 from mangohatch.platform.listing import (
     ListPage,
@@ -42,6 +43,7 @@
         self._watcher = HttpCaller(
             address=host, port=port, timeout_ms=WATCH_WAIT_MS + timeout_ms
         )
+        self._eras = EraReader()
         # Objects that were logged as unusable, by kind.
         self._logged: dict[str, set[RejectedObject]] = {}
 
@@ -59,6 +61,7 @@
     async def list(self, kind: str) -> Listing:
         path = f"{OBJECTS}/{quote(kind, safe='')}"
         pages: list[ListPage] = []
+        eras: set[int | None] = set()
         query = ""
         while True:
             reply = await self._caller.call("GET", path + query)
@@ -70,6 +73,7 @@
                     f"malformed list of {kind} objects: {exc}"
                 ) from exc
             pages.append(page)
+            eras.add(self._eras.read(reply.headers))
             if not page.has_more or not (page.items or page.rejected):
                 break
             if not page.last_name:
@@ -77,6 +81,8 @@
                     f"the last object of a page of {kind} objects has no readable name"
                 )
             query = f"?after={quote(page.last_name, safe='', errors='surrogatepass')}"
+        if len(eras) > 1:
+            raise StoreRejected(f"pages of {kind} objects are of several eras")
         rejected = [item for page in pages for item in page.rejected]
         self._log_rejected(kind, rejected)
         # Later pages may be read at a newer revision. The list as a whole is only
@@ -85,6 +91,7 @@
             items=[item for page in pages for item in page.items],
             revision=pages[0].revision,
             unreadable=frozenset(item.name for item in rejected),
+            era=eras.pop(),
         )
 
     def _log_rejected(self, kind: str, rejected: Sequence[RejectedObject]) -> None:
--- a/src/mangohatch/store/base.py
+++ b/src/mangohatch/store/base.py
@@ -23,12 +23,14 @@
     """
     All objects of a kind; the store was at ``revision`` when they were read.
 
-    ``unreadable`` holds the names of those that can't be used.
+    ``unreadable`` holds the names of those that can't be used. ``era`` counts how often
+    the store came back from an older copy, None if it does not say.
     """
 
     items: Sequence[StoredObject]
     revision: int
     unreadable: frozenset[str] = frozenset()
+    era: int | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/store/http_call.py
+++ b/src/mangohatch/store/http_call.py
@@ -31,6 +31,7 @@
 
     status: int
     body: bytes
+    headers: HTTPHeaders
 
 
 class HttpCaller:
@@ -90,7 +91,11 @@
             )
         if response.code >= FIRST_SERVER_ERROR:
             raise CallUnanswered(f"{method} {path}: status {response.code}")
-        return HttpReply(status=response.code, body=response.body or b"")
+        return HttpReply(
+            status=response.code,
+            body=response.body or b"",
+            headers=response.headers,
+        )
 
     def close(self) -> None:
         """Close the HTTP client."""
--- a/tests/core/test_routes.py
+++ b/tests/core/test_routes.py
@@ -57,6 +57,14 @@
     assert find_prefix(routes, "/x") is None
 
 
+def test_newer_version_is_applied_also_with_a_revision_given_out_again(routes):
+    """Callers got 404 for new routes after the store came back from a copy."""
+    assert routes.apply((make_route("/b/"),), revision=500, version=7)
+    assert not routes.apply((make_route("/a/"),), revision=600, version=6)
+    assert routes.apply((make_route("/c/"),), revision=490, version=8)
+    assert find_prefix(routes, "/c/x") == "/c/"
+
+
 def test_split_follows_the_weights(rng):
     targets = (Target(service="desk", weight=90), Target(service="vault", weight=10))
     route = make_route("/", targets=targets)
--- a/tests/directory/fleet.py
+++ b/tests/directory/fleet.py
@@ -69,7 +69,12 @@
             for name, (revision, text) in self.store.items[part].items()
         ]
         written = {item.name: item.revision for item in items}
-        return PartReading(items=items, revision=self.store.revision, written=written)
+        return PartReading(
+            items=items,
+            revision=self.store.revision,
+            written=written,
+            era=self.store.era,
+        )
 
 
 class FakeStore:
@@ -97,6 +102,7 @@
         self.calls = 0
         self.renewed = {}
         self.renewed_ms = 0.0
+        self.era = None
 
     def put(self, part, name, text):
         self.revision += 1
@@ -108,6 +114,16 @@
         del self.items[part][name]
         self.record_change(part)
 
+    def copy(self):
+        """Copy revision and content, for :meth:`restore`."""
+        return self.revision, {part: dict(named) for part, named in self.items.items()}
+
+    def restore(self, copy):
+        """Return to an older copy; a store that names its era begins the next one."""
+        self.revision, self.items = copy
+        if self.era is not None:
+            self.era += 1
+
     def renew(self, now_ms):
         """Write the entries whose turn has come since the last call."""
         step_ms = RENEWAL_MS / max(1, len(self.renewed))
