Count renewals among the entries that are left after a gap

Upstreams that had left got requests again, from all hosts, up to 4.5 s after their leave.

Cause: a host that was stopped for 2.5 s and continued reads the store, and decides whether entries that are missing have lapsed in an outage by the share of the known entries that were renewed in the gap. Those that had left counted as not renewed, so where a third left it kept them, and its reading was the newest of the fleet.

Change: the share counts the entries that are left. Those that were created anew don't count as renewed, as they lapsed; the store says when. A store that doesn't is judged as before.

--- a/src/mangohatch/directory/retention.py
+++ b/src/mangohatch/directory/retention.py
@@ -27,7 +27,8 @@
     again within two seconds, and without those items the load of the others would
     rise. A gap between two readings may also mean that this host stood still or that
     the store ignored the hosts that read it. Then it has served the owners of the
-    items, most of which have renewed theirs meanwhile, and a missing item is gone.
+    items: most of those that are left were renewed in the gap and not created anew,
+    and a missing item is gone, however many are.
 
     ``until_ms`` is the end of the time in which items are kept, in milliseconds.
 
@@ -92,7 +93,7 @@
             return []
         if not self._judged:
             self._judged = True
-            share = self._renewed_share(part.items, reading)
+            share = find_renewed_share(part.items, reading, self._gap_revision)
             kept = share < RENEWED_SHARE
             log.info(
                 "missing_entries_judged",
@@ -106,10 +107,22 @@
                 self.until_ms = 0.0
         return missing if self.until_ms else []
 
-    def _renewed_share(
-        self, items: Mapping[str, PartItem], reading: PartReading
-    ) -> float:
-        renewed = sum(
-            reading.written.get(name, 0) > self._gap_revision for name in items
-        )
-        return renewed / len(items)
+
+def find_renewed_share(
+    items: Mapping[str, PartItem], reading: PartReading, since: int
+) -> float:
+    """
+    Return the share of the items whose owners have renewed them without a break.
+
+    :param items: items that were known
+    :param reading: a reading after a gap
+    :param since: version before the gap
+    :return: the share of those that are left, 0 if none is; of all of them if the
+        source does not know when items were created
+    """
+    renewed = {name for name in items if reading.written.get(name, 0) > since}
+    if not reading.created:
+        return len(renewed) / len(items)
+    left = [name for name in items if name in reading.written]
+    unbroken = [name for name in renewed if reading.created.get(name, since) <= since]
+    return len(unbroken) / len(left) if left else 0.0
--- a/src/mangohatch/directory/source.py
+++ b/src/mangohatch/directory/source.py
@@ -15,14 +15,16 @@
     All items of a part as of ``revision``, a revision of the store.
 
     ``written`` holds the revision at which each item was last written, by its name;
-    an item that is renewed is written without a change of its content. It is empty
-    if the source does not know. ``era`` counts how often the store came back from an
+    an item that is renewed is written without a change of its content. ``created``
+    holds that at which it came into being. Both lack items of which the source does not
+    know it. ``era`` counts how often the store came back from an
     older copy, None if it does not say.
     """
 
     items: Sequence[PartItem]
     revision: int
     written: Mapping[str, int] = field(default_factory=dict)
+    created: Mapping[str, int] = field(default_factory=dict)
     era: int | None = None
 
 
--- a/src/mangohatch/directory/store_return.py
+++ b/src/mangohatch/directory/store_return.py
@@ -1,5 +1,6 @@
 """Notices that the store came back from an older copy."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 import structlog
@@ -109,8 +110,20 @@
     return replace(
         reading,
         revision=make_version(era, reading.revision),
-        written={
-            name: make_version(era, revision_of(revision))
-            for name, revision in reading.written.items()
-        },
+        written=set_eras(reading.written, era),
+        created=set_eras(reading.created, era),
     )
+
+
+def set_eras(revisions: Mapping[str, int], era: int) -> dict[str, int]:
+    """
+    Replace revisions by versions of an era.
+
+    :param revisions: revisions of the store by name
+    :param era: number of the era
+    :return: versions by name
+    """
+    return {
+        name: make_version(era, revision_of(revision))
+        for name, revision in revisions.items()
+    }
--- a/src/mangohatch/platform/listing.py
+++ b/src/mangohatch/platform/listing.py
@@ -114,9 +114,12 @@
             raise DocumentError(
                 "field 'spec' is missing or can't be decoded, expected JSON"
             )
+    created = metadata.get("created")
+    is_number = isinstance(created, int) and not isinstance(created, bool)
     return StoredObject(
         kind=kind,
         name=name,
+        created=created if is_number else None,
         revision=check_whole(
             "metadata.revision", metadata.get("revision"), 0, MAX_REVISION
         ),
--- a/src/mangohatch/platform/source.py
+++ b/src/mangohatch/platform/source.py
@@ -72,9 +72,13 @@
         else:
             normalized = (self._normalize(item, known) for item in listing.items)
             items = [item for item in normalized if item is not None]
-        written = {item.name: item.revision for item in listing.items}
+        created = {item.name: item.created for item in listing.items}
         return PartReading(
-            items=items, revision=listing.revision, written=written, era=listing.era
+            items=items,
+            revision=listing.revision,
+            written={item.name: item.revision for item in listing.items},
+            created={name: at for name, at in created.items() if at is not None},
+            era=listing.era,
         )
 
     def _convert_configurations(
--- a/src/mangohatch/store/base.py
+++ b/src/mangohatch/store/base.py
@@ -10,12 +10,17 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoredObject:
-    """An object; ``revision`` is the store-wide write count at its last write."""
+    """
+    An object; ``revision`` is the store-wide write count at its last write.
+
+    ``created`` is that at its first write, None if the store does not say.
+    """
 
     kind: str
     name: str
     revision: int
     value: dict[str, Any]
+    created: int | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/directory/fleet.py
+++ b/tests/directory/fleet.py
@@ -69,10 +69,12 @@
             for name, (revision, text) in self.store.items[part].items()
         ]
         written = {item.name: item.revision for item in items}
+        created = {name: self.store.created[part, name] for name in written}
         return PartReading(
             items=items,
             revision=self.store.revision,
             written=written,
+            created=created,
             era=self.store.era,
         )
 
@@ -103,9 +105,12 @@
         self.renewed = {}
         self.renewed_ms = 0.0
         self.era = None
+        self.created = {}
 
     def put(self, part, name, text):
         self.revision += 1
+        if name not in self.items[part]:
+            self.created[part, name] = self.revision
         self.items[part][name] = (self.revision, text)
         self.record_change(part)
 
--- a/tests/directory/test_kept_entries.py
+++ b/tests/directory/test_kept_entries.py
@@ -41,6 +41,25 @@
     return [host for host in names if name in names[host]]
 
 
+def test_entries_removed_while_one_host_stood_still_do_not_come_back(make_fleet):
+    """A host that was continued took upstreams that had left for lapsed entries."""
+    for count in (17, 136):
+        fleet = make_fleet(count)
+        host = sorted(fleet.followers, key=rendezvous_hash)[1]
+        fleet.standing_still.add(host)
+        removed = UPSTREAMS[:12]
+        for name in removed:
+            remove(fleet, name)
+            fleet.run(200.0)
+        fleet.run(BOUND_MS)
+        fleet.standing_still.clear()
+        for _ in range(60):
+            fleet.run(TICK_MS)
+            names = fleet.names()
+            users = [one for one in names if names[one] & set(removed)]
+            assert not set(users) - {host}, f"{len(users)} of {count} hosts"
+
+
 def test_entry_removed_while_one_host_stood_still_does_not_come_back(make_fleet):
     for count in (17, 136):
         for rank in (0, 1, 5):
