--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 HOLD ?= 0
 SOURCES := src tests bench demo tooling
 
-.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak evacuation-soak cold-soak quota-soak directory-soak released
+.PHONY: all setup test lint format gen slopes bench-peers bench-fleet demo bench binary reference history crash-soak sign-soak evacuation-soak cold-soak quota-soak directory-soak process-soak released
 
 all: lint test
 
@@ -66,6 +66,10 @@
 	$(BIN)/python -m bench.peers
 	$(BIN)/python -m bench.orders
 
+# Real hosts, 50 seeds from SEED on; settings and logs go to build/process-soak.
+process-soak: setup
+	$(BIN)/python -m tests.soak --first $(SEED) --folder build/process-soak
+
 # Whole fleets in virtual time; rewrites a table in docs/CAPACITY.md.
 bench-fleet: setup
 	$(BIN)/python -m bench.fleet
