Take a creation for unknown unless it is an earlier revision

A store whose objects name a time instead of a revision as their creation would make each renewed entry look as if it had lapsed, so that after any gap missing entries are kept. Such a value now counts as unknown, and the share of all entries decides as before. Found by reading; no run met it.

--- a/src/mangohatch/platform/listing.py
+++ b/src/mangohatch/platform/listing.py
@@ -114,19 +114,32 @@
             raise DocumentError(
                 "field 'spec' is missing or can't be decoded, expected JSON"
             )
-    created = metadata.get("created")
-    is_number = isinstance(created, int) and not isinstance(created, bool)
+    revision = check_whole(
+        "metadata.revision", metadata.get("revision"), 0, MAX_REVISION
+    )
     return StoredObject(
         kind=kind,
         name=name,
-        created=created if is_number else None,
-        revision=check_whole(
-            "metadata.revision", metadata.get("revision"), 0, MAX_REVISION
-        ),
+        revision=revision,
         value=fields.get("spec"),
+        created=read_created(metadata, revision),
     )
 
 
+def read_created(metadata: dict[str, Any], revision: int) -> int | None:
+    """
+    Return the revision at which an object was created.
+
+    :param metadata: metadata of the object
+    :param revision: revision of its last change
+    :return: the revision, None if the field is missing or no earlier revision
+    """
+    created = metadata.get("created")
+    if not isinstance(created, int) or isinstance(created, bool):
+        return None
+    return created if 0 <= created <= revision else None
+
+
 def identify(fields: Any) -> tuple[str, int]:
     """
     Return the name and the revision of an object that can't be used.
