--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -26,7 +26,8 @@
 from mangohatch.entry.observer import NoObserver, RequestObserver
 from mangohatch.entry.protocol import ProtocolAdapter
 from mangohatch.entry.retry import is_not_run, is_retried, result_of
-from mangohatch.entry.second_attempt import SecondAttempts, can_run_beside
+from mangohatch.entry.retry_beside import RetriesBeside
+from mangohatch.entry.second_attempt import SecondAttempts
 from mangohatch.errors import (
     AttemptMoved,
     CallerGone,
@@ -116,7 +117,7 @@
         )
         self.active: set[ActiveRequest] = set()
         self.answer_by_ms = math.inf
-        self._second_attempts = SecondAttempts(
+        second_attempts = SecondAttempts(
             clock=clock,
             router=router,
             active=self.active,
@@ -126,9 +127,14 @@
         if hedges is not None:
             self._hedges = HedgeRunner(
                 hedges=hedges,
-                second_attempts=self._second_attempts,
+                second_attempts=second_attempts,
                 spend_retry=self._spend_retry,
             )
+        beside = RetriesBeside(
+            second_attempts=second_attempts,
+            events=self._events,
+            observer=self._observer,
+        )
         self._monitor = RequestMonitor(
             clock=clock,
             router=router,
@@ -137,7 +143,7 @@
             may_retry=self._may_retry,
             may_continue=self._may_continue,
             request_retry=self._ask_retry,
-            retry_beside=self._retry_beside,
+            retry_beside=beside.start,
             should_move=should_move,
             spend_retry=self._spend_retry,
             hedge=self._hedges.try_start if self._hedges is not None else None,
@@ -328,35 +334,6 @@
     def _ask_retry(self, req: ActiveRequest, deliver: Callable[[bool], None]) -> None:
         self._budget.request(req.call, deliver)
 
-    def _retry_beside(self, req: ActiveRequest, error: RequestError) -> bool:
-        """
-        Send a request again while its attempt goes on, as its upstream may be at work.
-
-        :param req: a request whose retry is permitted
-        :param error: why the attempt is taken for lost
-        :return: whether a second attempt was started
-        """
-        if not can_run_beside(req) or (req.body is not None and req.body.has_rest):
-            return False
-        assert req.upstream is not None
-        req.last_error = error
-        call = replace(
-            req.call,
-            avoid=req.call.avoid | {req.upstream.name},
-            attempt=req.call.attempt + 1,
-        )
-        second = self._second_attempts.start(req, call, on_ended=self._end_beside)
-        second.needs_new_connection = True
-        second.may_retry_same_upstream = True
-        self._events.record(EventKind.REQUEST_RETRIED, req, error.code)
-        self._observer.on_retried(req)
-        return True
-
-    def _end_beside(self, second: ActiveRequest) -> None:
-        assert second.race is not None
-        if second.grant is None:
-            second.race.dissolve()
-
     async def _request_retry(self, req: ActiveRequest) -> bool:
         fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
 
