--- a/review/common-2/site2.py
+++ b/review/common-2/site2.py
@@ -399,7 +399,12 @@
     return (seed * (size // len(seed) + 1))[:size]
 
 
-def make_config(version: int, services: list[str], routes: list[dict]) -> dict:
+def make_config(
+    version: int,
+    services: list[str],
+    routes: list[dict],
+    tenants: dict[str, str] | None = None,
+) -> dict:
     resources = [
         {"type": "routes", "metadata": {"name": route["name"]}, "spec": route["spec"]}
         for route in routes
@@ -419,6 +424,14 @@
         }
         for name in services
     ]
+    resources += [
+        {
+            "type": "tenants",
+            "metadata": {"name": name},
+            "spec": {"api_keys": [key], "priority": 1, "rate_per_s": 0, "burst": 0},
+        }
+        for name, key in (tenants or {}).items()
+    ]
     limits = {
         "max_header_bytes": 16384,
         "max_body_bytes": 67108864,
@@ -639,6 +652,7 @@
     method: str = "GET",
     body: bytes = b"",
     deadline_ms: int = 1500,
+    key: str = "",
 ) -> Answer:
     """Send one request on a new connection, and wait until the client's deadline."""
     answer = Answer(host, kind, f"{PREFIX}{next(NUMBERS):08x}")
@@ -651,6 +665,8 @@
                 f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
                 f"Request-Id: {answer.request_id}\r\nDeadline-Ms: {deadline_ms}\r\n"
             )
+            if key:
+                head += f"Authorization: Bearer {key}\r\n"
             if method == "POST":
                 head += f"Content-Length: {len(body)}\r\n"
             answer.sent_s = now()
