End the wait for a silent peer when the connection is given up

Callers saw: while one host was suspended, requests at other hosts whose upstream had crashed got no answer until that host ran again, past their timeout and their deadline; also after the caller had left.

Cause: after a refused direct connection a host asks peers for one. The monitor and the caller's leaving end an attempt to connect by closing its stream. RelayDialer._run_race looked at that stream for it (closed() and error is None), but the stream of a refused connection is closed already, with an error, and closing it once more changes nothing. So nothing ended the wait for a peer that never answered.

Change: an attempt to connect has a future of its own that UpstreamConnection.close() completes, and the race waits for it beside its attempts. It no longer looks at the state of the stream. A direct connection that is given up counts as timed out, as before.

--- a/src/mangohatch/relay/dialer.py
+++ b/src/mangohatch/relay/dialer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from typing import Any
 
 from tornado.iostream import IOStream
 
@@ -55,10 +56,16 @@
         self._clock = clock
         self._checks: set[asyncio.Task[None]] = set()
 
-    async def open(self, upstream: UpstreamRow, stream: IOStream) -> OpenedStream:
+    async def open(
+        self,
+        upstream: UpstreamRow,
+        stream: IOStream,
+        *,
+        given_up: asyncio.Future[None] | None = None,
+    ) -> OpenedStream:
         started_ms = self._clock.now_ms()
         lost = self.paths.is_lost(upstream)
-        race = Race()
+        race = Race(given_up=given_up)
         try:
             if not lost:
                 race.start(self._open_direct(upstream, stream))
@@ -147,8 +154,6 @@
         if lost:
             failure = HostCutOff(f"no peer reaches upstream {upstream.name}")
         while True:
-            if stream.closed() and stream.error is None:
-                raise UpstreamUnreachable(f"{upstream.name} did not accept in time")
             if not race.tasks or race.overdue:
                 peer = next(peers, None)
                 if peer is not None:
@@ -176,6 +181,8 @@
                     failure = exc
                 else:
                     raise exc
+            if race.given_up:
+                raise UpstreamUnreachable(f"{upstream.name} did not accept in time")
 
     def _is_down(self, upstream: UpstreamRow) -> bool:
         lost = self.paths.is_lost(upstream)
@@ -183,11 +190,21 @@
 
 
 class Race:
-    """Attempts of which the first to succeed counts."""
+    """
+    Attempts of which the first to succeed counts.
+
+    :param given_up: done when no attempt is needed any more; None if that never happens
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, given_up: asyncio.Future[None] | None = None) -> None:
         self.tasks: dict[Attempt, str] = {}
         self.overdue = False
+        self._given_up = given_up
+
+    @property
+    def given_up(self) -> bool:
+        """Whether no attempt is needed any more."""
+        return self._given_up is not None and self._given_up.done()
 
     def start(self, attempt, *, peer: str = "") -> None:
         """
@@ -200,16 +217,19 @@
 
     async def wait(self, timeout_s: float) -> list[tuple[Attempt, str]]:
         """
-        Wait for attempts to end; none ends if all take longer.
+        Wait for attempts to end, or for the race to be given up.
 
         :param timeout_s: longest time to wait, in seconds
-        :return: the attempts that ended, with their peers
+        :return: the attempts that ended, with their peers; none if all take longer
         """
+        waits: set[asyncio.Future[Any]] = {*self.tasks}
+        if self._given_up is not None:
+            waits.add(self._given_up)
         done, _ = await asyncio.wait(
-            self.tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            waits, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
         )
         self.overdue = not done
-        return [(task, self.tasks[task]) for task in done]
+        return [(task, peer) for task, peer in self.tasks.items() if task in done]
 
     def win(self, task: Attempt) -> OpenedStream:
         """
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -1,5 +1,6 @@
 """One HTTP/1.1 connection to an upstream."""
 
+import asyncio
 import socket
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Awaitable
@@ -142,6 +143,7 @@
         self._dialer = dialer
         self._relay_open = False
         self._given_up = False
+        self._connecting: asyncio.Future[None] | None = None
         self._must_close = False
 
     @property
@@ -150,9 +152,15 @@
         return self.stream.closed()
 
     def close(self) -> None:
-        """Close the stream, so that a late response on it reaches no other request."""
+        """
+        Close the stream, so that a late response on it reaches no other request.
+
+        An attempt to connect ends, wherever it waits.
+        """
         self._given_up = True
         self.stream.close()
+        if self._connecting is not None and not self._connecting.done():
+            self._connecting.set_result(None)
         if self._relay_open:
             self._relay_open = False
             self._dialer.record_closed(self.relay)
@@ -186,7 +194,10 @@
         :raises UpstreamUnreachable: when the upstream does not accept it
         """
         if not self._given_up:
-            opened = await self._dialer.open(self.upstream, self.stream)
+            self._connecting = asyncio.get_running_loop().create_future()
+            opened = await self._dialer.open(
+                self.upstream, self.stream, given_up=self._connecting
+            )
             self.stream = opened.stream
             self.relay = opened.relay
             self._relay_open = bool(opened.relay)
--- a/src/mangohatch/upstream/dialer.py
+++ b/src/mangohatch/upstream/dialer.py
@@ -1,5 +1,6 @@
 """Opening of connections to upstreams."""
 
+import asyncio
 import socket
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -42,12 +43,20 @@
     def __init__(self, *, paths: PathTable) -> None:
         self.paths = paths
 
-    async def open(self, upstream: UpstreamRow, stream: IOStream) -> OpenedStream:
+    async def open(
+        self,
+        upstream: UpstreamRow,
+        stream: IOStream,
+        *,
+        given_up: asyncio.Future[None] | None = None,
+    ) -> OpenedStream:
         """
         Open a connection.
 
         :param upstream: destination of the connection
-        :param stream: an unconnected stream; closing it gives the attempt up
+        :param stream: an unconnected stream
+        :param given_up: done when the attempt is given up, after ``stream`` was closed;
+            a dialer that waits for anything besides ``stream`` has to wait for it too
         :return: the connected stream, which may be another one
         :raises UpstreamUnreachable: when the upstream does not accept the connection
         """
--- a/tests/upstream/test_connection.py
+++ b/tests/upstream/test_connection.py
@@ -26,7 +26,7 @@
         near, self.far = socket.socketpair()
         self.stream = IOStream(near)
 
-    async def open(self, upstream, stream):
+    async def open(self, upstream, stream, *, given_up=None):
         await self.allowed.wait()
         return OpenedStream(stream=self.stream, relay="peer")
 
--- a/tests/upstream/test_load_probe.py
+++ b/tests/upstream/test_load_probe.py
@@ -92,7 +92,7 @@
         self.far = []
         self.proceed = asyncio.Event()
 
-    async def open(self, upstream, stream):
+    async def open(self, upstream, stream, *, given_up=None):
         await self.proceed.wait()
         near, far = socket.socketpair()
         self.far.append(far)
