Refuse a request whose body has not arrived at its deadline

Callers saw: a body that stopped within its first 64 KB was refused only after ten seconds without progress, and one that trickled never, however long past the deadline of the request.

Cause: the same class as the wait for a silent peer: until a body is complete or longer than its beginning, its request is not among those that the monitor checks, so the deadline did not reach the wait for the caller.

Change: the check of a slow caller refuses the request at its deadline, or at the latest time of a host that stops, unless it was forwarded; then the monitor does. Nothing has been sent, so the answer says that the request has not run.

Found by reading; not seen on real hosts.

--- a/src/mangohatch/entry/session.py
+++ b/src/mangohatch/entry/session.py
@@ -120,15 +120,25 @@
         if received != self._progress_bytes or not waits_for_caller:
             self._progress_bytes = received
             self._last_progress_ms = now_ms
-        elif (
-            now_ms - self._last_progress_ms > BODY_TIMEOUT_MS and self._req is not None
-        ):
-            error = RequestTimeout("the request body did not arrive in time")
-            self._conn.close_after_response()
-            self._server.forwarder.abort(self._req, error)
-            if not self._server.forwarder.is_active(self._req):
-                self._send_error(error, self._req.call.request_id)
-                self.stream.close()
+        if self._req is None:
+            return
+        stalled = now_ms - self._last_progress_ms > BODY_TIMEOUT_MS
+        if stalled or self._is_too_late(self._req, now_ms):
+            self._refuse_slow_body(self._req)
+
+    def _is_too_late(self, req: ActiveRequest, now_ms: float) -> bool:
+        """Return whether a request that was not forwarded yet can't be any more."""
+        forwarder = self._server.forwarder
+        latest_ms = min(req.call.deadline_ms, forwarder.answer_by_ms)
+        return now_ms >= latest_ms and not forwarder.is_active(req)
+
+    def _refuse_slow_body(self, req: ActiveRequest) -> None:
+        error = RequestTimeout("the request body did not arrive in time")
+        self._conn.close_after_response()
+        self._server.forwarder.abort(req, error)
+        if not self._server.forwarder.is_active(req):
+            self._send_error(error, req.call.request_id)
+            self.stream.close()
 
     def _check_write_progress(self, now_ms: float) -> None:
         written = self.stream._total_write_done_index
