Open no connection for a request that was aborted beside its admission

A request that is aborted (deadline, caller gone, end of the host) after its admission was decided and before its attempt has a connection was noticed only after the connection was open; what ended it was the connect limit of 300 ms.

Change: an attempt of an aborted request ends before it takes a connection.

Evidence: test_request_aborted_beside_its_admission_opens_no_connection failed before (the request did not end). Found by reading; the window is one iteration of the event loop.

--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -71,6 +71,8 @@
         :param report: receives the result and the timings of the attempt
         :raises RequestError: when the caller did not receive the complete response
         """
+        if req.failure is not None:
+            raise req.failure
         call = req.call
         conn = self._pool.acquire(
             grant.upstream,
--- a/tests/entry/test_ended_requests.py
+++ b/tests/entry/test_ended_requests.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
-from tests.entry.harness import TIMEOUT_S, fixed, open_entry, request
+from mangohatch.core.call import Grant
+from mangohatch.errors import CallerGone
+from mangohatch.upstream.dialer import Dialer
+from tests.entry.harness import TIMEOUT_S, SpyRouter, fixed, open_entry, request
 from tests.entry.test_slow_callers import wait_until_received
 from tests.functions import function_tests
 
@@ -15,6 +18,12 @@
     writer.write(fixed())
 
 
+async def run_until(condition):
+    async with asyncio.timeout(TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0)
+
+
 async def test_body_that_stops_is_refused_at_the_deadline():
     # The caller of a body that stopped within its beginning got no answer until the
     # body had made no progress for ten seconds.
@@ -44,3 +53,46 @@
             entry.pass_time(DEADLINE_MS / 4)
         response = await caller.read()
         assert response.headers["x-error-code"] == "request_timeout"
+
+
+class HeldRouter(SpyRouter):
+    """A router that keeps its decisions until the test takes them."""
+
+    def __init__(self, **parts):
+        super().__init__(**parts)
+        self.held = []
+
+    def request(self, call, deliver):
+        super().request(call, lambda decision: self.held.append((decision, deliver)))
+
+
+class CountingDialer(Dialer):
+    """A dialer that counts its connections, none of which opens."""
+
+    opened = 0
+
+    async def open(self, upstream, stream, *, given_up=None):
+        self.opened += 1
+        await given_up
+
+
+async def test_request_aborted_beside_its_admission_opens_no_connection():
+    # The request went on, without an upstream that accepts until the connect limit.
+    async with open_entry(answer) as (entry, upstreams):
+        router = HeldRouter(
+            clock=entry.clock, rng=entry.router._chooser._rng, tables=entry.tables
+        )
+        entry.forwarder._router = router
+        dialer = CountingDialer(paths=entry.pool._dialer.paths)
+        entry.pool._dialer = dialer
+        caller = await entry.connect()
+        await caller.send(request())
+        await run_until(lambda: router.held)
+        (req,) = entry.forwarder.active
+        decision, deliver = router.held.pop()
+        assert isinstance(decision, Grant)
+        deliver(decision)
+        entry.forwarder.abort(req, CallerGone("the caller left"))
+        await run_until(lambda: not entry.forwarder.active)
+        assert dialer.opened == 0
+        assert entry.in_flight() == 0
