End the claim of a key with its request

Cause: the same class as the wait for a silent peer. The claim of an idempotency key waited for the store until the deadline of the request, also after the caller had left or the host had to answer sooner.

Change: the claim is cancelled when its request is aborted, and bounded by the latest time of a host that stops. The registry records a cancelled claim as not run, as before, so the key can be claimed again.

Evidence: test_claim_ends_when_the_caller_leaves failed before (the claim went on). Found by reading; takes effect where keys are claimed.

--- a/src/mangohatch/entry/active.py
+++ b/src/mangohatch/entry/active.py
@@ -7,6 +7,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from mangohatch.claims import Answer, ClaimTicket
 from mangohatch.core.call import Call, Decision, Grant
 from mangohatch.core.hedging import HedgeRefusal
 from mangohatch.core.quarantine import QuarantineGate
@@ -34,6 +35,7 @@
     ``upstream_ms`` is the total duration of all attempts.
     ``relay`` is the peer that the last attempt passed, empty for none; ``cut_off`` is
     true after an attempt that may have failed for this host's own links.
+    ``claiming`` is set while the key of the request is claimed.
     ``asks_retry`` is true while a retry of a slow attempt waits for its permission; one
     that was refused is asked for again from ``ask_again_ms`` on.
     ``race`` is set while a second attempt runs beside this one, and ``hedged`` names
@@ -50,6 +52,7 @@
     attempt_failure: RequestError | None = None
     last_error: RequestError | None = None
     retry_allowed: bool = False
+    claiming: asyncio.Future[ClaimTicket | Answer] | None = None
     admission: asyncio.Future[Decision] | None = None
     grant: Grant | None = None
     upstream: UpstreamRow | None = None
@@ -80,6 +83,8 @@
         if self.failure is not None:
             return
         self.failure = error
+        if self.claiming is not None:
+            self.claiming.cancel()
         if self.admission is not None and not self.admission.done():
             router.cancel(self.call)
             self.admission.set_exception(error)
--- a/src/mangohatch/entry/forwarder.py
+++ b/src/mangohatch/entry/forwarder.py
@@ -165,6 +165,7 @@
         self._observer.on_ended(req, None)
 
     async def _forward(self, req: ActiveRequest) -> None:
+        req.call.deadline_ms = min(req.call.deadline_ms, self.answer_by_ms)
         if self._registry is None or not is_keyed(req):
             await self._run(req)
             return
@@ -184,7 +185,6 @@
         await result.finish(req.sink.outcome, make_answer(req.sink))
 
     async def _run(self, req: ActiveRequest) -> None:
-        req.call.deadline_ms = min(req.call.deadline_ms, self.answer_by_ms)
         self.active.add(req)
         self._observer.on_started(req)
         try:
--- a/src/mangohatch/entry/keyed.py
+++ b/src/mangohatch/entry/keyed.py
@@ -1,5 +1,7 @@
 """Requests with an idempotency key: claim of the key and replay of its answer."""
 
+import asyncio
+
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
 from mangohatch.claims import Answer, ClaimRegistry, ClaimTicket
@@ -37,7 +39,8 @@
     """
     Claim the key of a request.
 
-    The claim is scoped to the customer, method and path of the request.
+    The claim is scoped to the customer, method and path of the request. It ends with
+    the request.
 
     :param registry: claims of all entry hosts
     :param req: a request with an idempotency key
@@ -46,12 +49,22 @@
     """
     path = req.line.path.partition("?")[0]
     key = req.headers[IDEMPOTENCY_KEY_HEADER]
-    return await registry.begin(
-        service=req.call.service,
-        key="\n".join((req.call.customer, req.line.method, path, key)),
-        request_id=req.call.request_id,
-        deadline_ms=req.call.deadline_ms,
+    req.claiming = asyncio.ensure_future(
+        registry.begin(
+            service=req.call.service,
+            key="\n".join((req.call.customer, req.line.method, path, key)),
+            request_id=req.call.request_id,
+            deadline_ms=req.call.deadline_ms,
+        )
     )
+    try:
+        return await req.claiming
+    except asyncio.CancelledError:
+        if req.failure is not None:
+            raise req.failure from None
+        raise
+    finally:
+        req.claiming = None
 
 
 def make_answer(sink: CallerSink) -> Answer | None:
--- a/tests/entry/test_ended_requests.py
+++ b/tests/entry/test_ended_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from mangohatch.claims import ClaimRegistry
 from mangohatch.core.call import Grant
 from mangohatch.errors import CallerGone
 from mangohatch.upstream.dialer import Dialer
@@ -96,3 +97,30 @@
         await run_until(lambda: not entry.forwarder.active)
         assert dialer.opened == 0
         assert entry.in_flight() == 0
+
+
+class SilentRegistry(ClaimRegistry):
+    """A registry whose store does not answer."""
+
+    def __init__(self):
+        self.waiting = 0
+
+    async def begin(self, *, service, key, request_id, deadline_ms):
+        self.waiting += 1
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.waiting -= 1
+
+
+async def test_claim_ends_when_the_caller_leaves():
+    # The claim of a caller that had left was waited for until the deadline.
+    registry = SilentRegistry()
+    async with open_entry(answer, registry=registry) as (entry, upstreams):
+        caller = await entry.connect()
+        key = {"Idempotency-Key": "k1"}
+        await caller.send(request(method="POST", body=b"book", **key))
+        await run_until(lambda: registry.waiting)
+        caller.writer.close()
+        await run_until(lambda: not registry.waiting)
+        await run_until(lambda: not entry.server.sessions)
