Drop the body of a request when the request ends

Reported by operators of similar systems: bytes without end used up the memory of a host, and the requests of all its clients ended with it.

Cause: the objects of an ended request refer to each other (its error holds the frames that hold its body), so they stay until the collector runs over the oldest generation.

Change: RequestBody.release drops the bytes, and fails the body, so that no attempt that still sends it could take what is left for the whole.

The start of host processes moved from the soak to its stand-ins.

--- a/src/mangohatch/entry/body.py
+++ b/src/mangohatch/entry/body.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPMessageDelegate
 
 from mangohatch.entry.replay_memory import ReplayMemory
-from mangohatch.errors import RequestError
+from mangohatch.errors import CallerGone, RequestError
 
 __all__ = ["REPLAY_BYTES", "RequestBody"]
 
@@ -100,10 +100,18 @@
         self._wake(self._wake_reader)
 
     def release(self) -> None:
-        """Give back the memory of a body that no attempt will send any more."""
+        """
+        Drop the bytes of a body that no attempt will send any more.
+
+        The objects of an ended request refer to each other, so that they are collected
+        long after its end.
+        """
+        self.fail(CallerGone("the request has ended"))
         self._memory.give_back(self._reserved_bytes)
         self._reserved_bytes = 0
         self._keeping = False
+        self._kept = bytearray()
+        self._overflow = None
 
     async def prefetch(self) -> None:
         """
@@ -123,6 +131,8 @@
         """
         position = REPLAY_BYTES
         while True:
+            if self._failure is not None:
+                raise self._failure
             if position < len(self._kept):
                 chunk = bytes(self._kept[position : position + PIECE_BYTES])
                 position += len(chunk)
--- a/src/standins/host_processes/__init__.py
+++ b/src/standins/host_processes/__init__.py
@@ -1,7 +1,8 @@
 """Hosts as real processes, with a store, upstreams and callers in this process."""
 
 from standins.host_processes.callers import Answer, Callers
-from standins.host_processes.host import HostProcess
+from standins.host_processes.endless import ENDLESS_ANSWERS, EndlessUpstream
+from standins.host_processes.host import HostProcess, start_hosts
 from standins.host_processes.store import DoorState, FleetStore
 from standins.host_processes.upstream import QueueingUpstream
 
@@ -9,7 +10,10 @@
     "Answer",
     "Callers",
     "DoorState",
+    "ENDLESS_ANSWERS",
+    "EndlessUpstream",
     "FleetStore",
     "HostProcess",
     "QueueingUpstream",
+    "start_hosts",
 ]
--- a/src/standins/host_processes/host.py
+++ b/src/standins/host_processes/host.py
@@ -8,15 +8,19 @@
 from pathlib import Path
 
 from standins.host_processes.http import format_message, read_message
-from standins.processes import LOOPBACK
+from standins.host_processes.site import make_address, make_settings
+from standins.host_processes.store import FleetStore
+from standins.processes import LOOPBACK, free_ports
 
-__all__ = ["HostProcess"]
+__all__ = ["HostProcess", "start_hosts"]
 
 ROOT = Path(__file__).resolve().parents[3]
 COMMAND = (sys.executable, "deploy/host.py")  # as in deploy/system.toml
 POLL_S = 1.0
 POLL_TIMEOUT_S = 0.9
 MISSES_OUT = 2
+PEAK = "VmHWM:"
+KB_PER_MB = 1024.0
 
 
 class HostProcess:
@@ -96,9 +100,25 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
-        if self._process is not None and self._process.returncode is None:
+        if self._process is not None and self.running:
             self._process.send_signal(number)
 
+    @property
+    def running(self) -> bool:
+        """Whether the process has been started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    def peak_memory_mb(self) -> float:
+        """
+        Read how much memory the process has used at most.
+
+        :return: peak of the resident memory in megabytes
+        """
+        assert self._process is not None
+        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="utf-8")
+        line = next(item for item in status.splitlines() if item.startswith(PEAK))
+        return int(line.split()[1]) / KB_PER_MB
+
     async def wait(self) -> None:
         """Wait for the end of the process."""
         if self._process is not None:
@@ -137,3 +157,39 @@
         finally:
             if writer is not None:
                 writer.close()
+
+
+async def start_hosts(
+    *, count: int, store: FleetStore, folder: Path
+) -> list[HostProcess]:
+    """
+    Start the hosts of a deployment.
+
+    :param count: number of hosts
+    :param store: store of the deployment, with an address for each host
+    :param folder: where settings and logs are written
+    :return: the hosts, which may not be ready yet
+    """
+    numbers = free_ports(3, address=make_address(0))
+    ports = dict(zip(("front", "ready", "peers"), numbers, strict=True))
+    hosts = []
+    for number in range(count):
+        name = f"h{number}"
+        door = await store.open_door(name)
+        settings = make_settings(
+            name=name,
+            number=number,
+            count=count,
+            ports=ports,
+            store_port=door.port,
+        )
+        host = HostProcess(
+            name=name,
+            address=make_address(number),
+            ports=ports,
+            settings=settings,
+            folder=folder,
+        )
+        hosts.append(host)
+        await host.start()
+    return hosts
--- a/tests/entry/test_body.py
+++ b/tests/entry/test_body.py
@@ -121,3 +121,21 @@
             assert entry.server.replay_memory.used_bytes == 0
 
     asyncio.run(run())
+
+
+def test_released_body_keeps_no_bytes_and_never_looks_whole():
+    # Bodies of ended requests stayed in memory until a late collection of garbage.
+    async def run():
+        memory = ReplayMemory()
+        body = RequestBody(memory=memory)
+        await feed(body, UPLOAD, 65_536)
+        assert memory.used_bytes
+        body.release()
+        assert not body.beginning and not body._kept and not memory.used_bytes
+        try:
+            await send_rest(body)
+        except CallerGone:
+            return
+        raise AssertionError("the rest of a released body ended as if it were whole")
+
+    asyncio.run(run())
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,9 +16,9 @@
     FleetStore,
     HostProcess,
     QueueingUpstream,
+    start_hosts,
 )
-from standins.host_processes.site import ZONES, make_address, make_settings
-from standins.processes import free_ports
+from standins.host_processes.site import ZONES
 from tests.soak.operator import SERVICES, Operator
 from tests.soak.plan import Plan
 
@@ -95,32 +95,9 @@
         for number in range(plan.upstreams):
             archive = number < plan.upstreams * ARCHIVE_SHARE
             await self.add_upstream(SERVICES[archive], ZONES[number % len(ZONES)])
-        ports = dict(
-            zip(
-                ("front", "ready", "peers"),
-                free_ports(3, address=make_address(0)),
-                strict=True,
-            )
+        self.hosts = await start_hosts(
+            count=plan.hosts, store=self.store, folder=self._folder
         )
-        for number in range(plan.hosts):
-            name = f"h{number}"
-            door = await self.store.open_door(name)
-            settings = make_settings(
-                name=name,
-                number=number,
-                count=plan.hosts,
-                ports=ports,
-                store_port=door.port,
-            )
-            host = HostProcess(
-                name=name,
-                address=make_address(number),
-                ports=ports,
-                settings=settings,
-                folder=self._folder,
-            )
-            self.hosts.append(host)
-            await host.start()
         async with asyncio.timeout(START_TIMEOUT_S):
             while not all(host.ready for host in self.hosts):
                 await asyncio.sleep(0.1)
