Notice a caller that leaves within an upload that nobody reads

Tornado notices the end of a connection by reading, and does not read while what it has read before is waiting. A host whose upstream reads no more of an upload, and which has no memory left to keep the rest, so noticed neither a close nor a reset; the upstream stayed at work until the deadline.

Change: the check of sessions, every 250 ms, asks the system whether the other side has closed a connection that nobody reads from. A close behind bytes that the caller's system could not send yet has not reached the host and is not seen, by any means.

--- a/src/mangohatch/entry/session.py
+++ b/src/mangohatch/entry/session.py
@@ -1,6 +1,7 @@
 """A caller's connection from accept to close."""
 
 import asyncio
+import select
 import socket
 from collections.abc import Awaitable
 from enum import Enum, auto
@@ -82,10 +83,13 @@
 
     def check(self, now_ms: float) -> None:
         """
-        Time out a caller that makes no progress.
+        Time out a caller that makes no progress, and notice one that has left.
 
         :param now_ms: current time in milliseconds
         """
+        if self._req is not None and has_left_unread(self.stream):
+            self.stream.close()
+            return
         waited_ms = now_ms - self._last_progress_ms
         if self.phase is Phase.HEAD:
             self._check_head(waited_ms)
@@ -251,6 +255,23 @@
         await closed.wait()
 
 
+def has_left_unread(stream: IOStream) -> bool:
+    """
+    Return whether a caller has left while bytes that it sent are not read.
+
+    Tornado notices the end of a connection by reading, which waits until what was read
+    before is used.
+
+    :param stream: a caller's connection
+    :return: whether the other side has closed it, as far as nobody reads from it
+    """
+    if stream.closed() or stream.reading() or not stream._read_buffer_size:
+        return False
+    poll = select.poll()
+    poll.register(stream.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def has_unread_input(stream: IOStream) -> bool:
     """
     Return whether the socket of a stream holds bytes that were not read.
--- a/tests/entry/test_ended_requests.py
+++ b/tests/entry/test_ended_requests.py
@@ -1,18 +1,31 @@
 """Tests that a request ends with its deadline and its caller, whatever it waits for."""
 
 import asyncio
+import socket
+import struct
 
 from mangohatch.claims import ClaimRegistry
 from mangohatch.core.call import Grant
+from mangohatch.entry.replay_memory import ReplayMemory
 from mangohatch.errors import CallerGone
 from mangohatch.upstream.dialer import Dialer
-from tests.entry.harness import TIMEOUT_S, SpyRouter, fixed, open_entry, request
+from tests.entry.harness import (
+    LOOPBACK,
+    TIMEOUT_S,
+    SpyRouter,
+    fixed,
+    open_entry,
+    request,
+)
 from tests.entry.test_slow_callers import wait_until_received
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
 
 DEADLINE_MS = 1_000.0  # of the test service
+CHECK_MS = 250.0
+UNREAD_CHECKS = 10
+PIECE = b"x" * 65_536
 
 
 async def answer(upstream, message, writer):
@@ -56,6 +69,74 @@
         assert response.headers["x-error-code"] == "request_timeout"
 
 
+class Unread:
+    """An upstream that works before it reads the body of a request."""
+
+    def __init__(self):
+        self.begun = asyncio.Event()
+        self._ended = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.pause_reading()
+        self.begun.set()
+        await self._ended.wait()
+        writer.transport.abort()
+
+    def end(self):
+        self._ended.set()
+
+
+async def send_until_unread(sock, entry):
+    """Send a body until the entry server has stopped reading it."""
+    (session,) = entry.server.sessions
+    unread = 0
+    while unread < UNREAD_CHECKS:
+        if not unread:
+            await asyncio.get_running_loop().sock_sendall(sock, PIECE)
+        await asyncio.sleep(0.01)
+        is_unread = session.stream._read_buffer_size and not session.stream.reading()
+        unread = unread + 1 if is_unread else 0
+
+
+def close(sock):
+    sock.close()
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+async def test_upload_ends_when_its_caller_leaves_although_nobody_reads_it():
+    # The upstream stayed at work until the deadline: the end of the connection stood
+    # behind bytes for which there was no room.
+    head = request("/a/search", method="POST", **{"Content-Length": "100000000"})
+    for leave in (close, reset):
+        upstream = Unread()
+        async with open_entry(answer) as (entry, _):
+            entry.server.replay_memory = ReplayMemory(limit_bytes=0)
+            server = await asyncio.start_server(upstream.serve, LOOPBACK, 0)
+            (row,) = entry.tables.upstreams()
+            row.port = server.sockets[0].getsockname()[1]
+            caller = socket.create_connection((LOOPBACK, entry.server.port))
+            caller.setblocking(False)
+            await asyncio.get_running_loop().sock_sendall(caller, head)
+            async with asyncio.timeout(TIMEOUT_S):
+                await run_until(lambda: entry.server.sessions)
+                await send_until_unread(caller, entry)
+                await upstream.begun.wait()
+            entry.pass_time(CHECK_MS)
+            assert entry.forwarder.active, "the caller is still there"
+            leave(caller)
+            await asyncio.sleep(0.01)
+            entry.pass_time(CHECK_MS)
+            await run_until(lambda: not entry.forwarder.active)
+            assert entry.in_flight() == 0
+            upstream.end()
+            server.close()
+
+
 class HeldRouter(SpyRouter):
     """A router that keeps its decisions until the test takes them."""
 
