Read a list on behind an object of any name

Cause: the next page is asked for by the name of the last object, and a name that this host can't use counted as one that it can't read, which fails the whole reading.

Change: the name is taken from what can be decoded of the object and given back as the bytes that the store sent, whether the object is used or not. A page that ends with a name given before fails the reading, which went on without end.

--- a/src/mangohatch/platform/listing.py
+++ b/src/mangohatch/platform/listing.py
@@ -35,15 +35,15 @@
     """
     A page of a list of objects.
 
-    ``last_name`` is the name of its last object, usable or not, empty if it can't be
-    read or the page has none.
+    ``last_name`` is the name of its last object as the store wrote it, usable or not;
+    empty if the page has none, or nothing that could be a name.
     """
 
     items: Sequence[StoredObject]
     rejected: Sequence[RejectedObject]
     revision: int
     has_more: bool
-    last_name: str
+    last_name: bytes
 
 
 def decode_page(kind: str, body: bytes) -> ListPage:
@@ -57,15 +57,17 @@
     :return: the page, with the objects that can't be used listed apart
     :raises DocumentError: if the page itself can't be read
     """
+    encoding_errors = "surrogatepass"  # of names with escaped surrogates
     try:
         fields = decode_json(body)
     except DocumentError:
-        text = body.decode(errors="surrogateescape")
+        encoding_errors = "surrogateescape"
+        text = body.decode(errors=encoding_errors)
         fields = scan_object(text, arrays=("items",))
     elements = require_field(fields, "items", list)
     items: list[StoredObject] = []
     rejected: list[RejectedObject] = []
-    last_name = UNNAMED
+    item_fields: Any = None
     for element in elements:
         item_fields = element
         try:
@@ -77,10 +79,8 @@
             rejected.append(
                 RejectedObject(name=name, revision=revision, cause=str(exc))
             )
-            last_name = name
         else:
             items.append(item)
-            last_name = item.name
     return ListPage(
         items=items,
         rejected=rejected,
@@ -88,7 +88,7 @@
             "store_revision", fields.get("store_revision"), 0, MAX_REVISION
         ),
         has_more=require_field(fields, "has_more", bool),
-        last_name=last_name,
+        last_name=encode_name(find_name(item_fields), encoding_errors),
     )
 
 
@@ -126,6 +126,37 @@
     )
 
 
+def find_name(fields: Any) -> str:
+    """
+    Return the name of an object, whether this host can use it or not.
+
+    :param fields: the decoded object, or what stands in its place
+    :return: the name, empty if there is nothing that could be one
+    """
+    metadata = fields.get("metadata") if isinstance(fields, dict) else None
+    if isinstance(metadata, Undecoded):
+        try:
+            metadata = scan_object(metadata.text)
+        except DocumentError:
+            return UNNAMED
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else UNNAMED
+
+
+def encode_name(name: str, errors: str) -> bytes:
+    """
+    Encode a name to the bytes that the store sent.
+
+    :param name: the name
+    :param errors: how surrogates are encoded
+    :return: its bytes
+    """
+    try:
+        return name.encode(errors=errors)
+    except UnicodeEncodeError:
+        return name.encode(errors="surrogatepass")
+
+
 def read_created(metadata: dict[str, Any], revision: int) -> int | None:
     """
     Return the revision at which an object was created.
--- a/src/mangohatch/platform/store.py
+++ b/src/mangohatch/platform/store.py
@@ -63,6 +63,7 @@
         pages: list[ListPage] = []
         eras: set[int | None] = set()
         query = ""
+        last_names = {b""}
         while True:
             reply = await self._caller.call("GET", path + query)
             check_status(reply)
@@ -76,11 +77,13 @@
             eras.add(self._eras.read(reply.headers))
             if not page.has_more or not (page.items or page.rejected):
                 break
-            if not page.last_name:
+            if page.last_name in last_names:
                 raise CallUnanswered(
-                    f"the last object of a page of {kind} objects has no readable name"
+                    f"a page of {kind} objects ends with the name {page.last_name!r},"
+                    " expected one after those of the pages before"
                 )
-            query = f"?after={quote(page.last_name, safe='', errors='surrogatepass')}"
+            last_names.add(page.last_name)
+            query = f"?after={quote(page.last_name, safe='')}"
         if len(eras) > 1:
             raise StoreRejected(f"pages of {kind} objects are of several eras")
         rejected = [item for page in pages for item in page.rejected]
