End a response that has stopped soon after its deadline

Cause: the deadline of a response of which a part was passed on grows by the time that its announced length takes at 10 KB a second, whether or not it makes progress.

Change: from 250 ms after the deadline on, a pause of 250 ms ends it, where the protocol bounds transfers. Time in which the caller took nothing, or in which this host stood still, does not count. A response that makes progress goes on as before.

--- a/src/mangohatch/entry/active.py
+++ b/src/mangohatch/entry/active.py
@@ -38,6 +38,7 @@
     ``claiming`` is set while the key of the request is claimed.
     ``asks_retry`` is true while a retry of a slow attempt waits for its permission; one
     that was refused is asked for again from ``ask_again_ms`` on.
+    ``held_up_ms`` is when the caller was last seen to take no more of the response.
     ``race`` is set while a second attempt runs beside this one, and ``hedged`` names
     the upstreams of the last race: of the first attempt, the hedge and the winner.
     """
@@ -63,6 +64,7 @@
     asks_retry: bool = False
     ask_again_ms: float = -math.inf
     awaits_head: bool = False
+    held_up_ms: float = -math.inf
     silent: bool = False
     reuses_connection: bool = False
     cut_off: bool = False
--- a/src/mangohatch/entry/monitor.py
+++ b/src/mangohatch/entry/monitor.py
@@ -32,6 +32,8 @@
 CONTINUABLE_STALL_MS = 1_500.0
 MIN_TRANSFER_BYTES_PER_MS = 10.0
 BODY_STALL_MS = 30_000.0
+# Longest pause of a response after its deadline; callers expect an end within 500 ms.
+LATE_STALL_MS = 250.0
 RETRY_ASK_INTERVAL_MS = 200.0  # of a request whose retry was refused
 # Keeps a host that is always late from waiting for a dead upstream until the deadline.
 MAX_LATE_MS = 500.0
@@ -63,7 +65,7 @@
     :param hedge: sends a second attempt beside a slow one if one is permitted; returns
         whether two attempts run; None to send none
     :param bounds_transfer: whether a response that has begun must end by the deadline,
-        apart from the time that a known length takes
+        apart from the time that a known length takes while it makes progress
     """
 
     def __init__(
@@ -129,14 +131,17 @@
         self, req: ActiveRequest, now_ms: float, *, leaving: bool
     ) -> None:
         conn = req.conn
-        if conn is None or req.sink.is_write_pending:
+        if conn is None:
+            return
+        if req.sink.is_write_pending:
+            req.held_up_ms = now_ms
             return
-        if self._bounds_transfer and now_ms >= transfer_deadline_ms(req):
+        quiet_since_ms = max(conn.last_read_ms, conn.sent_ms, req.held_up_ms)
+        quiet_ms = now_ms - quiet_since_ms
+        if self._bounds_transfer and self._is_transfer_late(req, now_ms, quiet_ms):
             error = ResponseLate("the response did not end in time")
             req.abort(error, self._router)
             return
-        quiet_since_ms = max(conn.last_read_ms, conn.sent_ms)
-        quiet_ms = now_ms - quiet_since_ms
         if quiet_ms > BODY_STALL_MS:
             req.abort_attempt(ResponseLate("the response stopped"))
         elif quiet_ms > CONTINUABLE_STALL_MS:
@@ -145,6 +150,15 @@
                 req, conn, stopped, self._may_continue, leaving=leaving
             )
 
+    def _is_transfer_late(
+        self, req: ActiveRequest, now_ms: float, quiet_ms: float
+    ) -> bool:
+        if now_ms >= transfer_deadline_ms(req):
+            return True
+        allowed_ms = LATE_STALL_MS + self._late_ms(now_ms - quiet_ms)
+        late_ms = now_ms - req.call.deadline_ms
+        return late_ms > LATE_STALL_MS and quiet_ms > allowed_ms
+
     def _check_connecting(
         self, req: ActiveRequest, conn: UpstreamConnection, now_ms: float
     ) -> None:
--- a/tests/entry/test_endless.py
+++ b/tests/entry/test_endless.py
@@ -12,6 +12,8 @@
 MAX_PIECES = 2_000  # 32 MB, if nobody stops it
 MAX_RECEIVED = 4_194_304  # the largest buffers on the way, several times over
 DEADLINE_MS = 1_000.0  # of the test service
+LATE_MS = 500.0  # from the deadline of a request until its end
+TICK_MS = 20.0
 
 
 class BoundedProtocol(NativeProtocol):
@@ -181,6 +183,53 @@
         assert response.complete and response.body == body
 
 
+def begin_answer(begun):
+    """Return a script that sends the beginning of an answer, and more when it may."""
+
+    async def script(upstream, message, writer):
+        writer.write(fixed(PIECE * 200)[:100_000])
+        while True:
+            await begun.wait()
+            begun.clear()
+            writer.write(PIECE)
+
+    return script
+
+
+async def test_body_of_known_length_that_stops_is_cut_soon_after_the_deadline():
+    # A caller whose upstream had fallen silent waited beyond its deadline by the time
+    # that the announced length takes at 10 KB a second (review/8).
+    protocol = BoundedProtocol()
+    script = begin_answer(asyncio.Event())
+    async with open_entry(script, protocol=protocol) as (entry, upstreams):
+        caller = await entry.connect()
+        await caller.send(b"GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
+        reading = asyncio.ensure_future(caller.read())
+        await caller_got_head(entry)
+        while entry.clock.now_ms() < DEADLINE_MS + LATE_MS - 2 * TICK_MS:
+            entry.pass_time(TICK_MS)
+        response = await reading
+        assert not response.complete
+        assert entry.in_flight() == 0
+
+
+async def test_body_of_known_length_that_goes_on_after_the_deadline_is_not_cut():
+    more = asyncio.Event()
+    protocol = BoundedProtocol()
+    async with open_entry(begin_answer(more), protocol=protocol) as (entry, _):
+        caller = await entry.connect()
+        await caller.send(b"GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
+        await caller_got_head(entry)
+        received = 0
+        while entry.clock.now_ms() < 3 * DEADLINE_MS:
+            for _ in range(10):
+                entry.pass_time(TICK_MS)
+            more.set()
+            async with asyncio.timeout(TIMEOUT_S):
+                received += len(await caller.reader.read(65_536))
+        assert entry.forwarder.active and received > 14 * len(PIECE)
+
+
 async def caller_got_head(entry):
     async with asyncio.timeout(TIMEOUT_S):
         while not any(req.sink.sent for req in entry.forwarder.active):
