Keep callers' connections below the number of descriptors

Cause: nothing bounded callers' connections, and a host without a descriptor can't accept any. Each failure to open a socket towards an upstream also took one of its connections for good.

Change: callers may have three quarters of the descriptors that the settings name. Beyond it the connection that has been idle for longest makes room; without an idle one the new connection is closed at once. A connection to an upstream is counted once it has a socket. Without limits.max_fds in the settings nothing changes.

--- a/src/mangohatch/entry/server.py
+++ b/src/mangohatch/entry/server.py
@@ -3,11 +3,13 @@
 import itertools
 import math
 
+import structlog
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
 from mangohatch.clock import Clock
 from mangohatch.core.tables import Tables
+from mangohatch.entry.connection_limit import ConnectionLimit
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.limits import CallerLimits
 from mangohatch.entry.replay_memory import ReplayMemory
@@ -18,8 +20,11 @@
 MAX_BUFFER_BYTES = 1_048_576
 SESSION_CHECK_MS = 250.0
 DEFAULT_BALANCER_DELAY_MS = 3_000.0
+LOG_INTERVAL_MS = 1_000.0
 MAX_ACCEPTING_SHARE = 0.6  # of the time until the last responses
 
+log = structlog.get_logger()
+
 
 class CallerListener(TCPServer):
     """Accepts connections for an entry server."""
@@ -55,6 +60,7 @@
         detect a leaving host
     :param limits: limits of callers' connections
     :param replay_memory: bounds what request bodies keep for another attempt
+    :param connection_limit: bounds the number of connections
     """
 
     def __init__(
@@ -67,7 +73,9 @@
         balancer_delay_ms: float = DEFAULT_BALANCER_DELAY_MS,
         limits: CallerLimits | None = None,
         replay_memory: ReplayMemory | None = None,
+        connection_limit: ConnectionLimit[CallerSession] | None = None,
     ) -> None:
+        self.connection_limit = connection_limit or ConnectionLimit()
         self.limits = limits or CallerLimits()
         self.replay_memory = replay_memory or ReplayMemory()
         self.clock = clock
@@ -81,6 +89,7 @@
         self.sessions: set[CallerSession] = set()
         self._drain_started_ms: float | None = None
         self._last_check_ms = clock.now_ms()
+        self._log_due_ms = -math.inf
 
     @property
     def ready(self) -> bool:
@@ -109,13 +118,42 @@
         :param stream: the accepted connection
         :param caller: IP address of the caller
         """
+        if not self._make_room():
+            stream.close()
+            return
         stream.set_nodelay(True)
         session = CallerSession(stream=stream, server=self, caller=caller)
         self.sessions.add(session)
+        self.connection_limit.record_waiting(session)
         try:
             await session.run()
         finally:
             self.sessions.discard(session)
+            self.connection_limit.record_busy(session)
+
+    def _make_room(self) -> bool:
+        if self.connection_limit.has_room(len(self.sessions)):
+            return True
+        session = self.connection_limit.take_idle()
+        self._log_full()
+        if session is None:
+            return False
+        self.sessions.discard(session)
+        session.stream.close()
+        return True
+
+    def _log_full(self) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms < self._log_due_ms:
+            return
+        self._log_due_ms = now_ms + LOG_INTERVAL_MS
+        limit = self.connection_limit
+        log.warning(
+            "connections_full",
+            most=limit.most,
+            evicted=limit.evicted,
+            refused=limit.refused,
+        )
 
     def idle_sessions(self) -> int:
         """
--- a/src/mangohatch/entry/session.py
+++ b/src/mangohatch/entry/session.py
@@ -154,6 +154,10 @@
 
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
+        if phase is Phase.HEAD:
+            self._server.connection_limit.record_waiting(self)
+        else:
+            self._server.connection_limit.record_busy(self)
         self._last_progress_ms = self._server.clock.now_ms()
         self._progress_bytes = 0
 
--- a/src/mangohatch/fleet/parts/entry.py
+++ b/src/mangohatch/fleet/parts/entry.py
@@ -1,11 +1,13 @@
 """Requests of callers."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Grant
 from mangohatch.core.retry import RetryBudget
 from mangohatch.core.tables import Tables
+from mangohatch.entry.connection_limit import ConnectionLimit
 from mangohatch.entry.forwarder import Forwarder
 from mangohatch.entry.limits import CallerLimits
 from mangohatch.entry.observer import ObserverGroup
@@ -23,6 +25,8 @@
 
 __all__ = ["CallerEntry"]
 
+FILE_DESCRIPTORS = 200  # the platform reserves them
+CALLERS_SHARE = 0.75
 BALANCER_DELAY_MS = 3_000.0  # two failed readiness checks, one a second, one in reserve
 
 
@@ -82,6 +86,9 @@
             forwarder=self.forwarder,
             balancer_delay_ms=BALANCER_DELAY_MS,
             limits=self.limits,
+            connection_limit=ConnectionLimit(
+                most=find_max_connections(cfg.max_descriptors)
+            ),
         )
 
     def counters(self) -> Iterable[Counter]:
@@ -91,6 +98,16 @@
                 "Lines of requests left out to bound the log.",
                 self.request_log.dropped,
             ),
+            (
+                "connections_evicted",
+                "Idle connections of callers that made room for new ones.",
+                self.server.connection_limit.evicted,
+            ),
+            (
+                "connections_refused",
+                "New connections of callers for which there was no room.",
+                self.server.connection_limit.refused,
+            ),
         )
 
     def not_ready(self) -> str | None:
@@ -111,3 +128,15 @@
 
     def tick(self) -> None:
         self.server.tick()
+
+
+def find_max_connections(max_descriptors: int | None) -> float:
+    """
+    Return how many connections of callers a host keeps.
+
+    :param max_descriptors: number of descriptors of the process, None if not known
+    :return: the number; the rest is for upstreams, peers, the store and files
+    """
+    if max_descriptors is None:
+        return math.inf
+    return max(1.0, CALLERS_SHARE * (max_descriptors - FILE_DESCRIPTORS))
--- a/src/mangohatch/fleet/settings.py
+++ b/src/mangohatch/fleet/settings.py
@@ -49,7 +49,8 @@
     ``first_start`` is set while the whole fleet starts for the first time. With
     ``late_requests_yield``, the objective of requests that callers repeat counts from
     their first attempt, and late requests do not bring upstreams under high load.
-    ``regions`` maps availability zones to regions.
+    ``regions`` maps availability zones to regions. ``max_descriptors`` is the number of
+    file descriptors that the process may have; None if it is not known.
     """
 
     host_id: str
@@ -64,6 +65,7 @@
     first_start: bool = False
     late_requests_yield: bool = False
     regions: Mapping[str, str] = field(default_factory=dict)
+    max_descriptors: int | None = None
 
     def update(self, cfg: "FleetSettings") -> "FleetSettings":
         """
--- a/src/mangohatch/platform/settings.py
+++ b/src/mangohatch/platform/settings.py
@@ -13,6 +13,7 @@
 from mangohatch.fleet.settings import FleetBounds, FleetSettings
 from mangohatch.platform.values import (
     DocumentError,
+    check_whole,
     parse_address,
     parse_duration_ms,
     require_field,
@@ -22,6 +23,7 @@
 
 SETTINGS_VARIABLE = "MANGOHATCH_SETTINGS"
 HEDGE_RATIO_VARIABLE = "MANGOHATCH_HEDGE_RATIO"
+MAX_DESCRIPTORS = 1 << 30
 METRICS_PORT = 9464  # same as in deploy/system.toml; no field of the settings file
 
 
@@ -85,9 +87,25 @@
         ),
         first_start=fields.get("bootstrap") is True,
         regions=read_regions(fields),
+        max_descriptors=read_max_descriptors(fields),
     )
 
 
+def read_max_descriptors(fields: dict[str, Any]) -> int | None:
+    """
+    Read how many file descriptors this process may have.
+
+    :param fields: the decoded settings file
+    :return: the number, None if the platform sets none
+    :raises DocumentError: if it is not a whole number
+    """
+    limits = fields.get("limits") or {}
+    value = limits.get("max_fds") if isinstance(limits, dict) else None
+    if not value:
+        return None
+    return check_whole("limits.max_fds", value, 1, MAX_DESCRIPTORS)
+
+
 def read_cold_bounds(bounds: dict[str, Any]) -> ColdBounds | None:
     """
     Read what cold upstreams may get.
--- a/src/mangohatch/upstream/pool.py
+++ b/src/mangohatch/upstream/pool.py
@@ -92,10 +92,11 @@
                 return found
         if pool.open >= self._limit(upstream) and not self._drop_oldest(pool):
             raise UpstreamUnreachable(f"all connections to {upstream.name} are in use")
-        pool.open += 1
-        return UpstreamConnection(
+        conn = UpstreamConnection(
             upstream=upstream, clock=self._clock, dialer=self._dialer
         )
+        pool.open += 1
+        return conn
 
     def _take_idle(
         self, pool: AddressPool, upstream: UpstreamRow, *, recently_active: bool
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -148,3 +148,17 @@
             raise AssertionError(bad)
         except SettingsError as exc:
             assert "quota_" in str(exc)
+
+
+def test_number_of_descriptors_is_read():
+    assert load(TEXT).max_descriptors is None
+    for line, number in (("max_fds = 4100", 4_100), ("", None), ("max_fds = 0", None)):
+        cfg = load(TEXT.replace("[platform]", f"[limits]\n{line}\n[platform]"))
+        assert cfg.max_descriptors == number
+    for line in ('max_fds = "4100"', "max_fds = -1", "max_fds = 1.5"):
+        try:
+            load(TEXT.replace("[platform]", f"[limits]\n{line}\n[platform]"))
+        except SettingsError as exc:
+            assert "limits.max_fds" in str(exc)
+        else:
+            raise AssertionError(line)
