End the host processes of a start that fails

When the start of host processes moved from the soak to its stand-ins, the caller no longer knew the hosts before all were started, so a start that failed or was cancelled in between left processes behind. start_hosts ends them now.

--- a/src/standins/host_processes/host.py
+++ b/src/standins/host_processes/host.py
@@ -168,28 +168,33 @@
     :param count: number of hosts
     :param store: store of the deployment, with an address for each host
     :param folder: where settings and logs are written
-    :return: the hosts, which may not be ready yet
+    :return: the hosts, which may not be ready yet; if one can't be started, none runs
     """
     numbers = free_ports(3, address=make_address(0))
     ports = dict(zip(("front", "ready", "peers"), numbers, strict=True))
     hosts = []
-    for number in range(count):
-        name = f"h{number}"
-        door = await store.open_door(name)
-        settings = make_settings(
-            name=name,
-            number=number,
-            count=count,
-            ports=ports,
-            store_port=door.port,
-        )
-        host = HostProcess(
-            name=name,
-            address=make_address(number),
-            ports=ports,
-            settings=settings,
-            folder=folder,
-        )
-        hosts.append(host)
-        await host.start()
+    try:
+        for number in range(count):
+            name = f"h{number}"
+            door = await store.open_door(name)
+            settings = make_settings(
+                name=name,
+                number=number,
+                count=count,
+                ports=ports,
+                store_port=door.port,
+            )
+            host = HostProcess(
+                name=name,
+                address=make_address(number),
+                ports=ports,
+                settings=settings,
+                folder=folder,
+            )
+            hosts.append(host)
+            await host.start()
+    except BaseException:
+        for host in hosts:
+            await host.kill()
+        raise
     return hosts
