--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -18,7 +18,15 @@
 from mangohatch.upstream.dialer import Dialer
 from mangohatch.upstream.pool import ConnectionPool
 
-__all__ = ["Caller", "Entry", "FakeUpstream", "Message", "fixed", "open_entry"]
+__all__ = [
+    "Caller",
+    "Entry",
+    "FakeUpstream",
+    "Message",
+    "fixed",
+    "open_entry",
+    "wait_until",
+]
 
 TIMEOUT_S = 5.0
 LOOPBACK = "127.0.0.1"
@@ -75,6 +83,13 @@
     return head.encode() + body
 
 
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Run the event loop until a condition holds."""
+    async with asyncio.timeout(TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0)
+
+
 Script = Callable[["FakeUpstream", Message, asyncio.StreamWriter], Awaitable[None]]
 
 
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -3,7 +3,14 @@
 import asyncio
 import socket
 
-from tests.entry.harness import LOOPBACK, fixed, open_entry, read_message, request
+from tests.entry.harness import (
+    LOOPBACK,
+    fixed,
+    open_entry,
+    read_message,
+    request,
+    wait_until,
+)
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
@@ -111,11 +118,6 @@
         assert await caller.read_to_end() == b""
 
 
-async def wait_until(condition) -> None:
-    while not condition():
-        await asyncio.sleep(0)
-
-
 async def test_request_that_outlasts_a_planned_stop_is_answered_before_its_end():
     async def keep_waiting(upstream, message, writer):
         await asyncio.Event().wait()
--- a/tests/entry/test_ended_requests.py
+++ b/tests/entry/test_ended_requests.py
@@ -16,6 +16,7 @@
     fixed,
     open_entry,
     request,
+    wait_until,
 )
 from tests.entry.test_slow_callers import wait_until_received
 from tests.functions import function_tests
@@ -32,12 +33,6 @@
     writer.write(fixed())
 
 
-async def run_until(condition):
-    async with asyncio.timeout(TIMEOUT_S):
-        while not condition():
-            await asyncio.sleep(0)
-
-
 async def test_body_that_stops_is_refused_at_the_deadline():
     # The caller of a body that stopped within its beginning got no answer until the
     # body had made no progress for ten seconds.
@@ -46,8 +41,7 @@
             caller = await entry.connect()
             fields = {"Content-Length": str(size)}
             await caller.send(request(method="POST", **fields) + b"xxx")
-            async with asyncio.timeout(TIMEOUT_S):
-                await wait_until_received(entry, 3)
+            await wait_until_received(entry, 3)
             entry.pass_time(DEADLINE_MS - 1.0)
             entry.pass_time(300.0)
             response = await caller.read()
@@ -62,8 +56,7 @@
         await caller.send(request(method="POST", **{"Content-Length": "100"}))
         for number in range(1, 5):
             await caller.send(b"x")
-            async with asyncio.timeout(TIMEOUT_S):
-                await wait_until_received(entry, number)
+            await wait_until_received(entry, number)
             entry.pass_time(DEADLINE_MS / 4)
         response = await caller.read()
         assert response.headers["x-error-code"] == "request_timeout"
@@ -123,7 +116,7 @@
             caller.setblocking(False)
             await asyncio.get_running_loop().sock_sendall(caller, head)
             async with asyncio.timeout(TIMEOUT_S):
-                await run_until(lambda: entry.server.sessions)
+                await wait_until(lambda: entry.server.sessions)
                 await send_until_unread(caller, entry)
                 await upstream.begun.wait()
             entry.pass_time(CHECK_MS)
@@ -131,7 +124,7 @@
             leave(caller)
             await asyncio.sleep(0.01)
             entry.pass_time(CHECK_MS)
-            await run_until(lambda: not entry.forwarder.active)
+            await wait_until(lambda: not entry.forwarder.active)
             assert entry.in_flight() == 0
             upstream.end()
             server.close()
@@ -169,13 +162,13 @@
         entry.pool._dialer = dialer
         caller = await entry.connect()
         await caller.send(request())
-        await run_until(lambda: router.held)
+        await wait_until(lambda: router.held)
         (req,) = entry.forwarder.active
         decision, deliver = router.held.pop()
         assert isinstance(decision, Grant)
         deliver(decision)
         entry.forwarder.abort(req, CallerGone("the caller left"))
-        await run_until(lambda: not entry.forwarder.active)
+        await wait_until(lambda: not entry.forwarder.active)
         assert dialer.opened == 0
         assert entry.in_flight() == 0
 
@@ -201,7 +194,7 @@
         caller = await entry.connect()
         key = {"Idempotency-Key": "k1"}
         await caller.send(request(method="POST", body=b"book", **key))
-        await run_until(lambda: registry.waiting)
+        await wait_until(lambda: registry.waiting)
         caller.writer.close()
-        await run_until(lambda: not registry.waiting)
-        await run_until(lambda: not entry.server.sessions)
+        await wait_until(lambda: not registry.waiting)
+        await wait_until(lambda: not entry.server.sessions)
--- a/tests/entry/test_slow_callers.py
+++ b/tests/entry/test_slow_callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.entry.harness import TIMEOUT_S, fixed, open_entry, request
+from tests.entry.harness import fixed, open_entry, request, wait_until
 from tests.functions import function_tests
 
 load_tests = function_tests(__name__)
@@ -14,24 +14,22 @@
 
 async def wait_until_read(entry) -> None:
     """Wait until the entry server has started reading on each connection."""
-    while entry.server.idle_sessions():
-        await asyncio.sleep(0)
+    await wait_until(lambda: not entry.server.idle_sessions())
 
 
 async def wait_until_sent(entry) -> None:
     """Wait until an attempt has begun to send a request."""
-    async with asyncio.timeout(TIMEOUT_S):
-        while not any(req.may_have_run for req in entry.forwarder.active):
-            await asyncio.sleep(0.0)
+    await wait_until(lambda: any(req.may_have_run for req in entry.forwarder.active))
 
 
 async def wait_until_received(entry, size) -> None:
     """Wait until the entry server has read the sent part of a body and needs more."""
-    while not any(
-        session.received_bytes >= min(size, 65_536) and session.stream.reading()
-        for session in entry.server.sessions
-    ):
-        await asyncio.sleep(0)
+    await wait_until(
+        lambda: any(
+            session.received_bytes >= min(size, 65_536) and session.stream.reading()
+            for session in entry.server.sessions
+        )
+    )
 
 
 async def test_partial_head_is_refused_after_the_head_timeout():
