Read the memory of a process in one place, and name the path of checks once

peak_memory_mb repeated read_resident_bytes of the binary check with another key; both call read_memory_bytes of standins.processes. The path of health checks stood three times in standins.host_processes.

--- a/src/standins/host_processes/endless.py
+++ b/src/standins/host_processes/endless.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from standins.host_processes.http import Message, format_message
+from standins.host_processes.site import HEALTH_PATH
 from standins.host_processes.upstream import SIGNATURE, QueueingUpstream
 
 __all__ = ["ENDLESS_ANSWERS", "EndlessAnswer", "EndlessUpstream"]
 
 PIECE = b"z" * 16_384
-HEALTH_PATH = "/healthz"
 ANNOUNCED_BYTES = 100_000_000_000
 
 
--- a/src/standins/host_processes/host.py
+++ b/src/standins/host_processes/host.py
@@ -10,7 +10,7 @@
 from standins.host_processes.http import format_message, read_message
 from standins.host_processes.site import make_address, make_settings
 from standins.host_processes.store import FleetStore
-from standins.processes import LOOPBACK, free_ports
+from standins.processes import LOOPBACK, free_ports, read_memory_bytes
 
 __all__ = ["HostProcess", "start_hosts"]
 
@@ -19,8 +19,7 @@
 POLL_S = 1.0
 POLL_TIMEOUT_S = 0.9
 MISSES_OUT = 2
-PEAK = "VmHWM:"
-KB_PER_MB = 1024.0
+BYTES_PER_MB = 1_048_576.0
 
 
 class HostProcess:
@@ -100,7 +99,7 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
-        if self._process is not None and self.running:
+        if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
     @property
@@ -115,9 +114,7 @@
         :return: peak of the resident memory in megabytes
         """
         assert self._process is not None
-        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="utf-8")
-        line = next(item for item in status.splitlines() if item.startswith(PEAK))
-        return int(line.split()[1]) / KB_PER_MB
+        return read_memory_bytes(self._process.pid, peak=True) / BYTES_PER_MB
 
     async def wait(self) -> None:
         """Wait for the end of the process."""
--- a/src/standins/host_processes/site.py
+++ b/src/standins/host_processes/site.py
@@ -4,8 +4,16 @@
 from collections.abc import Sequence
 from typing import Any
 
-__all__ = ["ZONES", "make_address", "make_configuration", "make_route", "make_settings"]
+__all__ = [
+    "HEALTH_PATH",
+    "ZONES",
+    "make_address",
+    "make_configuration",
+    "make_route",
+    "make_settings",
+]
 
+HEALTH_PATH = "/healthz"
 ZONES = ("z0", "z1", "z2")
 
 
@@ -93,7 +101,7 @@
     :param services: names of its services
     :return: content of the object in the store
     """
-    spec = {"health_check_path": "/healthz", "max_connections": 260}
+    spec = {"health_check_path": HEALTH_PATH, "max_connections": 260}
     limits = {
         "max_header_bytes": 16384,
         "max_body_bytes": 67108864,
--- a/src/standins/host_processes/upstream.py
+++ b/src/standins/host_processes/upstream.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from standins.host_processes.http import Message, format_message, read_message
+from standins.host_processes.site import HEALTH_PATH
 from standins.host_processes.store import FleetStore
 
 __all__ = ["QueueingUpstream", "Run"]
@@ -154,7 +155,7 @@
         arrived_s = time.monotonic()
         request_id = request.fields.get("request-id", "")
         fields = {"Request-Id": request_id, "Upstream-Instance": self.name}
-        if request.line.split(" ")[1] == "/healthz":
+        if request.line.split(" ")[1] == HEALTH_PATH:
             status = 200 if self._state == "ready" else 503
             return await self._send(writer, status, fields)
         if request.fields.get("expected-instance", self.name) != self.name:
--- a/src/standins/processes.py
+++ b/src/standins/processes.py
@@ -11,12 +11,20 @@
 
 from standins.caller.connection import Address
 
-__all__ = ["Child", "ProcessError", "free_port", "free_ports", "wait_for_port"]
+__all__ = [
+    "Child",
+    "ProcessError",
+    "free_port",
+    "free_ports",
+    "read_memory_bytes",
+    "wait_for_port",
+]
 
 LOOPBACK = "127.0.0.1"
 CONNECT_RETRY_MS = 20.0
 READY_TIMEOUT_MS = 20_000.0
 STOP_TIMEOUT_MS = 30_000.0
+KIB = 1024
 
 
 class ProcessError(Exception):
@@ -50,6 +58,20 @@
         return [sock.getsockname()[1] for sock in socks]
 
 
+def read_memory_bytes(pid: int, *, peak: bool = False) -> int:
+    """
+    Read the resident memory of a process.
+
+    :param pid: process id
+    :param peak: whether to read the largest that it has been
+    :return: resident memory in bytes
+    """
+    key = "VmHWM:" if peak else "VmRSS:"
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    line = next(line for line in status.splitlines() if line.startswith(key))
+    return int(line.split()[1]) * KIB
+
+
 async def wait_for_port(address: Address) -> None:
     """
     Wait until a port accepts connections.
--- a/tooling/binary_check.py
+++ b/tooling/binary_check.py
@@ -13,6 +13,7 @@
     STOP_TIMEOUT_MS,
     ProcessError,
     free_port,
+    read_memory_bytes,
     wait_for_port,
 )
 from standins.scrape import is_ready
@@ -20,8 +21,6 @@
 
 __all__ = ["BinaryReport", "check_binary"]
 
-KIB = 1024
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class BinaryReport:
@@ -67,18 +66,6 @@
     return sum(len(task.read_text(encoding="ascii").split()) for task in tasks)
 
 
-def read_resident_bytes(pid: int) -> int:
-    """
-    Read the resident memory of a process.
-
-    :param pid: process id
-    :return: resident memory in bytes
-    """
-    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
-    line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
-    return int(line.split()[1]) * KIB
-
-
 async def start(settings: Path, env: dict[str, str], port: int):
     """
     Start the executable and wait until it accepts connections from callers.
@@ -130,7 +117,7 @@
     if not await is_ready((LOOPBACK, admin_port)):
         raise ProcessError("the executable accepts connections but is not ready")
     children = count_children(process.pid)
-    resident = read_resident_bytes(process.pid)
+    resident = read_memory_bytes(process.pid)
     status = await stop(process)
     sizes = [item.stat().st_size for item in unpacked.rglob("*") if item.is_file()]
     return BinaryReport(
