Take a response with a status outside 100 to 599 for malformed

Callers saw: an upstream answered with the status 000, and the caller got 200 with what came in the body of that answer, or waited until its deadline where the answer had no body.

Cause: tornado accepts any three digits as a status code, and the reader of heads took each code below 200 for an interim response. So it read on, and the bytes behind the head 000 were the next head. Codes from 600 on were passed to the caller as they were.

Change: `parse_status_line` in wire.py accepts the codes that RFC 9110 calls valid. Any other head is malformed, as one without a status line is: a safe request goes to another upstream under the retry budget, any other one gets 502, a hedge or a continuation is as if it had broken off, a health check reports nothing, and the connection is closed.

--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -13,7 +13,6 @@
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
-    parse_response_start_line,
 )
 from tornado.iostream import StreamClosedError
 
@@ -22,7 +21,7 @@
 from mangohatch.errors import ResponseUnframed, UpstreamAborted, UpstreamUnreachable
 from mangohatch.upstream.body_end import BodyEnd
 from mangohatch.upstream.dialer import Dialer, open_stream
-from mangohatch.wire import format_head, parse_fields, send
+from mangohatch.wire import format_head, parse_fields, parse_status_line, send
 
 __all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
 
@@ -266,7 +265,7 @@
                 HEAD_END_OR_GARBAGE, MAX_HEADER_BYTES
             )
             first, *fields = data.decode("latin1").strip("\r\n").split("\r\n")
-            line = parse_response_start_line(first)
+            line = parse_status_line(first)
             headers = parse_fields(fields)
         except StreamClosedError as exc:
             raise UpstreamAborted("connection broke before the response") from exc
--- a/src/mangohatch/wire.py
+++ b/src/mangohatch/wire.py
@@ -2,13 +2,36 @@
 
 import asyncio
 
-from tornado.httputil import HTTPHeaders, HTTPInputError
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    ResponseStartLine,
+    parse_response_start_line,
+)
 from tornado.iostream import IOStream
 
-__all__ = ["format_head", "parse_fields", "send"]
+__all__ = ["STATUS_CODES", "format_head", "parse_fields", "parse_status_line", "send"]
 
 CRLF = "\r\n"
 WHITESPACE = " \t"
+STATUS_CODES = range(100, 600)  # the valid ones of RFC 9110, section 15
+
+
+def parse_status_line(text: str) -> ResponseStartLine:
+    """
+    Parse a status line; tornado accepts any three digits as its code.
+
+    :param text: first line of a response, without line end
+    :return: the status line
+    :raises HTTPInputError: when the line is malformed or its code is no valid one
+    """
+    line = parse_response_start_line(text)
+    if line.code not in STATUS_CODES:
+        raise HTTPInputError(
+            f"the status code is {line.code:03}, expected {STATUS_CODES[0]} to"
+            f" {STATUS_CODES[-1]}"
+        )
+    return line
 
 
 def parse_fields(lines: list[str]) -> HTTPHeaders:
--- a/src/standins/host_processes/__init__.py
+++ b/src/standins/host_processes/__init__.py
@@ -3,6 +3,7 @@
 from standins.host_processes.callers import Answer, Callers
 from standins.host_processes.endless import ENDLESS_ANSWERS, EndlessUpstream
 from standins.host_processes.host import HostProcess, start_hosts
+from standins.host_processes.malformed import FORGED_BODY, MalformedUpstream
 from standins.host_processes.store import DoorState, FleetStore
 from standins.host_processes.upstream import QueueingUpstream
 
@@ -12,8 +13,10 @@
     "DoorState",
     "ENDLESS_ANSWERS",
     "EndlessUpstream",
+    "FORGED_BODY",
     "FleetStore",
     "HostProcess",
+    "MalformedUpstream",
     "QueueingUpstream",
     "start_hosts",
 ]
--- a/src/standins/platform_site.py
+++ b/src/standins/platform_site.py
@@ -16,7 +16,8 @@
 
 Headers = dict[str, str]
 Response = tuple[int, Headers, bytes]
-Handler = Callable[[str, str, Headers, bytes], Awaitable[Response]]
+# Status, header fields and body of a response, or bytes to be sent as they are.
+Handler = Callable[[str, str, Headers, bytes], Awaitable[Response | bytes]]
 
 
 class StubHttpServer:
@@ -51,9 +52,12 @@
                 }
                 size = int(headers.get("content-length", 0))
                 body = await reader.readexactly(size)
-                status, fields, content = await self._handler(
-                    method, target, headers, body
-                )
+                answer = await self._handler(method, target, headers, body)
+                if isinstance(answer, bytes):
+                    writer.write(answer)
+                    await writer.drain()
+                    continue
+                status, fields, content = answer
                 fields = fields | {"Content-Length": str(len(content))}
                 text = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
                 writer.write(f"HTTP/1.1 {status} X\r\n{text}\r\n".encode() + content)
@@ -71,7 +75,8 @@
 
     It answers 421 to requests whose ``Expected-Instance`` names another upstream. Its
     answers carry the fields ``signs``, and with ``pause_s`` it turns requests away and
-    asks for a pause. With ``echoes``, an answer is the body of its request.
+    asks for a pause. With ``echoes``, an answer is the body of its request. What
+    ``faults`` returns for the fields of an answer is sent in its place.
     """
 
     name: str
@@ -80,6 +85,7 @@
     signs: Headers = field(default_factory=dict)
     pause_s: str = ""
     echoes: bool = False
+    faults: Callable[[Headers], bytes] | None = None
     requests: list[Headers] = field(default_factory=list)
     server: StubHttpServer | None = None
 
@@ -105,7 +111,7 @@
 
     async def answer(
         self, method: str, target: str, headers: Headers, body: bytes
-    ) -> Response:
+    ) -> Response | bytes:
         """
         Answer a request.
 
@@ -113,7 +119,7 @@
         :param target: request target
         :param headers: header fields with names in lower case
         :param body: request body
-        :return: status, header fields and body of the response
+        :return: status, header fields and body of the response, or its bytes
         """
         load = {"Upstream-Load": "0,0,2,100"} | self.signs
         if target == "/healthz":
@@ -129,6 +135,8 @@
             "Request-Id": headers["request-id"],
             "Upstream-Signature": f"{self.name}.signed",
         }
+        if self.faults is not None:
+            return self.faults(load | fields)
         return 200, load | fields, body if self.echoes else target.encode()
 
 
