Test names of foreign entries that mean something in a URL

The product is not changed.

The store decodes the query as a form (a plus sign is a blank) or not. The drawn lists check that the query is plain, so that any reader of it finds the same value.

--- a/src/standins/host_processes/store.py
+++ b/src/standins/host_processes/store.py
@@ -5,9 +5,10 @@
 import json
 import time
 from collections import deque
+from collections.abc import Callable
 from enum import Enum, auto
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import unquote_plus, urlsplit
 
 from standins.host_processes.http import format_message, read_message
 
@@ -16,6 +17,7 @@
 LOOPBACK = "127.0.0.1"
 ANSWER_S = 0.004
 PAGE_SIZE = 500
+PAGE_BYTES = 1_048_576
 WATCH_POLL_S = 0.01
 COPY_S = 0.2
 MAX_COPIES = 200
@@ -92,9 +94,22 @@
     Objects by kind and name, which hosts list and watch over addresses of theirs.
 
     Answers name the ``era`` if the store ``tells_era``.
+
+    :param page_size: most objects of a page
+    :param page_bytes: size from which a page takes no further object
+    :param decode: decodes the values in the query of a call
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        page_size: int = PAGE_SIZE,
+        page_bytes: int = PAGE_BYTES,
+        decode: Callable[[str], str] = unquote_plus,
+    ) -> None:
+        self._page_size = page_size
+        self._page_bytes = page_bytes
+        self._decode = decode
         self.revision = 100
         self.available = True
         self.era = 0
@@ -197,7 +212,8 @@
         kind = parts.path.rpartition("/")[2]
         if method != "GET":
             return 405, {}
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        pairs = (item.partition("=") for item in parts.query.split("&") if item)
+        query = {name: self._decode(value) for name, _, value in pairs}
         if "watch" in query:
             if int(query["watch"]) > self.revision:
                 return 410, {}
@@ -205,12 +221,23 @@
             return 200, {"events": [], "store_revision": self.revision}
         objects = self._objects.get(kind, {})
         names = sorted(name for name in objects if name > query.get("after", ""))
+        page = self._select_page([objects[name] for name in names])
         return 200, {
-            "items": [objects[name] for name in names[:PAGE_SIZE]],
-            "has_more": len(names) > PAGE_SIZE,
+            "items": page,
+            "has_more": len(names) > len(page),
             "store_revision": self.revision,
         }
 
+    def _select_page(self, objects: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        page: list[dict[str, Any]] = []
+        size = 0
+        for item in objects[: self._page_size]:
+            size += len(json.dumps(item))
+            if page and size > self._page_bytes:
+                break
+            page.append(item)
+        return page
+
     async def _wait(self, kind: str, revision: int, wait_ms: float) -> None:
         ends = time.monotonic() + wait_ms / MS_PER_S
         with contextlib.suppress(asyncio.CancelledError):
--- a/tests/platform/test_pages.py
+++ b/tests/platform/test_pages.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from urllib.parse import unquote_to_bytes
 
 from hypothesis import given, settings, strategies as st
@@ -19,6 +20,10 @@
     (
         "i-0003-león",
         "a b",
+        "a&b=c",
+        "a+b",
+        "a#b",
+        "a%",
         "a/b",
         "a%2Fb",
         "..",
@@ -32,6 +37,12 @@
 EXTRAS = st.sampled_from(("", ', "revision": ' + "9" * 5_000))
 
 
+# A query that all readers of a query take for the same value of one key.
+QUERY = re.compile(
+    r"/mangohatch/objects/[a-z]+(\?after=([A-Za-z0-9._~-]|%[0-9A-F]{2})+)?"
+)
+
+
 class PagedStore:
     """Answers calls for a list; a page may hold any number of objects."""
 
@@ -40,6 +51,7 @@
         self.asked = []
 
     async def call(self, method, path):
+        assert QUERY.fullmatch(path), path
         _, _, after = path.partition("?after=")
         self.asked.append(unquote_to_bytes(after))
         number = 0
@@ -129,7 +141,7 @@
     class Circle(PagedStore):
         async def call(self, method, path):
             self.pages = pages[len(self.asked) % 3 :] + pages
-            reply = await super().call(method, "")
+            reply = await super().call(method, path.partition("?")[0])
             assert len(self.asked) < 10, "the reading goes on"
             return reply
 
