Take an interim response that tells of a body for malformed

Callers saw: an upstream answered with the status 100 (102, 103, 199) and a length or chunks, and the caller got what came in that body as its answer.

Cause: an interim response ends with its head, so the host read the next head behind it. An upstream that tells of a body there sends one, and its bytes are what the host then takes for the answer.

The attempt ends as one that broke off.

Evidence: before the change the eleven new tests fail: eight at the entry (safe, may run once, repeated attempt, upload, kept connection, hedge, continued download, health check), one through a peer, two on three real hosts. They pass with it, as does the test of sound interim responses (test_forwarding).

The statuses outside 100 to 599 and the names that are no tokens are also played at a repeated attempt and beside an upload, after a sound interim response and without one; both hold.

--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -38,6 +38,7 @@
 MAX_DISCARDED_BYTES = 1_048_576  # reading more costs more than a new connection
 MAX_INTERIM_RESPONSES = 10
 SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_CODE = 200
 # Requests with these methods always have a body, which may be empty.
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 NO_CONTENT = 204
@@ -248,15 +249,14 @@
         Read the head of the final response; interim responses are discarded.
 
         :return: the head
-        :raises UpstreamAborted: when the connection breaks or the head is malformed
+        :raises UpstreamAborted: when the connection breaks, or a head is malformed or
+            not that of a response to a request
         """
         for _ in range(MAX_INTERIM_RESPONSES):
             head = await self._read_one_head()
-            code = head.line.code
-            if code >= 200:
+            if head.line.code >= FIRST_FINAL_CODE:
                 return head
-            if code == SWITCHING_PROTOCOLS:
-                break
+            check_interim(head)
         raise UpstreamAborted("the upstream sent no final response")
 
     async def _read_one_head(self) -> ResponseHead:
@@ -355,6 +355,20 @@
         return self._request_start_line.method != "HEAD" and code != NOT_MODIFIED
 
 
+def check_interim(head: ResponseHead) -> None:
+    """
+    Check that a final response follows the head of an interim one.
+
+    :param head: head of an interim response
+    :raises UpstreamAborted: when the protocol changes, or the head tells of a body,
+        whose bytes could be taken for the next head
+    """
+    if head.line.code == SWITCHING_PROTOCOLS:
+        raise UpstreamAborted("the upstream switched protocols")
+    if "Content-Length" in head.headers or "Transfer-Encoding" in head.headers:
+        raise UpstreamAborted("an interim response tells of a body")
+
+
 def is_framed(head: ResponseHead) -> bool:
     """
     Return whether a truncation of a response can be detected.
--- a/src/standins/malformed_answers.py
+++ b/src/standins/malformed_answers.py
@@ -1,6 +1,11 @@
 """Answers of an upstream in trouble, whose heads are not valid HTTP/1.1."""
 
-__all__ = ["format_fields", "list_malformed_names", "list_malformed_statuses"]
+__all__ = [
+    "format_fields",
+    "list_framed_interims",
+    "list_malformed_names",
+    "list_malformed_statuses",
+]
 
 OK_LINE = b"HTTP/1.1 200 OK\r\n"
 
@@ -71,6 +76,27 @@
     return answers
 
 
+def list_framed_interims(fields: dict[str, str], body: bytes) -> dict[str, bytes]:
+    """
+    List answers that begin with an interim response which tells of a body.
+
+    :param fields: header fields of a sound answer, without its length
+    :param body: body of each answer, which may look like a sound answer itself
+    :return: bytes of the answers by a name of their fault
+    """
+    lines = format_fields(fields)
+    length = format_length(body) + lines + b"\r\n" + body
+    chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    chunked = b"Transfer-Encoding: chunked\r\n" + lines + b"\r\n" + chunk
+    answers = {}
+    for status in (100, 102, 103, 199):
+        line = b"HTTP/1.1 %d X\r\n" % status
+        answers[f"status {status} with a length"] = line + length
+        answers[f"status {status} with chunks"] = line + chunked
+        answers[f"status {status} after a sound one"] = line + b"\r\n" + line + length
+    return answers
+
+
 def list_malformed_names(fields: dict[str, str], body: bytes) -> dict[str, bytes]:
     """
     List answers in which the name of a field is no token.
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -14,10 +14,11 @@
 from mangohatch.upstream.load_probe import HttpLoadProbe
 from standins.malformed_answers import (
     format_fields,
+    list_framed_interims,
     list_malformed_names,
     list_malformed_statuses,
 )
-from tests.entry.harness import fixed, open_entry, wait_until
+from tests.entry.harness import LOOPBACK, fixed, open_entry, request, wait_until
 from tests.entry.test_continuation import CONTENT, ETAG, serve_ranges, truncate_at
 from tests.entry.test_hedging import Scripted, open_race, start_race
 from tests.fixtures import make_service
@@ -27,6 +28,8 @@
 load_tests = function_tests(__name__)
 
 FIELDS = {"Request-Id": "r1", "Upstream-Signature": "s"}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+UPLOAD = bytes(600_000)  # more than a host keeps
 TRAILER = "in a trailer"
 SAFE, UNSAFE = "/a/x", "/confirm/x"
 # Looks like a sound answer to the request.
@@ -52,6 +55,10 @@
         yield await entry.connect(), upstreams
 
 
+async def break_off(upstream, message, writer):
+    writer.close()
+
+
 async def fetch(caller, target, request_id="r1"):
     return await caller.fetch(target, Request_Id=request_id)
 
@@ -75,6 +82,49 @@
             assert [len(item.requests) for item in upstreams] == [1, 0], name
 
 
+async def check_repeated(answers):
+    """Check that a malformed answer to the second attempt reaches no caller."""
+    for name, data in answers(FIELDS, FORGED).items():
+        async with open_site(break_off, write(data)) as (caller, upstreams):
+            response = await fetch(caller, SAFE)
+            assert response.status == 502, (name, response)
+            assert [len(item.requests) for item in upstreams] == [1, 1], name
+
+
+async def check_upload(answers):
+    """Check a malformed answer that comes before the whole body of a request."""
+    for name, data in answers(FIELDS, FORGED).items():
+        for start in (b"", CONTINUE):
+            async with open_early_answer(start + data) as caller:
+                message = request(UNSAFE, method="POST", body=UPLOAD, Request_Id="r1")
+                await caller.send(message[: -len(UPLOAD) // 2])
+                response = await caller.read()
+                assert response.status == 502, (name, start, response)
+                assert b"forged" not in response.body
+
+
+@contextlib.asynccontextmanager
+async def open_early_answer(data):
+    """Start an entry with an upstream that answers as soon as it has read a head."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(65_536):
+                pass
+        writer.close()
+
+    server = await asyncio.start_server(answer, LOOPBACK, 0)
+    protocol = PlatformProtocol(rng=random.Random(1))
+    async with open_entry(break_off, protocol=protocol) as (entry, _):
+        entry.tables.routes.apply(ROUTES, revision=1)
+        (row,) = entry.tables.upstreams()
+        row.port = server.sockets[0].getsockname()[1]
+        yield await entry.connect()
+    server.close()
+
+
 async def check_kept_connection(answers):
     """Check that the second answer on a connection reaches no caller."""
     for name, data in answers(FIELDS | {"Request-Id": "r2"}, FORGED).items():
@@ -111,7 +161,8 @@
 async def check_continuation(answers):
     """Check that a malformed answer is not taken for the rest of a download."""
     span = f"bytes 300000-{len(CONTENT) - 1}/{len(CONTENT)}"
-    forged = fixed(b"forged", status=206, ETag=ETAG, Content_Range=span)
+    rest = bytes(len(CONTENT) - 300_000)
+    forged = fixed(rest, status=206, ETag=ETAG, Content_Range=span)
     fields = {"ETag": ETAG, "Content-Range": span}
     for name, data in answers(fields, forged).items():
         scripts = (truncate_at(300_000), write(data), serve_ranges())
@@ -149,6 +200,14 @@
     await check_unsafe(list_malformed_statuses)
 
 
+async def test_status_that_is_none_of_http_to_a_repeated_attempt():
+    await check_repeated(list_malformed_statuses)
+
+
+async def test_status_that_is_none_of_http_beside_an_upload():
+    await check_upload(list_malformed_statuses)
+
+
 async def test_status_that_is_none_of_http_on_a_kept_connection():
     await check_kept_connection(list_malformed_statuses)
 
@@ -173,6 +232,14 @@
     await check_unsafe(list_malformed_names)
 
 
+async def test_field_name_that_is_no_token_to_a_repeated_attempt():
+    await check_repeated(list_malformed_names)
+
+
+async def test_field_name_that_is_no_token_beside_an_upload():
+    await check_upload(list_malformed_names)
+
+
 async def test_field_name_that_is_no_token_on_a_kept_connection():
     await check_kept_connection(list_malformed_names)
 
@@ -189,6 +256,39 @@
     await check_probe(list_malformed_names)
 
 
+async def test_interim_response_with_a_body_to_a_safe_request():
+    # The host read the body as the next head.
+    await check_safe(list_framed_interims)
+
+
+async def test_interim_response_with_a_body_to_a_request_that_may_run_once():
+    await check_unsafe(list_framed_interims)
+
+
+async def test_interim_response_with_a_body_to_a_repeated_attempt():
+    await check_repeated(list_framed_interims)
+
+
+async def test_interim_response_with_a_body_beside_an_upload():
+    await check_upload(list_framed_interims)
+
+
+async def test_interim_response_with_a_body_on_a_kept_connection():
+    await check_kept_connection(list_framed_interims)
+
+
+async def test_interim_response_with_a_body_beside_a_hedge():
+    await check_hedge(list_framed_interims)
+
+
+async def test_interim_response_with_a_body_in_a_continued_download():
+    await check_continuation(list_framed_interims)
+
+
+async def test_interim_response_with_a_body_to_a_health_check():
+    await check_probe(list_framed_interims)
+
+
 @contextlib.asynccontextmanager
 async def open_probe():
     """Yield a function that probes an upstream which sends certain bytes."""
@@ -198,7 +298,7 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.write(data)
 
-    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    server = await asyncio.start_server(answer, LOOPBACK, 0)
     tables = Tables()
     tables.apply(make_service(upstreams=1), revision=1)
     (row,) = tables.upstreams()
--- a/tests/relay/test_malformed_answers.py
+++ b/tests/relay/test_malformed_answers.py
@@ -1,6 +1,10 @@
 """Tests of answers that are not valid HTTP and reach a host through a peer."""
 
-from standins.malformed_answers import list_malformed_names, list_malformed_statuses
+from standins.malformed_answers import (
+    list_framed_interims,
+    list_malformed_names,
+    list_malformed_statuses,
+)
 from tests.entry.harness import fixed
 from tests.fleet.cut_site import Cut, open_cut_site
 from tests.functions import function_tests
@@ -40,3 +44,7 @@
 
 async def test_field_name_that_is_no_token_is_no_answer_through_a_peer():
     await check_relayed(list_malformed_names)
+
+
+async def test_interim_response_with_a_body_is_no_answer_through_a_peer():
+    await check_relayed(list_framed_interims)
--- a/tests/soak/test_malformed_answers.py
+++ b/tests/soak/test_malformed_answers.py
@@ -1,7 +1,11 @@
 """Real hosts with an upstream in trouble, whose answers are not valid HTTP."""
 
 from standins.host_processes import MalformedUpstream
-from standins.malformed_answers import list_malformed_names, list_malformed_statuses
+from standins.malformed_answers import (
+    list_framed_interims,
+    list_malformed_names,
+    list_malformed_statuses,
+)
 from tests.functions import function_tests
 from tests.soak.deployment import SERVICE, UNSAFE, open_deployment
 
@@ -53,3 +57,11 @@
 
 async def test_health_checks_answered_with_a_field_name_that_is_no_token():
     await play(list_malformed_names, checks_too=True)
+
+
+async def test_answers_after_an_interim_response_with_a_body():
+    await play(list_framed_interims)
+
+
+async def test_health_checks_answered_after_an_interim_response_with_a_body():
+    await play(list_framed_interims, checks_too=True)
