Take a call answered with a status below 200 for unanswered

Hosts would see: a store in trouble answers with the status 000. A write then counts as refused, although it may have been made; a watch returns as if something had changed, at once and again; the list of hosts is taken from the body.

Cause: each call compares the status with what it expects, and what is none of the errors it knows counts as an answer. Tornado's client passes any three digits on.

Change: `HttpCaller`, through which all calls to the platform go, raises CallUnanswered unless the status is from 200 to 499, as it did from 500 on.

--- a/src/mangohatch/store/http_call.py
+++ b/src/mangohatch/store/http_call.py
@@ -14,6 +14,7 @@
 MAX_CONCURRENT_CALLS = 200
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 DEFAULT_RETRY_AFTER_MS = 1000.0
+FIRST_FINAL_CODE = 200
 RATE_LIMITED = 429
 FIRST_SERVER_ERROR = 500
 MS_PER_S = 1000.0
@@ -27,7 +28,7 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class HttpReply:
-    """A response with a status below 500, other than 429."""
+    """A response with a status from 200 to 499, other than 429."""
 
     status: int
     body: bytes
@@ -89,7 +90,7 @@
             raise StoreRateLimited(
                 f"{method} {path}", retry_after_ms=read_retry_after(response.headers)
             )
-        if response.code >= FIRST_SERVER_ERROR:
+        if not FIRST_FINAL_CODE <= response.code < FIRST_SERVER_ERROR:
             raise CallUnanswered(f"{method} {path}: status {response.code}")
         return HttpReply(
             status=response.code,
