Take events only from a watch answered with status 200

Hosts would see: an object API in trouble answers a watch with the status 000, 404, 429 or 500, and each line of that answer is applied as a change of the configuration.

Cause: `watch_lines` passed on the lines of any response and looked at the status only after its end.

Change: `LineReader` reads no lines unless the status is 200; the watch then ends with an error, as before.

--- a/src/mangohatch/store/http_watch.py
+++ b/src/mangohatch/store/http_watch.py
@@ -25,7 +25,7 @@
 
 
 class LineReader(HTTPMessageDelegate):
-    """Splits the body of a response into lines."""
+    """Splits the body of a response with status 200 into lines."""
 
     def __init__(self) -> None:
         self.status = 0
@@ -39,6 +39,8 @@
         self.status = start_line.code
 
     async def data_received(self, chunk: bytes) -> None:
+        if self.status != OK:
+            return
         *lines, self._partial_line = (self._partial_line + chunk).split(b"\n")
         if len(self._partial_line) > MAX_LINE_BYTES:
             raise StoreUnavailable("a line of the watch is too long")
--- a/tests/store/test_malformed_answers.py
+++ b/tests/store/test_malformed_answers.py
@@ -48,6 +48,7 @@
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 writer.write(data)
+        writer.close()
 
     server = await asyncio.start_server(answer, LOOPBACK, 0)
     try:
@@ -100,6 +101,31 @@
     raise AssertionError(f"{name} took {fault} for an answer: {result}")
 
 
+async def read_first(port):
+    """Return the first event of a watch, None if it fails or nothing comes."""
+    store = HttpObjectStore(
+        address=LOOPBACK, port=port, role="state", timeout_ms=TIMEOUT_MS
+    )
+    events = store.watch("k", since=0)
+    try:
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            return await anext(events)
+    except (StoreUnavailable, TimeoutError):
+        return None
+    finally:
+        await events.aclose()
+        store.close()
+
+
+async def test_only_the_lines_of_a_response_with_status_200_are_events():
+    line = json.dumps({"item": ITEM, "deleted": False, "revision": 9}).encode() + b"\n"
+    for status in (b"200", b"000", b"099", b"204", b"404", b"429", b"500", b"600"):
+        head = b"HTTP/1.1 %b X\r\nTransfer-Encoding: chunked\r\n\r\n" % status
+        async with answer_with(head + b"%x\r\n%b\r\n" % (len(line), line)) as port:
+            event = await read_first(port)
+            assert (event is not None) is (status == b"200"), (status, event)
+
+
 async def test_status_that_is_none_of_http_is_no_answer_to_a_call():
     await check(list_malformed_statuses)
 
