--- a/tests/store/test_malformed_answers.py
+++ b/tests/store/test_malformed_answers.py
@@ -40,15 +40,14 @@
 
 
 @contextlib.asynccontextmanager
-async def answer_with(data):
+async def answer_with(data, *, closes=True):
     """Yield the port of a server that answers each call with the same bytes."""
 
     async def answer(reader, writer):
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(data)
-        writer.close()
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        if closes:
+            writer.close()
 
     server = await asyncio.start_server(answer, LOOPBACK, 0)
     try:
@@ -121,7 +120,8 @@
     line = json.dumps({"item": ITEM, "deleted": False, "revision": 9}).encode() + b"\n"
     for status in (b"200", b"000", b"099", b"204", b"404", b"429", b"500", b"600"):
         head = b"HTTP/1.1 %b X\r\nTransfer-Encoding: chunked\r\n\r\n" % status
-        async with answer_with(head + b"%x\r\n%b\r\n" % (len(line), line)) as port:
+        data = head + b"%x\r\n%b\r\n" % (len(line), line)
+        async with answer_with(data, closes=False) as port:
             event = await read_first(port)
             assert (event is not None) is (status == b"200"), (status, event)
 
