--- a/src/mangohatch/orders/required.py
+++ b/src/mangohatch/orders/required.py
@@ -63,9 +63,11 @@
         self._listed = None
         if any(is_dead(row) for row in self._membership.table.rows.values()):
             try:
-                self._listed = (await self._host_list.read()).hosts
+                listing = await self._host_list.read()
             except StoreError:
-                self._listed = None
+                return
+            # An entry that can't be read may be that of the dead member.
+            self._listed = listing.hosts if listing.complete else None
 
     def required(self) -> Set[str]:
         found = {self._membership.own.host_id}
--- a/tests/orders/test_required.py
+++ b/tests/orders/test_required.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.names = ["entry-0", "entry-1", "entry-2"]
         self.outage = False
+        self.complete = True
         self.reads = 0
 
     async def read(self):
@@ -27,7 +28,7 @@
             ListedHost(name=name, address="10.9.9.9", state=ListedState.LIVE)
             for name in self.names
         )
-        return HostListing(version=1, hosts=hosts)
+        return HostListing(version=1, hosts=hosts, complete=self.complete)
 
 
 @fixture
@@ -80,6 +81,17 @@
     assert "entry-2" in requirement.required()
 
 
+async def test_dead_member_is_required_while_an_entry_of_the_list_is_unreadable(
+    member_network, requirement, host_list
+):
+    member_network.running()[2].running = False
+    member_network.run(SETTLE_MS)
+    host_list.names.remove("entry-2")
+    host_list.complete = False
+    await requirement.refresh()
+    assert "entry-2" in requirement.required()
+
+
 async def test_left_member_is_not_required(member_network, requirement):
     leaver = member_network.running()[2]
     leaver.membership.set_left()
