Read the other objects of a list or a watch of the object API

Hosts would see: one element of a list, or one event of a watch, without a name or with a field of another type, and the reading ends with an exception that is no StoreError. The task of the lease holder that watches the store ends, and with it the term of the lease, again and again; a host that starts does not become ready.

Cause: the client took the fields of each object without a check, and those of the document too.

A list leaves out an object that can't be read and names it in `Listing.unreadable`; `ConfigTable` keeps the service of that name, or all if it has no name, as it can't tell it from one that was deleted.

--- a/src/mangohatch/platform/listing.py
+++ b/src/mangohatch/platform/listing.py
@@ -11,14 +11,13 @@
     check_whole,
     require_field,
 )
-from mangohatch.store import StoredObject
+from mangohatch.store.base import UNNAMED, StoredObject
 
 __all__ = ["EMPTY_KINDS", "ListPage", "RejectedObject", "decode_object", "decode_page"]
 
 # The names of objects of these kinds say everything, so they need no content.
 EMPTY_KINDS = frozenset({"evacuations"})
 MAX_REVISION = 2**62
-UNNAMED = ""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/state/config_table.py
+++ b/src/mangohatch/state/config_table.py
@@ -19,7 +19,7 @@
     item_key,
     to_config_item,
 )
-from mangohatch.store.base import Listing
+from mangohatch.store.base import UNNAMED, Listing
 from mangohatch.timeline.recorder import Recorder
 
 __all__ = ["ConfigTable"]
@@ -109,13 +109,16 @@
         """
         Apply a full listing of a kind; objects missing from it were deleted.
 
-        A stale listing does not remove objects that are newer than the listing.
+        A stale listing does not remove objects that are newer than the listing, and one
+        with objects that can't be read does not remove those that they may be.
 
         :param kind: kind of object
         :param listing: all objects of the kind, with the revision of the read
         :return: objects and tombstones that were newer than those in the table
         """
-        present = {stored.name for stored in listing.items}
+        present = {stored.name for stored in listing.items} | listing.unreadable
+        if UNNAMED in listing.unreadable:
+            present |= {item.name for item in self.items.values() if item.kind == kind}
         fresh = [to_config_item(stored) for stored in listing.items]
         for item in list(self.items.values()):
             is_missing = item.kind == kind and item.name not in present
--- a/src/mangohatch/store/base.py
+++ b/src/mangohatch/store/base.py
@@ -5,7 +5,16 @@
 from dataclasses import dataclass
 from typing import Any
 
-__all__ = ["Listing", "ObjectReader", "ObjectStore", "StoredObject", "WatchEvent"]
+__all__ = [
+    "Listing",
+    "ObjectReader",
+    "ObjectStore",
+    "StoredObject",
+    "UNNAMED",
+    "WatchEvent",
+]
+
+UNNAMED = ""  # in place of a name that can't be read
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -28,7 +37,8 @@
     """
     All objects of a kind; the store was at ``revision`` when they were read.
 
-    ``unreadable`` holds the names of those that can't be used. ``era`` counts how often
+    ``unreadable`` holds the names of those that can't be used, ``UNNAMED`` for one
+    without a readable name. ``era`` counts how often
     the store came back from an older copy, None if it does not say.
     """
 
--- a/tests/store/test_foreign_objects.py
+++ b/tests/store/test_foreign_objects.py
@@ -7,8 +7,18 @@
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
+from mangohatch.clock import ManualClock
+from mangohatch.core.tables import Tables
+from mangohatch.errors import StoreUnavailable
+from mangohatch.state import ConfigTable
+from mangohatch.state.items import service_value
+from mangohatch.store.base import Listing, StoredObject
 from mangohatch.store.host_list import HttpHostList
+from mangohatch.store.http_store import HttpObjectStore
+from mangohatch.timeline.recorder import HybridClock, Recorder
+from tests.fixtures import make_service
 from tests.functions import function_tests
+from tests.store.test_malformed_answers import answer_with
 
 load_tests = function_tests(__name__)
 
@@ -77,3 +87,82 @@
 
 async def test_hosts_of_any_name_are_read():
     assert await read_hosts([HOST | {"name": name} for name in NAMES]) == [*NAMES]
+
+
+OBJECT = {"kind": "service", "name": "a", "revision": 5, "value": {}}
+# Elements of a list or events of a watch that are no objects.
+NO_OBJECTS = (
+    None,
+    7,
+    "b",
+    [],
+    {"name": "b"},
+    OBJECT | {"name": None},
+    OBJECT | {"name": 7},
+    OBJECT | {"name": "b", "revision": None},
+    OBJECT | {"name": "b", "revision": "5"},
+    OBJECT | {"name": "b", "revision": True},
+    {key: OBJECT[key] for key in ("kind", "name", "revision")},
+)
+
+
+@contextlib.contextmanager
+def open_store(port):
+    store = HttpObjectStore(
+        address="127.0.0.1", port=port, role="state", timeout_ms=500.0
+    )
+    try:
+        yield store
+    finally:
+        store.close()
+
+
+async def test_foreign_object_leaves_the_others_of_a_list():
+    others = [OBJECT, OBJECT | {"name": "c", "revision": 6}]
+    for foreign in NO_OBJECTS:
+        items = [others[0], foreign, others[1]]
+        async with serving({"items": items, "revision": 9}) as port:
+            with open_store(port) as store:
+                listing = await store.list("service")
+        assert [item.name for item in listing.items] == ["a", "c"], foreign
+        assert len(listing.unreadable) == 1, foreign
+
+
+async def test_document_that_is_no_object_is_no_answer():
+    for document in (None, 7, [], {}, {"items": [], "revision": None}, {"items": {}}):
+        async with serving(document) as port:
+            with open_store(port) as store:
+                for call in (store.list("service"), store.get("service", "a")):
+                    with contextlib.suppress(StoreUnavailable):
+                        raise AssertionError((document, await call))
+
+
+async def test_foreign_object_in_a_watch_is_passed_over():
+    events = [{"item": item, "deleted": False, "revision": 9} for item in NO_OBJECTS]
+    events.append({"item": OBJECT, "deleted": False, "revision": 9})
+    lines = b"".join(json.dumps(event).encode() + b"\n" for event in events)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = head + b"%x\r\n%b\r\n" % (len(lines), lines)
+    async with answer_with(data, closes=False) as port:
+        with open_store(port) as store:
+            watch = store.watch("service", since=0)
+            items = [(await anext(watch)).item for _ in events]
+            await watch.aclose()
+    assert [item.name for item in items if item is not None] == ["a"]
+
+
+def test_service_whose_object_is_unreadable_stays_in_force():
+    table = ConfigTable(tables=Tables(), recorder=make_recorder())
+    spec = service_value(make_service("desk"))
+    stored = StoredObject(kind="service", name="desk", revision=5, value=spec)
+    table.apply_listing("service", Listing(items=[stored], revision=5))
+    for name in ("desk", ""):
+        listing = Listing(items=[], revision=9, unreadable=frozenset({name}))
+        assert not table.apply_listing("service", listing)
+    (tombstone,) = table.apply_listing("service", Listing(items=[], revision=9))
+    assert tombstone.deleted
+
+
+def make_recorder():
+    clock = HybridClock(clock=ManualClock())
+    return Recorder(host="e1", zone="puno", clock=clock)
