Take an object whose value is of another type for no claim and no lease

The lease goes with it, as all tasks of its holder end, and again at the next holder. The same value in place of the lease ends the election for good.

Cause: the type of a value was taken for granted wherever a field of it is read: claims, leases, and the ids of writes.

Change: `read_claim`, `read_lease` and `list_operations`, which now reads the ids of writes for all others, take such a value for one of another writer.

Evidence: test_value_of_another_writer_is_no_claim_and_no_lease (seven values) and test_object_of_another_writer_does_not_end_a_sweep failed before with AttributeError; they pass now.

--- a/src/mangohatch/claims/record.py
+++ b/src/mangohatch/claims/record.py
@@ -128,13 +128,15 @@
     return f"claim-{name[:SHARD_DIGITS]}"
 
 
-def read_claim(value: dict[str, Any]) -> ClaimRecord | None:
+def read_claim(value: Any) -> ClaimRecord | None:
     """
     Parse and validate a stored claim.
 
     :param value: value of the claim object
     :return: the claim; None if the value is not a valid claim
     """
+    if not isinstance(value, dict):
+        return None
     plain = {name: val for name, val in value.items() if name not in OPERATION_FIELDS}
     try:
         checked = ClaimValue.model_validate(plain)
--- a/src/mangohatch/orders/view.py
+++ b/src/mangohatch/orders/view.py
@@ -9,7 +9,7 @@
 from mangohatch.state import ConfigTable
 from mangohatch.state.items import SERVICE_KIND
 from mangohatch.store.base import StoredObject
-from mangohatch.store.operations import OPERATION_ID
+from mangohatch.store.operations import list_operations
 
 __all__ = ["ConfigView", "TableView"]
 
@@ -51,8 +51,8 @@
         :param name: name of the service
         :return: id of the order; empty if unknown
         """
-        found = self.find(name)
-        return found.value.get(OPERATION_ID, "") if found is not None else ""
+        order_id, *_ = list_operations(self.find(name)) or [""]
+        return order_id
 
     @abstractmethod
     def services(self) -> Iterable[ServiceSpec]:
--- a/src/mangohatch/orders/writer.py
+++ b/src/mangohatch/orders/writer.py
@@ -16,8 +16,8 @@
 from mangohatch.store.backoff import Backoff
 from mangohatch.store.base import ObjectStore, StoredObject
 from mangohatch.store.operations import (
-    OPERATION_ID,
     holds_operation,
+    list_operations,
     put_resolved,
     with_operation,
 )
@@ -193,7 +193,7 @@
     :param winner: the object as written by that order
     :return: the error
     """
-    order_id = winner.value.get(OPERATION_ID, "unknown")
+    order_id, *_ = list_operations(winner) or ["unknown"]
     return OrderConflict(
         f"order {order_id} came first with revision {winner.revision}; "
         "nothing was written"
--- a/src/mangohatch/state/lease.py
+++ b/src/mangohatch/state/lease.py
@@ -11,7 +11,7 @@
 from mangohatch.store.base import ObjectStore, StoredObject
 from mangohatch.store.operations import (
     OPERATION_FIELDS,
-    OPERATION_ID,
+    list_operations,
     put_resolved,
     with_operation,
 )
@@ -49,7 +49,7 @@
     :param item: the lease object as read, None when there is none
     :return: the lease, None when it is missing or invalid
     """
-    if item is None:
+    if item is None or not isinstance(item.value, dict):
         return None
     fields: dict[str, Any] = {
         name: value
@@ -234,4 +234,4 @@
             rng=self._rng,
             attempts=MAX_WRITES,
         )
-        return item if item.value[OPERATION_ID] == operation_id else None
+        return item if list_operations(item)[:1] == [operation_id] else None
--- a/src/mangohatch/store/base.py
+++ b/src/mangohatch/store/base.py
@@ -22,13 +22,14 @@
     """
     An object; ``revision`` is the store-wide write count at its last write.
 
-    ``created`` is that at its first write, None if the store does not say.
+    ``value`` is of any JSON type if another writer wrote the object. ``created`` is the
+    count at its first write, None if the store does not say.
     """
 
     kind: str
     name: str
     revision: int
-    value: dict[str, Any]
+    value: Any
     created: int | None = None
 
 
--- a/src/mangohatch/store/operations.py
+++ b/src/mangohatch/store/operations.py
@@ -13,6 +13,7 @@
     "OPERATION_ID",
     "OPERATION_FIELDS",
     "holds_operation",
+    "list_operations",
     "put_resolved",
     "with_operation",
 ]
@@ -38,17 +39,29 @@
     :param base: the object to replace, None when there is none
     :return: copy of the value with the ids
     """
-    earlier: list[str] = []
-    if base is not None:
-        earlier = [base.value.get(OPERATION_ID, "")]
-        earlier += base.value.get(EARLIER_OPERATIONS, [])
     marks = {
         OPERATION_ID: operation_id,
-        EARLIER_OPERATIONS: earlier[:MAX_EARLIER_OPERATIONS],
+        EARLIER_OPERATIONS: list_operations(base)[:MAX_EARLIER_OPERATIONS],
     }
     return value | marks
 
 
+def list_operations(item: StoredObject | None) -> list[str]:
+    """
+    List the writes whose ids an object holds, the latest first.
+
+    :param item: the object as read, None when there is none
+    :return: ids of the writes; empty when another writer wrote the object
+    """
+    if item is None or not isinstance(item.value, dict):
+        return []
+    latest = item.value.get(OPERATION_ID)
+    earlier = item.value.get(EARLIER_OPERATIONS, [])
+    if not isinstance(latest, str) or not isinstance(earlier, list):
+        return []
+    return [latest, *earlier]
+
+
 def holds_operation(item: StoredObject | None, operation_id: str) -> bool:
     """
     Return whether a write took effect, also when a later write replaced the object.
@@ -57,11 +70,7 @@
     :param operation_id: id of the write
     :return: whether the object holds the id as its own or as that of an earlier write
     """
-    if item is None:
-        return False
-    if item.value.get(OPERATION_ID) == operation_id:
-        return True
-    return operation_id in item.value.get(EARLIER_OPERATIONS, [])
+    return operation_id in list_operations(item)
 
 
 async def put_resolved(
--- a/tests/claims/test_sweep.py
+++ b/tests/claims/test_sweep.py
@@ -1,5 +1,6 @@
 """Tests of the deletion of expired claims."""
 
+import asyncio
 import random
 
 from mangohatch.claims import Answer
@@ -105,3 +106,16 @@
     task.cancel()
     assert sweep.deleted == 20
     assert not objects.objects
+
+
+def test_object_of_another_writer_does_not_end_a_sweep(
+    loop, objects, store_registry, sweep
+):
+    for number, value in enumerate((None, 7, "x", [], {"state": "done"})):
+        objects.put(claim_kind("00"), f"00-{number}", value, None)
+    ticket = begin(loop, store_registry, "key")
+    loop.run_until_complete(ticket.finish(Outcome.DONE, ANSWER))
+    loop.run_until_complete(asyncio.sleep(2 * CFG.retention_ms / 1000))
+    sweep_all(loop, sweep)
+    assert sweep.deleted == 1
+    assert stored(objects, "key") is None
--- a/tests/store/test_foreign_objects.py
+++ b/tests/store/test_foreign_objects.py
@@ -2,19 +2,24 @@
 
 import contextlib
 import json
+from dataclasses import replace
 
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
+from mangohatch.claims.record import read_claim
 from mangohatch.clock import ManualClock
 from mangohatch.core.tables import Tables
 from mangohatch.errors import StoreUnavailable
+from mangohatch.orders.writer import make_conflict_error
 from mangohatch.state import ConfigTable
 from mangohatch.state.items import service_value
+from mangohatch.state.lease import read_lease
 from mangohatch.store.base import Listing, StoredObject
 from mangohatch.store.host_list import HttpHostList
 from mangohatch.store.http_store import HttpObjectStore
+from mangohatch.store.operations import holds_operation, with_operation
 from mangohatch.timeline.recorder import HybridClock, Recorder
 from tests.fixtures import make_service
 from tests.functions import function_tests
@@ -104,6 +109,7 @@
     OBJECT | {"name": "b", "revision": True},
     {key: OBJECT[key] for key in ("kind", "name", "revision")},
 )
+NO_VALUES = (None, 7, "x", [], [1], {}, {"operation_id": 7, "earlier_operations": 7})
 
 
 @contextlib.contextmanager
@@ -166,3 +172,14 @@
 def make_recorder():
     clock = HybridClock(clock=ManualClock())
     return Recorder(host="e1", zone="puno", clock=clock)
+
+
+def test_value_of_another_writer_is_no_claim_and_no_lease():
+    for value in NO_VALUES:
+        stored = StoredObject(kind="lease", name="watch", revision=5, value=value)
+        assert read_claim(value) is None, value
+        assert read_lease(stored) is None, value
+        assert not holds_operation(stored, "op-1"), value
+        marked = with_operation({"x": 1}, operation_id="op-1", base=stored)
+        assert holds_operation(replace(stored, value=marked), "op-1"), value
+        assert "came first" in str(make_conflict_error(stored))
