Read a list on behind an object without a name

Hosts would see: an object whose metadata or name can't be read stands last on a page, and every reading of the list fails; hosts that start know no upstream.

Cause: the next page was asked for by the name of the last object, so an object without one ended the reading.

Change: `last_name` of a page is that of its last object that has a name. The next page begins with the nameless object then.

An object without a name that is alone on its page still fails the reading: nothing tells what to ask for next. The store names its objects itself.

--- a/src/mangohatch/platform/listing.py
+++ b/src/mangohatch/platform/listing.py
@@ -34,8 +34,8 @@
     """
     A page of a list of objects.
 
-    ``last_name`` is the name of its last object as the store wrote it, usable or not;
-    empty if the page has none, or nothing that could be a name.
+    ``last_name`` is the name of its last object that has one, as the store wrote it,
+    whether the object is usable or not; empty if none has.
     """
 
     items: Sequence[StoredObject]
@@ -66,7 +66,6 @@
     elements = require_field(fields, "items", list)
     items: list[StoredObject] = []
     rejected: list[RejectedObject] = []
-    item_fields: Any = None
     for element in elements:
         item_fields = element
         try:
@@ -87,7 +86,7 @@
             "store_revision", fields.get("store_revision"), 0, MAX_REVISION
         ),
         has_more=require_field(fields, "has_more", bool),
-        last_name=encode_name(find_name(item_fields), encoding_errors),
+        last_name=encode_name(find_last_name(elements), encoding_errors),
     )
 
 
@@ -125,21 +124,42 @@
     )
 
 
-def find_name(fields: Any) -> str:
+def find_last_name(elements: Sequence[Any]) -> str:
+    """
+    Return the name of the last object of a page that has one.
+
+    :param elements: the decoded objects, or what stands in their places
+    :return: the name, empty if none has one
+    """
+    return next(filter(None, map(find_name, reversed(elements))), UNNAMED)
+
+
+def find_name(element: Any) -> str:
     """
     Return the name of an object, whether this host can use it or not.
 
-    :param fields: the decoded object, or what stands in its place
+    :param element: the decoded object, or what stands in its place
     :return: the name, empty if there is nothing that could be one
     """
-    metadata = fields.get("metadata") if isinstance(fields, dict) else None
-    if isinstance(metadata, Undecoded):
+    metadata = find_member(element, "metadata")
+    name = find_member(metadata, "name")
+    return name if isinstance(name, str) else UNNAMED
+
+
+def find_member(fields: Any, key: str) -> Any:
+    """
+    Return a member of an object, also of one that can't be decoded as a whole.
+
+    :param fields: the object, or what stands in its place
+    :param key: key of the member
+    :return: the value, None if there is none
+    """
+    if isinstance(fields, Undecoded):
         try:
-            metadata = scan_object(metadata.text)
+            fields = scan_object(fields.text)
         except DocumentError:
-            return UNNAMED
-    name = metadata.get("name") if isinstance(metadata, dict) else None
-    return name if isinstance(name, str) else UNNAMED
+            return None
+    return fields.get(key) if isinstance(fields, dict) else None
 
 
 def encode_name(name: str, errors: str) -> bytes:
--- a/tests/platform/test_pages.py
+++ b/tests/platform/test_pages.py
@@ -82,9 +82,9 @@
     return name, f'{{"metadata": {metadata}, "spec": {{"x": 1}}}}'
 
 
-def read_list(kind, pages):
+def read_list(kind, pages, make_store=PagedStore):
     store = PlatformStore(address=("127.0.0.1", 1), timeout_ms=1.0)
-    answers = PagedStore(pages)
+    answers = make_store(pages)
 
     async def read():
         store._caller = answers
@@ -133,6 +133,32 @@
     check()
 
 
+NAMELESS = ("null", "7", "{}", '{"metadata": null}', '{"metadata": {"name": 7}}')
+
+
+class SizedStore(PagedStore):
+    """Answers calls for a list with pages of two objects."""
+
+    async def call(self, method, path):
+        objects = [item for page in self.pages for item in page]
+        after = unquote_to_bytes(path.partition("?after=")[2])
+        first = 0
+        if after:
+            first = [key for key, _ in objects].index(after) + 1
+        page = objects[first : first + 2]
+        stored = PagedStore([page, page] if first + 2 < len(objects) else [page])
+        return await stored.call(method, path.partition("?")[0])
+
+
+def test_object_without_a_name_at_the_end_of_a_page_is_passed_over():
+    # The page before it was all that was read, and the reading failed.
+    for text in NAMELESS:
+        objects = [make_object(f"sound-{number}") for number in range(5)]
+        objects.insert(3, (b"sound-2a", text))
+        names, _ = read_list("servers", [objects], SizedStore)
+        assert names == {f"sound-{number}" for number in range(5)}, text
+
+
 def test_pages_that_do_not_advance_fail_the_reading():
     # Such a list was read on without end.
     page = [make_object("i-1")]
