Test foreign entries among configurations, on long pages and in a watch

The foreign entries of test_foreign_entries stand among the configurations too. A fourth play has 892 of them on pages of 500, with names that differ in what some encoding takes for the same character, while one call in five gets no answer: all requests got 200 before and after all hosts were killed and started again. A watch of the platform's store returns whatever its events hold, as hosts read the list behind it.

--- a/src/standins/host_processes/store.py
+++ b/src/standins/host_processes/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import time
 from collections import deque
 from collections.abc import Callable
@@ -74,6 +75,8 @@
                 request = await read_message(reader)
                 if self.state is DoorState.SILENT:
                     await self._never.wait()
+                if self._store.loses_call():
+                    return
                 method, target, _ = request.line.split(" ")
                 status, content = await self._store.answer(method, target)
                 body = json.dumps(content).encode()
@@ -93,7 +96,8 @@
     """
     Objects by kind and name, which hosts list and watch over addresses of theirs.
 
-    Answers name the ``era`` if the store ``tells_era``.
+    Answers name the ``era`` if the store ``tells_era``. A share of the calls,
+    ``lost_share``, gets no answer.
 
     :param page_size: most objects of a page
     :param page_bytes: size from which a page takes no further object
@@ -110,10 +114,12 @@
         self._page_size = page_size
         self._page_bytes = page_bytes
         self._decode = decode
+        self._rng = random.Random(1)
         self.revision = 100
         self.available = True
         self.era = 0
         self.tells_era = False
+        self.lost_share = 0.0
         self.doors: dict[str, Door] = {}
         self._objects: Objects = {}
         self._changed: dict[str, int] = {}
@@ -141,6 +147,14 @@
         for door in self.doors.values():
             await door.set_state(state)
 
+    def loses_call(self) -> bool:
+        """
+        Return whether the connection of a call ends without an answer.
+
+        :return: the decision, drawn for each call
+        """
+        return self._rng.random() < self.lost_share
+
     async def wait_available(self) -> None:
         """Wait until the store takes writes."""
         while not self.available:
--- a/tests/soak/test_foreign_entries.py
+++ b/tests/soak/test_foreign_entries.py
@@ -1,7 +1,7 @@
 """Real hosts beside entries of another writer in the list of upstreams."""
 
 import asyncio
-from urllib.parse import unquote, unquote_plus
+from urllib.parse import unquote
 
 from standins.host_processes import FleetStore
 from tests.functions import function_tests
@@ -29,14 +29,17 @@
     "i-5león",
     "i-9&+#% ",
 )
+MARKS = ("&", "+", "#", "%", " ", "%2B", "%20", "é", "e\u0301", "É", "/")
 FOREIGN = {"info": {"service": SERVICE}, "padding": "x" * PAGE_BYTES}
 
 
-async def play(*, decode=unquote_plus, page_size=500, spec=FOREIGN):
+async def play(*, names=NAMES, spec=FOREIGN, lost_share=0.0, **parts):
     """Check that all hosts serve before and after a restart, and follow changes."""
-    store = FleetStore(page_size=page_size, page_bytes=PAGE_BYTES, decode=decode)
-    for name in NAMES:
-        store.put("servers", name, spec)
+    store = FleetStore(**{"page_bytes": PAGE_BYTES} | parts)
+    store.lost_share = lost_share
+    for name in names:
+        for kind in ("servers", "config"):
+            store.put(kind, name, spec)
     async with open_deployment(store) as site:
         for number in range(UPSTREAMS):
             await site.add_upstream(f"i-{number}")
@@ -66,3 +69,10 @@
 
 async def test_small_entries_on_pages_of_one_object():
     await play(page_size=1, spec={})
+
+
+async def test_pages_of_500_objects_beside_lost_answers():
+    # The names differ in what some encoding takes for the same character.
+    others = [f"i-{number % 6}{mark}{number}" for number, mark in enumerate(MARKS * 80)]
+    names = [*NAMES, *others]
+    await play(names=names, spec={}, page_bytes=1_048_576, lost_share=0.2)
--- a/tests/store/test_malformed_answers.py
+++ b/tests/store/test_malformed_answers.py
@@ -126,6 +126,14 @@
             assert (event is not None) is (status == b"200"), (status, event)
 
 
+async def test_watch_of_the_platform_returns_whatever_its_events_hold():
+    for events in (b"", b"{", b"\xff", b"[" * 5_000, b'{"events": [null]}'):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(events)
+        async with answer_with(head + events) as port:
+            store = PlatformStore(address=(LOOPBACK, port), timeout_ms=TIMEOUT_MS)
+            await store.watch("evacuations", 5)
+
+
 async def test_status_that_is_none_of_http_is_no_answer_to_a_call():
     await check(list_malformed_statuses)
 
