Take a write with an unreadable answer for one of unknown outcome

Hosts would see: the object API makes a write and its answer, with the status 200, can't be read; the write counts as one that was refused before it took effect, so its outcome is not resolved.

Cause: a malformed answer raises CallUnanswered, which is a StoreUnavailable; only failures of the call itself became StoreWriteUnknown.

Change: `put` raises StoreWriteUnknown for such an answer too.

Evidence: test_write_with_an_unreadable_answer_may_have_been_made (six bodies) failed before with CallUnanswered and passes now.

--- a/src/mangohatch/store/http_store.py
+++ b/src/mangohatch/store/http_store.py
@@ -94,7 +94,10 @@
     ) -> StoredObject:
         path = object_path(kind, name) + expected_query(expected_revision)
         reply = await self._write("PUT", path, json.dumps(value).encode())
-        return read_object(read_body(reply, OK))
+        try:
+            return read_object(read_body(reply, OK))
+        except CallUnanswered as exc:
+            raise StoreWriteUnknown(f"{path}: {exc}") from exc
 
     async def delete(self, kind: str, name: str, *, expected_revision: int) -> None:
         path = object_path(kind, name) + expected_query(expected_revision)
--- a/tests/store/test_malformed_answers.py
+++ b/tests/store/test_malformed_answers.py
@@ -134,6 +134,18 @@
             await store.watch("evacuations", 5)
 
 
+async def test_write_with_an_unreadable_answer_may_have_been_made():
+    for body in (b"", b"{", b"\xff", b"null", b"7", b'{"name": 7}'):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        async with answer_with(head + body) as port:
+            store = HttpObjectStore(
+                address=LOOPBACK, port=port, role="state", timeout_ms=TIMEOUT_MS
+            )
+            call = store.put("k", "n", {}, expected_revision=None)
+            await expect_failure("put", call, body)
+            store.close()
+
+
 async def test_status_that_is_none_of_http_is_no_answer_to_a_call():
     await check(list_malformed_statuses)
 
