Drop what was read from a caller's connection when it ends

Cause: the stream of a connection is part of reference cycles, so it is freed only by a collection of the oldest generation, and kept until then what had been read and not used. How much there is depends on when the collector runs.

Change: a session drops the read buffer of its stream once it is closed.

--- a/src/mangohatch/entry/session.py
+++ b/src/mangohatch/entry/session.py
@@ -77,6 +77,7 @@
             pass
         finally:
             self.stream.close()
+            drop_unread(self.stream)
 
     def _make_connection(self) -> CallerConnection:
         return CallerConnection(stream=self.stream, limits=self._server.limits)
@@ -276,6 +277,18 @@
     return bool(poll.poll(0))
 
 
+def drop_unread(stream: IOStream) -> None:
+    """
+    Drop the bytes that were read from a connection and not used.
+
+    A stream is part of reference cycles, so that it is collected long after its end.
+
+    :param stream: a closed connection of a caller
+    """
+    stream._read_buffer = bytearray()
+    stream._read_buffer_size = 0
+
+
 def has_unread_input(stream: IOStream) -> bool:
     """
     Return whether the socket of a stream holds bytes that were not read.
--- a/tests/entry/test_ended_requests.py
+++ b/tests/entry/test_ended_requests.py
@@ -62,6 +62,30 @@
         assert response.headers["x-error-code"] == "request_timeout"
 
 
+async def test_connection_that_has_ended_keeps_no_bytes_of_its_caller():
+    # Garbage is collected late: hosts with many senders kept over 100 MB of them.
+    starts = (
+        b"GET /a/x HTTP/1.1\r\nX: ",
+        request(method="POST", **{"Content-Length": "60000000"}),
+        b"nonsense\r\n\r\n",
+    )
+    for start in starts:
+        async with open_entry(answer) as (entry, _):
+            caller = await entry.connect()
+            await caller.send(start)
+            await wait_until(lambda entry=entry: entry.server.sessions)
+            (session,) = entry.server.sessions
+            for _ in range(16):
+                caller.writer.write(PIECE)
+                await asyncio.sleep(0)
+            caller.writer.transport.abort()
+            async with asyncio.timeout(TIMEOUT_S):
+                while entry.server.sessions:
+                    entry.pass_time(CHECK_MS)
+                    await asyncio.sleep(0)
+            assert not session.stream._read_buffer, start
+
+
 class Unread:
     """An upstream that works before it reads the body of a request."""
 
