Name the first final status code in one place

The reader of heads and the client of the platform's services each had a constant of their own for it.

--- a/src/mangohatch/store/http_call.py
+++ b/src/mangohatch/store/http_call.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from mangohatch.errors import StoreRateLimited, StoreUnavailable
+from mangohatch.wire import FIRST_FINAL_CODE
 
 __all__ = ["CallUnanswered", "HttpCaller", "HttpReply"]
 
@@ -14,7 +15,6 @@
 MAX_CONCURRENT_CALLS = 200
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 DEFAULT_RETRY_AFTER_MS = 1000.0
-FIRST_FINAL_CODE = 200
 RATE_LIMITED = 429
 FIRST_SERVER_ERROR = 500
 MS_PER_S = 1000.0
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -21,7 +21,13 @@
 from mangohatch.errors import ResponseUnframed, UpstreamAborted, UpstreamUnreachable
 from mangohatch.upstream.body_end import BodyEnd
 from mangohatch.upstream.dialer import Dialer, open_stream
-from mangohatch.wire import format_head, parse_fields, parse_status_line, send
+from mangohatch.wire import (
+    FIRST_FINAL_CODE,
+    format_head,
+    parse_fields,
+    parse_status_line,
+    send,
+)
 
 __all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
 
@@ -38,7 +44,6 @@
 MAX_DISCARDED_BYTES = 1_048_576  # reading more costs more than a new connection
 MAX_INTERIM_RESPONSES = 10
 SWITCHING_PROTOCOLS = 101
-FIRST_FINAL_CODE = 200
 # Requests with these methods always have a body, which may be empty.
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 NO_CONTENT = 204
--- a/src/mangohatch/wire.py
+++ b/src/mangohatch/wire.py
@@ -10,11 +10,18 @@
 )
 from tornado.iostream import IOStream
 
-__all__ = ["STATUS_CODES", "format_head", "parse_fields", "parse_status_line", "send"]
+__all__ = [
+    "FIRST_FINAL_CODE",
+    "format_head",
+    "parse_fields",
+    "parse_status_line",
+    "send",
+]
 
 CRLF = "\r\n"
 WHITESPACE = " \t"
 STATUS_CODES = range(100, 600)  # the valid ones of RFC 9110, section 15
+FIRST_FINAL_CODE = 200  # lower ones are those of interim responses
 
 
 def parse_status_line(text: str) -> ResponseStartLine:
