Test that a malformed answer ends its connection, and one that comes at times

After a malformed second answer on a kept connection the next request gets 200 over a new one, with each of the statuses, names and interim responses.

--- a/src/standins/host_processes/malformed.py
+++ b/src/standins/host_processes/malformed.py
@@ -18,22 +18,29 @@
 
 class MalformedUpstream(QueueingUpstream):
     """
-    Answers each request with a malformed head, whose body looks like a sound answer.
+    Answers requests with malformed heads, whose bodies look like sound answers.
 
-    ``sent`` counts the answers by kind.
+    ``sent`` counts these answers by kind.
 
     :param list_answers: lists the answers by kind, for given header fields and a body
     :param checks_too: whether health checks are answered so as well
+    :param one_in: of how many requests one gets such an answer
     :param parts: arguments of :class:`QueueingUpstream`
     """
 
     def __init__(
-        self, *, list_answers: ListAnswers, checks_too: bool = False, **parts: Any
+        self,
+        *,
+        list_answers: ListAnswers,
+        checks_too: bool = False,
+        one_in: int = 1,
+        **parts: Any,
     ) -> None:
         super().__init__(**parts)
         self._list_answers = list_answers
         self.sent: Counter[str] = Counter()
         self._numbers = itertools.count()
+        self._turns = itertools.cycle([True] + [False] * (one_in - 1))
         self._checks_too = checks_too
 
     async def _handle(
@@ -43,7 +50,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         is_check = request.line.split(" ")[1] == HEALTH_PATH
-        if is_check and not self._checks_too:
+        if (is_check and not self._checks_too) or not next(self._turns):
             return await super()._handle(request, reader, writer)
         request_id = request.fields.get("request-id", "")
         fields = {
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -126,9 +126,9 @@
 
 
 async def check_kept_connection(answers):
-    """Check that the second answer on a connection reaches no caller."""
+    """Check that a second answer reaches no caller and ends its connection."""
     for name, data in answers(FIELDS | {"Request-Id": "r2"}, FORGED).items():
-        rest = [success("r1"), data]
+        rest = [success("r1"), data, success("r3")]
 
         async def script(upstream, message, writer, rest=rest):
             writer.write(rest.pop(0))
@@ -137,8 +137,10 @@
             assert (await fetch(caller, UNSAFE)).status == 200
             response = await fetch(caller, UNSAFE, request_id="r2")
             assert response.status == 502, (name, response)
-            assert sent(upstreams) == 2
             assert upstreams[0].connections == 1
+            assert (await fetch(caller, UNSAFE, request_id="r3")).status == 200
+            assert sent(upstreams) == 3
+            assert upstreams[0].connections == 2
 
 
 async def check_hedge(answers):
--- a/tests/soak/test_malformed_answers.py
+++ b/tests/soak/test_malformed_answers.py
@@ -18,7 +18,7 @@
 MIN_SENT = 6
 
 
-async def play(list_answers, *, checks_too=False):
+async def play(list_answers, **faults):
     """Check what callers get while one upstream of four is in trouble."""
     async with open_deployment() as site:
         for number in range(SOUND):
@@ -29,7 +29,7 @@
             "i-faulty",
             MalformedUpstream,
             list_answers=list_answers,
-            checks_too=checks_too,
+            **faults,
         )
         safe, unsafe = [], []
         for _ in range(ROUNDS):
@@ -65,3 +65,7 @@
 
 async def test_health_checks_answered_after_an_interim_response_with_a_body():
     await play(list_framed_interims, checks_too=True)
+
+
+async def test_answers_that_are_malformed_at_times():
+    await play(list_malformed_statuses, one_in=3)
