--- a/src/mangohatch/store/base.py
+++ b/src/mangohatch/store/base.py
@@ -39,8 +39,8 @@
     All objects of a kind; the store was at ``revision`` when they were read.
 
     ``unreadable`` holds the names of those that can't be used, ``UNNAMED`` for one
-    without a readable name. ``era`` counts how often
-    the store came back from an older copy, None if it does not say.
+    without a readable name. ``era`` counts how often the store came back from an older
+    copy, None if it does not say.
     """
 
     items: Sequence[StoredObject]
--- a/tests/soak/test_foreign_entries.py
+++ b/tests/soak/test_foreign_entries.py
@@ -13,6 +13,7 @@
 UPSTREAMS = 6
 REQUESTS = 30
 DRAIN_S = 2.0
+RETURN_S = 3.0  # time after a disruption of the store until changes are on time
 PAGE_BYTES = 20_000
 # Each of these entries fills a page by itself. The upstreams sort between them.
 NAMES = (
@@ -48,6 +49,8 @@
         await site.restart()
         answers += await site.send(REQUESTS)
         assert {answer.status for answer in answers} == {200}
+        store.lost_share = 0.0
+        await asyncio.sleep(RETURN_S)
         first = site.upstreams[0]
         leaving = asyncio.create_task(first.leave(silently=False, served_s=5.0))
         await asyncio.sleep(DRAIN_S)
