--- a/src/mangohatch/entry/attempt.py
+++ b/src/mangohatch/entry/attempt.py
@@ -20,13 +20,10 @@
     UpstreamRefused,
     UpstreamWithdrawn,
 )
-from mangohatch.upstream.connection import (
-    ResponseHead,
-    ResponseSink,
-    UpstreamConnection,
-)
+from mangohatch.upstream.connection import UpstreamConnection
 from mangohatch.upstream.liveness import SilenceDetector
 from mangohatch.upstream.pool import ConnectionPool
+from mangohatch.upstream.response import ResponseHead, ResponseSink
 
 __all__ = ["AttemptRunner"]
 
--- a/src/mangohatch/entry/continuation.py
+++ b/src/mangohatch/entry/continuation.py
@@ -9,7 +9,7 @@
 from mangohatch.entry.sink import CallerSink
 from mangohatch.errors import ContinuationFailed
 from mangohatch.upstream.body_end import BodyEnd
-from mangohatch.upstream.connection import ResponseHead, ResponseSink
+from mangohatch.upstream.response import ResponseHead, ResponseSink
 
 __all__ = [
     "Continuation",
--- a/src/mangohatch/entry/keyed.py
+++ b/src/mangohatch/entry/keyed.py
@@ -15,7 +15,7 @@
 from mangohatch.entry.sink import CallerSink
 from mangohatch.errors import AnswerNotKept, Outcome
 from mangohatch.upstream.body_end import BodyEnd
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 
 __all__ = ["claim", "is_keyed", "make_answer", "replay"]
 
--- a/src/mangohatch/entry/native.py
+++ b/src/mangohatch/entry/native.py
@@ -22,7 +22,7 @@
 from mangohatch.entry.protocol import ErrorResponse, ProtocolAdapter
 from mangohatch.entry.request import make_call, prepare_headers, read_request_id
 from mangohatch.errors import Outcome, RequestError
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 
 __all__ = ["NativeProtocol"]
 
--- a/src/mangohatch/entry/protocol.py
+++ b/src/mangohatch/entry/protocol.py
@@ -10,7 +10,7 @@
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.core.tables import Tables, UpstreamRow
 from mangohatch.errors import Outcome, RequestError
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 
 if TYPE_CHECKING:
     from mangohatch.entry.active import ActiveRequest
--- a/src/mangohatch/entry/race.py
+++ b/src/mangohatch/entry/race.py
@@ -11,7 +11,7 @@
 from mangohatch.entry.sink import CallerSink
 from mangohatch.errors import AttemptSuperseded, RequestError, UpstreamWithdrawn
 from mangohatch.upstream.body_end import BodyEnd
-from mangohatch.upstream.connection import ResponseHead, ResponseSink
+from mangohatch.upstream.response import ResponseHead, ResponseSink
 
 __all__ = ["Race", "RaceSink"]
 
--- a/src/mangohatch/entry/retry.py
+++ b/src/mangohatch/entry/retry.py
@@ -17,7 +17,7 @@
     UpstreamUnreachable,
     UpstreamWithdrawn,
 )
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 
 __all__ = [
     "is_not_run",
--- a/src/mangohatch/entry/sink.py
+++ b/src/mangohatch/entry/sink.py
@@ -10,7 +10,7 @@
 from mangohatch.entry.protocol import ProtocolAdapter
 from mangohatch.errors import Outcome, UpstreamAborted
 from mangohatch.upstream.body_end import BodyEnd
-from mangohatch.upstream.connection import ResponseHead, ResponseSink
+from mangohatch.upstream.response import ResponseHead, ResponseSink
 
 __all__ = ["CallerSink", "reset_connection"]
 
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -34,7 +34,7 @@
     is_not_run,
     read_statement,
 )
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 
 __all__ = ["PlatformProtocol"]
 
--- a/src/mangohatch/platform/statement.py
+++ b/src/mangohatch/platform/statement.py
@@ -10,7 +10,7 @@
 from mangohatch.core.load import UpstreamLoad
 from mangohatch.core.statement import UpstreamStatement
 from mangohatch.platform.values import MAX_COLD_MS
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 
 __all__ = [
     "NOT_EXECUTED",
--- a/src/mangohatch/upstream/connection.py
+++ b/src/mangohatch/upstream/connection.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import socket
-from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Awaitable
-from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -12,7 +10,6 @@
     HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
-    ResponseStartLine,
 )
 from tornado.iostream import StreamClosedError
 
@@ -21,6 +18,13 @@
 from mangohatch.errors import ResponseUnframed, UpstreamAborted, UpstreamUnreachable
 from mangohatch.upstream.body_end import BodyEnd
 from mangohatch.upstream.dialer import Dialer, open_stream
+from mangohatch.upstream.response import (
+    DiscardingSink,
+    ResponseHead,
+    ResponseSink,
+    check_interim,
+    is_framed,
+)
 from mangohatch.wire import (
     FIRST_FINAL_CODE,
     format_head,
@@ -29,7 +33,7 @@
     send,
 )
 
-__all__ = ["ResponseHead", "ResponseSink", "UpstreamConnection"]
+__all__ = ["UpstreamConnection"]
 
 HEAD_END = b"\r?\n\r?\n"
 # Matches as soon as the first bytes can't begin a status line, so that they are given
@@ -43,10 +47,8 @@
 MAX_BODY_BYTES = 1 << 40
 MAX_DISCARDED_BYTES = 1_048_576  # reading more costs more than a new connection
 MAX_INTERIM_RESPONSES = 10
-SWITCHING_PROTOCOLS = 101
 # Requests with these methods always have a body, which may be empty.
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
-NO_CONTENT = 204
 NOT_MODIFIED = 304
 
 CONNECTION_PARAMS = HTTP1ConnectionParameters(
@@ -56,59 +58,6 @@
 )
 
 
-@dataclass(slots=True, kw_only=True)
-class ResponseHead:
-    """Status line and header fields of a response."""
-
-    line: ResponseStartLine
-    headers: HTTPHeaders
-
-
-class ResponseSink(ABC):
-    """Receives a response as it arrives; implementations must not raise."""
-
-    @abstractmethod
-    def start(self, head: ResponseHead, *, body_pending: bool) -> None:
-        """
-        Start a response whose framing is valid.
-
-        :param head: status line and header fields; the sink may modify them
-        :param body_pending: whether the response has a body of which no bytes have
-            arrived
-        """
-
-    @abstractmethod
-    def write(self, chunk: bytes) -> Awaitable[None] | None:
-        """
-        Write the next chunk of the body.
-
-        :param chunk: next bytes of the body
-        :return: awaitable that must finish before the next chunk is written; None when
-            the next chunk can be written immediately
-        """
-
-    @abstractmethod
-    def finish(self, end: BodyEnd) -> None:
-        """
-        Record how the body ended, once for each started response.
-
-        :param end: how it ended
-        """
-
-
-class DiscardingSink(ResponseSink):
-    """Discards a response whose content is not needed."""
-
-    def start(self, head: ResponseHead, *, body_pending: bool) -> None:
-        return None
-
-    def write(self, chunk: bytes) -> Awaitable[None] | None:
-        return None
-
-    def finish(self, end: BodyEnd) -> None:
-        return None
-
-
 class SinkDelegate(HTTPMessageDelegate):
     """Adapts a sink to tornado's delegate interface."""
 
@@ -358,28 +307,3 @@
     def _has_body(self, code: int) -> bool:
         assert self._request_start_line is not None
         return self._request_start_line.method != "HEAD" and code != NOT_MODIFIED
-
-
-def check_interim(head: ResponseHead) -> None:
-    """
-    Check that a final response follows the head of an interim one.
-
-    :param head: head of an interim response
-    :raises UpstreamAborted: when the protocol changes, or the head tells of a body,
-        whose bytes could be taken for the next head
-    """
-    if head.line.code == SWITCHING_PROTOCOLS:
-        raise UpstreamAborted("the upstream switched protocols")
-    if "Content-Length" in head.headers or "Transfer-Encoding" in head.headers:
-        raise UpstreamAborted("an interim response tells of a body")
-
-
-def is_framed(head: ResponseHead) -> bool:
-    """
-    Return whether a truncation of a response can be detected.
-
-    :param head: head of a response with a body
-    :return: False when the body is delimited only by the end of the connection
-    """
-    framed = "Content-Length" in head.headers or "Transfer-Encoding" in head.headers
-    return framed or head.line.code == NO_CONTENT
--- a/src/mangohatch/upstream/load_probe.py
+++ b/src/mangohatch/upstream/load_probe.py
@@ -11,11 +11,9 @@
 from mangohatch.errors import HostCutOff, RequestError, UpstreamUnreachable
 from mangohatch.loop_tasks import cancel_all
 from mangohatch.probing import LoadProbe, ProbeResult
-from mangohatch.upstream.connection import (
-    ResponseHead,
-    UpstreamConnection,
-)
+from mangohatch.upstream.connection import UpstreamConnection
 from mangohatch.upstream.dialer import Dialer, Reuse
+from mangohatch.upstream.response import ResponseHead
 
 __all__ = ["HttpLoadProbe", "ReadProbe"]
 
--- a/src/standins/simulated_fleet/host.py
+++ b/src/standins/simulated_fleet/host.py
@@ -24,7 +24,7 @@
 from mangohatch.peer.datagram import PeerAddress
 from mangohatch.platform.protocol import PlatformProtocol
 from mangohatch.platform.statement import read_probe
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 from standins.simulated_fleet.documents import apply_part, read_configuration
 from standins.simulated_fleet.network import HostLimits, PeerNetwork
 from standins.simulated_fleet.requests import SimulatedRequest
--- a/tests/platform/test_drawn_data.py
+++ b/tests/platform/test_drawn_data.py
@@ -15,7 +15,7 @@
 from mangohatch.platform.source import encode_configuration
 from mangohatch.platform.statement import read_probe
 from mangohatch.platform.values import DocumentError
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 from tests.functions import function_tests
 from tests.platform.site import configuration, route
 from tests.platform.test_foreign_entries import FIELDS, SOUND
--- a/tests/platform/test_protocol.py
+++ b/tests/platform/test_protocol.py
@@ -20,7 +20,7 @@
     UpstreamFailed,
 )
 from mangohatch.platform.protocol import PlatformProtocol
-from mangohatch.upstream.connection import ResponseHead
+from mangohatch.upstream.response import ResponseHead
 from tests.functions import fixture, function_tests
 
 load_tests = function_tests(__name__)
