Log by which version of the configuration requests are refused

Pulls between hosts were not counted. Change: request_refused, key_rejected and host_ready name the version and the age of what the host knows, request_ended the version by which the request was admitted, directory_learned the number of pulls; metrics for the version, pulls and dropped pulls. No decision changes.

--- a/src/mangohatch/core/call.py
+++ b/src/mangohatch/core/call.py
@@ -42,6 +42,7 @@
     ``allowed_regions`` may run the call; None means that there is no restriction. A
     ``hedge`` is a second attempt beside one that runs; it is sent at once or not at
     all.
+    ``config_version`` is the version of the configuration by which it was admitted.
     ``account`` is the client account that the caller's key identifies, empty for none,
     and ``key_digest`` the digest of that key; ``account_priority`` comes before
     ``priority``.
@@ -71,6 +72,7 @@
     account: str = ""
     key_digest: bytes = b""
     account_priority: int = 0
+    config_version: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/mangohatch/core/routes.py
+++ b/src/mangohatch/core/routes.py
@@ -62,6 +62,11 @@
         self._order = (0, 0)
         self._by_host: dict[str, dict[str, Route]] = {}
 
+    @property
+    def version(self) -> int:
+        """Version that the operator gave the active configuration, 0 for none."""
+        return self._order[0]
+
     def apply(
         self, routes: tuple[Route, ...], *, revision: int, version: int = 0
     ) -> bool:
--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -167,6 +167,16 @@
         """Number of calls to the store without a usable answer."""
         return self._reader.failed_calls + self.watches.failed_calls
 
+    @property
+    def pulls(self) -> int:
+        """Number of requests for content that this host has sent to others."""
+        return sum(item.puller.requests for item in self._parts.values())
+
+    @property
+    def dropped_pulls(self) -> int:
+        """Number of requests for content that this host could not serve in time."""
+        return self._sender.dropped
+
     @property
     def known(self) -> bool:
         """Whether this host has received every part at least once."""
@@ -373,6 +383,7 @@
                 items=len(items),
                 behind_ms=behind_ms,
                 age_ms=int(self.age_ms(mark.part)),
+                pulls=item.puller.attempts,
             )
             self._gossip.spread_change(urgent=item.state.watched)
             self._publish(item, payload)
--- a/src/mangohatch/directory/puller.py
+++ b/src/mangohatch/directory/puller.py
@@ -34,6 +34,8 @@
     the missing pieces only. A host that has just received a large part can serve few
     others, so they must not all wait for it.
 
+    ``requests`` counts the pulls, ``attempts`` those of the latest content.
+
     :param clock: source of time
     :param bus: sends the pulls
     :param part: this host's copy of the part
@@ -50,6 +52,8 @@
         self._full_copy = False
         self._next_request_ms = 0.0
         self._last_requested = 0
+        self.requests = 0
+        self.attempts = 0
 
     def offer(self, sender: str, mark: DirectoryMark) -> None:
         """
@@ -64,6 +68,8 @@
                 self._offers = []
                 self._payload = 0
                 self._full_copy = False
+            if target is None:
+                self.attempts = 0
             self._target = mark
         elif mark.digest != target.digest:
             return
@@ -126,6 +132,8 @@
         return items
 
     def _request(self) -> None:
+        self.requests += 1
+        self.attempts += 1
         self._next_request_ms = self._clock.now_ms() + PULL_TIMEOUT_MS
         missing = list(self._assembler.list_missing(self._payload))
         self._last_requested = missing[-1] if missing else 0
--- a/src/mangohatch/directory/sender.py
+++ b/src/mangohatch/directory/sender.py
@@ -39,7 +39,7 @@
 
     The link of a small host carries 625 bytes a ms, and a configuration of 1,400 routes
     takes some 30 KB compressed. Pulls that can't be served in time are dropped;
-    the hosts turn to others, which by then have the content.
+    the hosts turn to others, which by then have the content. ``dropped`` counts them.
 
     :param clock: source of time
     :param bus: sends the pieces
@@ -59,6 +59,7 @@
         self._queue: deque[Transfer] = deque()
         self._credit_bytes = MAX_BURST_BYTES
         self._credited_ms = clock.now_ms()
+        self.dropped = 0
 
     def serve(
         self,
@@ -82,6 +83,7 @@
         )
         waiting = len(numbers) + sum(len(item.numbers) for item in self._queue)
         if self._queue and waiting * MAX_PIECE_BYTES > MAX_QUEUE_BYTES:
+            self.dropped += 1
             log.debug("directory_pull_dropped", peer=receiver, part=part.name)
             return
         transfer = Transfer(
--- a/src/mangohatch/entry/server.py
+++ b/src/mangohatch/entry/server.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+from collections.abc import Callable
 
 import structlog
 from tornado.iostream import IOStream
@@ -14,6 +15,7 @@
 from mangohatch.entry.limits import CallerLimits
 from mangohatch.entry.replay_memory import ReplayMemory
 from mangohatch.entry.session import CallerSession
+from mangohatch.errors import RequestError
 
 __all__ = ["EntryServer"]
 
@@ -25,6 +27,8 @@
 
 log = structlog.get_logger()
 
+OnRefused = Callable[[str, str, RequestError], None]
+
 
 class CallerListener(TCPServer):
     """Accepts connections for an entry server."""
@@ -61,6 +65,8 @@
     :param limits: limits of callers' connections
     :param replay_memory: bounds what request bodies keep for another attempt
     :param connection_limit: bounds the number of connections
+    :param on_refused: called with the id, the target and the error of a request that
+        ends before it is passed to the forwarder
     """
 
     def __init__(
@@ -74,12 +80,14 @@
         limits: CallerLimits | None = None,
         replay_memory: ReplayMemory | None = None,
         connection_limit: ConnectionLimit[CallerSession] | None = None,
+        on_refused: OnRefused | None = None,
     ) -> None:
         self.connection_limit = connection_limit or ConnectionLimit()
         self.limits = limits or CallerLimits()
         self.replay_memory = replay_memory or ReplayMemory()
         self.clock = clock
         self.forwarder = forwarder
+        self.on_refused = on_refused or ignore_refusal
         self.closing = False
         self._host_id = host_id
         self.tables = tables
@@ -220,3 +228,13 @@
         :return: an id that is unique across hosts, provided that host ids are unique
         """
         return f"{self._host_id}-{next(self._sequence)}"
+
+
+def ignore_refusal(request_id: str, target: str, error: RequestError) -> None:
+    """
+    Do nothing; the default of ``on_refused``.
+
+    :param request_id: id of the request
+    :param target: path and query of the request
+    :param error: why it was refused
+    """
--- a/src/mangohatch/entry/session.py
+++ b/src/mangohatch/entry/session.py
@@ -186,14 +186,18 @@
     ) -> None:
         conn = self._conn
         body = conn.make_body(headers, self._server.replay_memory)
-        call = self._protocol.make_call(
-            line=line,
-            headers=headers,
-            request_id=request_id,
-            caller=self._caller,
-            tables=self._server.tables,
-            now_ms=self._server.clock.now_ms(),
-        )
+        try:
+            call = self._protocol.make_call(
+                line=line,
+                headers=headers,
+                request_id=request_id,
+                caller=self._caller,
+                tables=self._server.tables,
+                now_ms=self._server.clock.now_ms(),
+            )
+        except RequestError as exc:
+            self._server.on_refused(request_id, line.path, exc)
+            raise
         sink = CallerSink(conn=conn, request_id=request_id, protocol=self._protocol)
         req = ActiveRequest(call=call, line=line, headers=headers, body=body, sink=sink)
         self._req = req
--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -1,6 +1,7 @@
 """Assembles one host of a fleet that shares a directory in a store."""
 
 import random
+from collections.abc import Mapping
 from functools import partial
 
 from mangohatch.clock import Clock
@@ -134,6 +135,7 @@
             metrics=self.metrics,
             dialer=relays.dialer,
             should_move=self.should_move,
+            describe_directory=self.describe_directory,
         )
         self.pool = entry.pool
         self.request_log = entry.request_log
@@ -174,6 +176,13 @@
     def _apply_part(self, part: DirectoryPart) -> None:
         self._components.apply_part(part, self._table_updater)
 
+    def describe_directory(self) -> Mapping[str, object]:
+        ages_ms = (self.follower.age_ms(part) for part in self.follower.parts)
+        return {
+            "config_version": self.tables.routes.version,
+            "directory_age_ms": int(max(ages_ms)),
+        }
+
     def should_move(self, grant: Grant) -> bool:
         """
         Return whether a request should move to another upstream.
--- a/src/mangohatch/fleet/lifecycle.py
+++ b/src/mangohatch/fleet/lifecycle.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from functools import partial
 
 import structlog
@@ -58,6 +58,14 @@
         :return: whether parts have to run more often
         """
 
+    def describe_directory(self) -> Mapping[str, object]:
+        """
+        Describe what this host knows of the directory.
+
+        :return: fields of a log line
+        """
+        return {}
+
     def _samples(self) -> Iterator[Sample]:
         yield make_counter(
             "mangohatch_loop_delay_ms",
@@ -110,7 +118,7 @@
             self._guard.run(part.name, part.tick)
         if not self._was_ready and self.not_ready() is None:
             self._was_ready = True
-            log.info("host_ready", host=self.cfg.host_id)
+            log.info("host_ready", host=self.cfg.host_id, **self.describe_directory())
 
     def _should_stop(self) -> bool:
         if self._stop_deadline_ms is None:
--- a/src/mangohatch/fleet/parts/directory.py
+++ b/src/mangohatch/fleet/parts/directory.py
@@ -57,6 +57,16 @@
                 "Calls to the store without a usable answer.",
                 follower.failed_calls,
             ),
+            (
+                "directory_pulls",
+                "Requests to other hosts for newer content.",
+                follower.pulls,
+            ),
+            (
+                "directory_pulls_dropped",
+                "Requests of other hosts that could not be served in time.",
+                follower.dropped_pulls,
+            ),
         )
 
     def samples(self) -> Iterator[Sample]:
@@ -94,6 +104,15 @@
         self._updater = updater
         self._tables = tables
 
+    def samples(self) -> Iterator[Sample]:
+        yield from super().samples()
+        yield Sample(
+            name="mangohatch_configuration_version",
+            help="Version of the configuration in force, 0 before the first one.",
+            kind=SampleKind.GAUGE,
+            value=self._tables.routes.version,
+        )
+
     def not_ready(self) -> str | None:
         return None if self._tables.routes.revision else "directory unknown"
 
--- a/src/mangohatch/fleet/parts/entry.py
+++ b/src/mangohatch/fleet/parts/entry.py
@@ -1,7 +1,7 @@
 """Requests of callers."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from mangohatch.clock import Clock
 from mangohatch.core.call import Grant
@@ -44,6 +44,7 @@
     :param metrics: counts requests and their latency
     :param dialer: opens connections to upstreams
     :param should_move: returns whether another upstream would finish sooner
+    :param describe_directory: describes the knowledge by which requests are refused
     """
 
     name = "entry"
@@ -61,12 +62,15 @@
         metrics: Metrics,
         dialer: Dialer,
         should_move: Callable[[Grant], bool],
+        describe_directory: Callable[[], Mapping[str, object]],
     ) -> None:
         self._address = cfg.entry
         self.limits = CallerLimits()
         self.pool = ConnectionPool(clock=clock, dialer=dialer)
         decisions.signs.on_leaving = self.pool.drop_idle
-        self.request_log = RequestLog(clock=clock)
+        self.request_log = RequestLog(
+            clock=clock, describe_directory=describe_directory
+        )
         observers = [self.request_log, MetricsObserver(clock=clock, metrics=metrics)]
         self.forwarder = Forwarder(
             clock=clock,
@@ -89,6 +93,7 @@
             connection_limit=ConnectionLimit(
                 most=find_max_connections(cfg.max_descriptors)
             ),
+            on_refused=self.request_log.on_refused,
         )
 
     def counters(self) -> Iterable[Counter]:
--- a/src/mangohatch/fleet/request_log.py
+++ b/src/mangohatch/fleet/request_log.py
@@ -1,13 +1,14 @@
 """Logs one line per request and per retry, at a bounded rate."""
 
 import math
+from collections.abc import Callable, Mapping
 
 import structlog
 
 from mangohatch.clock import Clock
 from mangohatch.entry.active import ActiveRequest
 from mangohatch.entry.observer import RequestObserver
-from mangohatch.errors import RequestError
+from mangohatch.errors import KeyRejected, RequestError
 
 __all__ = ["RequestLog"]
 
@@ -27,10 +28,14 @@
     about successes only half of it.
 
     :param clock: source of time
+    :param describe_directory: describes the knowledge by which requests are refused
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self, *, clock: Clock, describe_directory: Callable[[], Mapping[str, object]]
+    ) -> None:
         self._clock = clock
+        self._describe_directory = describe_directory
         self._tokens = LINES_PER_SECOND
         self._refilled_ms = clock.now_ms()
         self.dropped = 0
@@ -61,7 +66,33 @@
         :param cause: why the key was rejected
         """
         if self._take_token(reserve=0.0):
-            log.info("key_rejected", request=request_id, route=route, cause=cause)
+            log.info(
+                "key_rejected",
+                request=request_id,
+                route=route,
+                cause=cause,
+                **self._describe_directory(),
+            )
+
+    def on_refused(self, request_id: str, target: str, error: RequestError) -> None:
+        """
+        Log a request that the configuration of this host does not allow.
+
+        :param request_id: id of the request
+        :param target: path and query of the request
+        :param error: why it was refused
+        """
+        if isinstance(error, KeyRejected):
+            return  # has a line of its own, with the route
+        if self._take_token(reserve=0.0):
+            log.info(
+                "request_refused",
+                request=request_id,
+                target=target[:MAX_TARGET_CHARACTERS],
+                cause=error.code,
+                detail=error.detail,
+                **self._describe_directory(),
+            )
 
     def on_ended(self, req: ActiveRequest, error: RequestError | None) -> None:
         reserve = LINES_PER_SECOND / 2 if error is None else 0.0
@@ -76,6 +107,7 @@
             "cause": "" if error is None else error.code,
             "total_ms": round(self._clock.now_ms() - call.arrived_ms),
             "attempt": call.attempt,
+            "config_version": call.config_version,
         }
         if req.sink.head is not None:
             fields["status"] = req.sink.head.line.code
--- a/src/mangohatch/platform/protocol.py
+++ b/src/mangohatch/platform/protocol.py
@@ -134,6 +134,7 @@
             account_priority=(
                 account.priority if account else tables.accounts.lowest_priority
             ),
+            config_version=tables.routes.version,
         )
 
     @staticmethod
--- a/tests/platform/test_account_host.py
+++ b/tests/platform/test_account_host.py
@@ -78,3 +78,20 @@
         assert "key_rejected" in log
         for text in (log, metrics, str(bodies), str(served)):
             assert KEY not in text
+
+
+async def test_refusals_name_the_version_that_decided_them():
+    with tempfile.TemporaryFile() as output:
+        async with open_host(stdout=output) as host:
+            put_accounts(host, 7, account())
+            await host.wait_for_status("front", "/a/x", 401)
+            assert (await host.get("front", "/unknown/x")).status == 404
+            metrics = await host.get_metrics(METRICS_PORT)
+            assert "mangohatch_configuration_version 7.0" in metrics
+            assert await host.stop() == 0
+        output.seek(0)
+        lines = output.read().decode().splitlines()
+    for event in ("key_rejected", "request_refused"):
+        *_, line = (line for line in lines if event in line)
+        assert "config_version=7" in line, line
+        assert "directory_age_ms=" in line, line
