--- a/tests/directory/fleet.py
+++ b/tests/directory/fleet.py
@@ -337,3 +337,10 @@
             if (item := follower.part(part).items.get(name)) is None
             or item.json != text
         ]
+
+    def copies(self, part, name):
+        """Return each host's copy of an item."""
+        return {
+            host: follower.part(part).items[name].json
+            for host, follower in self.followers.items()
+        }
