Pull older content while the host with the newest does not answer

What callers would see: answers of an older configuration from a host that cannot read the store. Cause: a pull had one target, the newest content announced; offers of any other were refused, also of content newer than the host's own. So a reader that announces changes and hears nothing, or is gone, kept each host that had heard it from taking what all others held, for as long as it announced more. Class: the newest word suppresses an older one that can be had. Change: hosts are asked in turn, whichever newer revision they announced; a copy that is still behind after a pull counts as behind from then on.

--- a/src/mangohatch/directory/follower.py
+++ b/src/mangohatch/directory/follower.py
@@ -374,6 +374,8 @@
             peer=sender,
         )
         behind_ms = self._schedule.end_behind(item.state)
+        if item.puller.pending:
+            self._schedule.record_behind(item.state)
         if changed:
             log.info(
                 "directory_learned",
--- a/src/mangohatch/directory/puller.py
+++ b/src/mangohatch/directory/puller.py
@@ -30,9 +30,11 @@
     Pulls newer content of one part, from one host at a time.
 
     After ``PULL_TIMEOUT_MS`` without a piece, or soon after the last one if others are
-    missing, it asks the next of the hosts that have announced the same content, for
-    the missing pieces only. A host that has just received a large part can serve few
-    others, so they must not all wait for it.
+    missing, it asks the next of the hosts that have announced newer content than this
+    host has, for the missing pieces only. A host that has just received a large part
+    can serve few others, so they must not all wait for it. Nor must they wait for one
+    that announced the newest content and does not answer: those that hold an earlier
+    one are asked after it.
 
     ``requests`` counts the pulls, ``attempts`` those of the latest content.
 
@@ -47,7 +49,8 @@
         self._part = part
         self._assembler = PieceAssembler()
         self._target: DirectoryMark | None = None
-        self._offers: list[str] = []
+        # Revisions that hosts have announced; the host to ask next comes first.
+        self._offers: dict[str, int] = {}
         self._payload = 0
         self._full_copy = False
         self._next_request_ms = 0.0
@@ -55,6 +58,12 @@
         self.requests = 0
         self.attempts = 0
 
+    @property
+    def pending(self) -> bool:
+        """Whether a peer has announced content that this host has not received."""
+        target = self._target
+        return target is not None and target.revision > self._part.revision
+
     def offer(self, sender: str, mark: DirectoryMark) -> None:
         """
         Record that a peer has newer content; request it unless a pull is in progress.
@@ -63,28 +72,34 @@
         :param mark: the mark of the peer, newer than this host's copy
         """
         target = self._target
+        known = sender in self._offers
         if target is None or mark.revision > target.revision:
-            if target is None or mark.digest != target.digest:
-                self._offers = []
-                self._payload = 0
-                self._full_copy = False
-            if target is None:
-                self.attempts = 0
             self._target = mark
-        elif mark.digest != target.digest:
-            return
-        if sender in self._offers:
-            return
-        self._offers.insert(0, sender)
-        del self._offers[MAX_OFFERS:]
-        if len(self._offers) == 1:
+        if target is None:
+            self.attempts = 0
+        if target is None or (
+            mark.revision > target.revision and mark.digest != target.digest
+        ):
+            self._payload = 0
+            self._full_copy = False
+            self._record_offer(sender, mark)
             self._request()
+        elif known:
+            self._offers[sender] = mark.revision
+        else:
+            self._record_offer(sender, mark)
+
+    def _record_offer(self, sender: str, mark: DirectoryMark) -> None:
+        self._offers.pop(sender, None)
+        self._offers = {sender: mark.revision, **self._offers}
+        while len(self._offers) > MAX_OFFERS:
+            self._offers.popitem()
 
     def tick(self) -> None:
         """Ask the next host if the pull in progress has received nothing for long."""
         if self._target is None:
             return
-        if self._part.revision >= self._target.revision:
+        if not self.pending:
             self._end()
         elif self._clock.now_ms() >= self._next_request_ms:
             self._request()
@@ -143,11 +158,10 @@
             payload=self._payload if missing else 0,
             missing=missing,
         )
-        # The host asked is the last to be asked again.
-        for _ in range(len(self._offers)):
-            sender = self._offers.pop(0)
-            if self._ask(sender, pull):
-                self._offers.append(sender)
+        for sender, revision in list(self._offers.items()):
+            del self._offers[sender]
+            if revision > self._part.revision and self._ask(sender, pull):
+                self._offers[sender] = revision  # the last one to be asked again
                 return
 
     def _ask(self, sender: str, pull: DirectoryPull) -> bool:
@@ -159,6 +173,6 @@
 
     def _end(self) -> None:
         self._target = None
-        self._offers = []
+        self._offers = {}
         self._payload = 0
         self._full_copy = False
--- a/tests/directory/series.py
+++ b/tests/directory/series.py
@@ -14,7 +14,7 @@
 DEAF_MS = 700.0
 CONFIGURATION = "config"
 ROUTES = 400
-REWRITTEN = 40  # routes that change with each version
+REWRITTEN_SHARE = 0.1  # routes that change with each version
 UPSTREAMS = 100
 
 
@@ -25,7 +25,8 @@
 
     ``ignored`` is the share of the hosts that get no answer from the store. Messages of
     one host are ``late_ms`` late. A share ``deaf`` of the hosts receives nothing for
-    700 ms at a time, and everything for twice as long before and after. ``loss`` is the share of messages that are lost.
+    700 ms at a time, and everything for twice as long before and after. ``loss`` is
+    the share of messages that are lost.
     """
 
     loss: float = 0.0
@@ -52,9 +53,9 @@
 class ChangingConfiguration:
     """A configuration of many routes, of which a part is rewritten with each change."""
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(self, *, rng: random.Random, routes: int) -> None:
         self._rng = rng
-        self._routes = [self._make_route(number) for number in range(ROUTES)]
+        self._routes = [self._make_route(number) for number in range(routes)]
         self.changed_ms: list[float] = []
 
     def _make_route(self, number: int) -> str:
@@ -67,7 +68,8 @@
 
     def change(self, now_ms: float) -> str:
         """Rewrite some routes, and return the next version."""
-        for number in self._rng.sample(range(ROUTES), REWRITTEN):
+        count = len(self._routes)
+        for number in self._rng.sample(range(count), int(count * REWRITTEN_SHARE)):
             self._routes[number] = self._make_route(number)
         self.changed_ms.append(now_ms)
         return f"{len(self.changed_ms)};[{','.join(self._routes)}]"
@@ -87,6 +89,7 @@
     trouble: SeriesTrouble,
     interval_ms: float,
     span_ms: float = 8_000.0,
+    routes: int = ROUTES,
 ) -> SeriesPlay:
     """
     Change the configuration at an interval, and measure how long hosts lack a change.
@@ -96,6 +99,7 @@
     :param trouble: what happens meanwhile
     :param interval_ms: time between two changes in milliseconds
     :param span_ms: time of the play in milliseconds
+    :param routes: number of routes
     :return: what the hosts lacked
     """
     rng = random.Random(seed)
@@ -103,7 +107,7 @@
     asyncio.set_event_loop(loop)
     fleet = Followers(loop, count=hosts, tick_ms=TICK_MS)
     names = sorted(fleet.followers)
-    config = ChangingConfiguration(rng=rng)
+    config = ChangingConfiguration(rng=rng, routes=routes)
     store, network = fleet.store, fleet.network
     network.rng = random.Random(seed)
     store.put(CONFIGURATION, "main", config.change(0.0))
--- a/tests/directory/test_reader_in_trouble.py
+++ b/tests/directory/test_reader_in_trouble.py
@@ -108,3 +108,22 @@
                 longest_ms = max(longest_ms, fleet.clock.now_ms() - newest_ms)
             limit_ms = READING_INTERVAL_MS + 2 * TICK_MS
             assert longest_ms <= limit_ms, (count, silent, longest_ms)
+
+
+def test_reader_that_announces_changes_and_hears_nothing_does_not_hold_up_others(
+    make_fleet,
+):
+    fleet = make_fleet(8, seed=1)
+    fleet.network.loss = 0.0
+    reader = first_reader(fleet)
+    missing = max(fleet.followers, key=rendezvous_hash)
+    fleet.store.silent = set(fleet.followers) - {reader}
+    fleet.network.receiving_nothing = {missing}
+    fleet.store.put("config", "main", "v2")
+    fleet.run(2 * READING_INTERVAL_MS)
+    assert fleet.hosts_without("config", "main", "v2") == [missing]
+    fleet.network.receiving_nothing = {reader}
+    for version in range(3, 7):
+        fleet.store.put("config", "main", f"v{version}")
+        fleet.run(READING_INTERVAL_MS)
+    assert missing in fleet.hosts_without("config", "main", "v1")
--- a/tests/directory/test_transfer.py
+++ b/tests/directory/test_transfer.py
@@ -199,6 +199,24 @@
     assert puller.add(pieces[1]) is not None
 
 
+def test_older_content_is_requested_while_the_newest_is_not_answered(
+    bus, clock, puller
+):
+    newest = make_part({"a": "3"}, revision=3)
+    older = make_part({"a": "2"}, revision=2)
+    puller.offer("h2", make_mark(newest))
+    puller.offer("h3", make_mark(older))
+    assert [receiver for receiver, _ in bus.take()] == ["h2"]
+    asked = []
+    for _ in range(2):
+        clock.advance(PULL_TIMEOUT_MS)
+        puller.tick()
+        asked += [receiver for receiver, _ in bus.take()]
+    assert sorted(asked) == ["h2", "h3"]
+    assert puller.add(make_pieces(older)[0]) is not None
+    assert puller.pending
+
+
 def test_host_that_has_left_does_not_delay_a_pull(bus, clock, puller):
     part = make_part({"a": "1"})
     bus.gone = {"h3"}
