Withdraw and add keys of client accounts in the soak of real hosts

Cause: the soak judged routes only, so no run of real processes would have shown a key that is taken too long, or refused too late (401), as CONFIG.

--- a/src/standins/host_processes/callers.py
+++ b/src/standins/host_processes/callers.py
@@ -27,6 +27,7 @@
     ended_s: float = 0.0
     status: int = 0
     service: str = ""
+    key: str = ""
     reused: bool = False
     cause: str = ""
 
@@ -48,19 +49,21 @@
         self._kept: dict[str, list[Kept]] = {}
 
     async def send(
-        self, host: HostProcess, path: str, *, deadline_ms: int = 1_500
+        self, host: HostProcess, path: str, *, key: str = "", deadline_ms: int = 1_500
     ) -> Answer:
         """
         Send a request and read its answer.
 
         :param host: the host that gets it
         :param path: path of the request
+        :param key: key of a client account, empty for none
         :param deadline_ms: how long the caller waits, in milliseconds
         :return: the answer
         """
         answer = Answer(
             request_id=f"{next(self._numbers):016x}",
             path=path,
+            key=key,
             host=host,
             sent_s=time.monotonic(),
         )
@@ -70,6 +73,8 @@
             "Request-Id": answer.request_id,
             "Deadline-Ms": str(deadline_ms),
         }
+        if key:
+            fields["Authorization"] = f"Bearer {key}"
         writer = None
         try:
             async with asyncio.timeout(deadline_ms / 1000.0):
--- a/src/standins/host_processes/site.py
+++ b/src/standins/host_processes/site.py
@@ -90,8 +90,23 @@
     return {"type": "routes", "metadata": {"name": name}, "spec": spec}
 
 
+def make_account(name: str, keys: Sequence[str]) -> dict[str, Any]:
+    """
+    Make a client account without limits.
+
+    :param name: its name
+    :param keys: its keys
+    :return: the resource in a configuration
+    """
+    spec = {"api_keys": list(keys), "priority": 1}
+    return {"type": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
 def make_configuration(
-    version: int, routes: Sequence[dict[str, Any]], services: Sequence[str]
+    version: int,
+    routes: Sequence[dict[str, Any]],
+    services: Sequence[str],
+    accounts: Sequence[dict[str, Any]] = (),
 ) -> dict[str, Any]:
     """
     Make a configuration.
@@ -99,6 +114,7 @@
     :param version: its number
     :param routes: resources of its routes
     :param services: names of its services
+    :param accounts: resources of its client accounts; without any, no key is asked for
     :return: content of the object in the store
     """
     spec = {"health_check_path": HEALTH_PATH, "max_connections": 260}
@@ -113,4 +129,5 @@
         for name in services
     ]
     limits_entry = {"type": "limits", "metadata": {}, "spec": limits}
-    return {"version": f"r{version}", "resources": [*routes, *named, limits_entry]}
+    resources = [*routes, *named, limits_entry, *accounts]
+    return {"version": f"r{version}", "resources": resources}
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,7 +16,7 @@
     With ``rewind`` the store comes back from a copy ``rewind_s`` old, and names its era
     if it ``tells_era``. ``troubles`` are drawn one after the other, ``trouble_gap_s``
     apart; those of several hosts overlap. ``burst`` changes follow each other within a
-    second.
+    second. With ``accounts`` requests need keys, which the operator withdraws and adds.
     """
 
     hosts: int
@@ -32,6 +32,7 @@
     replace_gap_s: float
     rewind_s: float
     tells_era: bool
+    accounts: bool = False
 
 
 def make_plan(seed: int, *, hosts: int, seconds: float) -> Plan:
@@ -59,4 +60,5 @@
         replace_gap_s=rng.choice((0.3, 0.8)),
         rewind_s=rng.choice((1.0, 5.0, 20.0)),
         tells_era=rng.random() < 0.5,
+        accounts=rng.random() < 0.5,
     )
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -71,7 +71,7 @@
         self.plan = plan
         self.store = FleetStore()
         self.store.tells_era = plan.tells_era
-        self.operator = Operator(store=self.store, rng=rng)
+        self.operator = Operator(store=self.store, rng=rng, accounts=plan.accounts)
         self.callers = Callers(rng=rng)
         self.hosts: list[HostProcess] = []
         self.upstreams: list[QueueingUpstream] = []
@@ -152,7 +152,12 @@
         hosts = [host for host in self.hosts if not host.ended]
         for path in paths:
             await asyncio.gather(
-                *(self.callers.send(host, f"{path}probe") for host in hosts)
+                *(
+                    self.callers.send(
+                        host, f"{path}probe", key=self.operator.choose_key()
+                    )
+                    for host in hosts
+                )
             )
 
     async def send(self) -> None:
@@ -169,7 +174,7 @@
                 self.spawn(self._send(host, f"{path}x{number}"))
 
     async def _send(self, host: HostProcess, path: str) -> None:
-        await self.callers.send(host, path)
+        await self.callers.send(host, path, key=self.operator.choose_key())
 
     async def watch_loop(self) -> None:
         """Record when this process, which plays everyone else, stood still."""
--- a/tests/soak/test_processes.py
+++ b/tests/soak/test_processes.py
@@ -38,3 +38,14 @@
 
 async def test_planned_stops_and_bursts_of_changes_are_served():
     await play_short(3, troubles=("term", "away"), trouble_gap_s=3.0, burst=5)
+
+
+async def test_withdrawn_and_added_keys_are_in_force_beside_killed_and_ignored_hosts():
+    await play_short(
+        4,
+        accounts=True,
+        troubles=("kill", "ignore"),
+        trouble_gap_s=2.0,
+        burst=5,
+        change_gap_s=0.5,
+    )
