Ask the owner of a quota with one message at a time for each account

Cause: each request of an account sent its own message to the owner, again after 25, 50, 100 and then every 200 ms, and each repeat voided the answer to the one before it. An owner that answers later than that is never heard, and the messages multiply: congestion collapse. Its marks, acks and pulls drown in the same socket, so it keeps an old configuration and loses its peers. Class: messages of the whole fleet to one host that grow with what waits, on the path of its own control messages. Change: the requests of an account at a host wait in a line with one message on its way, repeated ever later; an answer counts for 200 ms, as before at most, whether or not the message was repeated; a refusal holds for all that wait, and for those that come before the next token may be due; reports of held permits are sent ten times a second at most. So at most one message a host waits at an owner.

--- a/src/mangohatch/core/limits/held_quota.py
+++ b/src/mangohatch/core/limits/held_quota.py
@@ -40,6 +40,15 @@
         self._requests.append(now_ms)
         while self._requests[0] < now_ms - DEMAND_MS:
             self._requests.popleft()
+        return self.use(now_ms)
+
+    def use(self, now_ms: float) -> bool:
+        """
+        Use a permit for a request that has been counted.
+
+        :param now_ms: monotonic time in milliseconds
+        :return: whether there was a permit
+        """
         while self._permits and self._permits[0] < now_ms - HOLD_MS:
             self._permits.popleft()
         if not self._permits:
--- a/src/mangohatch/core/limits/quotas.py
+++ b/src/mangohatch/core/limits/quotas.py
@@ -7,23 +7,20 @@
 from mangohatch.clock import Clock
 from mangohatch.core.accounts import Account, AccountTable
 from mangohatch.core.limits.held_quota import HeldQuota
-from mangohatch.core.limits.pending_permit import (
-    DeliverPermit,
-    PendingPermit,
-)
+from mangohatch.core.limits.pending_permit import DeliverPermit, PendingPermit
 from mangohatch.core.limits.quota_bounds import QuotaBounds
 from mangohatch.core.limits.quota_broker import QuotaBroker, QuotaDecision
+from mangohatch.core.limits.quota_line import QuotaLine
 from mangohatch.core.limits.quota_members import QuotaMembers
 from mangohatch.core.timers import Timers
-from mangohatch.errors import QuotaExceeded, QuotaUnanswered
+from mangohatch.errors import QuotaExceeded, QuotaUnanswered, RequestError
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages.quotas import QuotaAnswer, QuotaRequest, QuotaReturn
 
 __all__ = ["QuotaPermits"]
 
-REPEAT_FACTOR = 2.0
-MAX_REPEAT_MS = 200.0
 JITTER = 0.2  # callers that were refused at once do not return at once
+REPORT_MS = 100.0  # between reports of used permits that ask for no permit
 UNANSWERED_RETRY_MS = 500.0  # about half the time until the loss of an owner is noticed
 LOG_INTERVAL_MS = 1_000.0
 
@@ -34,10 +31,10 @@
     """
     Asks the owners of accounts for permits, and answers as the owner.
 
-    A request asks the owner once. The message is repeated if no answer comes, to the
-    owner at that time, so that a request whose owner was lost asks the next one as soon
-    as this host has noticed the loss. An answer to a request that is not pending any
-    more, as after a pause of this host, permits nothing.
+    The first request that waits for an account asks the owner; the others wait in its
+    :class:`QuotaLine`. The message is repeated if no answer comes, to the owner at that
+    time, so that the requests ask the next owner as soon as this host has noticed the
+    loss of one. A late answer, as after a pause of this host, permits nothing.
 
     ``unanswered`` counts the requests that got no answer in time, and ``exceeded``
     those above their quota.
@@ -72,7 +69,8 @@
         self._accounts = accounts
         self._members = QuotaMembers(clock=clock, bus=bus, alone=alone)
         self.broker = QuotaBroker(clock=clock, members=self._members)
-        self._pending: dict[int, PendingPermit] = {}
+        self._lines: dict[str, QuotaLine] = {}
+        self._reports_due_ms: dict[str, float] = {}
         self._held: dict[str, HeldQuota] = {}
         # Answers to an earlier process of the same name have other numbers.
         self._number = rng.getrandbits(48)
@@ -106,13 +104,21 @@
         :return: the request, which can be cancelled
         """
         now_ms = self._clock.now_ms()
-        item = PendingPermit(
-            account=account, until_ms=now_ms + wait_ms, deliver=deliver
-        )
+        item = PendingPermit(until_ms=now_ms + wait_ms, deliver=deliver)
         if self._take_held(account, now_ms):
             deliver(now_ms)
-        else:
-            self._ask(item)
+            return item
+        line = self._find_line(account)
+        line.add(item)
+        if line.is_closed(now_ms) and not self._members.owns(account.name):
+            self._refuse_all(line)
+            return item
+        if now_ms < line.ready_ms:
+            self._refuse_short(line)
+        if not item.ended:
+            self._timers.call_later(wait_ms, lambda: self._give_up(line, item))
+            if not line.number:
+                self._ask(line)
         return item
 
     def cancel(self, item: PendingPermit) -> None:
@@ -121,8 +127,7 @@
 
         :param item: result of :meth:`request`
         """
-        self._pending.pop(item.number, None)
-        item.number = 0
+        item.ended = True
 
     def put_back(self, account: Account) -> None:
         """
@@ -152,14 +157,22 @@
         if not held.take(now_ms):
             return False
         owner = self._members.owner(account.name)
-        if owner:
+        if owner and now_ms >= self._reports_due_ms.get(account.name, 0.0):
             self._number += 1
             self._send(owner, account, number=self._number, count=0)
         return True
 
+    def _find_line(self, account: Account) -> QuotaLine:
+        line = self._lines.get(account.name)
+        if line is None:
+            line = self._lines[account.name] = QuotaLine(account=account)
+        line.account = account
+        return line
+
     def _send(self, owner: str, account: Account, *, number: int, count: int) -> None:
         held = self._held.get(account.name)
         now_ms = self._clock.now_ms()
+        self._reports_due_ms[account.name] = now_ms + REPORT_MS
         message = QuotaRequest(
             account=account.name,
             number=number,
@@ -170,67 +183,97 @@
         )
         self._bus.send(owner, message)
 
-    def _ask(self, item: PendingPermit) -> None:
-        now_ms = self._clock.now_ms()
-        if item.number and now_ms >= item.until_ms:
-            self._give_up(item)
-            return
-        self._pending.pop(item.number, None)
-        self._number += 1
-        item.number = self._number
-        item.asked_ms = now_ms
-        self._pending[item.number] = item
-        owner = self._members.owner(item.account.name)
+    def _ask(self, line: QuotaLine) -> None:
+        account = line.account
+        owner = self._members.owner(account.name)
         if owner == self._bus.host_id and self.bounds is not None:
-            self._settle(item, self.broker.take(item.account, self.bounds))
+            now_ms = self._clock.now_ms()
+            while line.waiting and not line.number:
+                decision = self.broker.take(account, self.bounds)
+                self._settle(line, decision, asked_ms=now_ms)
             return
+        self._number += 1
+        number = self._number
+        delay_ms = line.record_sent(number, self._clock.now_ms())
         if owner:
-            self._send(owner, item.account, number=item.number, count=1)
-        self._ask_later(item, item.repeat_ms)
-        item.repeat_ms = min(REPEAT_FACTOR * item.repeat_ms, MAX_REPEAT_MS)
+            self._send(owner, account, number=number, count=1)
+        self._ask_later(line, delay_ms)
 
-    def _ask_later(self, item: PendingPermit, delay_ms: float) -> None:
-        rest_ms = max(0.0, item.until_ms - self._clock.now_ms())
-        number = item.number
+    def _ask_later(self, line: QuotaLine, delay_ms: float) -> None:
+        number = line.number
 
         def ask_again() -> None:
-            if item.number == number:
-                self._ask(item)
+            if line.number != number:
+                return
+            line.number = 0
+            if line.waiting:
+                self._ask(line)
 
-        self._timers.call_later(min(delay_ms, rest_ms), ask_again)
+        self._timers.call_later(delay_ms, ask_again)
 
-    def _settle(self, item: PendingPermit, decision: QuotaDecision) -> None:
+    def _settle(
+        self, line: QuotaLine, decision: QuotaDecision, *, asked_ms: float
+    ) -> None:
         if decision.granted:
-            self.cancel(item)
-            item.deliver(item.asked_ms)
-            return
-        rest_ms = item.until_ms - self._clock.now_ms()
-        if decision.settling and decision.wait_ms < rest_ms:
-            self._ask_later(item, decision.wait_ms)
-            return
-        self.cancel(item)
-        account = item.account
-        jitter = 1.0 + JITTER * self._rng.random()
-        retry_after_ms = decision.wait_ms * jitter
-        if decision.settling:
-            # What the account has used before is not known, so it need not be above.
-            detail = (
-                f"the owner of the quota of account {account.name} has just started"
-            )
-            item.deliver(QuotaUnanswered(detail, retry_after_ms=retry_after_ms))
-            return
-        self.exceeded += 1
+            self._end(line.take(), asked_ms)
+        elif decision.settling:
+            self._wait_for_owner(line, decision.wait_ms)
+        else:
+            hosts = len(self._bus.members())
+            now_ms = self._clock.now_ms()
+            line.close(decision.wait_ms, hosts=hosts, now_ms=now_ms)
+            self._refuse_all(line)
+
+    @staticmethod
+    def _end(item: PendingPermit, answer: float | RequestError) -> None:
+        item.ended = True
+        item.deliver(answer)
+
+    def _wait_for_owner(self, line: QuotaLine, wait_ms: float) -> None:
+        """Ask an owner that has just started again, for those that may wait for it."""
+        line.ready_ms = self._clock.now_ms() + wait_ms
+        self._refuse_short(line)
+        if line.waiting:
+            self._number += 1
+            line.number = self._number
+            self._ask_later(line, wait_ms)
+
+    def _refuse_short(self, line: QuotaLine) -> None:
+        """Refuse the requests that can't wait until the owner gives permits."""
+        # What the account has used before is not known, so it need not be above.
         detail = (
-            f"account {account.name} is above its quota of {account.per_s:g} requests"
-            f" a second and {account.burst:g} at once; the next token comes in"
-            f" {decision.wait_ms:.0f} ms"
+            f"the owner of the quota of account {line.account.name} has just started"
         )
-        item.deliver(QuotaExceeded(detail, retry_after_ms=retry_after_ms))
+        wait_ms = line.ready_ms - self._clock.now_ms()
+        for item in line.take_all():
+            if line.ready_ms < item.until_ms:
+                line.add(item)
+                continue
+            retry_after_ms = wait_ms * self._jitter()
+            self._end(item, QuotaUnanswered(detail, retry_after_ms=retry_after_ms))
+
+    def _refuse_all(self, line: QuotaLine) -> None:
+        account = line.account
+        latest_ms = self.bounds.window_ms if self.bounds is not None else 0.0
+        for item in line.take_all():
+            self.exceeded += 1
+            wait_ms = line.promise(self._clock.now_ms(), latest_ms=latest_ms)
+            detail = (
+                f"account {account.name} is above its quota of {account.per_s:g}"
+                f" requests a second and {account.burst:g} at once; the next token"
+                f" comes in {wait_ms:.0f} ms"
+            )
+            retry_after_ms = wait_ms * self._jitter()
+            self._end(item, QuotaExceeded(detail, retry_after_ms=retry_after_ms))
+
+    def _jitter(self) -> float:
+        return 1.0 + JITTER * self._rng.random()
 
-    def _give_up(self, item: PendingPermit) -> None:
-        self.cancel(item)
+    def _give_up(self, line: QuotaLine, item: PendingPermit) -> None:
+        if item.ended:
+            return
         self.unanswered += 1
-        name = item.account.name
+        name = line.account.name
         owner = self._members.owner(name)
         now_ms = self._clock.now_ms()
         if now_ms >= self._log_due_ms:
@@ -238,13 +281,9 @@
             log.info(
                 "quota_unanswered", account=name, owner=owner, count=self.unanswered
             )
-        jitter = 1.0 + JITTER * self._rng.random()
-        item.deliver(
-            QuotaUnanswered(
-                f"the owner {owner!r} of the quota of account {name} did not answer",
-                retry_after_ms=UNANSWERED_RETRY_MS * jitter,
-            )
-        )
+        detail = f"the owner {owner!r} of the quota of account {name} did not answer"
+        retry_after_ms = UNANSWERED_RETRY_MS * self._jitter()
+        self._end(item, QuotaUnanswered(detail, retry_after_ms=retry_after_ms))
 
     def _receive_request(self, sender: str, message: QuotaRequest) -> None:
         self._members.learn(message.members)
@@ -275,18 +314,23 @@
         held = self._held.get(message.account)
         if held is not None:
             held.add(message.number, message.ahead)
-        item = self._pending.get(message.number)
-        if item is None or item.account.name != message.account:
+        line = self._lines.get(message.account)
+        if line is None:
             return
-        if self._clock.now_ms() > item.until_ms:
-            self._give_up(item)
+        now_ms = self._clock.now_ms()
+        asked_ms = line.record_answer(message.number, now_ms)
+        if asked_ms is None or not line.waiting:
             return
         decision = QuotaDecision(
             granted=message.granted,
             wait_ms=message.wait_ms,
             settling=message.settling,
         )
-        self._settle(item, decision)
+        self._settle(line, decision, asked_ms=asked_ms)
+        while line.waiting and held is not None and held.use(now_ms):
+            self._end(line.take(), now_ms)
+        if line.waiting and not line.number:
+            self._ask(line)
 
     def _receive_return(self, sender: str, message: QuotaReturn) -> None:
         account = self.find_limited(message.account)
