Let answers to repeated quota messages cause no further ones

Cause: found by reading the change before: each answer of an owner freed the line for the next message, also that to a repeated one, so repeats stayed in circulation; and repeats began at 25 ms again after each answer, however late the owner answered. Errors of refusals have a module of their own.

--- a/src/mangohatch/core/limits/quota_line.py
+++ b/src/mangohatch/core/limits/quota_line.py
@@ -106,11 +106,14 @@
         :return: when the message was sent, None if the answer is late or not expected
         """
         sent_ms = self._sent.pop(number, None)
-        if sent_ms is None or now_ms - sent_ms > MAX_AGE_MS:
+        if sent_ms is None:
             return None
-        self._repeat_ms = ANSWER_MS
-        self.number = 0
-        return sent_ms
+        age_ms = now_ms - sent_ms
+        self._repeat_ms = min(max(ANSWER_MS, REPEAT_FACTOR * age_ms), MAX_REPEAT_MS)
+        if number == self.number:
+            # Answers to repeated messages cause no further ones.
+            self.number = 0
+        return sent_ms if age_ms <= MAX_AGE_MS else None
 
     def close(self, wait_ms: float, *, hosts: int, now_ms: float) -> None:
         """
--- a/src/mangohatch/core/limits/quotas.py
+++ b/src/mangohatch/core/limits/quotas.py
@@ -12,8 +12,13 @@
 from mangohatch.core.limits.quota_broker import QuotaBroker, QuotaDecision
 from mangohatch.core.limits.quota_line import QuotaLine
 from mangohatch.core.limits.quota_members import QuotaMembers
+from mangohatch.core.limits.quota_refusals import (
+    make_exceeded,
+    make_owner_starting,
+    make_unanswered,
+)
 from mangohatch.core.timers import Timers
-from mangohatch.errors import QuotaExceeded, QuotaUnanswered, RequestError
+from mangohatch.errors import RequestError
 from mangohatch.peer.bus import PeerBus
 from mangohatch.peer.messages.quotas import QuotaAnswer, QuotaRequest, QuotaReturn
 
@@ -240,31 +245,21 @@
 
     def _refuse_short(self, line: QuotaLine) -> None:
         """Refuse the requests that can't wait until the owner gives permits."""
-        # What the account has used before is not known, so it need not be above.
-        detail = (
-            f"the owner of the quota of account {line.account.name} has just started"
-        )
         wait_ms = line.ready_ms - self._clock.now_ms()
         for item in line.take_all():
             if line.ready_ms < item.until_ms:
                 line.add(item)
-                continue
-            retry_after_ms = wait_ms * self._jitter()
-            self._end(item, QuotaUnanswered(detail, retry_after_ms=retry_after_ms))
+            else:
+                error = make_owner_starting(line.account, wait_ms * self._jitter())
+                self._end(item, error)
 
     def _refuse_all(self, line: QuotaLine) -> None:
-        account = line.account
         latest_ms = self.bounds.window_ms if self.bounds is not None else 0.0
         for item in line.take_all():
             self.exceeded += 1
             wait_ms = line.promise(self._clock.now_ms(), latest_ms=latest_ms)
-            detail = (
-                f"account {account.name} is above its quota of {account.per_s:g}"
-                f" requests a second and {account.burst:g} at once; the next token"
-                f" comes in {wait_ms:.0f} ms"
-            )
-            retry_after_ms = wait_ms * self._jitter()
-            self._end(item, QuotaExceeded(detail, retry_after_ms=retry_after_ms))
+            error = make_exceeded(line.account, wait_ms, wait_ms * self._jitter())
+            self._end(item, error)
 
     def _jitter(self) -> float:
         return 1.0 + JITTER * self._rng.random()
@@ -281,9 +276,8 @@
             log.info(
                 "quota_unanswered", account=name, owner=owner, count=self.unanswered
             )
-        detail = f"the owner {owner!r} of the quota of account {name} did not answer"
         retry_after_ms = UNANSWERED_RETRY_MS * self._jitter()
-        self._end(item, QuotaUnanswered(detail, retry_after_ms=retry_after_ms))
+        self._end(item, make_unanswered(line.account, owner, retry_after_ms))
 
     def _receive_request(self, sender: str, message: QuotaRequest) -> None:
         self._members.learn(message.members)
@@ -319,14 +313,13 @@
             return
         now_ms = self._clock.now_ms()
         asked_ms = line.record_answer(message.number, now_ms)
-        if asked_ms is None or not line.waiting:
-            return
-        decision = QuotaDecision(
-            granted=message.granted,
-            wait_ms=message.wait_ms,
-            settling=message.settling,
-        )
-        self._settle(line, decision, asked_ms=asked_ms)
+        if asked_ms is not None and line.waiting:
+            decision = QuotaDecision(
+                granted=message.granted,
+                wait_ms=message.wait_ms,
+                settling=message.settling,
+            )
+            self._settle(line, decision, asked_ms=asked_ms)
         while line.waiting and held is not None and held.use(now_ms):
             self._end(line.take(), now_ms)
         if line.waiting and not line.number:
--- a/tests/core/limits/test_quotas.py
+++ b/tests/core/limits/test_quotas.py
@@ -276,6 +276,30 @@
     assert len(asker.router.waiting) == 10
 
 
+def test_messages_on_their_way_to_a_late_owner_do_not_add_up(hosts, clock, network):
+    owner, (asker, _) = hosts
+    owner.accounts.replace([replace(ACCOUNT, per_s=100.0, burst=200.0)])
+    asker.accounts.replace([replace(ACCOUNT, per_s=100.0, burst=200.0)])
+    wait(clock, [owner], 5_000.0)
+    delayed = []
+    most = 0
+    for step in range(40):
+        for number in range(10):
+            asker.call(f"r{step}-{number}")
+        now_ms = clock.now_ms()
+        delayed += [(now_ms + 100.0, item) for item in network.queue]
+        network.queue = [item for at_ms, item in delayed if at_ms <= now_ms]
+        delayed = [item for item in delayed if item[0] > now_ms]
+        asked = [item for _, item in delayed if type(item[2]) is QuotaRequest]
+        most = max(most, len(asked))
+        late, network.queue = network.queue, []
+        for sender, receiver, message in late:
+            network.buses[receiver].handlers[type(message)](sender, message)
+        wait(clock, [owner, asker], 50.0)
+    # One of a request, one of a report, and those repeated before the delay was known.
+    assert most <= 5, most
+
+
 def test_refusal_holds_for_all_that_wait_and_for_those_that_follow_at_once(
     hosts, clock, network
 ):
