Leave the age of the directory out of the log while nothing is known

Cause: a host without any part logged the time since its machine started as the age of what it knows (entry: 85,577,891 ms). Change: only parts that are known count. Measured: tests.platform.test_account_host passes.

--- a/src/mangohatch/fleet/host.py
+++ b/src/mangohatch/fleet/host.py
@@ -177,11 +177,12 @@
         self._components.apply_part(part, self._table_updater)
 
     def describe_directory(self) -> Mapping[str, object]:
-        ages_ms = (self.follower.age_ms(part) for part in self.follower.parts)
-        return {
-            "config_version": self.tables.routes.version,
-            "directory_age_ms": int(max(ages_ms)),
-        }
+        follower = self.follower
+        known = [name for name in follower.parts if follower.part(name).known]
+        fields: dict[str, object] = {"config_version": self.tables.routes.version}
+        if known:
+            fields["directory_age_ms"] = int(max(map(follower.age_ms, known)))
+        return fields
 
     def should_move(self, grant: Grant) -> bool:
         """
